The whole path, thin: router, agent, operators' tool, stand-ins

Cause: nothing existed; a request has to be served from end to end through separate processes before anything can be proved about it.

Before: no path.

Conclusion: the path stands; proofs under failure come next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: help setup demo test lint format soak measure slopes clean
+
+help:
+	@echo "make demo     show the whole system at work, within a minute"
+	@echo "make test     run all tests"
+	@echo "make lint     run the linter and the formatter check"
+	@echo "make soak     long random faults: SEED=1 MINUTES=5"
+	@echo "make measure  policies against baselines: build/measure.json"
+	@echo "make slopes   what docs/CAPACITY.md is worked out from"
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --editable '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m bench.demo
+
+test: $(STAMP)
+	$(BIN)/python -m nose2 --start-dir tests --top-level-directory .
+
+lint: $(STAMP)
+	$(BIN)/flake8 galenaspoke standins bench spec tests
+	$(BIN)/black --check --quiet galenaspoke standins bench spec tests
+
+format: $(STAMP)
+	$(BIN)/black --quiet galenaspoke standins bench spec tests
+
+soak: $(STAMP)
+	$(BIN)/python -m bench.soak --seed $(or $(SEED),1) \
+	  --minutes $(or $(MINUTES),5)
+
+measure: $(STAMP)
+	$(BIN)/python -m bench.measure
+
+slopes: $(STAMP)
+	$(BIN)/python -m bench.slopes
+
+clean:
+	rm -rf build $(VENV)
--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,369 @@
+"""Starts, hurts and stops the real processes on this machine.
+
+This is the only place that starts processes; galenaspoke itself never does.
+"""
+
+import configparser
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+READY_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 30
+
+
+def free_port():
+    """Return a port of the loopback address that nobody uses now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def free_address():
+    """Return a free IP:PORT."""
+    return f'127.0.0.1:{free_port()}'
+
+
+def post(address, path, document):
+    """POST a JSON document to a stand-in."""
+    body = json.dumps(document).encode()
+    url = f'http://{address}{path}'
+    with urllib.request.urlopen(url, body, timeout=5) as resp:
+        return resp.read()
+
+
+def get(address, path):
+    """Return the JSON document at a path."""
+    url = f'http://{address}{path}'
+    with urllib.request.urlopen(url, timeout=5) as resp:
+        return json.loads(resp.read())
+
+
+class Process:
+    """One process that was started here."""
+
+    def __init__(self, name, argv, directory):
+        self.name = name
+        self._argv = argv
+        self._directory = directory
+        self.popen = None
+        self.start()
+
+    def start(self):
+        """Start it, again if need be."""
+        with open(self._directory / f'{self.name}.err', 'ab') as err:
+            self.popen = subprocess.Popen(
+                self._argv, stdout=err, stderr=err, stdin=subprocess.DEVNULL
+            )
+
+    def alive(self):
+        """Tell whether it runs."""
+        return self.popen.poll() is None
+
+    def signal(self, number):
+        """Send it a signal if it runs."""
+        if self.alive():
+            self.popen.send_signal(number)
+
+    def kill(self):
+        """End it at once, as a crash does."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def freeze(self):
+        """Stop it from running until it is thawed."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self):
+        """Let it run on."""
+        self.signal(signal.SIGCONT)
+
+    def stop(self):
+        """Ask it to stop in order; return its exit code."""
+        self.signal(signal.SIGTERM)
+        return self.popen.wait(STOP_TIMEOUT_S)
+
+
+class Link:
+    """A relay between routers and one agent, which can be cut."""
+
+    def __init__(self, cluster, name, to):
+        self.listen = free_address()
+        self._control = free_address()
+        cluster.standin(
+            f'link-{name}',
+            'link',
+            '--listen',
+            self.listen,
+            '--to',
+            to,
+            '--control',
+            self._control,
+        )
+
+    def _say(self, word):
+        host, _, port = self._control.rpartition(':')
+        with socket.create_connection((host, int(port)), timeout=5) as conn:
+            conn.sendall(f'{word}\n'.encode())
+            conn.recv(16)
+
+    def cut(self):
+        """Let nothing through."""
+        self._say('cut')
+
+    def mend(self):
+        """Let everything through that waited."""
+        self._say('mend')
+
+
+class Cluster:
+    """A deployment: stand-ins, agents and routers, by name."""
+
+    def __init__(self, directory):
+        self.directory = pathlib.Path(directory)
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self.processes = {}
+        self.addresses = {}
+        self.services = {}
+        self.store_address = ''
+        self.roster_address = ''
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stop_all()
+
+    def _start(self, name, *argv):
+        process = Process(name, [sys.executable, *argv], self.directory)
+        self.processes[name] = process
+        return process
+
+    def standin(self, name, kind, *argv):
+        """Start a stand-in."""
+        return self._start(name, '-m', 'standins', kind, *argv)
+
+    def start_store(self, **options):
+        """Start the stand-in for the platform's object API."""
+        self.store_address = free_address()
+        argv = ['--listen', self.store_address, '--log', self.log('store')]
+        for option, value in options.items():
+            argv += [f'--{option.replace("_", "-")}', str(value)]
+        self.standin('store', 'store', *argv)
+        self._await_port(self.store_address)
+
+    def start_roster(self, lag_ms=300):
+        """Start the stand-in for the platform's list of instances."""
+        self.roster_address = free_address()
+        argv = ['--listen', self.roster_address, '--lag-ms', str(lag_ms)]
+        self.standin('roster', 'roster', *argv)
+        self._await_port(self.roster_address)
+
+    def log(self, name):
+        """Return the path of a process's log of the truth."""
+        return str(self.directory / f'{name}.truth')
+
+    def truth(self, name):
+        """Return the lines of a stand-in's log of the truth."""
+        path = pathlib.Path(self.log(name))
+        if not path.exists():
+            return []
+        lines = path.read_bytes().splitlines()
+        return [json.loads(line) for line in lines if line]
+
+    def truths(self, kind):
+        """Return the lines of all targets of one kind."""
+        found = []
+        for name, (service_kind, _) in self.services.items():
+            if service_kind == kind:
+                found += self.truth(f'target-{name}')
+        return found
+
+    def _write_ini(self, name, sections):
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(sections)
+        path = self.directory / f'{name}.ini'
+        with open(path, 'w') as ini_file:
+            parser.write(ini_file)
+        return str(path)
+
+    def _store_section(self, store):
+        url = f'http://{self.store_address}'
+        return {'url': url, 'timeout_ms': 1000, **(store or {})}
+
+    def start_target(self, name, kind, **options):
+        """Start an engine or an application."""
+        address = free_address()
+        argv = ['--listen', address, '--log', self.log(f'target-{name}')]
+        for option, value in options.items():
+            argv += [f'--{option.replace("_", "-")}', str(value)]
+        standin = 'engine' if kind == 'model' else 'application'
+        self.standin(f'target-{name}', standin, *argv)
+        self.addresses[f'target-{name}'] = address
+        return address
+
+    def start_agent(self, name, service, kind, domain, link=False, **options):
+        """Start the agent of a target; with `link` behind a relay."""
+        target = self.addresses[f'target-{name}']
+        listen = free_address()
+        state_listen = free_address()
+        address = listen
+        if link:
+            relay = Link(self, name, listen)
+            self.addresses[f'link-{name}'] = relay
+            address = relay.listen
+        section = {
+            'name': name,
+            'domain': domain,
+            'service': service,
+            'kind': kind,
+            'listen': listen,
+            'state_listen': state_listen,
+            'target': f'http://{target}',
+            **options,
+        }
+        if link:
+            section['advertise'] = address
+        ini = self._write_ini(
+            name, {'agent': section, 'store': self._store_section(None)}
+        )
+        self.services[name] = (kind, service)
+        self.addresses[name] = listen
+        self.addresses[f'state-{name}'] = state_listen
+        self._start(name, '-m', 'galenaspoke.agent.main', ini)
+
+    def start_router(self, name, domain, store=None, **options):
+        """Start a router."""
+        listen = free_address()
+        peer_listen = free_address()
+        section = {
+            'name': name,
+            'domain': domain,
+            'listen': listen,
+            'peer_listen': peer_listen,
+            **options,
+        }
+        if self.roster_address:
+            section['roster'] = f'http://{self.roster_address}'
+        sections = {'router': section, 'store': self._store_section(store)}
+        ini = self._write_ini(name, sections)
+        self.addresses[name] = listen
+        self.addresses[f'peer-{name}'] = peer_listen
+        self._start(name, '-m', 'galenaspoke.router.main', ini)
+
+    def ctl(self, *argv, check=True):
+        """Run galenaspoke-ctl; return (exit code, output)."""
+        routers = [
+            self.addresses[name]
+            for name in self.addresses
+            if f'peer-{name}' in self.addresses
+        ]
+        sections = {
+            'ctl': {'operator': 'demo', 'routers': ','.join(routers)},
+            'store': self._store_section(None),
+        }
+        ini = self._write_ini('ctl', sections)
+        result = subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'galenaspoke.ctl.main',
+                '--settings',
+                ini,
+                *argv,
+            ],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        if check and result.returncode:
+            raise RuntimeError(f'ctl {argv}: {result.stderr}')
+        return result.returncode, result.stdout + result.stderr
+
+    def publish(self, document):
+        """Publish a configuration given as a dict."""
+        path = self.directory / 'document.json'
+        path.write_text(json.dumps(document))
+        return self.ctl('publish', str(path))
+
+    def state(self, name):
+        """Return a process's state dump, or None if it doesn't answer."""
+        address = self.addresses.get(f'state-{name}', self.addresses[name])
+        try:
+            return get(address, '/state')
+        except (OSError, urllib.error.URLError):
+            return None
+
+    def wait(self, what, condition, timeout_s=READY_TIMEOUT_S):
+        """Wait until a condition holds; raises TimeoutError."""
+        until = time.monotonic() + timeout_s
+        while not condition():
+            if time.monotonic() > until:
+                raise TimeoutError(f'waited {timeout_s} s for {what}')
+            time.sleep(0.05)
+
+    def _await_port(self, address):
+        host, _, port = address.rpartition(':')
+
+        def listening():
+            try:
+                socket.create_connection((host, int(port)), 1).close()
+            except OSError:
+                return False
+            return True
+
+        self.wait(f'{address} to listen', listening)
+
+    def wait_ready(self, routers, agents):
+        """Wait until routers are ready and know all agents as usable."""
+
+        def ready(name):
+            state = self.state(name)
+            if not state or not state['ready'] or not state['money']:
+                return False
+            usable = [
+                agent
+                for agent, known in state['agents'].items()
+                if not known['failed']
+            ]
+            holds = state['money']['holder'] is not None
+            return holds and set(agents) <= set(usable)
+
+        for name in routers:
+            self.wait(f'{name} to be ready', lambda n=name: ready(n))
+
+    def wait_agents(self, names):
+        """Wait until agents have joined."""
+        for name in names:
+            self._await_port(self.addresses[name])
+            self.wait(
+                f'{name} to join',
+                lambda n=name: (self.state(n) or {}).get('joined'),
+            )
+
+    def control(self, name, **faults):
+        """Set a stand-in's faults."""
+        address = (
+            self.store_address if name == 'store' else self.addresses[name]
+        )
+        post(address, '/control', faults)
+
+    def stop_all(self):
+        """End every process that was started here."""
+        for process in self.processes.values():
+            process.thaw()
+            process.signal(signal.SIGKILL)
+        for process in self.processes.values():
+            process.popen.wait()
+
+
+def environment_seed(default):
+    """Return the seed that the environment asks for."""
+    return int(os.environ.get('SEED', default))
--- /dev/null
+++ b/galenaspoke/agent/__init__.py
@@ -0,0 +1,1 @@
+"""galenaspoke-agent: the process beside a target."""
--- /dev/null
+++ b/galenaspoke/agent/service.py
@@ -0,0 +1,266 @@
+"""What an agent does for routers: claim, run, tell, seal.
+
+Between looking at the tables and changing them no function here waits, so
+each decision is taken as a whole.
+"""
+
+from grpclib import const
+from grpclib import exceptions
+
+from galenaspoke.core import objects
+from galenaspoke.core import records
+from galenaspoke.core import registry
+from galenaspoke.core import verdicts
+from galenaspoke.rpc import messages
+from galenaspoke.rpc import methods
+
+_RETRY_LEAVING_MS = 1
+
+
+class WrongIncarnation(exceptions.GRPCError):
+    """A call was meant for another incarnation of this agent."""
+
+    def __init__(self):
+        super().__init__(const.Status.FAILED_PRECONDITION)
+
+
+class AgentService:
+    """The handlers of one agent's calls."""
+
+    __slots__ = (
+        '_leaving',
+        '_cfg',
+        '_incarnation',
+        '_keeper',
+        '_membership',
+        '_metrics',
+        '_claims',
+        '_runs',
+        '_holders',
+        '_runner',
+        '_clock',
+    )
+
+    def __init__(self, cfg, membership, keeper, metrics, clock, tables):
+        self._cfg = cfg
+        self._membership = membership
+        self._incarnation = membership.incarnation
+        self._keeper = keeper
+        self._metrics = metrics
+        self._clock = clock
+        self._claims, self._runs, self._holders, self._runner = tables
+        self._leaving = False
+
+    @property
+    def leaving(self):
+        """Whether no new work is taken: stopping, replaced or drained."""
+        target = self._keeper.config.targets.get(self._cfg.name)
+        return self._leaving or (target is not None and target.drained)
+
+    def leave(self):
+        """Take no new work from now on."""
+        self._leaving = True
+
+    def handlers(self):
+        """Return the calls served, each with its function."""
+        return [
+            (methods.SUBMIT, self.submit),
+            (methods.ASK, self.ask),
+            (methods.OUTCOME, self.outcome),
+            (methods.SEAL, self.seal),
+            (methods.STATUS, self.status),
+            (methods.HAND_OVER, self.hand_over),
+            (methods.INSTALL, self.install),
+            (methods.NOTICE, self.notice),
+        ]
+
+    def submit(self, submit):
+        """Claim, start or follow a request; yields messages.Event."""
+        self._metrics.count('submits')
+        if not self._meant(submit):
+            yield verdicts.not_run(
+                verdicts.Reason.MOVED, 'another incarnation was meant', 1
+            )
+            return
+        if submit.holder:
+            refusal = self._holders.admit(submit.holder)
+            if refusal:
+                yield refusal
+                return
+        if submit.attempt == 0:
+            yield from self._as_home(submit)
+        elif submit.new:
+            yield from self._as_runner(submit)
+        else:
+            run = self._runs.find_or_fence(submit.request.key, submit.attempt)
+            yield from self._follow(run, submit.skip)
+
+    def _meant(self, message):
+        joined = self._membership.registry is not None
+        return joined and message.to == self._incarnation
+
+    def _check_meant(self, message):
+        if not self._meant(message):
+            raise WrongIncarnation
+
+    def _policy(self):
+        config = self._keeper.config
+        service = config.services.get(self._cfg.service)
+        return config.policy_of(service) if service else objects.DEFAULTS
+
+    def _as_home(self, submit):
+        req = submit.request
+        policy = self._policy()
+        refusal = self._refuse_new(submit, policy)
+        if refusal:
+            yield refusal
+            return
+        answer = self._claims.claim(
+            req.key,
+            req.digest,
+            req.place,
+            submit.propose,
+            None if submit.look else submit.failure,
+            req.repeatable,
+            policy.poison_limit,
+            submit.billable,
+        )
+        here = (
+            isinstance(answer, records.Claimed)
+            and answer.runner == self._cfg.name
+        )
+        run = None
+        if here and answer.new:
+            run = self._start(submit, answer.attempt, answer)
+        elif here:
+            run = self._runs.find_or_fence(req.key, answer.attempt)
+        yield answer
+        if run:
+            yield from self._follow(run, submit.skip)
+
+    def _refuse_new(self, submit, policy):
+        """Refuse a request that is new here and can't be taken now."""
+        key = submit.request.key
+        if self._claims.find(key) or self._claims.fenced(key):
+            return None
+        if not (submit.request.fresh or self._is_home(submit)):
+            return verdicts.not_run(
+                verdicts.Reason.MOVED, 'the request has another home', 1
+            )
+        if submit.look:
+            return verdicts.not_run(
+                verdicts.Reason.UNKNOWN_KEY, 'there is no such request here'
+            )
+        if self.leaving:
+            self._claims.ask(key)
+            return verdicts.not_run(
+                verdicts.Reason.LEAVING,
+                'the target is leaving',
+                _RETRY_LEAVING_MS,
+            )
+        if submit.propose == self._cfg.name:
+            return self._runner.refusal(submit.request, policy, False)
+        return None
+
+    def _is_home(self, submit):
+        """Tell whether this agent is the home, by its own registry."""
+        reg = registry.without(self._membership.registry, submit.skipped)
+        home = registry.placement(reg, submit.request.place).home
+        return home is not None and home.name == self._cfg.name
+
+    def _as_runner(self, submit):
+        refusal = None
+        if self.leaving:
+            refusal = verdicts.not_run(
+                verdicts.Reason.LEAVING, 'the target is leaving', 1
+            )
+        else:
+            refusal = self._runner.refusal(
+                submit.request, self._policy(), submit.suspect
+            )
+        if refusal:
+            # What is refused must not start later either.
+            self._runs.find_or_fence(submit.request.key, submit.attempt)
+            yield refusal
+            return
+        run = self._start(submit, submit.attempt, submit)
+        yield from self._follow(run, submit.skip)
+
+    def _start(self, submit, attempt, terms):
+        key = submit.request.key
+        run = self._runs.start(key, attempt, submit.dispatch)
+        if run is None:
+            return self._runs.find_or_fence(key, attempt)
+        run.billable = terms.billable
+        self._runner.start(run, submit)
+        return run
+
+    def _follow(self, run, skip):
+        for pieces in run.follow(skip):
+            yield messages.Pieces(pieces)
+        if run.state is records.RunState.FENCED:
+            yield run.refusal or verdicts.not_run(
+                verdicts.Reason.MOVED, 'this attempt never started here', 1
+            )
+            return
+        yield messages.End(
+            run.state is records.RunState.DONE,
+            len(run.pieces),
+            run.dispatch,
+            run.spent,
+            run.doubt,
+            run.crash,
+            run.refusal,
+        )
+
+    def ask(self, ask):
+        """Tell a new home whether this agent keeps a key's record."""
+        self._check_meant(ask)
+        return messages.Known(self._claims.ask(ask.key) is not None)
+
+    def outcome(self, ask):
+        """Tell what a dispatch cost; one that never came is fenced."""
+        self._check_meant(ask)
+        run = self._runs.outcome_or_fence(ask.dispatch)
+        running = run.state is records.RunState.RUNNING
+        return messages.Outcome(running, run.spent, run.doubt)
+
+    def seal(self, seal):
+        """Take nothing more from a holder, and tell what it used."""
+        self._check_meant(seal)
+        self._metrics.count('seals')
+        return messages.Sealed(self._holders.seal(seal.holder))
+
+    def status(self, _empty):
+        """Answer a heartbeat."""
+        return messages.AgentStatus(
+            self._cfg.name,
+            self._incarnation,
+            self._keeper.config.generation,
+            self.leaving,
+            self._runner.up,
+            self._runner.load(),
+        )
+
+    def hand_over(self, hand_over):
+        """Take over records of an agent that leaves."""
+        for handed in hand_over.records:
+            self._claims.adopt(handed, hand_over.leaver, self._cfg.name)
+            if handed.state is None:
+                continue
+            run = records.Run(handed.key, handed.attempt, handed.state)
+            run.pieces = handed.pieces
+            run.refusal = handed.refusal
+            run.ended_at = self._clock.now()
+            self._runs.adopt(run)
+        return messages.Empty()
+
+    def notice(self, box):
+        """Take note of a newer registry."""
+        self._membership.offer(box.registry)
+        return messages.Empty()
+
+    def install(self, box):
+        """Take a configuration that a router pushes."""
+        self._keeper.offer(box.generation, box.raw)
+        return messages.Empty()
--- /dev/null
+++ b/galenaspoke/application/__init__.py
@@ -0,0 +1,1 @@
+"""The application service beside an agent."""
--- /dev/null
+++ b/galenaspoke/application/client.py
@@ -0,0 +1,21 @@
+"""Calls to an application service: one question, one answer."""
+
+import msgspec
+
+from galenaspoke.utils import http
+
+
+class _Answer(msgspec.Struct):
+    answer: str
+
+
+_ANSWER = msgspec.json.Decoder(_Answer)
+
+
+def call(url, req, run_id, timeout_s):
+    """Return the answer; raises TargetFailed, with `sent` if it may run."""
+    body = msgspec.json.encode(
+        {'id': run_id, 'key': req.key, 'prompt': req.prompt}
+    )
+    with http.exchange(url, '/call', body, timeout_s) as resp:
+        return _ANSWER.decode(bytes(resp.read())).answer
--- /dev/null
+++ b/galenaspoke/core/grants.py
@@ -0,0 +1,147 @@
+"""A holder's side of the ledger: spending from grants without asking.
+
+A `GrantBook` belongs to one incarnation of a router.  It reserves the most a
+request can cost before the request leaves, and settles the reservation to
+what the request did cost.  A reservation whose outcome is unknown stays until
+the outcome is known or declared to be in doubt.
+
+Example::
+
+    book = GrantBook(clock)
+    book.granted('voucher-desk', 300)
+    book.reserve('voucher-desk', 120)          # True
+    book.settle('voucher-desk', 120, spent=80)
+    book.available('voucher-desk')             # 220
+"""
+
+# Demand is averaged over this time.
+DEMAND_WINDOW_MS = 10_000
+
+
+class Held:
+    """What one holder has of one budget, in tokens."""
+
+    __slots__ = (
+        'granted',
+        'reserved',
+        'spent',
+        'doubt',
+        'demand',
+        'demand_at',
+        'used_at',
+        'waiting',
+    )
+
+    def __init__(self, now):
+        self.granted = 0
+        self.reserved = 0
+        self.spent = 0
+        self.doubt = 0
+        self.demand = 0.0
+        self.demand_at = now
+        self.used_at = now
+        # What the requests need that wait for a draw.
+        self.waiting = 0
+
+    def available(self):
+        """Return the tokens that can be reserved."""
+        return self.granted - self.reserved - self.spent - self.doubt
+
+    def kept(self):
+        """Return the tokens that can't be given back now."""
+        return self.reserved + self.spent + self.doubt
+
+
+class GrantBook:
+    """All grants of one holder."""
+
+    __slots__ = ('_clock', '_held')
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._held = {}
+
+    def budgets(self):
+        """Return the names of the budgets with something held."""
+        return list(self._held)
+
+    def held(self, budget):
+        """Return the Held of `budget`, new and empty if there was none."""
+        held = self._held.get(budget)
+        if held is None:
+            held = self._held[budget] = Held(self._clock.now())
+        return held
+
+    def available(self, budget):
+        """Return the tokens of `budget` that can be reserved at once."""
+        held = self._held.get(budget)
+        return held.available() if held else 0
+
+    def granted(self, budget, amount):
+        """Note that the store granted `amount` more tokens."""
+        self.held(budget).granted += amount
+
+    def reserve(self, budget, amount):
+        """Set `amount` tokens aside; return False if there are too few."""
+        held = self.held(budget)
+        if held.available() < amount:
+            return False
+        held.reserved += amount
+        held.used_at = self._clock.now()
+        return True
+
+    def settle(self, budget, reserved, spent, doubt=0):
+        """End a reservation of which `spent` tokens were used."""
+        if spent + doubt > reserved:
+            raise ValueError(
+                f'{spent} spent and {doubt} in doubt of {reserved} reserved'
+            )
+        held = self.held(budget)
+        held.reserved -= reserved
+        held.spent += spent
+        held.doubt += doubt
+        held.used_at = self._clock.now()
+
+    def note_demand(self, budget, amount):
+        """Count `amount` tokens as asked for, granted or not."""
+        held = self.held(budget)
+        now = self._clock.now()
+        held.demand = _decayed(held, now) + amount
+        held.demand_at = now
+
+    def demand_in(self, budget, horizon_ms):
+        """Return the tokens that `horizon_ms` of the present demand need."""
+        held = self.held(budget)
+        rate = _decayed(held, self._clock.now()) / DEMAND_WINDOW_MS
+        return int(rate * horizon_ms)
+
+    def drop(self, budget):
+        """Forget a budget whose grant has been closed."""
+        self._held.pop(budget, None)
+
+
+def _decayed(held, now):
+    age = now - held.demand_at
+    return held.demand * 0.5 ** (age / DEMAND_WINDOW_MS)
+
+
+def draw_size(need, demand, free, holders):
+    """Return how many tokens to ask for.
+
+    Asks for the demand to come, but never for more than half of an equal
+    share of what is free, so that the last tokens of a budget are not stuck
+    with one holder while another needs them.  Always at least `need`.
+    """
+    share = free // (2 * max(1, holders))
+    return max(need, min(demand, share))
+
+
+def give_back(held, idle, demand):
+    """Return how many tokens the holder should keep granted.
+
+    An idle holder keeps what it can't return.  A busy one keeps that and the
+    demand to come.
+    """
+    if idle:
+        return held.kept()
+    return min(held.granted, held.kept() + demand)
--- /dev/null
+++ b/galenaspoke/core/verdicts.py
@@ -0,0 +1,83 @@
+"""Verdicts and refusals: what a caller may believe about its request.
+
+A refusal always says whether the request may have run.  `NOT_RUN` is a
+promise and is only given where it is proved: nothing reached a target, and
+nothing that could still reach one is in flight.  Whoever can't prove it says
+`MAY_HAVE_RUN`.
+"""
+
+import enum
+
+import msgspec
+
+
+class Verdict(enum.Enum):
+    """Whether a request may have run."""
+
+    NOT_RUN = 'not_run'
+    MAY_HAVE_RUN = 'may_have_run'
+    RAN = 'ran'
+
+
+class Reason(enum.Enum):
+    """Why a request was refused."""
+
+    BUDGET_EXHAUSTED = 'budget_exhausted'
+    BUDGET_UNREACHABLE = 'budget_unreachable'
+    ACCOUNT_LIMIT = 'account_limit'
+    BAD_REQUEST = 'bad_request'
+    DEADLINE = 'deadline'
+    KEY_CONFLICT = 'key_conflict'
+    LEAVING = 'leaving'
+    MOVED = 'moved'
+    NO_TARGET = 'no_target'
+    OVERLOAD = 'overload'
+    POISON = 'poison'
+    RECORD_LOST = 'record_lost'
+    SEALED = 'sealed'
+    TARGET_FAILED = 'target_failed'
+    UNKNOWN_KEY = 'unknown_key'
+    UNREACHABLE = 'unreachable'
+
+
+class Refusal(msgspec.Struct, frozen=True, tag='refused'):
+    """A final answer that carries no result.
+
+    `retry_after_ms` tells the caller when asking again makes sense; zero
+    means that it never does.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    detail: str = ''
+    retry_after_ms: int = 0
+
+
+def not_run(reason, detail='', retry_after_ms=0):
+    """Return a refusal that promises that the request did not run."""
+    return Refusal(Verdict.NOT_RUN, reason, detail, retry_after_ms)
+
+
+def may_have_run(reason, detail='', retry_after_ms=0):
+    """Return a refusal for a request whose fate is not known."""
+    return Refusal(Verdict.MAY_HAVE_RUN, reason, detail, retry_after_ms)
+
+
+HTTP_STATUS = {
+    Reason.BUDGET_EXHAUSTED: 402,
+    Reason.BUDGET_UNREACHABLE: 503,
+    Reason.ACCOUNT_LIMIT: 429,
+    Reason.BAD_REQUEST: 400,
+    Reason.DEADLINE: 504,
+    Reason.KEY_CONFLICT: 409,
+    Reason.LEAVING: 503,
+    Reason.MOVED: 503,
+    Reason.NO_TARGET: 503,
+    Reason.OVERLOAD: 503,
+    Reason.POISON: 422,
+    Reason.RECORD_LOST: 409,
+    Reason.SEALED: 503,
+    Reason.TARGET_FAILED: 502,
+    Reason.UNKNOWN_KEY: 404,
+    Reason.UNREACHABLE: 503,
+}
--- /dev/null
+++ b/galenaspoke/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""galenaspoke-ctl: the operators' tool."""
--- /dev/null
+++ b/galenaspoke/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The model engine beside an agent."""
--- /dev/null
+++ b/galenaspoke/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What routers and agents share about the fleet: configuration, registry."""
--- /dev/null
+++ b/galenaspoke/fleet/keeper.py
@@ -0,0 +1,43 @@
+"""The configuration in force in one process.
+
+Whatever the source (the store, a peer, a push), a configuration is installed
+only if its generation is higher than the one in force, so that a stale read
+can't turn anything back.
+"""
+
+from absl import logging
+import msgspec
+
+from galenaspoke.core import objects
+
+
+class ConfigKeeper:
+    """Holds the highest generation seen.
+
+    `listeners` are called with the Config each time one is installed.
+    """
+
+    __slots__ = ('config', 'listeners', '_metrics')
+
+    def __init__(self, metrics):
+        self.config = objects.Config()
+        self.listeners = []
+        self._metrics = metrics
+
+    def offer(self, generation, raw):
+        """Install a configuration if it is newer; return True if it was."""
+        if generation <= self.config.generation:
+            return False
+        self.config = objects.Config(generation, bytes(raw))
+        self._metrics.gauge('config.generation', generation)
+        logging.info('configuration generation %d in force', generation)
+        for listener in self.listeners:
+            listener(self.config)
+        return True
+
+    def offer_item(self, item):
+        """Install what the store's head object says, if it is newer."""
+        if item.version == 0:
+            return False
+        head = msgspec.json.decode(item.value, type=objects.Head)
+        return self.offer(head.generation, head.document)
--- /dev/null
+++ b/galenaspoke/roster/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's lagging list of instances."""
--- /dev/null
+++ b/galenaspoke/router/__init__.py
@@ -0,0 +1,1 @@
+"""galenaspoke-router: the entry instance's process."""
--- /dev/null
+++ b/galenaspoke/router/main.py
@@ -0,0 +1,195 @@
+"""galenaspoke-router: start, serve, stop in order."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys  # noqa: E402
+
+from absl import logging  # noqa: E402
+import click  # noqa: E402
+import gevent  # noqa: E402
+from gevent import pywsgi  # noqa: E402
+
+from galenaspoke.agent import membership  # noqa: E402
+from galenaspoke.conf import defaults  # noqa: E402
+from galenaspoke.core import clock as clocks  # noqa: E402
+from galenaspoke.core import routing  # noqa: E402
+from galenaspoke.fleet import keeper as fleet_keeper  # noqa: E402
+from galenaspoke.router import course  # noqa: E402
+from galenaspoke.router import dispatch  # noqa: E402
+from galenaspoke.router import members as router_members  # noqa: E402
+from galenaspoke.router import recovery as router_recovery  # noqa: E402
+from galenaspoke.router import service as router_service  # noqa: E402
+from galenaspoke.router import treasury as treasuries  # noqa: E402
+from galenaspoke.router import unsettled as router_unsettled  # noqa: E402
+from galenaspoke.router import web  # noqa: E402
+from galenaspoke.rpc import bridge  # noqa: E402
+from galenaspoke.store import client as store_client  # noqa: E402
+from galenaspoke.utils import metrics as utils_metrics  # noqa: E402
+from galenaspoke.utils import programs  # noqa: E402
+
+GIVE_BACK_MS = 1000
+SETTLE_MS = 300
+RECOVERY_MS = 1000
+STOP_POLL_S = 0.05
+# How long a balancer may take to see that this router is not ready.
+UNREADY_S = 0.5
+
+
+class Router:
+    """One router process."""
+
+    def __init__(self, cfg):
+        self.cfg = cfg.router
+        self.clock = clocks.Clock()
+        self.metrics = utils_metrics.Metrics(cfg.metrics, cfg.router.name)
+        self.store = store_client.Client(cfg.store, self.metrics)
+        self.keeper = fleet_keeper.ConfigKeeper(self.metrics)
+        self.members = router_members.Members(
+            self.cfg, self.store, self.clock, self.keeper, self.metrics
+        )
+        self.treasury = treasuries.Treasury(
+            cfg, self.store, self.clock, self.metrics
+        )
+        self.treasury.release_at = router_service.release_at(self.members)
+        self.treasury.routers = self._count_routers
+        self.unsettled = router_unsettled.Unsettled(self.members, self.metrics)
+        self.dispatcher = dispatch.Dispatcher(
+            self.cfg,
+            self.clock,
+            self.keeper,
+            self.metrics,
+            self.treasury,
+            self.members,
+            self._navigator(),
+            self.unsettled,
+        )
+        self.recovery = router_recovery.Recovery(
+            cfg,
+            self.store,
+            self.clock,
+            self.members,
+            self.treasury,
+            self.metrics,
+        )
+        service = router_service.RouterService(
+            self.cfg,
+            self.keeper,
+            self.members,
+            self.treasury,
+            self.dispatcher,
+        )
+        self.server = bridge.Server(service.handlers())
+        self.web = None
+
+    def _navigator(self):
+        return course.Navigator(
+            self.cfg,
+            self.clock,
+            self.members,
+            routing.policy_named(self.cfg.placement),
+            self.unsettled,
+            lambda: self.keeper.config.generation,
+            self.metrics,
+        )
+
+    def _count_routers(self):
+        return 1 + len(self.members.live_routers())
+
+    def start(self):
+        """Listen and begin the regular work."""
+        self.server.start(self.cfg.peer_listen)
+        application = web.Web(
+            self.cfg, self.keeper, self.dispatcher, self.ready, self.dump
+        )
+        host, _, port = self.cfg.listen.rpartition(':')
+        self.web = pywsgi.WSGIServer((host, int(port)), application, log=None)
+        self.web.start()
+        self.members.start()
+        gevent.spawn(self._open)
+        programs.every(GIVE_BACK_MS, self.treasury.give_back_idle)
+        programs.every(SETTLE_MS, self.unsettled.settle)
+        programs.every(RECOVERY_MS, self.recovery.turn)
+        logging.info('router %s serves', self.cfg.name)
+
+    def _open(self):
+        """Mark that routers have served from this store, then hold money."""
+        while True:
+            try:
+                item = self.store.get(membership.STARTED_KEY)
+                if item.version == 0:
+                    self.store.put(membership.STARTED_KEY, 0, b'true')
+                break
+            except store_client.Conflict:
+                break
+            except (store_client.StoreError, store_client.OutcomeUnknown):
+                gevent.sleep(treasuries.RETRY_S)
+        self.treasury.open()
+
+    def ready(self):
+        """Tell the balancer whether to send callers here."""
+        known = self.keeper.config.generation and self.members.registries
+        served = self.treasury.holder or self.members.live_routers()
+        return bool(known and served and not self.dispatcher.leaving)
+
+    def stop(self):
+        """Turn unready, finish open requests, give the money back."""
+        self.dispatcher.leaving = True
+        logging.info('stopping with %d open requests', self.dispatcher.open)
+        gevent.sleep(UNREADY_S)
+        self.web.stop_accepting()
+        until = self.clock.now() + self.cfg.stop_ms
+        while self.dispatcher.open and self.clock.now() < until:
+            gevent.sleep(STOP_POLL_S)
+        self.unsettled.settle()
+        self.treasury.close()
+        self.web.stop(timeout=1)
+        self.server.stop()
+        logging.info('stopped')
+
+    def dump(self):
+        """Return the state for people and tools."""
+        agents = {}
+        for (name, incarnation), peer in self.members.agents.items():
+            agents[name] = {
+                'incarnation': incarnation,
+                'address': peer.entry.address,
+                'service': peer.entry.service,
+                'phase': peer.entry.phase.value,
+                'in_flight': peer.load.in_flight,
+                'reported': peer.load.reported,
+                'leaving': peer.load.leaving,
+                'failed': peer.load.failed,
+            }
+        return {
+            'name': self.cfg.name,
+            'ready': self.ready(),
+            'generation': self.keeper.config.generation,
+            'open': self.dispatcher.open,
+            'money': self.treasury.dump(),
+            'unsettled': len(self.unsettled),
+            'agents': agents,
+            'routers': [p.address for p in self.members.live_routers()],
+            'counters': dict(self.metrics.counters),
+        }
+
+
+@click.command()
+@click.argument('settings', type=click.Path())
+def main(settings):
+    """Run the router with the INI file SETTINGS."""
+    cfg = programs.load_settings(settings, defaults.RouterConfig)
+    programs.start_logging()
+    router = Router(cfg)
+    try:
+        router.start()
+    except OSError as exc:
+        logging.error('can not start: %s', exc)
+        sys.exit(programs.EXIT_START)
+    programs.until_stopped()
+    router.stop()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/galenaspoke/router/recovery.py
@@ -0,0 +1,203 @@
+"""Recovering the grants of holders that have gone.
+
+Silence only says when to look.  A holder's record is first marked sealed by a
+conditional update; then every agent in the registries is told to take nothing
+more from the holder and says what it took.  Only what all of them account for
+is booked or freed.  If an agent is lost, so that nobody knows what it took,
+the rest of the grant is in doubt, for an operator to settle.
+"""
+
+from absl import logging
+
+from galenaspoke.core import ledger
+from galenaspoke.core import registry
+from galenaspoke.rpc import bridge
+from galenaspoke.rpc import messages
+from galenaspoke.rpc import methods
+from galenaspoke.store import client as store_client
+
+SEAL_TIMEOUT_MS = 2000
+
+
+class Incomplete(Exception):
+    """Not all agents have answered yet; nothing may be freed."""
+
+
+class Recovery:
+    """Looks for holders that have gone, and recovers what they held."""
+
+    __slots__ = (
+        '_cfg',
+        '_store_cfg',
+        '_store',
+        '_clock',
+        '_members',
+        '_treasury',
+        '_metrics',
+        '_silent_since',
+    )
+
+    def __init__(self, cfg, store, clock, members, treasury, metrics):
+        self._cfg = cfg.router
+        self._store_cfg = cfg.store
+        self._store = store
+        self._clock = clock
+        self._members = members
+        self._treasury = treasury
+        self._metrics = metrics
+        self._silent_since = {}
+
+    def turn(self):
+        """Recover each holder that has been silent for long."""
+        own = self._treasury.holder
+        if own is None:
+            return
+        now = self._clock.now()
+        records = dict(self._members.holders)
+        for name in [n for n in self._silent_since if n not in records]:
+            del self._silent_since[name]
+        for name, record in records.items():
+            if name == own.name or self._members.router_of(name):
+                self._silent_since.pop(name, None)
+                continue
+            since = self._silent_since.setdefault(name, now)
+            predecessor = record.address == self._cfg.peer_listen
+            patience = 0 if predecessor else self._cfg.reclaim_after_ms
+            if now - since >= patience:
+                self._try(name)
+
+    def _try(self, name):
+        try:
+            self.recover(name)
+        except (Incomplete, store_client.StoreError) as exc:
+            self._metrics.count('recoveries.waiting')
+            logging.log_every_n_seconds(
+                logging.WARNING, 'recovery of %s waits: %s', 10, name, exc
+            )
+
+    def recover(self, name):
+        """Seal a holder and book what it held; raises Incomplete."""
+        record = self._seal_record(name)
+        if record is None:
+            return
+        usage, lost = self._collect(record)
+        running = False
+        for number in range(self._store_cfg.ledger_pages):
+            key = f'{ledger.PAGE_PREFIX}{number:04d}'
+            running = self._book(key, name, usage, lost) or running
+        if running:
+            raise Incomplete('requests are still running')
+        self._remove_record(name)
+        self._metrics.count('recoveries.done')
+        logging.info('recovered the grants of %s', name)
+
+    def _seal_record(self, name):
+        """Mark the holder's record; return it, or None if it has gone."""
+        key = registry.holder_key(name)
+
+        def change(record):
+            if not record.holder or record.sealed_by:
+                return store_client.UNCHANGED
+            record.sealed_by = self._treasury.holder.name
+            logging.warning('sealing %s', name)
+            return None
+
+        _, record = store_client.update(
+            self._store, key, registry.HolderRecord, change
+        )
+        return record if record.holder else None
+
+    def _collect(self, record):
+        """Seal a holder at all agents; return its usage and who is lost."""
+        # Read after the mark was written: an agent that isn't in it yet will
+        # see the mark.
+        listing = self._store.list(registry.REGISTRY_PREFIX)
+        usage = {}
+        lost = []
+        for item in listing.items:
+            reg = store_client.decode(item, registry.Registry)
+            for entry in reg.serving():
+                _add(usage, self._seal_at(entry, record.holder))
+            for entry in registry.unaccounted(reg, record):
+                if entry.usage is None:
+                    lost.append(f'{entry.name}.{entry.incarnation}')
+                else:
+                    _add(usage, entry.usage.get(record.holder, {}))
+        return usage, lost
+
+    def _seal_at(self, entry, holder):
+        peer = self._members.agents.get((entry.name, entry.incarnation))
+        channel = peer.channel if peer else bridge.Channel(entry.address)
+        try:
+            reply = channel.unary(
+                methods.SEAL,
+                messages.Seal(entry.incarnation, holder),
+                SEAL_TIMEOUT_MS,
+            )
+        except bridge.PeerUnreachable as exc:
+            raise Incomplete(f'{entry.name} does not answer') from exc
+        finally:
+            if peer is None:
+                channel.close()
+        return reply.usage
+
+    def _book(self, key, name, usage, lost):
+        """Book one page; return True if something is still running."""
+
+        def change(page):
+            held = [
+                (budget, entry.grants[name])
+                for budget, entry in page.entries.items()
+                if name in entry.grants
+            ]
+            if not held and name not in page.writers:
+                return store_client.UNCHANGED
+            page.writers.pop(name, None)
+            running = False
+            for budget, grant in held:
+                used = usage.get(budget, registry.Usage())
+                if book(page, budget, name, grant, used, lost):
+                    running = True
+            ledger.check(page)
+            return running
+
+        result, _ = store_client.update(self._store, key, ledger.Page, change)
+        return result is True
+
+    def _remove_record(self, name):
+        key = registry.holder_key(name)
+        item = self._store.get(key)
+        if item.version:
+            try:
+                self._store.delete(key, item.version)
+            except (store_client.Conflict, store_client.OutcomeUnknown):
+                pass
+
+
+def book(page, budget, holder, grant, used, lost):
+    """Book one grant of a sealed holder; return True if some of it runs.
+
+    What the holder reported itself counts if the agents say less, since an
+    agent it had heard from may be lost.
+    """
+    spent = max(used.spent, grant.spent)
+    doubt = max(used.doubt, grant.doubt)
+    if used.running:
+        keep = spent + doubt + used.running
+        if not lost and keep < grant.granted:
+            returned = grant.granted - keep
+            ledger.shrink_grant(page, budget, holder, returned, spent, doubt)
+        return True
+    if lost:
+        doubt = grant.granted - spent
+    why = 'lost: ' + ', '.join(lost) if lost else 'outcome unknown'
+    ledger.close_grant(page, budget, holder, spent, doubt, why)
+    return False
+
+
+def _add(total, usage):
+    for budget, used in usage.items():
+        sums = total.setdefault(budget, registry.Usage())
+        sums.spent += used.spent
+        sums.doubt += used.doubt
+        sums.running += used.running
--- /dev/null
+++ b/galenaspoke/router/service.py
@@ -0,0 +1,82 @@
+"""What a router does for other routers."""
+
+import gevent
+
+from galenaspoke.rpc import bridge
+from galenaspoke.rpc import messages
+from galenaspoke.rpc import methods
+
+RELEASE_TIMEOUT_MS = 1500
+
+
+class RouterService:
+    """The handlers of one router's calls."""
+
+    __slots__ = ('_cfg', '_keeper', '_members', '_treasury', '_dispatcher')
+
+    def __init__(self, cfg, keeper, members, treasury, dispatcher):
+        self._cfg = cfg
+        self._keeper = keeper
+        self._members = members
+        self._treasury = treasury
+        self._dispatcher = dispatcher
+
+    def handlers(self):
+        """Return the calls served, each with its function."""
+        return [
+            (methods.ROUTER_STATUS, self.status),
+            (methods.CONFIG, self.config),
+            (methods.REGISTRY, self.registry),
+            (methods.OFFER, self.offer),
+            (methods.RELEASE, self.release),
+        ]
+
+    def status(self, _empty):
+        """Answer a heartbeat."""
+        holder = self._treasury.holder
+        registries = self._members.registries
+        return messages.RouterStatus(
+            self._cfg.name,
+            holder.name if holder else '',
+            self._keeper.config.generation,
+            self._dispatcher.leaving,
+            {name: reg.version for name, reg in registries.items()},
+        )
+
+    def config(self, _empty):
+        """Give the configuration in force."""
+        config = self._keeper.config
+        return messages.GenerationBox(config.generation, config.raw)
+
+    def registry(self, ask):
+        """Give this router's copy of a registry."""
+        return messages.RegistryBox(self._members.registries.get(ask.service))
+
+    def offer(self, offer):
+        """Serve a request that another router has no money for."""
+        yield from self._dispatcher.serve(offer.request, offered=True)
+
+    def release(self, release):
+        """Give back what is not needed of a budget."""
+        return messages.Released(self._treasury.release(release.budget))
+
+
+def release_at(members):
+    """Return a function that asks holders to give a budget back."""
+
+    def ask(peer, budget):
+        try:
+            reply = peer.channel.unary(
+                methods.RELEASE, messages.Release(budget), RELEASE_TIMEOUT_MS
+            )
+        except bridge.PeerUnreachable:
+            return 0
+        return reply.amount
+
+    def release(budget, holders):
+        peers = [members.router_of(holder) for holder in holders]
+        tasks = [gevent.spawn(ask, peer, budget) for peer in peers if peer]
+        gevent.joinall(tasks)
+        return sum(task.value or 0 for task in tasks)
+
+    return release
--- /dev/null
+++ b/galenaspoke/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Calls between the system's own processes: grpclib on gevent."""
--- /dev/null
+++ b/galenaspoke/rpc/codec.py
@@ -0,0 +1,30 @@
+"""How messages travel: msgspec structs as MessagePack.
+
+grpclib leaves the codec to its user.  With msgspec the message classes are
+the schema, so there is nothing to generate.
+"""
+
+import functools
+
+from grpclib.encoding import base
+import msgspec
+
+
+@functools.cache
+def _decoder(message_type):
+    return msgspec.msgpack.Decoder(message_type)
+
+
+class MsgpackCodec(base.CodecBase):
+    """Encodes structs as MessagePack and checks types when decoding."""
+
+    __content_subtype__ = 'msgpack'
+
+    def __init__(self):
+        self._encoder = msgspec.msgpack.Encoder()
+
+    def encode(self, message, message_type):
+        return self._encoder.encode(message)
+
+    def decode(self, data, message_type):
+        return _decoder(message_type).decode(data)
--- /dev/null
+++ b/galenaspoke/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API, as this project uses it."""
--- /dev/null
+++ b/galenaspoke/store/client.py
@@ -0,0 +1,207 @@
+"""Calls to the platform's object API over HTTP.
+
+The protocol: `GET /objects/KEY` gives the value, with its version in the
+`Version` header; `PUT` and `DELETE` carry `If-Version`, the version that must
+still stand (0: no object).  `GET /list/PREFIX` gives all objects under a
+prefix, `GET /watch/PREFIX?since=N` waits for a change after revision N.
+
+A write whose answer is lost may have taken effect: `OutcomeUnknown` says so,
+and it is for the caller to look.  The HTTP library repeats a PUT by itself
+when a connection breaks, so a `Conflict` may be with one's own first try and
+is looked into in the same way.
+"""
+
+import gevent
+import geventhttpclient
+from geventhttpclient import response as ghc_response
+import msgspec
+
+CONNECTIONS = 8
+
+
+class StoreError(Exception):
+    """A call to the store failed and changed nothing."""
+
+
+class StoreUnavailable(StoreError):
+    """The store can't be reached, is out of order or overloaded."""
+
+
+class Conflict(StoreError):
+    """The object is no longer at the expected version."""
+
+
+class TooLarge(StoreError):
+    """The value is larger than the store takes."""
+
+
+class OutcomeUnknown(Exception):
+    """The answer to a write was lost: it may or may not have happened."""
+
+
+class Item(msgspec.Struct, frozen=True):
+    """One object; version 0 stands for no object."""
+
+    key: str
+    version: int
+    value: msgspec.Raw
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """Objects under a prefix at one revision of the store."""
+
+    revision: int
+    items: list[Item]
+
+
+class Client:
+    """One process's access to the store.
+
+    Example::
+
+        item = client.get('config/head')
+        client.put('config/head', item.version, b'{"generation": 2}')
+    """
+
+    __slots__ = ('_http', '_watch', '_cfg', '_metrics')
+
+    def __init__(self, cfg, metrics):
+        self._cfg = cfg
+        self._metrics = metrics
+        timeout_s = cfg.timeout_ms / 1000
+        self._http = self._connect(timeout_s)
+        self._watch = self._connect(timeout_s + cfg.watch_ms / 1000)
+
+    def _connect(self, timeout_s):
+        return geventhttpclient.HTTPClient.from_url(
+            self._cfg.url,
+            concurrency=CONNECTIONS,
+            connection_timeout=timeout_s,
+            network_timeout=timeout_s,
+        )
+
+    def _call(self, http, method, path, body=b'', headers=None):
+        """Return (response, body), or raise OSError and the like."""
+        timeout_s = self._cfg.timeout_ms / 1000
+        if http is self._watch:
+            timeout_s += self._cfg.watch_ms / 1000
+        with gevent.Timeout(timeout_s, TimeoutError('store timeout')):
+            resp = http.request(method, path, body, headers or {})
+            try:
+                return resp, bytes(resp.read())
+            finally:
+                resp.release()
+
+    def _read(self, path, http=None):
+        self._metrics.count('store.reads')
+        try:
+            resp, body = self._call(http or self._http, 'GET', path)
+        except _BROKEN as exc:
+            raise StoreUnavailable(f'store: {exc!r}') from exc
+        if resp.status_code not in (200, 404):
+            raise StoreUnavailable(f'store: status {resp.status_code}')
+        return resp, body
+
+    def get(self, key):
+        """Return the Item at `key`, version 0 if there is none."""
+        resp, body = self._read(f'/objects/{key}')
+        if resp.status_code == 404:
+            return Item(key, 0, msgspec.Raw(b''))
+        return Item(key, int(resp['Version']), msgspec.Raw(body))
+
+    def list(self, prefix):
+        """Return the Listing of all objects under `prefix`."""
+        _, body = self._read(f'/list/{prefix}')
+        return msgspec.json.decode(body, type=Listing)
+
+    def watch(self, prefix, since):
+        """Wait for a change under `prefix`; return the Listing then.
+
+        Returns an unchanged one when nothing happened for `watch_ms`.
+        """
+        path = f'/watch/{prefix}?since={since}&wait_ms={self._cfg.watch_ms}'
+        _, body = self._read(path, self._watch)
+        return msgspec.json.decode(body, type=Listing)
+
+    def put(self, key, version, value):
+        """Replace the object at `version`; return its new version.
+
+        Raises Conflict, TooLarge or StoreUnavailable if nothing changed, and
+        OutcomeUnknown when nobody can tell without looking.
+        """
+        headers = {'If-Version': str(version)}
+        return self._write('PUT', key, value, headers)
+
+    def delete(self, key, version):
+        """Remove the object at `version`; raises as `put` does."""
+        self._write('DELETE', key, b'', {'If-Version': str(version)})
+
+    def _write(self, method, key, body, headers):
+        self._metrics.count('store.writes')
+        try:
+            resp, _ = self._call(
+                self._http, method, f'/objects/{key}', body, headers
+            )
+        except ConnectionRefusedError as exc:
+            raise StoreUnavailable(f'store: {exc!r}') from exc
+        except _BROKEN as exc:
+            raise OutcomeUnknown(f'store: {exc!r}') from exc
+        if resp.status_code == 409:
+            raise Conflict(f'{key} is no longer at {headers["If-Version"]}')
+        if resp.status_code == 413:
+            raise TooLarge(f'{key}: {len(body)} bytes are too many')
+        if resp.status_code in (429, 503):
+            raise StoreUnavailable(f'store: status {resp.status_code}')
+        if resp.status_code != 200:
+            raise OutcomeUnknown(f'store: status {resp.status_code}')
+        return int(resp['Version'] or 0)
+
+
+_BROKEN = (
+    OSError,
+    TimeoutError,
+    ghc_response.HTTPConnectionClosed,
+    ghc_response.HTTPParseError,
+)
+
+
+def update(client, key, kind, change, recognise=None):
+    """Read an object, change it, write it back, until that succeeds.
+
+    `change` takes the decoded object (a new one if there is none), alters it
+    and returns a result; raising leaves the store unchanged.  Returning
+    `UNCHANGED` writes nothing.  `recognise` takes the object as it is now and
+    tells whether an earlier write of ours, whose answer was lost, is in it;
+    without it `change` must be safe to apply twice.
+
+    Returns (result, object as written).
+    """
+    tried = False
+    result = None
+    while True:
+        item = client.get(key)
+        obj = decode(item, kind)
+        if tried and recognise and recognise(obj):
+            return result, obj
+        result = change(obj)
+        if result is UNCHANGED:
+            return result, obj
+        try:
+            client.put(key, item.version, msgspec.json.encode(obj))
+            return result, obj
+        except (Conflict, OutcomeUnknown):
+            tried = True
+
+
+class _Unchanged:
+    """The mark of a change that writes nothing."""
+
+
+UNCHANGED = _Unchanged()
+
+
+def decode(item, kind):
+    """Return an item's value as `kind`, a new one if there is no object."""
+    if item.version == 0:
+        return kind()
+    return msgspec.json.decode(item.value, type=kind)
--- /dev/null
+++ b/galenaspoke/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that all programs share."""
--- /dev/null
+++ b/galenaspoke/utils/programs.py
@@ -0,0 +1,64 @@
+"""What all daemons do alike: start, logging, stop signals."""
+
+import signal
+import sys
+import uuid
+
+from absl import flags
+from absl import logging
+import gevent
+from gevent import event
+
+from galenaspoke.conf import ini
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+EXIT_START = 3
+
+
+def load_settings(path, program):
+    """Return the checked settings, or end the process with what is wrong."""
+    try:
+        return ini.load(path, program)
+    except ini.SettingsInvalid as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+
+
+def start_logging():
+    """Log to standard error from level info on."""
+    # Settings come from INI files; absl is told that no flags will come.
+    flags.FLAGS(['galenaspoke'])
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    logging.set_stderrthreshold('info')
+
+
+def until_stopped():
+    """Block until SIGTERM or SIGINT arrives."""
+    stop = event.Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    gevent.signal_handler(signal.SIGINT, stop.set)
+    stop.wait()
+
+
+def new_incarnation():
+    """Return an identifier that no other process ever has."""
+    return uuid.uuid4().hex[:12]
+
+
+def every(interval_ms, function, *args):
+    """Spawn a greenlet that calls `function` again and again, for good.
+
+    An error is logged and counts as that turn's end: the next turn comes.
+    """
+    return gevent.spawn(_repeat, interval_ms / 1000, function, args)
+
+
+def _repeat(interval_s, function, args):
+    while True:
+        try:
+            function(*args)
+        except Exception:
+            logging.exception('%s failed; will go on', function.__name__)
+        gevent.sleep(interval_s)
