Demo, judge from the stand-ins' logs, random faults from a seed

Cause: the path needs a verdict that doesn't come from our own counters. Before: nothing judged. Conclusion: the harness is small enough to build on.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -321,7 +321,7 @@
 
         self.wait(f'{address} to listen', listening)
 
-    def wait_ready(self, routers, agents):
+    def wait_ready(self, routers, agents, timeout_s=READY_TIMEOUT_S):
         """Wait until routers are ready and know all agents as usable."""
 
         def ready(name):
@@ -337,7 +337,9 @@
             return holds and set(agents) <= set(usable)
 
         for name in routers:
-            self.wait(f'{name} to be ready', lambda n=name: ready(n))
+            self.wait(
+                f'{name} to be ready', lambda n=name: ready(n), timeout_s
+            )
 
     def wait_agents(self, names):
         """Wait until agents have joined."""
@@ -348,6 +350,20 @@
                 lambda n=name: (self.state(n) or {}).get('joined'),
             )
 
+    def tell_roster(self):
+        """Make the list of instances show the routers, after its lag."""
+        instances = [
+            {
+                'name': name,
+                'role': 'router',
+                'address': self.addresses[f'peer-{name}'],
+            }
+            for name in self.addresses
+            if f'peer-{name}' in self.addresses
+        ]
+        if self.roster_address:
+            post(self.roster_address, '/control', instances)
+
     def control(self, name, **faults):
         """Set a stand-in's faults."""
         address = (
--- /dev/null
+++ b/bench/deployments.py
@@ -0,0 +1,138 @@
+"""The two deployments of today, as their operators would publish them."""
+
+import concurrent.futures
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Pool:
+    """Targets of one service."""
+
+    service: str
+    kind: str
+    size: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """One user's system: its region, pools, routers and budgets."""
+
+    region: str
+    domains: tuple
+    pools: tuple
+    routers: int
+    accounts: dict
+
+    def router_names(self):
+        """Return the names of the routers."""
+        return [f'{self.region}-router-{n}' for n in range(self.routers)]
+
+    def targets(self):
+        """Yield (name, pool, domain) of each target."""
+        for pool in self.pools:
+            for number in range(pool.size):
+                domain = self.domains[number % len(self.domains)]
+                yield f'{pool.service}-{number}', pool, domain
+
+    def document(self, **policy):
+        """Return the configuration to publish."""
+        return {
+            'policies': [
+                {'name': 'standard', **policy},
+                {'name': 'large', 'base': 'standard', 'max_tokens': 8192},
+            ],
+            'accounts': [
+                {'name': name, 'policy': 'standard'} for name in self.accounts
+            ],
+            'budgets': [
+                {'name': budget, 'account': account}
+                for account, budgets in self.accounts.items()
+                for budget in budgets
+            ],
+            'services': [
+                {
+                    'name': pool.service,
+                    'kind': pool.kind,
+                    'policy': 'standard',
+                }
+                for pool in self.pools
+            ],
+            'targets': [
+                {'name': name, 'service': pool.service}
+                for name, pool, _ in self.targets()
+            ],
+        }
+
+
+QLD_EAST = Deployment(
+    'qld-east',
+    ('qld-east-a', 'qld-east-b', 'qld-east-c', 'qld-east-d'),
+    (
+        Pool('assistant-pool', 'model', 5),
+        Pool('booking-desk', 'application', 4),
+    ),
+    3,
+    {'flight-day': ['voucher-desk', 'rebooking'], 'sales': ['gift-chat']},
+)
+NORDESTE = Deployment(
+    'nordeste',
+    ('recife-a', 'recife-b', 'fortaleza-a', 'salvador-a'),
+    (
+        Pool('galena-pool', 'model', 6),
+        Pool('registro-app', 'application', 4),
+    ),
+    3,
+    {'clube-recife': ['provenance'], 'clube-salvador': ['rules']},
+)
+
+
+def small(deployment, engines=2, applications=2, routers=2):
+    """Return a deployment cut down for tests."""
+    sizes = {'model': engines, 'application': applications}
+    pools = tuple(
+        dataclasses.replace(pool, size=sizes[pool.kind])
+        for pool in deployment.pools
+    )
+    return dataclasses.replace(deployment, pools=pools, routers=routers)
+
+
+def start(
+    cluster,
+    deployment,
+    money,
+    links=False,
+    engine=None,
+    router=None,
+    agent=None,
+    store=None,
+):
+    """Start everything of a deployment and wait until it serves.
+
+    `money` gives each budget its first top-up in tokens; the other mappings
+    are settings that differ from the defaults.
+    """
+    cluster.start_store(**(store or {}))
+    cluster.start_roster()
+    names = []
+    for name, pool, _ in deployment.targets():
+        options = engine or {} if pool.kind == 'model' else {}
+        cluster.start_target(name, pool.kind, **options)
+    for name, pool, domain in deployment.targets():
+        names.append(name)
+        cluster.start_agent(
+            name, pool.service, pool.kind, domain, links, **(agent or {})
+        )
+    cluster.wait_agents(names)
+    cluster.publish(deployment.document())
+    with concurrent.futures.ThreadPoolExecutor(4) as pool:
+        jobs = [
+            pool.submit(cluster.ctl, 'top-up', budget, str(amount))
+            for budget, amount in money.items()
+        ]
+        for job in jobs:
+            job.result()
+    for number, name in enumerate(deployment.router_names()):
+        domain = deployment.domains[number % len(deployment.domains)]
+        cluster.start_router(name, domain, **(router or {}))
+    cluster.tell_roster()
+    cluster.wait_ready(deployment.router_names(), names)
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,63 @@
+"""Long random faults: `make soak SEED=3 MINUTES=10`.
+
+Runs the real processes under concurrent callers and faults drawn from the
+seed, and prints the verdict from the stand-ins' logs.  Exits with 1 if a
+property was broken; the logs are then kept.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import collections  # noqa: E402
+import sys  # noqa: E402
+import tempfile  # noqa: E402
+
+import click  # noqa: E402
+import msgspec  # noqa: E402
+
+from bench import chaos  # noqa: E402
+from bench import cluster as clusters  # noqa: E402
+
+
+def outcomes(answers):
+    """Count what callers got."""
+    found = collections.Counter()
+    for answer in answers:
+        if answer.whole:
+            found['whole'] += 1
+        elif answer.refused:
+            refused = answer.refused
+            found[f'{refused["verdict"]}/{refused["reason"]}'] += 1
+        else:
+            found['broken'] += 1
+    return dict(found)
+
+
+@click.command()
+@click.option('--seed', default=1)
+@click.option('--minutes', default=5.0)
+@click.option('--count', default=12, help='Concurrent callers.')
+@click.option('--faults', default='', help='Only these, separated by commas.')
+def main(seed, minutes, count, faults):
+    """Run faults from SEED and judge what happened."""
+    directory = tempfile.mkdtemp(prefix=f'galenaspoke-soak-{seed}-')
+    chosen = tuple(faults.split(',')) if faults else chaos.FAULTS
+    with clusters.Cluster(directory) as cluster:
+        run = chaos.Chaos(cluster, seed, chosen, limit=100_000)
+        run.start()
+        run.call_for(minutes * 60, count)
+        run.rest()
+        verdict = run.judge()
+    print(
+        f'seed {seed}: {len(run.done)} faults: '
+        f'{dict(collections.Counter(run.done))}'
+    )
+    print(f'answers: {outcomes(run.answers)}')
+    print(msgspec.json.encode(verdict).decode())
+    print('clean' if verdict.clean() else f'BROKEN; logs in {directory}')
+    sys.exit(0 if verdict.clean() else 1)
+
+
+if __name__ == '__main__':
+    main()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -115,6 +115,7 @@
                 key=req.get('key'),
                 budget=req.get('budget'),
                 tokens=made - len(req['resume']),
+                made=made,
                 whole=whole,
             )
 
