Incarnations in every identity; durable claims; holders replaced on loss

(2) A new incarnation of an agent vouched for the attempts of the old one, since runners were named without it. (4) A killed agent hides the records of its keys: 349-502 refusals record_lost.

Changed: a dispatch name for each submission; runners are name.incarnation; a refusal says may_have_run once any attempt was started; a policy durable_claims that claims non-repeatable requests in the store.

--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -47,7 +47,9 @@
 class Chaos:
     """One run: a cluster, its callers and its faults."""
 
-    def __init__(self, cluster, seed, faults=FAULTS, limit=4000):
+    def __init__(
+        self, cluster, seed, faults=FAULTS, limit=4000, durable=False
+    ):
         self.cluster = cluster
         self.rng = random.Random(seed)
         self.deployment = deployments.small(
@@ -59,6 +61,7 @@
             'rebooking': limit,
             'gift-chat': limit // 8,
         }
+        self.policy = {'durable_claims': durable}
         self.answers = []
         self.want = {}
         self.done = []
@@ -75,6 +78,7 @@
             router=ROUTER,
             agent=AGENT,
             engine={'token_ms': 5, 'down_ms': 800},
+            policy=self.policy,
         )
 
     # Callers.
@@ -240,7 +244,9 @@
 
     def _publish(self, rng):
         queue = rng.randint(40, 80)
-        self.cluster.publish(self.deployment.document(queue=queue))
+        self.cluster.publish(
+            self.deployment.document(queue=queue, **self.policy)
+        )
 
     # The end.
 
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -105,6 +105,7 @@
     router=None,
     agent=None,
     store=None,
+    policy=None,
 ):
     """Start everything of a deployment and wait until it serves.
 
@@ -123,7 +124,7 @@
             name, pool.service, pool.kind, domain, links, **(agent or {})
         )
     cluster.wait_agents(names)
-    cluster.publish(deployment.document())
+    cluster.publish(deployment.document(**(policy or {})))
     with concurrent.futures.ThreadPoolExecutor(4) as pool:
         jobs = [
             pool.submit(cluster.ctl, 'top-up', budget, str(amount))
--- a/bench/judge.py
+++ b/bench/judge.py
@@ -23,6 +23,7 @@
     in_doubt: int = 0
     wasted: int = 0
     notes: list[str] = []
+    doubts: list[str] = []
 
     def clean(self):
         """Tell whether every property held."""
@@ -158,6 +159,10 @@
     for budget, row in ledger.items():
         verdict.billed += row['settled']
         verdict.in_doubt += row['in_doubt']
+        verdict.doubts += [
+            f'{budget}: {doubt["amount"]}, {doubt["why"]}'
+            for doubt in row['doubts']
+        ]
         excess = row['settled'] - cost[budget]
         if excess > 0:
             verdict.billed_twice += excess
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -38,13 +38,14 @@
 @click.option('--seed', default=1)
 @click.option('--minutes', default=5.0)
 @click.option('--count', default=12, help='Concurrent callers.')
+@click.option('--durable/--no-durable', default=False)
 @click.option('--faults', default='', help='Only these, separated by commas.')
-def main(seed, minutes, count, faults):
+def main(seed, minutes, count, faults, durable):
     """Run faults from SEED and judge what happened."""
     directory = tempfile.mkdtemp(prefix=f'galenaspoke-soak-{seed}-')
     chosen = tuple(faults.split(',')) if faults else chaos.FAULTS
     with clusters.Cluster(directory) as cluster:
-        run = chaos.Chaos(cluster, seed, chosen, limit=100_000)
+        run = chaos.Chaos(cluster, seed, chosen, 100_000, durable)
         run.start()
         run.call_for(minutes * 60, count)
         run.rest()
@@ -54,6 +55,13 @@
         f'{dict(collections.Counter(run.done))}'
     )
     print(f'answers: {outcomes(run.answers)}')
+    details = collections.Counter(
+        f'{answer.refused["reason"]}: {answer.refused["detail"][:60]}'
+        for answer in run.answers
+        if answer.refused
+    )
+    for text, times in details.most_common(8):
+        print(f'  {times} x {text}')
     print(msgspec.json.encode(verdict).decode())
     print('clean' if verdict.clean() else f'BROKEN; logs in {directory}')
     sys.exit(0 if verdict.clean() else 1)
--- a/galenaspoke/agent/main.py
+++ b/galenaspoke/agent/main.py
@@ -10,6 +10,7 @@
 import click  # noqa: E402
 import gevent  # noqa: E402
 
+from galenaspoke.agent import durable  # noqa: E402
 from galenaspoke.agent import holders as agent_holders  # noqa: E402
 from galenaspoke.agent import membership as agent_membership  # noqa: E402
 from galenaspoke.agent import orders  # noqa: E402
@@ -49,13 +50,20 @@
         self.membership = agent_membership.Membership(
             self.cfg, self.incarnation, self.store, self.clock
         )
+        self.durable = durable.DurableClaims(self.store, self.membership.ident)
         self.service = agent_service.AgentService(
             self.cfg,
             self.membership,
             self.keeper,
             self.metrics,
             self.clock,
-            (self.claims, self.runs, self.holders, self.runner),
+            (
+                self.claims,
+                self.durable,
+                self.runs,
+                self.holders,
+                self.runner,
+            ),
         )
         self.orders = orders.Orders(self.cfg, self.keeper, self.metrics)
         self.server = bridge.Server(self.service.handlers())
@@ -74,7 +82,8 @@
         gevent.spawn(self._settle_in)
 
     def _expire(self):
-        self.claims.expire(self.cfg.record_ttl_ms)
+        expired = self.claims.expire(self.cfg.record_ttl_ms)
+        self.durable.expire(expired)
         self.runs.expire(self.cfg.record_ttl_ms)
 
     def _settle_in(self):
--- a/galenaspoke/agent/membership.py
+++ b/galenaspoke/agent/membership.py
@@ -26,6 +26,7 @@
 
     __slots__ = (
         'incarnation',
+        'ident',
         'registry',
         '_cfg',
         '_store',
@@ -36,6 +37,7 @@
     def __init__(self, cfg, incarnation, store, clock):
         self._cfg = cfg
         self.incarnation = incarnation
+        self.ident = f'{cfg.name}.{incarnation}'
         self.registry = None
         self._store = store
         self._clock = clock
@@ -96,7 +98,7 @@
         """
         reg = self.registry
         for entry in reg.serving():
-            if entry.name == self._cfg.name:
+            if entry.ident() == self.ident:
                 continue
             channel = bridge.Channel(entry.address)
             try:
@@ -168,7 +170,7 @@
         """Hand the records over and close the entry."""
         item = self._store.get(registry.registry_key(self._cfg.service))
         reg = store_client.decode(item, registry.Registry)
-        hand_over(reg, self._cfg.name, claims, runs)
+        hand_over(reg, self.ident, claims, runs)
         self._update(
             lambda latest: registry.close(
                 latest, self._cfg.name, self.incarnation, usage
@@ -178,11 +180,7 @@
 
 def hand_over(reg, leaver, claims, runs):
     """Send every record of an agent that leaves to its next home."""
-    rest = registry.Registry(
-        reg.service,
-        reg.version,
-        [entry for entry in reg.entries if entry.name != leaver],
-    )
+    rest = registry.without(reg, {leaver})
     batches = {}
     for handed in _records(leaver, claims, runs):
         for entry in registry.order(rest, handed.place)[:1]:
--- a/galenaspoke/agent/runner.py
+++ b/galenaspoke/agent/runner.py
@@ -118,7 +118,7 @@
         except gevent.Timeout:
             self._timed_out(run)
         except http.TargetFailed as exc:
-            self._failed(run, life, exc)
+            self._failed(run, submit, life, exc)
         self._end(run, submit)
 
     def _generate(self, run, submit, started):
@@ -154,12 +154,12 @@
             verdicts.Reason.DEADLINE, 'the deadline passed during the run'
         )
 
-    def _failed(self, run, life, exc):
+    def _failed(self, run, submit, life, exc):
         if self._cfg.kind == objects.MODEL:
             self._note_down(life, exc)
             run.state = records.RunState.FAILED
             if exc.sent:
-                run.crash = f'{self._cfg.name}.{life}'
+                run.crash = f'{submit.to}.{life}'
         elif exc.sent:
             run.state = records.RunState.UNKNOWN
         else:
--- a/galenaspoke/agent/service.py
+++ b/galenaspoke/agent/service.py
@@ -35,6 +35,7 @@
         '_membership',
         '_metrics',
         '_claims',
+        '_durable',
         '_runs',
         '_holders',
         '_runner',
@@ -48,7 +49,8 @@
         self._keeper = keeper
         self._metrics = metrics
         self._clock = clock
-        self._claims, self._runs, self._holders, self._runner = tables
+        self._claims, self._durable, self._runs, *others = tables
+        self._holders, self._runner = others
         self._leaving = False
 
     @property
@@ -79,7 +81,7 @@
         self._metrics.count('submits')
         if not self._meant(submit):
             yield verdicts.not_run(
-                verdicts.Reason.MOVED, 'another incarnation was meant', 1
+                verdicts.Reason.REPLACED, 'another incarnation was meant', 1
             )
             return
         if submit.holder:
@@ -112,6 +114,8 @@
         req = submit.request
         policy = self._policy()
         refusal = self._refuse_new(submit, policy)
+        if refusal is None and self._needs_durable(submit, policy):
+            refusal = self._durable.claim(req.key)
         if refusal:
             yield refusal
             return
@@ -127,7 +131,7 @@
         )
         here = (
             isinstance(answer, records.Claimed)
-            and answer.runner == self._cfg.name
+            and answer.runner == self._membership.ident
         )
         run = None
         if here and answer.new:
@@ -138,6 +142,11 @@
         if run:
             yield from self._follow(run, submit.skip)
 
+    def _needs_durable(self, submit, policy):
+        req = submit.request
+        new = self._claims.find(req.key) is None
+        return policy.durable_claims and new and not req.repeatable
+
     def _refuse_new(self, submit, policy):
         """Refuse a request that is new here and can't be taken now."""
         key = submit.request.key
@@ -158,7 +167,7 @@
                 'the target is leaving',
                 _RETRY_LEAVING_MS,
             )
-        if submit.propose == self._cfg.name:
+        if submit.propose == self._membership.ident:
             return self._runner.refusal(submit.request, policy, False)
         return None
 
@@ -166,7 +175,7 @@
         """Tell whether this agent is the home, by its own registry."""
         reg = registry.without(self._membership.registry, submit.skipped)
         home = registry.placement(reg, submit.request.place).home
-        return home is not None and home.name == self._cfg.name
+        return home is not None and home.ident() == self._membership.ident
 
     def _as_runner(self, submit):
         refusal = None
@@ -245,7 +254,9 @@
     def hand_over(self, hand_over):
         """Take over records of an agent that leaves."""
         for handed in hand_over.records:
-            self._claims.adopt(handed, hand_over.leaver, self._cfg.name)
+            self._claims.adopt(
+                handed, hand_over.leaver, self._membership.ident
+            )
             if handed.state is None:
                 continue
             run = records.Run(handed.key, handed.attempt, handed.state)
--- a/galenaspoke/core/objects.py
+++ b/galenaspoke/core/objects.py
@@ -63,7 +63,9 @@
     `rate_per_s` and `burst` limit an account's requests, `max_tokens` one
     request's tokens, `concurrency` an account's open requests, `queue` what
     one target may have running, `poison_limit` how many targets a request
-    may bring down, `retry_percent` the retries per hundred requests.
+    may bring down, `retry_percent` the retries per hundred requests.  With
+    `durable_claims` a service's non-repeatable requests are claimed in the
+    store.
     """
 
     name: str
@@ -76,6 +78,7 @@
     queue: int | None = None
     poison_limit: int | None = None
     retry_percent: int | None = None
+    durable_claims: bool | None = None
 
 
 DEFAULTS = Policy(
@@ -88,6 +91,7 @@
     queue=64,
     poison_limit=2,
     retry_percent=20,
+    durable_claims=False,
 )
 _POLICY_LIMITS = {
     'rate_per_s': (1, 1_000_000),
@@ -101,6 +105,9 @@
 }
 
 
+_INHERITED = (*_POLICY_LIMITS, 'durable_claims')
+
+
 class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Everything that is published together."""
 
@@ -264,12 +271,12 @@
         values = {}
         chain = policy
         while chain is not None:
-            for field in _POLICY_LIMITS:
+            for field in _INHERITED:
                 value = getattr(chain, field)
                 if values.get(field) is None:
                     values[field] = value
             chain = self.policies.get(chain.base)
-        for field in _POLICY_LIMITS:
+        for field in _INHERITED:
             if values[field] is None:
                 values[field] = getattr(DEFAULTS, field)
         return msgspec.structs.replace(policy, **values)
--- a/galenaspoke/core/records.py
+++ b/galenaspoke/core/records.py
@@ -285,9 +285,13 @@
         return list(self._claims.values())
 
     def expire(self, older_than_ms):
-        """Forget what nobody asked about for `older_than_ms`."""
+        """Forget what nobody asked about for `older_than_ms`.
+
+        Returns the keys of the claims that were forgotten.
+        """
         limit = self._clock.now() - older_than_ms
-        for key in [k for k, c in self._claims.items() if c.at < limit]:
+        expired = [k for k, c in self._claims.items() if c.at < limit]
+        for key in expired:
             del self._claims[key]
         for key in [k for k, at in self._fenced.items() if at < limit]:
             del self._fenced[key]
@@ -295,6 +299,7 @@
         for table in (self._crashes, self._runners):
             for digest in [d for d in table if d not in live]:
                 del table[digest]
+        return expired
 
 
 class Runs:
--- a/galenaspoke/core/registry.py
+++ b/galenaspoke/core/registry.py
@@ -58,6 +58,10 @@
     gone_at: int = 0
     usage: dict[str, dict[str, Usage]] | None = None
 
+    def ident(self):
+        """Return the name that no other incarnation ever has."""
+        return f'{self.name}.{self.incarnation}'
+
     def serves(self):
         """Tell whether the incarnation may still take requests."""
         return self.phase in (Phase.JOINING, Phase.ACTIVE)
@@ -174,7 +178,7 @@
     lost = ''
     for entry in ranked:
         if entry.phase is Phase.LOST:
-            lost = lost or f'{entry.name}.{entry.incarnation}'
+            lost = lost or entry.ident()
         elif entry.serves() and home is None:
             home = entry
         elif entry.serves():
@@ -194,9 +198,11 @@
     )
 
 
-def without(registry, names):
-    """Return a registry that lacks the agents named."""
-    entries = [entry for entry in registry.entries if entry.name not in names]
+def without(registry, idents):
+    """Return a registry that lacks some incarnations."""
+    entries = [
+        entry for entry in registry.entries if entry.ident() not in idents
+    ]
     return Registry(registry.service, registry.version, entries)
 
 
--- a/galenaspoke/core/verdicts.py
+++ b/galenaspoke/core/verdicts.py
@@ -34,6 +34,7 @@
     OVERLOAD = 'overload'
     POISON = 'poison'
     RECORD_LOST = 'record_lost'
+    REPLACED = 'replaced'
     SEALED = 'sealed'
     TARGET_FAILED = 'target_failed'
     UNKNOWN_KEY = 'unknown_key'
@@ -76,6 +77,7 @@
     Reason.OVERLOAD: 503,
     Reason.POISON: 422,
     Reason.RECORD_LOST: 409,
+    Reason.REPLACED: 503,
     Reason.SEALED: 503,
     Reason.TARGET_FAILED: 502,
     Reason.UNKNOWN_KEY: 404,
--- a/galenaspoke/router/course.py
+++ b/galenaspoke/router/course.py
@@ -5,6 +5,8 @@
 what is known of the attempts decides what the caller is told.
 """
 
+import itertools
+
 import msgspec
 
 from galenaspoke.core import records
@@ -13,6 +15,7 @@
 from galenaspoke.rpc import bridge
 from galenaspoke.rpc import messages
 from galenaspoke.rpc import methods
+from galenaspoke.utils import programs
 
 Reason = verdicts.Reason
 ASK_TIMEOUT_MS = 500
@@ -37,6 +40,7 @@
         'look',
         'breaks',
         'pause_ms',
+        'durable',
         'skipped',
         'sent_to',
     )
@@ -58,6 +62,8 @@
         self.look = None
         self.breaks = 0
         self.pause_ms = 0
+        # The home claims the request in the store before it runs it.
+        self.durable = False
         self.skipped = set()
         # The agent that has the dispatch, while its fate is open.
         self.sent_to = None
@@ -91,6 +97,8 @@
         '_unsettled',
         '_generation',
         '_metrics',
+        '_name',
+        '_numbers',
     )
 
     def __init__(
@@ -103,6 +111,8 @@
         self._unsettled = unsettled
         self._generation = generation
         self._metrics = metrics
+        self._name = f'{cfg.name}.{programs.new_incarnation()}'
+        self._numbers = itertools.count(1)
 
     def attempt(self, course):
         """Make one attempt; yields Pieces and in the end End or Refusal.
@@ -117,7 +127,7 @@
         if isinstance(answer, verdicts.Refusal):
             yield self._refused_by_home(course, home, propose, answer)
             return
-        if answer.runner == home.entry.name:
+        if answer.runner == home.entry.ident():
             runner = home
         else:
             stream.close()
@@ -127,6 +137,8 @@
             )
         if not answer.new:
             self._release(course)
+        if answer.attempt > 1 or not answer.new:
+            course.maybe_ran = True
         yield from self._follow(course, runner, answer, stream)
 
     def left_ms(self, course):
@@ -144,17 +156,17 @@
         plan = registry.placement(reg, req.place)
         silent = plan.lost
         former = list(plan.former)
-        home = peers.get(plan.home.name) if plan.home else None
+        home = peers.get(plan.home.ident()) if plan.home else None
         while home is not None and home.load.failed:
             # Its target may be down while it keeps its records.
             if self._answers(home):
                 break
-            silent = silent or home.entry.name
-            skipped.add(home.entry.name)
+            silent = silent or home.entry.ident()
+            skipped.add(home.entry.ident())
             reg = registry.without(reg, skipped)
             plan = registry.placement(reg, req.place)
             former += plan.former
-            home = peers.get(plan.home.name) if plan.home else None
+            home = peers.get(plan.home.ident()) if plan.home else None
         if home is None:
             raise Again(
                 self._unproved(
@@ -164,6 +176,9 @@
         course.skipped = skipped
         if req.fresh or course.failure or course.delivered:
             return home
+        if course.durable:
+            # Whoever has run it left a claim in the store.
+            return home
         home, unasked = self._ask_former(req, home, former, peers)
         silent = silent or unasked
         if silent:
@@ -183,17 +198,19 @@
         """Return the home, or the former one that keeps the record."""
         unasked = ''
         for entry in former:
-            peer = peers.get(entry.name)
-            if peer is None or peer is home:
+            peer = peers.get(entry.ident())
+            if peer is home:
                 continue
             try:
+                if peer is None:
+                    raise bridge.PeerUnreachable('not known yet', False)
                 known = peer.channel.unary(
                     methods.ASK,
                     messages.Ask(entry.incarnation, req.key),
                     ASK_TIMEOUT_MS,
                 )
             except bridge.PeerUnreachable:
-                unasked = unasked or entry.name
+                unasked = unasked or entry.ident()
                 continue
             if known.known:
                 return peer, ''
@@ -218,7 +235,7 @@
             for name, peer in peers.items()
             if name not in course.avoid
         }
-        name = self._choose(home.entry.name, loads)
+        name = self._choose(home.entry.ident(), loads)
         if name is None and course.look is None:
             course.avoid.clear()
             raise Again(
@@ -226,7 +243,7 @@
                     course, Reason.OVERLOAD, 'no target takes requests now'
                 )
             )
-        return name or home.entry.name
+        return name or home.entry.ident()
 
     def _unproved(self, course, reason, detail):
         """Return a refusal for a request that no home was asked about."""
@@ -239,6 +256,9 @@
 
     def _submit(self, course, home, propose):
         reservation = course.reservation
+        # A new name each time: what is kept from an attempt that is proved
+        # not to have run is only the reservation.
+        course.dispatch = f'{self._name}.{next(self._numbers)}'
         left_ms = max(1, self.left_ms(course))
         req = msgspec.structs.replace(course.req, deadline_ms=left_ms)
         return messages.Submit(
@@ -317,18 +337,22 @@
                 course.look.retry_after_ms,
             )
         if refusal.reason is Reason.LEAVING:
-            course.gone.add(home.entry.name)
+            course.gone.add(home.entry.ident())
             raise Again(refusal, counts=False)
         if refusal.reason is Reason.SEALED:
             raise Again(refusal, counts=False)
         if refusal.reason in (Reason.OVERLOAD, Reason.NO_TARGET):
             course.avoid.add(propose)
             raise Again(refusal)
-        if refusal.reason in (Reason.MOVED, Reason.UNREACHABLE):
+        if refusal.reason in (
+            Reason.MOVED,
+            Reason.REPLACED,
+            Reason.UNREACHABLE,
+        ):
             course.pause_ms = PAUSE_MS
             raise Again(
                 self._unproved(course, refusal.reason, refusal.detail),
-                counts=False,
+                counts=refusal.reason is Reason.UNREACHABLE,
             )
         return course.refuse(refusal)
 
@@ -379,7 +403,7 @@
             runner.load.failed = True
             proved = not exc.sent and claimed.new
             course.failure = records.Failure(claimed.attempt, proved)
-            course.avoid.add(runner.entry.name)
+            course.avoid.add(runner.entry.ident())
         refusal = verdicts.may_have_run(
             Reason.UNREACHABLE, f'the target is silent: {exc}', 500
         )
@@ -399,15 +423,21 @@
         )
         if refusal.reason is Reason.DEADLINE or not course.req.repeatable:
             return refusal
+        course.maybe_ran = True
         course.failure = records.Failure(claimed.attempt, True, item.crash)
-        course.avoid.add(runner.entry.name)
+        course.avoid.add(runner.entry.ident())
         raise Again(refusal)
 
     def _refused_by_runner(self, course, runner, claimed, refusal):
-        """The runner says that this attempt never ran and never will."""
+        """The runner says that this attempt never ran and never will.
+
+        Another incarnation in its place can't say that, unless this very
+        claim was to start it.
+        """
         if refusal.reason is not Reason.SEALED:
-            course.failure = records.Failure(claimed.attempt, True)
-            course.avoid.add(runner.entry.name)
+            proved = claimed.new or refusal.reason is not Reason.REPLACED
+            course.failure = records.Failure(claimed.attempt, proved)
+            course.avoid.add(runner.entry.ident())
         if refusal.reason is Reason.OVERLOAD:
             course.pause_ms = PAUSE_MS
         raise Again(refusal)
--- a/galenaspoke/router/dispatch.py
+++ b/galenaspoke/router/dispatch.py
@@ -1,7 +1,5 @@
 """Serving one request: limits, money, attempts, and the final answer."""
 
-import itertools
-
 import gevent
 
 from galenaspoke.core import limits
@@ -36,7 +34,6 @@
         '_unsettled',
         '_limits',
         '_retries',
-        '_numbers',
     )
 
     def __init__(
@@ -60,7 +57,6 @@
         self._unsettled = unsettled
         self._limits = {}
         self._retries = {}
-        self._numbers = itertools.count(1)
         self.open = 0
         self.leaving = False
 
@@ -87,9 +83,13 @@
                         wait_ms,
                     )
             if refusal is None:
+                course.durable = not req.repeatable and self._durable(req)
                 yield from self._attempts(course, offered)
-            elif req.fresh or refusal.reason is Reason.BAD_REQUEST:
+            elif req.fresh:
                 yield refusal
+            elif req.service not in self._keeper.config.services:
+                course.maybe_ran = True
+                yield course.refuse(refusal)
             else:
                 # An earlier try of the caller may have been answered.
                 course.look = refusal
@@ -112,6 +112,10 @@
 
     def _refuse(self, req):
         config = self._keeper.config
+        if not config.generation:
+            return verdicts.not_run(
+                Reason.NO_TARGET, 'no configuration is in force yet', 500
+            )
         if req.service not in config.services:
             return _bad(f'there is no service {req.service!r}')
         if req.account not in config.accounts:
@@ -136,6 +140,11 @@
             )
         return None
 
+    def _durable(self, req):
+        config = self._keeper.config
+        policy = config.policy_of(config.services[req.service])
+        return policy.durable_claims
+
     def _cost(self, req):
         """Return the most a request can cost, in tokens."""
         service = self._keeper.config.services[req.service]
@@ -212,7 +221,6 @@
         if isinstance(got, treasuries.Reservation):
             course.reservation = got
             course.sent_to = None
-            course.dispatch = f'{got.holder.name}.{next(self._numbers)}'
             return ()
         course.look = got.refusal
         if not ask_others:
--- a/galenaspoke/router/main.py
+++ b/galenaspoke/router/main.py
@@ -54,6 +54,7 @@
         )
         self.treasury.release_at = router_service.release_at(self.members)
         self.treasury.routers = self._count_routers
+        self.members.lost_listener = self.treasury.note_registry
         self.unsettled = router_unsettled.Unsettled(self.members, self.metrics)
         self.dispatcher = dispatch.Dispatcher(
             self.cfg,
--- a/galenaspoke/router/members.py
+++ b/galenaspoke/router/members.py
@@ -55,6 +55,7 @@
         'agents',
         'routers',
         'holders',
+        'lost_listener',
         '_cfg',
         '_store',
         '_clock',
@@ -72,6 +73,7 @@
         self.agents = {}
         self.routers = {}
         self.holders = {}
+        self.lost_listener = lambda reg: None
 
     def start(self):
         """Begin to watch the store and the platform's list."""
@@ -112,6 +114,7 @@
         if known is not None and known.version >= reg.version:
             return
         self.registries[reg.service] = reg
+        self.lost_listener(reg)
         serving = {
             (entry.name, entry.incarnation): entry for entry in reg.serving()
         }
@@ -226,9 +229,9 @@
                 self.offer_registry(box.registry)
 
     def agents_of(self, service):
-        """Return the AgentPeers of a service by name."""
+        """Return the AgentPeers of a service, each under its ident."""
         return {
-            peer.entry.name: peer
+            peer.entry.ident(): peer
             for peer in self.agents.values()
             if peer.entry.service == service
         }
@@ -245,6 +248,6 @@
     def router_of(self, holder):
         """Return the peer that holds money as `holder`, or None."""
         for peer in self.live_routers():
-            if peer.status.holder == holder:
+            if holder in peer.status.holders:
                 return peer
         return None
--- a/galenaspoke/router/recovery.py
+++ b/galenaspoke/router/recovery.py
@@ -49,15 +49,15 @@
 
     def turn(self):
         """Recover each holder that has been silent for long."""
-        own = self._treasury.holder
-        if own is None:
+        own = self._treasury.holders()
+        if self._treasury.holder is None:
             return
         now = self._clock.now()
         records = dict(self._members.holders)
         for name in [n for n in self._silent_since if n not in records]:
             del self._silent_since[name]
         for name, record in records.items():
-            if name == own.name or self._members.router_of(name):
+            if name in own or self._members.router_of(name):
                 self._silent_since.pop(name, None)
                 continue
             since = self._silent_since.setdefault(name, now)
--- a/galenaspoke/router/service.py
+++ b/galenaspoke/router/service.py
@@ -33,11 +33,10 @@
 
     def status(self, _empty):
         """Answer a heartbeat."""
-        holder = self._treasury.holder
         registries = self._members.registries
         return messages.RouterStatus(
             self._cfg.name,
-            holder.name if holder else '',
+            self._treasury.holders(),
             self._keeper.config.generation,
             self._dispatcher.leaving,
             {name: reg.version for name, reg in registries.items()},
--- a/galenaspoke/router/treasury.py
+++ b/galenaspoke/router/treasury.py
@@ -31,13 +31,15 @@
 class Holder:
     """One identity under which money is held."""
 
-    __slots__ = ('name', 'book', 'writers', 'sealed')
+    __slots__ = ('name', 'book', 'writers', 'births', 'sealed', 'replaced')
 
-    def __init__(self, name, book):
+    def __init__(self, name, book, births):
         self.name = name
+        self.births = births
         self.book = book
         self.writers = {}
         self.sealed = False
+        self.replaced = False
 
 
 class Reservation:
@@ -97,6 +99,7 @@
         '_clock',
         '_metrics',
         '_drawing',
+        '_ending',
         '_stopping',
     )
 
@@ -107,6 +110,7 @@
         self._clock = clock
         self._metrics = metrics
         self._drawing = {}
+        self._ending = []
         self._stopping = False
         self.holder = None
         self.release_at = lambda budget, holders: 0
@@ -126,10 +130,32 @@
             except (store_client.StoreError, store_client.OutcomeUnknown):
                 gevent.sleep(RETRY_S)
                 continue
-            self.holder = Holder(name, grants.GrantBook(self._clock))
+            book = grants.GrantBook(self._clock)
+            self.holder = Holder(name, book, record.births)
             logging.info('holding money as %s', name)
             return
 
+    def replace(self):
+        """Go on under a new holder; end the old one's grants in order.
+
+        Done when an agent was lost: what this router knows of it would be
+        lost too if the router died, and the whole grant would be in doubt.
+        """
+        old = self.holder
+        if old is None or old.replaced:
+            return
+        old.replaced = True
+        self._ending.append(old)
+        self.open()
+        while not old.sealed and not self._end(old):
+            gevent.sleep(RETRY_S)
+        self._ending.remove(old)
+
+    def holders(self):
+        """Return the names of the holders that this router stands for."""
+        current = [self.holder] if self.holder else []
+        return [holder.name for holder in current + self._ending]
+
     def _register(self, record):
         """Write a holder's record, then what it can't have used before."""
         key = registry.holder_key(record.holder)
@@ -186,6 +212,18 @@
             )
         return writer
 
+    def note_registry(self, reg):
+        """Replace the holder if an agent that it may have used is lost."""
+        holder = self.holder
+        if holder is None or holder.replaced:
+            return
+        birth = holder.births.get(reg.service, 0)
+        if any(
+            entry.phase is registry.Phase.LOST and entry.gone_at > birth
+            for entry in reg.entries
+        ):
+            gevent.spawn(self.replace)
+
     # Reserving.
 
     def reserve(self, budget, amount, wait_ms, ask_others=True):
@@ -392,28 +430,33 @@
         """
         self._stopping = True
         holder, self.holder = self.holder, None
-        if holder is None:
-            return
+        if holder is not None and not self._end(holder):
+            logging.warning('grants of %s are left to others', holder.name)
+
+    def _end(self, holder):
+        """Close a holder's grants; return True if all is booked."""
         changes = []
-        open_budgets = False
+        whole = True
         for budget in holder.book.budgets():
             held = holder.book.held(budget)
             if held.reserved:
-                open_budgets = True
+                whole = False
             elif held.granted:
                 changes.append(self._close(holder, budget, held))
         try:
             for change in changes:
                 change.result.get(timeout=DRAW_TIMEOUT_S)
-            if not open_budgets:
+            if whole:
                 self._remove_record(holder)
+        except pages.HolderSealed:
+            self.sealed(holder)
         except (
             store_client.StoreError,
             store_client.OutcomeUnknown,
-            pages.HolderSealed,
             gevent.Timeout,
-        ) as exc:
-            logging.warning('grants left for others to settle: %s', exc)
+        ):
+            return False
+        return whole
 
     def _close(self, holder, budget, held):
         def function(page):
--- a/galenaspoke/rpc/bridge.py
+++ b/galenaspoke/rpc/bridge.py
@@ -247,6 +247,8 @@
 def _reply(function, message, done):
     try:
         _resolve(done, done.set_result, function(message))
+    except exceptions.GRPCError as exc:
+        _resolve(done, done.set_exception, exc)
     except Exception as exc:
         _resolve(done, done.set_exception, exc)
         raise
--- a/galenaspoke/rpc/messages.py
+++ b/galenaspoke/rpc/messages.py
@@ -148,10 +148,14 @@
 
 
 class RouterStatus(msgspec.Struct, frozen=True):
-    """A router's reply to a heartbeat; `registries` tells their versions."""
+    """A router's reply to a heartbeat.
+
+    `holders` are the identities under which it has money, `registries` the
+    versions that it knows.
+    """
 
     name: str
-    holder: str
+    holders: list[str]
     generation: int
     leaving: bool
     registries: dict[str, int]
