Routers vouch for lost agents

Every request that reached it came through a router, so routers can say what was sent; all else is proved not to have run.

Weighed: waiting out the record's lifetime (10 minutes of refusals), an operator's word, durable claims (a store write each), asking all routers for each key. Handing the sent keys over once for each loss needs no write for each request and no clock.

--- a/galenaspoke/agent/membership.py
+++ b/galenaspoke/agent/membership.py
@@ -9,6 +9,7 @@
 import gevent
 
 from galenaspoke.core import registry
+from galenaspoke.fleet import registries
 from galenaspoke.rpc import bridge
 from galenaspoke.rpc import messages
 from galenaspoke.rpc import methods
@@ -17,8 +18,7 @@
 # Written once, by the first router that ever served from this store.
 STARTED_KEY = 'fleet/started'
 RETRY_S = 0.3
-HAND_OVER_TIMEOUT_MS = 2000
-HAND_OVER_BATCH = 200
+NOTICE_TIMEOUT_MS = 2000
 
 
 class Membership:
@@ -44,10 +44,7 @@
         self._seen_gone = {}
 
     def _update(self, change):
-        key = registry.registry_key(self._cfg.service)
-        result, reg = store_client.update(
-            self._store, key, registry.Registry, change
-        )
+        result, reg = registries.update(self._store, self._cfg.service, change)
         self.offer(reg)
         return result
 
@@ -105,7 +102,7 @@
                 channel.unary(
                     methods.NOTICE,
                     messages.RegistryBox(reg),
-                    HAND_OVER_TIMEOUT_MS,
+                    NOTICE_TIMEOUT_MS,
                 )
             except bridge.PeerUnreachable:
                 return False
@@ -131,38 +128,43 @@
         return entry is None or not entry.serves()
 
     def _note_gone(self, reg):
-        """Forget entries that this agent has seen gone long enough.
+        """Tidy the registry: what has gone for long, losses vouched for.
 
-        A lost agent whose address now belongs to its replacement is known
-        to be dead.  Any other might be alive behind a partition, and only an
-        operator can say that it is not.
+        A lost agent is forgotten when every router has vouched for it.  A
+        router that went without vouching is forgotten when its keys are too
+        old to be sent again.
         """
         now = self._clock.now()
-        serving = {(entry.name, entry.address) for entry in reg.serving()}
-        for entry in reg.entries:
-            name = (entry.name, entry.incarnation)
-            dead = (entry.name, entry.address) in serving
-            if entry.serves() or (
-                entry.phase is registry.Phase.LOST and not dead
-            ):
-                continue
+        gone = [
+            entry.ident()
+            for entry in reg.entries
+            if entry.phase in (registry.Phase.CLOSED, registry.Phase.FORGOTTEN)
+        ]
+        old = []
+        for name in gone + reg.unvouched:
             since = self._seen_gone.setdefault(name, now)
             if now - since >= self._cfg.record_ttl_ms:
-                self._forget(entry)
+                old.append(name)
                 self._seen_gone[name] = now
+        if old:
+            self._tidy(old)
+        registries.lift(self._store, reg)
 
-    def _forget(self, entry):
-        listing = self._store.list(registry.HOLDER_PREFIX)
-        holders = [
-            store_client.decode(item, registry.HolderRecord)
-            for item in listing.items
-        ]
+    def _tidy(self, old):
+        holders = registries.holders(self._store)
 
         def change(reg):
-            changed = registry.forget(
-                reg, entry.name, entry.incarnation, holders
-            )
-            return changed or store_client.UNCHANGED
+            before = reg.version
+            for entry in list(reg.entries):
+                if entry.ident() in old:
+                    registry.forget(
+                        reg, entry.name, entry.incarnation, holders
+                    )
+            kept = [name for name in reg.unvouched if name not in old]
+            if kept != reg.unvouched:
+                reg.unvouched = kept
+                reg.version += 1
+            return store_client.UNCHANGED if reg.version == before else None
 
         self._update(change)
 
@@ -170,7 +172,9 @@
         """Hand the records over and close the entry."""
         item = self._store.get(registry.registry_key(self._cfg.service))
         reg = store_client.decode(item, registry.Registry)
-        hand_over(reg, self.ident, claims, runs)
+        registries.hand_over(
+            reg, self.ident, _records(self.ident, claims, runs)
+        )
         self._update(
             lambda latest: registry.close(
                 latest, self._cfg.name, self.incarnation, usage
@@ -178,30 +182,6 @@
         )
 
 
-def hand_over(reg, leaver, claims, runs):
-    """Send every record of an agent that leaves to its next home."""
-    rest = registry.without(reg, {leaver})
-    batches = {}
-    for handed in _records(leaver, claims, runs):
-        for entry in registry.order(rest, handed.place)[:1]:
-            batches.setdefault(entry.address, []).append(handed)
-    for address, batch in batches.items():
-        channel = bridge.Channel(address)
-        for start in range(0, len(batch), HAND_OVER_BATCH):
-            part = batch[start : start + HAND_OVER_BATCH]
-            try:
-                channel.unary(
-                    methods.HAND_OVER,
-                    messages.HandOver(leaver, part),
-                    HAND_OVER_TIMEOUT_MS,
-                )
-            except bridge.PeerUnreachable as exc:
-                logging.warning(
-                    '%d records not handed over: %s', len(part), exc
-                )
-        channel.close()
-
-
 def _records(leaver, claims, runs):
     by_attempt = {(run.key, run.attempt): run for run in runs}
     for claim in claims:
--- a/galenaspoke/agent/service.py
+++ b/galenaspoke/agent/service.py
@@ -84,7 +84,7 @@
                 verdicts.Reason.REPLACED, 'another incarnation was meant', 1
             )
             return
-        if submit.holder:
+        if not submit.look:
             refusal = self._holders.admit(submit.holder)
             if refusal:
                 yield refusal
@@ -252,8 +252,13 @@
         )
 
     def hand_over(self, hand_over):
-        """Take over records of an agent that leaves."""
+        """Take over records whose home this agent is from now on."""
+        self._check_meant(hand_over)
+        rejected = 0
         for handed in hand_over.records:
+            if self._claims.fenced(handed.key):
+                rejected += 1
+                continue
             self._claims.adopt(
                 handed, hand_over.leaver, self._membership.ident
             )
@@ -264,7 +269,7 @@
             run.refusal = handed.refusal
             run.ended_at = self._clock.now()
             self._runs.adopt(run)
-        return messages.Empty()
+        return messages.HandOverReply(rejected)
 
     def notice(self, box):
         """Take note of a newer registry."""
--- a/galenaspoke/conf/defaults.py
+++ b/galenaspoke/conf/defaults.py
@@ -155,6 +155,11 @@
         "how long a peer is silent before its grants are reclaimed",
         5_000,
     )
+    record_ttl_ms: int = _option(
+        _between(1000, 86_400_000, 'milliseconds'),
+        'how long it is remembered what was sent where; as at the agents',
+        600_000,
+    )
     stop_ms: int = _option(
         _between(100, 3_600_000, 'milliseconds'),
         'how long a graceful stop waits for open requests',
--- a/galenaspoke/core/registry.py
+++ b/galenaspoke/core/registry.py
@@ -46,7 +46,8 @@
     """One incarnation of an agent.
 
     `usage` is what it left behind when it closed: for each holder and
-    budget.  One that was lost left None.
+    budget.  One that was lost left None; `vouched` are the holders that have
+    handed over what they had sent there.
     """
 
     service: str
@@ -57,6 +58,7 @@
     phase: Phase
     gone_at: int = 0
     usage: dict[str, dict[str, Usage]] | None = None
+    vouched: list[str] = []
 
     def ident(self):
         """Return the name that no other incarnation ever has."""
@@ -68,11 +70,15 @@
 
 
 class Registry(msgspec.Struct):
-    """All agents of one service; `version` counts its changes."""
+    """All agents of one service; `version` counts its changes.
+
+    `unvouched` are holders that went without telling what they had sent.
+    """
 
     service: str = ''
     version: int = 0
     entries: list[AgentEntry] = []
+    unvouched: list[str] = []
 
     def serving(self):
         """Return the entries that may take requests."""
@@ -160,6 +166,21 @@
     return True
 
 
+def vouched_for(registry, entry, holders):
+    """Tell whether all that a lost agent was sent has been handed over.
+
+    `holders` are the records of all holders.  Those born after the loss have
+    sent it nothing.
+    """
+    if entry.phase is not Phase.LOST or registry.unvouched:
+        return False
+    return all(
+        record.holder in entry.vouched
+        or record.births.get(registry.service, 0) >= entry.gone_at
+        for record in holders
+    )
+
+
 def score(entry, key):
     """Return the rendezvous weight of an agent for a key."""
     text = f'{entry.name}\0{key}'.encode()
@@ -203,7 +224,9 @@
     entries = [
         entry for entry in registry.entries if entry.ident() not in idents
     ]
-    return Registry(registry.service, registry.version, entries)
+    return Registry(
+        registry.service, registry.version, entries, registry.unvouched
+    )
 
 
 class HolderRecord(msgspec.Struct):
--- a/galenaspoke/router/course.py
+++ b/galenaspoke/router/course.py
@@ -30,6 +30,7 @@
         'req',
         'until',
         'reservation',
+        'holder',
         'dispatch',
         'delivered',
         'failure',
@@ -49,6 +50,8 @@
         self.req = req
         self.until = until
         self.reservation = None
+        # The identity under which it was last sent.
+        self.holder = None
         self.dispatch = ''
         self.delivered = []
         self.failure = None
@@ -99,10 +102,21 @@
         '_metrics',
         '_name',
         '_numbers',
+        '_sent',
+        '_holder',
     )
 
     def __init__(
-        self, cfg, clock, members, choose, unsettled, generation, metrics
+        self,
+        cfg,
+        clock,
+        members,
+        choose,
+        unsettled,
+        generation,
+        metrics,
+        sent,
+        holder,
     ):
         self._cfg = cfg
         self._clock = clock
@@ -113,6 +127,8 @@
         self._metrics = metrics
         self._name = f'{cfg.name}.{programs.new_incarnation()}'
         self._numbers = itertools.count(1)
+        self._sent = sent
+        self._holder = holder
 
     def attempt(self, course):
         """Make one attempt; yields Pieces and in the end End or Refusal.
@@ -131,6 +147,8 @@
             runner = home
         else:
             stream.close()
+            if not course.req.fresh:
+                self._remember(home, submit, answer.attempt, answer.runner)
             runner = self._runner(course, answer)
             stream = self._open(
                 course, runner, self._to_runner(runner, submit, answer)
@@ -256,6 +274,7 @@
 
     def _submit(self, course, home, propose):
         reservation = course.reservation
+        course.holder = reservation.holder if reservation else self._holder()
         # A new name each time: what is kept from an attempt that is proved
         # not to have run is only the reservation.
         course.dispatch = f'{self._name}.{next(self._numbers)}'
@@ -265,7 +284,7 @@
             to=home.entry.incarnation,
             request=req,
             dispatch=course.dispatch,
-            holder=reservation.holder.name if reservation else '',
+            holder=course.holder.name if course.holder else '',
             reserve=reservation.amount if reservation else 0,
             propose=propose,
             generation=self._generation(),
@@ -288,7 +307,16 @@
         )
 
     def _open(self, course, peer, submit):
+        if self._members.agents.get(peer.name()) is not peer:
+            # It was lost a moment ago, and may have been vouched for.
+            raise Again(
+                self._unproved(
+                    course, Reason.UNREACHABLE, f'{peer.entry.name} has gone'
+                )
+            )
         course.sent_to = peer.entry
+        if not (submit.look or submit.request.fresh):
+            self._remember(peer, submit, max(1, submit.attempt))
         return peer.channel.stream(
             methods.SUBMIT,
             submit,
@@ -297,6 +325,15 @@
             self._cfg.first_answer_ms,
         )
 
+    def _remember(self, peer, submit, attempt=1, runner=None):
+        """Note that the request was sent there, to vouch if it is lost."""
+        req = submit.request
+        ident = peer.entry.ident()
+        handed = messages.Handed(
+            req.key, req.digest, req.place, attempt, runner or ident, False
+        )
+        self._sent.add(ident, handed)
+
     def _first(self, course, home, stream):
         """Return the home's answer: Claimed or a Refusal."""
         try:
--- a/galenaspoke/router/dispatch.py
+++ b/galenaspoke/router/dispatch.py
@@ -196,10 +196,8 @@
             except courses.Again as again:
                 last = again.refusal
                 tries += again.counts
-                if last.reason is Reason.SEALED and course.reservation:
-                    self._treasury.sealed(course.reservation.holder)
-                    course.reservation.release()
-                    course.reservation = None
+                if last.reason is Reason.SEALED and course.holder:
+                    self._sealed(course)
             if tries >= self._cfg.tries:
                 break
             if retries and _is_fault(last) and not retries.retry():
@@ -210,11 +208,17 @@
         self._metrics.count('refused.tries')
         yield course.refuse(last)
 
+    def _sealed(self, course):
+        self._treasury.sealed(course.holder)
+        if course.reservation:
+            course.reservation.release()
+            course.reservation = None
+
     def _get_money(self, course, ask_others):
         """Reserve; on failure set `course.look`, return likely helpers."""
         req = course.req
         cost = self._cost(req)
-        if not cost:
+        if not cost and self._treasury.holder:
             return ()
         left_ms = self._navigator.left_ms(course)
         got = self._treasury.reserve(req.budget, cost, left_ms, ask_others)
--- a/galenaspoke/router/main.py
+++ b/galenaspoke/router/main.py
@@ -23,6 +23,7 @@
 from galenaspoke.router import service as router_service  # noqa: E402
 from galenaspoke.router import treasury as treasuries  # noqa: E402
 from galenaspoke.router import unsettled as router_unsettled  # noqa: E402
+from galenaspoke.router import vouching  # noqa: E402
 from galenaspoke.router import web  # noqa: E402
 from galenaspoke.rpc import bridge  # noqa: E402
 from galenaspoke.store import client as store_client  # noqa: E402
@@ -31,6 +32,7 @@
 
 GIVE_BACK_MS = 1000
 SETTLE_MS = 300
+EXPIRE_MS = 5000
 RECOVERY_MS = 1000
 STOP_POLL_S = 0.05
 # How long a balancer may take to see that this router is not ready.
@@ -54,7 +56,12 @@
         )
         self.treasury.release_at = router_service.release_at(self.members)
         self.treasury.routers = self._count_routers
-        self.members.lost_listener = self.treasury.note_registry
+        self.sent = vouching.SentKeys(self.clock)
+        self.vouching = vouching.Vouching(
+            self.sent, self.store, self.members, self.treasury
+        )
+        self.members.lost_listener = self._note_registry
+        self.treasury.vouched = self.vouching.idle
         self.unsettled = router_unsettled.Unsettled(self.members, self.metrics)
         self.dispatcher = dispatch.Dispatcher(
             self.cfg,
@@ -80,10 +87,15 @@
             self.members,
             self.treasury,
             self.dispatcher,
+            self.vouching,
         )
         self.server = bridge.Server(service.handlers())
         self.web = None
 
+    def _note_registry(self, reg):
+        self.treasury.note_registry(reg)
+        self.vouching.note_registry(reg)
+
     def _navigator(self):
         return course.Navigator(
             self.cfg,
@@ -93,6 +105,8 @@
             self.unsettled,
             lambda: self.keeper.config.generation,
             self.metrics,
+            self.sent,
+            lambda: self.treasury.holder,
         )
 
     def _count_routers(self):
@@ -111,6 +125,7 @@
         gevent.spawn(self._open)
         programs.every(GIVE_BACK_MS, self.treasury.give_back_idle)
         programs.every(SETTLE_MS, self.unsettled.settle)
+        programs.every(EXPIRE_MS, self.sent.expire, self.cfg.record_ttl_ms)
         programs.every(RECOVERY_MS, self.recovery.turn)
         logging.info('router %s serves', self.cfg.name)
 
@@ -144,11 +159,18 @@
         while self.dispatcher.open and self.clock.now() < until:
             gevent.sleep(STOP_POLL_S)
         self.unsettled.settle()
-        self.treasury.close()
+        self._close_money()
         self.web.stop(timeout=1)
         self.server.stop()
         logging.info('stopped')
 
+    def _close_money(self):
+        """Pass on what was sent where, then end the grants."""
+        if not self.vouching.pass_on():
+            for holder in self.treasury.holders():
+                vouching.note_unvouched(self.store, holder)
+        self.treasury.close()
+
     def dump(self):
         """Return the state for people and tools."""
         agents = {}
--- a/galenaspoke/router/members.py
+++ b/galenaspoke/router/members.py
@@ -33,6 +33,10 @@
         self.load = routing.Load()
         self.task = None
 
+    def name(self):
+        """Return the name under which `Members.agents` has it."""
+        return self.entry.name, self.entry.incarnation
+
 
 class RouterPeer:
     """Another router."""
--- a/galenaspoke/router/recovery.py
+++ b/galenaspoke/router/recovery.py
@@ -11,6 +11,7 @@
 
 from galenaspoke.core import ledger
 from galenaspoke.core import registry
+from galenaspoke.router import vouching
 from galenaspoke.rpc import bridge
 from galenaspoke.rpc import messages
 from galenaspoke.rpc import methods
@@ -87,6 +88,7 @@
             running = self._book(key, name, usage, lost) or running
         if running:
             raise Incomplete('requests are still running')
+        vouching.note_unvouched(self._store, name)
         self._remove_record(name)
         self._metrics.count('recoveries.done')
         logging.info('recovered the grants of %s', name)
--- a/galenaspoke/router/service.py
+++ b/galenaspoke/router/service.py
@@ -12,9 +12,17 @@
 class RouterService:
     """The handlers of one router's calls."""
 
-    __slots__ = ('_cfg', '_keeper', '_members', '_treasury', '_dispatcher')
-
-    def __init__(self, cfg, keeper, members, treasury, dispatcher):
+    __slots__ = (
+        '_cfg',
+        '_keeper',
+        '_members',
+        '_treasury',
+        '_dispatcher',
+        '_vouching',
+    )
+
+    def __init__(self, cfg, keeper, members, treasury, dispatcher, vouching):
+        self._vouching = vouching
         self._cfg = cfg
         self._keeper = keeper
         self._members = members
@@ -29,6 +37,7 @@
             (methods.REGISTRY, self.registry),
             (methods.OFFER, self.offer),
             (methods.RELEASE, self.release),
+            (methods.TAKE_OVER, self.take_over),
         ]
 
     def status(self, _empty):
@@ -55,6 +64,12 @@
         """Serve a request that another router has no money for."""
         yield from self._dispatcher.serve(offer.request, offered=True)
 
+    def take_over(self, message):
+        """Vouch from now on for what a stopping router has sent."""
+        leaving = self._dispatcher.leaving
+        taken = not leaving and self._vouching.take_over(message)
+        return messages.TakeOverReply(taken)
+
     def release(self, release):
         """Give back what is not needed of a budget."""
         return messages.Released(self._treasury.release(release.budget))
--- a/galenaspoke/router/treasury.py
+++ b/galenaspoke/router/treasury.py
@@ -86,13 +86,15 @@
     """Reserves tokens of any budget for one router.
 
     `release_at` is a function that asks other holders, by name, to give back
-    what they don't need, and returns what they gave.
+    what they don't need, and returns what they gave.  `vouched` tells whether
+    this router has vouched for all lost agents; until then no holder ends.
     """
 
     __slots__ = (
         'holder',
         'release_at',
         'routers',
+        'vouched',
         '_cfg',
         '_store_cfg',
         '_store',
@@ -115,6 +117,7 @@
         self.holder = None
         self.release_at = lambda budget, holders: 0
         self.routers = lambda: 1
+        self.vouched = lambda: True
 
     # Identity.
 
@@ -147,6 +150,8 @@
         old.replaced = True
         self._ending.append(old)
         self.open()
+        while not self.vouched():
+            gevent.sleep(RETRY_S)
         while not old.sealed and not self._end(old):
             gevent.sleep(RETRY_S)
         self._ending.remove(old)
--- a/galenaspoke/rpc/messages.py
+++ b/galenaspoke/rpc/messages.py
@@ -217,12 +217,34 @@
 
 
 class HandOver(msgspec.Struct, frozen=True):
-    """Records of the agent `leaver` for their next home."""
+    """Records for their next home.
 
+    `leaver` is the agent whose runs come along, or empty.
+    """
+
+    to: str
     leaver: str
     records: list[Handed]
 
 
+class HandOverReply(msgspec.Struct, frozen=True):
+    """How many records were not taken, having another home."""
+
+    rejected: int
+
+
+class TakeOver(msgspec.Struct, frozen=True):
+    """What a stopping router has sent, by agent, for another to vouch."""
+
+    sent: dict[str, list[Handed]]
+
+
+class TakeOverReply(msgspec.Struct, frozen=True):
+    """Whether the other router vouches for it from now on."""
+
+    taken: bool
+
+
 class Order(msgspec.Struct, frozen=True):
     """What a target is to run; a lower `fence` than the last is refused."""
 
--- a/galenaspoke/rpc/methods.py
+++ b/galenaspoke/rpc/methods.py
@@ -16,7 +16,9 @@
     '/galenaspoke.Agent/Status', messages.Empty, messages.AgentStatus
 )
 HAND_OVER = bridge.Method(
-    '/galenaspoke.Agent/HandOver', messages.HandOver, messages.Empty
+    '/galenaspoke.Agent/HandOver',
+    messages.HandOver,
+    messages.HandOverReply,
 )
 INSTALL = bridge.Method(
     '/galenaspoke.Agent/Install', messages.GenerationBox, messages.Empty
@@ -43,3 +45,6 @@
 RELEASE = bridge.Method(
     '/galenaspoke.Router/Release', messages.Release, messages.Released
 )
+TAKE_OVER = bridge.Method(
+    '/galenaspoke.Router/TakeOver', messages.TakeOver, messages.TakeOverReply
+)
