A failure at one home proves nothing to the next

Its home was killed after the effect; the router took the failure it had noted as a reason not to ask about former homes, and sent the request to the next home, which had no record. Ruled out: vouching (the loss became known 1.5 s later), two routers. Before: tests/system/test_once AgentDiesTest fails (a second effect). After: it passes; the router refuses may_have_run, and so does every other. Also: a recovering router takes over what a crashed one had sent, from the agents' own records. Conclusion: what is known of attempts belongs to the home they were made at.

--- a/galenaspoke/agent/runner.py
+++ b/galenaspoke/agent/runner.py
@@ -93,6 +93,7 @@
 
     def start(self, run, submit):
         """Start a run that has been entered in the table."""
+        run.keyed = not submit.request.fresh
         run.digest = submit.request.digest
         run.place = submit.request.place
         run.holder = submit.holder
--- a/galenaspoke/agent/service.py
+++ b/galenaspoke/agent/service.py
@@ -133,6 +133,9 @@
             isinstance(answer, records.Claimed)
             and answer.runner == self._membership.ident
         )
+        claim = self._claims.find(req.key)
+        if claim is not None and not req.fresh:
+            claim.holders.add(submit.holder)
         run = None
         if here and answer.new:
             run = self._start(submit, answer.attempt, answer)
@@ -238,7 +241,33 @@
         """Take nothing more from a holder, and tell what it used."""
         self._check_meant(seal)
         self._metrics.count('seals')
-        return messages.Sealed(self._holders.seal(seal.holder))
+        usage = self._holders.seal(seal.holder)
+        return messages.Sealed(usage, self._sent_by(seal.holder))
+
+    def _sent_by(self, holder):
+        """Return the records of all that a holder sent here."""
+        ident = self._membership.ident
+        sent = [
+            messages.Handed(
+                claim.key,
+                claim.digest,
+                claim.place,
+                claim.attempt,
+                claim.runner,
+                False,
+            )
+            for claim in self._claims.every()
+            if holder in claim.holders
+        ]
+        known = {handed.key for handed in sent}
+        sent += [
+            messages.Handed(
+                run.key, run.digest, run.place, run.attempt, ident, False
+            )
+            for run in self._runs.every()
+            if run.holder == holder and run.key not in known and run.keyed
+        ]
+        return sent
 
     def status(self, _empty):
         """Answer a heartbeat."""
--- a/galenaspoke/core/records.py
+++ b/galenaspoke/core/records.py
@@ -33,6 +33,7 @@
         'key',
         'attempt',
         'dispatch',
+        'keyed',
         'digest',
         'place',
         'holder',
@@ -55,6 +56,8 @@
         self.key = key
         self.attempt = attempt
         self.dispatch = ''
+        # The caller gave the key, so it may send it again.
+        self.keyed = True
         self.digest = ''
         self.place = ''
         self.holder = ''
@@ -107,6 +110,7 @@
         'runner',
         'billable',
         'closed',
+        'holders',
         'at',
     )
 
@@ -118,6 +122,8 @@
         self.runner = ''
         self.billable = True
         self.closed = None
+        # Under which names routers have sent it.
+        self.holders = set()
         self.at = now
 
 
--- a/galenaspoke/core/registry.py
+++ b/galenaspoke/core/registry.py
@@ -234,12 +234,14 @@
 
     `births` maps each service to the registry version that the holder read
     after it was created.  Agents that had gone by then never served it.
+    One that `took_over` vouches for what other routers had sent, too.
     """
 
     holder: str = ''
     address: str = ''
     domain: str = ''
     births: dict[str, int] = {}
+    took_over: bool = False
     sealed_by: str = ''
 
 
@@ -251,6 +253,19 @@
     return f'{HOLDER_PREFIX}{holder}'
 
 
+def hidden(registry, record):
+    """Tell whether a holder may have sent keys that nobody can tell of."""
+    if record.took_over:
+        return True
+    birth = record.births.get(registry.service, 0)
+    return any(
+        entry.phase is Phase.LOST
+        and entry.gone_at > birth
+        and record.holder not in entry.vouched
+        for entry in registry.entries
+    )
+
+
 def unaccounted(registry, record):
     """Return the gone agents that may have served a holder.
 
--- a/galenaspoke/router/course.py
+++ b/galenaspoke/router/course.py
@@ -34,6 +34,7 @@
         'dispatch',
         'delivered',
         'failure',
+        'home',
         'billable',
         'maybe_ran',
         'gone',
@@ -55,6 +56,9 @@
         self.dispatch = ''
         self.delivered = []
         self.failure = None
+        # The home that was last sent the request, unless it said that it
+        # has no record of it.
+        self.home = None
         self.billable = True
         # Something was sent of which nobody said that it didn't run.
         self.maybe_ran = False
@@ -139,6 +143,7 @@
         propose = self._propose(course, home)
         submit = self._submit(course, home, propose)
         stream = self._open(course, home, submit)
+        course.home = home.entry.ident()
         answer = self._first(course, home, stream)
         if isinstance(answer, verdicts.Refusal):
             yield self._refused_by_home(course, home, propose, answer)
@@ -192,8 +197,13 @@
                 )
             )
         course.skipped = skipped
-        if req.fresh or course.failure or course.delivered:
+        if course.home == home.entry.ident():
             return home
+        if course.home is None and req.fresh and not course.maybe_ran:
+            return home
+        # What is known of attempts is known to the home that they were
+        # claimed at, and to no other.
+        course.failure = None
         if course.durable:
             # Whoever has run it left a claim in the store.
             return home
@@ -342,7 +352,8 @@
             home.load.failed = True
             if exc.sent:
                 self._lost_track(course, home)
-                course.billable = False
+            else:
+                course.home = None
             raise Again(
                 self._unproved(
                     course, Reason.UNREACHABLE, f'the home is silent: {exc}'
@@ -373,6 +384,7 @@
                 course.look.detail,
                 course.look.retry_after_ms,
             )
+        course.home = None
         if refusal.reason is Reason.LEAVING:
             course.gone.add(home.entry.ident())
             raise Again(refusal, counts=False)
--- a/galenaspoke/router/recovery.py
+++ b/galenaspoke/router/recovery.py
@@ -34,11 +34,13 @@
         '_clock',
         '_members',
         '_treasury',
+        '_vouching',
         '_metrics',
         '_silent_since',
     )
 
-    def __init__(self, cfg, store, clock, members, treasury, metrics):
+    def __init__(self, cfg, store, clock, members, treasury, vouch, metrics):
+        self._vouching = vouch
         self._cfg = cfg.router
         self._store_cfg = cfg.store
         self._store = store
@@ -70,7 +72,11 @@
     def _try(self, name):
         try:
             self.recover(name)
-        except (Incomplete, store_client.StoreError) as exc:
+        except (
+            Incomplete,
+            store_client.StoreError,
+            store_client.OutcomeUnknown,
+        ) as exc:
             self._metrics.count('recoveries.waiting')
             logging.log_every_n_seconds(
                 logging.WARNING, 'recovery of %s waits: %s', 10, name, exc
@@ -81,14 +87,17 @@
         record = self._seal_record(name)
         if record is None:
             return
-        usage, lost = self._collect(record)
+        usage, lost, sent = self._collect(record)
         running = False
         for number in range(self._store_cfg.ledger_pages):
             key = f'{ledger.PAGE_PREFIX}{number:04d}'
             running = self._book(key, name, usage, lost) or running
         if running:
             raise Incomplete('requests are still running')
-        vouching.note_unvouched(self._store, name)
+        if sent is None:
+            vouching.note_unvouched(self._store, name)
+        else:
+            self._vouching.adopt(sent)
         self._remove_record(name)
         self._metrics.count('recoveries.done')
         logging.info('recovered the grants of %s', name)
@@ -110,22 +119,31 @@
         return record if record.holder else None
 
     def _collect(self, record):
-        """Seal a holder at all agents; return its usage and who is lost."""
+        """Seal a holder at all agents.
+
+        Returns its usage, the agents that are lost, and what it had sent to
+        each agent; None instead of that if nobody can tell.
+        """
         # Read after the mark was written: an agent that isn't in it yet will
         # see the mark.
         listing = self._store.list(registry.REGISTRY_PREFIX)
         usage = {}
         lost = []
+        sent = {}
+        hidden = False
         for item in listing.items:
             reg = store_client.decode(item, registry.Registry)
             for entry in reg.serving():
-                _add(usage, self._seal_at(entry, record.holder))
+                reply = self._seal_at(entry, record.holder)
+                _add(usage, reply.usage)
+                sent[entry.ident()] = reply.records
+            hidden = hidden or registry.hidden(reg, record)
             for entry in registry.unaccounted(reg, record):
                 if entry.usage is None:
                     lost.append(f'{entry.name}.{entry.incarnation}')
                 else:
                     _add(usage, entry.usage.get(record.holder, {}))
-        return usage, lost
+        return usage, lost, None if hidden else sent
 
     def _seal_at(self, entry, holder):
         peer = self._members.agents.get((entry.name, entry.incarnation))
@@ -141,7 +159,7 @@
         finally:
             if peer is None:
                 channel.close()
-        return reply.usage
+        return reply
 
     def _book(self, key, name, usage, lost):
         """Book one page; return True if something is still running."""
--- a/galenaspoke/router/treasury.py
+++ b/galenaspoke/router/treasury.py
@@ -102,6 +102,7 @@
         '_metrics',
         '_drawing',
         '_ending',
+        '_guarding_since',
         '_stopping',
     )
 
@@ -113,6 +114,7 @@
         self._metrics = metrics
         self._drawing = {}
         self._ending = []
+        self._guarding_since = None
         self._stopping = False
         self.holder = None
         self.release_at = lambda budget, holders: 0
@@ -128,6 +130,7 @@
             record = registry.HolderRecord(
                 name, self._cfg.peer_listen, self._cfg.domain
             )
+            record.took_over = self._guarding_since is not None
             try:
                 self._register(record)
             except (store_client.StoreError, store_client.OutcomeUnknown):
@@ -161,6 +164,38 @@
         current = [self.holder] if self.holder else []
         return [holder.name for holder in current + self._ending]
 
+    def guard(self):
+        """Say in the record that this router vouches for others' keys."""
+        self._guarding_since = self._clock.now()
+        self._write_guard(True)
+
+    def guard_no_more(self):
+        """Take that back once those keys are too old to be sent again."""
+        since = self._guarding_since
+        if since is None:
+            return
+        if self._clock.now() - since > self._cfg.record_ttl_ms:
+            self._guarding_since = None
+            self._write_guard(False)
+
+    def _write_guard(self, guarding):
+        holder = self.holder
+        if holder is None:
+            raise store_client.StoreUnavailable('no holder yet')
+
+        def change(record):
+            if not record.holder or record.took_over == guarding:
+                return store_client.UNCHANGED
+            record.took_over = guarding
+            return None
+
+        store_client.update(
+            self._store,
+            registry.holder_key(holder.name),
+            registry.HolderRecord,
+            change,
+        )
+
     def _register(self, record):
         """Write a holder's record, then what it can't have used before."""
         key = registry.holder_key(record.holder)
--- a/galenaspoke/router/vouching.py
+++ b/galenaspoke/router/vouching.py
@@ -130,9 +130,10 @@
 
         What it had sent to an agent that is lost is handed over at once.
         """
-        for ident, records in message.sent.items():
-            for handed in records:
-                self.sent.add(ident, handed)
+        try:
+            self.adopt(message.sent)
+        except (store_client.StoreError, store_client.OutcomeUnknown):
+            return False
         for service, reg in self._members.registries.items():
             for entry in reg.entries:
                 records = message.sent.get(entry.ident())
@@ -142,6 +143,19 @@
                     return False
         return True
 
+    def adopt(self, sent):
+        """Vouch from now on for what another router sent, by agent.
+
+        This router's own record says so first: if it crashed, nobody could.
+        Raises StoreError or OutcomeUnknown if it can't be written.
+        """
+        if not any(sent.values()):
+            return
+        self._treasury.guard()
+        for ident, records in sent.items():
+            for handed in records:
+                self.sent.add(ident, handed)
+
     def pass_on(self):
         """Give what was sent to another router; return True if one took it.
 
--- a/galenaspoke/rpc/messages.py
+++ b/galenaspoke/rpc/messages.py
@@ -131,9 +131,10 @@
 
 
 class Sealed(msgspec.Struct, frozen=True):
-    """What a sealed holder used at one agent, for each budget."""
+    """What a sealed holder used at one agent, and what it sent there."""
 
     usage: dict[str, registry.Usage]
+    records: list['Handed']
 
 
 class AgentStatus(msgspec.Struct, frozen=True):
