Agents meet holders by heartbeat; draws provide for an outage; tests

Cause 1 (tests/system test_store_outage_is_ridden_out, failed first): an agent looks a holder up at its first request, and couldn't once the store was down: refused although the grant held enough. The heartbeat now names the holders. Cause 2 (test_new_router_in_an_outage..., failed first): a budget with little demand was held with no spare, so that a peer had nothing to help with. A draw now provides for four requests like the present one, within half an equal share. Ruled out: a fixed reserve (it would strand small budgets' last tokens).

--- a/galenaspoke/agent/holders.py
+++ b/galenaspoke/agent/holders.py
@@ -44,6 +44,10 @@
             )
         return None
 
+    def has_met(self, holder):
+        """Tell whether a holder has been looked up."""
+        return holder in self._met
+
     def _sealed_in_store(self, holder):
         item = self._store.get(registry.holder_key(holder))
         if item.version == 0:
--- a/galenaspoke/agent/service.py
+++ b/galenaspoke/agent/service.py
@@ -4,6 +4,7 @@
 each decision is taken as a whole.
 """
 
+import gevent
 from grpclib import const
 from grpclib import exceptions
 
@@ -269,8 +270,11 @@
         ]
         return sent
 
-    def status(self, _empty):
+    def status(self, greeting):
         """Answer a heartbeat."""
+        for holder in greeting.holders:
+            if not self._holders.has_met(holder):
+                gevent.spawn(self._holders.admit, holder)
         return messages.AgentStatus(
             self._cfg.name,
             self._incarnation,
--- a/galenaspoke/core/grants.py
+++ b/galenaspoke/core/grants.py
@@ -16,6 +16,8 @@
 
 # Demand is averaged over this time.
 DEMAND_WINDOW_MS = 10_000
+# How many requests like the present one a draw provides for.
+SPARE_REQUESTS = 4
 
 
 class Held:
@@ -131,12 +133,14 @@
 def draw_size(need, demand, free, holders):
     """Return how many tokens to ask for.
 
-    Asks for the demand to come, but never for more than half of an equal
-    share of what is free, so that the last tokens of a budget are not stuck
-    with one holder while another needs them.  Always at least `need`.
+    Asks for the demand to come, and for a few requests like this one, so
+    that an outage of the store is ridden out; but never for more than half of
+    an equal share of what is free, so that the last tokens of a budget are
+    not stuck with one holder while another needs them.  Always at least
+    `need`.
     """
     share = free // (2 * max(1, holders))
-    return max(need, min(demand, share))
+    return max(need, min(max(demand, SPARE_REQUESTS * need), share))
 
 
 def give_back(held, idle, demand):
--- a/galenaspoke/router/course.py
+++ b/galenaspoke/router/course.py
@@ -216,7 +216,7 @@
     def _answers(self, peer):
         try:
             peer.channel.unary(
-                methods.STATUS, messages.Empty(), ASK_TIMEOUT_MS
+                methods.STATUS, messages.Greeting([]), ASK_TIMEOUT_MS
             )
         except bridge.PeerUnreachable:
             return False
--- a/galenaspoke/router/main.py
+++ b/galenaspoke/router/main.py
@@ -61,6 +61,7 @@
             self.sent, self.store, self.members, self.treasury
         )
         self.members.lost_listener = self._note_registry
+        self.members.own_holders = self.treasury.holders
         self.treasury.vouched = self.vouching.idle
         self.unsettled = router_unsettled.Unsettled(self.members, self.metrics)
         self.dispatcher = dispatch.Dispatcher(
@@ -169,10 +170,17 @@
     def _close_money(self):
         """Pass on what was sent where, then end the grants."""
         if not self.vouching.pass_on():
-            for holder in self.treasury.holders():
-                vouching.note_unvouched(self.store, holder)
+            self._note_unvouched()
         self.treasury.close()
 
+    def _note_unvouched(self):
+        for service in self.members.registries:
+            for holder in self.treasury.holders():
+                try:
+                    vouching.note_unvouched(self.store, service, holder)
+                except store_client.StoreError as exc:
+                    logging.warning('went without a word: %s', exc)
+
     def dump(self):
         """Return the state for people and tools."""
         agents = {}
--- a/galenaspoke/router/members.py
+++ b/galenaspoke/router/members.py
@@ -61,6 +61,7 @@
         'routers',
         'holders',
         'lost_listener',
+        'own_holders',
         '_cfg',
         '_store',
         '_clock',
@@ -79,6 +80,7 @@
         self.routers = {}
         self.holders = {}
         self.lost_listener = lambda reg: None
+        self.own_holders = list
 
     def start(self):
         """Begin to watch the store and the platform's list."""
@@ -150,7 +152,9 @@
         while True:
             try:
                 status = peer.channel.unary(
-                    methods.STATUS, messages.Empty(), STATUS_TIMEOUT_MS
+                    methods.STATUS,
+                    messages.Greeting(self.own_holders()),
+                    STATUS_TIMEOUT_MS,
                 )
                 self._note_agent(peer, status)
             except bridge.PeerUnreachable as exc:
--- a/galenaspoke/router/recovery.py
+++ b/galenaspoke/router/recovery.py
@@ -103,17 +103,16 @@
         record = self._seal_record(name)
         if record is None:
             return
-        usage, lost, sent = self._collect(record)
+        usage, lost, sent, hidden = self._collect(record)
         running = False
         for number in range(self._store_cfg.ledger_pages):
             key = f'{ledger.PAGE_PREFIX}{number:04d}'
             running = self._book(key, name, usage, lost) or running
         if running:
             raise Incomplete('requests are still running')
-        if sent is None:
-            vouching.note_unvouched(self._store, name)
-        else:
-            self._vouching.adopt(sent)
+        self._vouching.adopt(sent)
+        for service in hidden:
+            vouching.note_unvouched(self._store, service, name)
         self._remove_record(name)
         self._metrics.count('recoveries.done')
         logging.info('recovered the grants of %s', name)
@@ -137,8 +136,8 @@
     def _collect(self, record):
         """Seal a holder at all agents.
 
-        Returns its usage, the agents that are lost, and what it had sent to
-        each agent; None instead of that if nobody can tell.
+        Returns its usage, the agents that are lost, what it had sent to each
+        agent, and the services of which nobody can tell that.
         """
         # Read after the mark was written: an agent that isn't in it yet will
         # see the mark.
@@ -151,20 +150,21 @@
         usage = {}
         lost = []
         sent = {}
-        hidden = False
+        hidden = []
         for item in listing.items:
             reg = store_client.decode(item, registry.Registry)
             for entry in reg.serving():
                 reply = self._seal_at(entry, record.holder, live)
                 _add(usage, reply.usage)
                 sent[entry.ident()] = reply.records
-            hidden = hidden or registry.hidden(reg, record)
+            if registry.hidden(reg, record):
+                hidden.append(reg.service)
             for entry in registry.unaccounted(reg, record):
                 if entry.usage is None:
                     lost.append(f'{entry.name}.{entry.incarnation}')
                 else:
                     _add(usage, entry.usage.get(record.holder, {}))
-        return usage, lost, None if hidden else sent
+        return usage, lost, sent, hidden
 
     def _seal_at(self, entry, holder, live):
         peer = self._members.agents.get((entry.name, entry.incarnation))
--- a/galenaspoke/router/treasury.py
+++ b/galenaspoke/router/treasury.py
@@ -26,6 +26,8 @@
 SCARCE_PAUSE_MS = 20
 # How long a request waits for the next holder when one was sealed.
 NEXT_HOLDER_S = 0.3
+# Why a holder in order has doubts: see docs/howto/in-doubt.md.
+NOT_PROVED = 'target lost, or an earlier run may have been billed'
 # Less than this share of a grant is not worth a write to give back.
 RETURN_SHARE = 4
 MOST_DRAWS = 8
@@ -503,7 +505,7 @@
                 holder.name,
                 held.spent,
                 held.doubt,
-                'target lost',
+                NOT_PROVED,
             )
             return closed or pages.Unchanged(False)
 
--- a/galenaspoke/router/vouching.py
+++ b/galenaspoke/router/vouching.py
@@ -168,16 +168,14 @@
         return False
 
 
-def note_unvouched(store, holder):
-    """Note in every registry that a holder went without vouching."""
-    for item in store.list(registry.REGISTRY_PREFIX).items:
-        reg = store_client.decode(item, registry.Registry)
+def note_unvouched(store, service, holder):
+    """Note in a registry that a holder went without vouching."""
 
-        def change(latest):
-            if holder in latest.unvouched:
-                return store_client.UNCHANGED
-            latest.unvouched.append(holder)
-            latest.version += 1
-            return None
+    def change(reg):
+        if holder in reg.unvouched:
+            return store_client.UNCHANGED
+        reg.unvouched.append(holder)
+        reg.version += 1
+        return None
 
-        registries.update(store, reg.service, change)
+    registries.update(store, service, change)
--- a/galenaspoke/rpc/messages.py
+++ b/galenaspoke/rpc/messages.py
@@ -144,6 +144,16 @@
     records: list['Handed']
 
 
+class Greeting(msgspec.Struct, frozen=True):
+    """A heartbeat; names the holders that the router stands for.
+
+    An agent looks up those that it hasn't met, so that they can spend there
+    when the store is down.
+    """
+
+    holders: list[str]
+
+
 class AgentStatus(msgspec.Struct, frozen=True):
     """An agent's reply to a heartbeat."""
 
--- a/galenaspoke/rpc/methods.py
+++ b/galenaspoke/rpc/methods.py
@@ -13,7 +13,7 @@
 )
 SEAL = bridge.Method('/galenaspoke.Agent/Seal', messages.Seal, messages.Sealed)
 STATUS = bridge.Method(
-    '/galenaspoke.Agent/Status', messages.Empty, messages.AgentStatus
+    '/galenaspoke.Agent/Status', messages.Greeting, messages.AgentStatus
 )
 HAND_OVER = bridge.Method(
     '/galenaspoke.Agent/HandOver',
