A submission proved not to have arrived is not vouched for

Its first submission met a new incarnation under the old name, which refused it; the router had noted it as sent to the old one, and handed it over when that was declared lost. Ruled out: the claim in the store (none was written), the home's record (it came from the hand-over).

--- a/galenaspoke/router/course.py
+++ b/galenaspoke/router/course.py
@@ -45,6 +45,7 @@
         'durable',
         'skipped',
         'sent_to',
+        'noted',
     )
 
     def __init__(self, req, until):
@@ -74,6 +75,8 @@
         self.skipped = set()
         # The agent that has the dispatch, while its fate is open.
         self.sent_to = None
+        # The agent that it was noted as sent to, if this was the first time.
+        self.noted = ''
 
     def refuse(self, refusal):
         """Return a refusal that promises no more than is known."""
@@ -153,7 +156,9 @@
         else:
             stream.close()
             if not course.req.fresh:
-                self._remember(home, submit, answer.attempt, answer.runner)
+                self._remember(
+                    course, home, submit, answer.attempt, answer.runner
+                )
             runner = self._runner(course, answer)
             stream = self._open(
                 course, runner, self._to_runner(runner, submit, answer)
@@ -326,7 +331,7 @@
             )
         course.sent_to = peer.entry
         if not (submit.look or submit.request.fresh):
-            self._remember(peer, submit, max(1, submit.attempt))
+            self._remember(course, peer, submit, max(1, submit.attempt))
         return peer.channel.stream(
             methods.SUBMIT,
             submit,
@@ -335,14 +340,21 @@
             self._cfg.first_answer_ms,
         )
 
-    def _remember(self, peer, submit, attempt=1, runner=None):
+    def _remember(self, course, peer, submit, attempt=1, runner=None):
         """Note that the request was sent there, to vouch if it is lost."""
         req = submit.request
         ident = peer.entry.ident()
         handed = messages.Handed(
             req.key, req.digest, req.place, attempt, runner or ident, False
         )
-        self._sent.add(ident, handed)
+        news = self._sent.add(ident, handed)
+        course.noted = ident if news else ''
+
+    def _never_arrived(self, course):
+        """Take back the note of a submission that is proved not to count."""
+        if course.noted:
+            self._sent.remove(course.noted, course.req.key)
+            course.noted = ''
 
     def _first(self, course, home, stream):
         """Return the home's answer: Claimed or a Refusal."""
@@ -354,6 +366,7 @@
                 self._lost_track(course, home)
             else:
                 course.home = None
+                self._never_arrived(course)
             raise Again(
                 self._unproved(
                     course, Reason.UNREACHABLE, f'the home is silent: {exc}'
@@ -385,6 +398,8 @@
                 course.look.retry_after_ms,
             )
         course.home = None
+        if refusal.verdict is verdicts.Verdict.NOT_RUN:
+            self._never_arrived(course)
         if refusal.reason is Reason.LEAVING:
             course.gone.add(home.entry.ident())
             raise Again(refusal, counts=False)
@@ -452,6 +467,8 @@
             runner.load.failed = True
             proved = not exc.sent and claimed.new
             course.failure = records.Failure(claimed.attempt, proved)
+            if claimed.new:
+                self._never_arrived(course)
             course.avoid.add(runner.entry.ident())
         refusal = verdicts.may_have_run(
             Reason.UNREACHABLE, f'the target is silent: {exc}', 500
@@ -486,6 +503,8 @@
         if refusal.reason is not Reason.SEALED:
             proved = claimed.new or refusal.reason is not Reason.REPLACED
             course.failure = records.Failure(claimed.attempt, proved)
+            if claimed.new:
+                self._never_arrived(course)
             course.avoid.add(runner.entry.ident())
         if refusal.reason is Reason.OVERLOAD:
             course.pause_ms = PAUSE_MS
--- a/galenaspoke/router/vouching.py
+++ b/galenaspoke/router/vouching.py
@@ -36,9 +36,15 @@
         self._sent = {}
 
     def add(self, ident, handed):
-        """Note that a request was sent to the agent `ident`."""
-        now = self._clock.now()
-        self._sent.setdefault(ident, {})[handed.key] = (now, handed)
+        """Note that a request was sent; return True if that is news."""
+        keys = self._sent.setdefault(ident, {})
+        news = handed.key not in keys
+        keys[handed.key] = (self._clock.now(), handed)
+        return news
+
+    def remove(self, ident, key):
+        """Take back that a request was sent, since it never arrived."""
+        self._sent.get(ident, {}).pop(key, None)
 
     def of(self, ident):
         """Return the records of what was sent to an agent."""
