Finished answers are kept packed

Ruled out: forgetting answers earlier (a retry must find them). Conclusion: kept; followers see no difference (test_records).

--- a/galenaspoke/agent/runner.py
+++ b/galenaspoke/agent/runner.py
@@ -100,7 +100,7 @@
         run.budget = submit.request.budget
         run.reserve = submit.reserve
         run.suspect = submit.suspect
-        run.pieces.extend(submit.resume)
+        run.add(submit.resume)
         self._holders.begin(run)
         self._metrics.count('runs.started')
         gevent.spawn(self._run, run, submit)
@@ -180,7 +180,6 @@
             run.spent = used
         elif run.state in (records.RunState.DONE, records.RunState.UNKNOWN):
             run.doubt = used
-        run.ended_at = self._clock.now()
         self._holders.end(run)
         self._metrics.count(f'runs.{run.state.value}')
-        run.notify()
+        run.finish(self._clock.now())
--- a/galenaspoke/agent/service.py
+++ b/galenaspoke/agent/service.py
@@ -298,9 +298,9 @@
             if handed.state is None:
                 continue
             run = records.Run(handed.key, handed.attempt, handed.state)
-            run.pieces = handed.pieces
+            run.add(handed.pieces)
             run.refusal = handed.refusal
-            run.ended_at = self._clock.now()
+            run.finish(self._clock.now())
             self._runs.adopt(run)
         return messages.HandOverReply(rejected)
 
--- a/galenaspoke/core/records.py
+++ b/galenaspoke/core/records.py
@@ -41,7 +41,6 @@
         'reserve',
         'billable',
         'state',
-        'pieces',
         'refusal',
         'spent',
         'doubt',
@@ -49,6 +48,8 @@
         'suspect',
         'ended_at',
         'cancelled',
+        '_pieces',
+        '_packed',
         '_changed',
     )
 
@@ -65,7 +66,6 @@
         self.reserve = 0
         self.billable = True
         self.state = state
-        self.pieces = []
         self.refusal = None
         self.spent = 0
         self.doubt = 0
@@ -73,11 +73,31 @@
         self.suspect = False
         self.ended_at = 0
         self.cancelled = False
+        self._pieces = []
+        self._packed = b''
         self._changed = event.Event()
 
+    @property
+    def pieces(self):
+        """The pieces of the answer so far; not to be changed."""
+        if self._packed:
+            return msgspec.json.decode(self._packed)
+        return self._pieces
+
     def add(self, pieces):
         """Append pieces of the answer and wake whoever follows."""
-        self.pieces.extend(pieces)
+        self._pieces.extend(pieces)
+        self.notify()
+
+    def finish(self, now):
+        """Note the end of a run whose state has been set, and wake all.
+
+        The answer is kept packed from now on: as a list of strings it takes
+        ten times the memory.
+        """
+        self.ended_at = now
+        self._packed = msgspec.json.encode(self._pieces)
+        self._pieces = []
         self.notify()
 
     def notify(self):
@@ -89,8 +109,9 @@
         """Yield lists of new pieces after the first `count`, to the end."""
         while True:
             changed = self._changed
-            if len(self.pieces) > count:
-                new = self.pieces[count:]
+            pieces = self.pieces
+            if len(pieces) > count:
+                new = pieces[count:]
                 count += len(new)
                 yield new
             elif self.state is not RunState.RUNNING:
--- a/tests/core/test_records.py
+++ b/tests/core/test_records.py
@@ -131,10 +131,11 @@
             run.add([piece])
             gevent.sleep(0)
         run.state = records.RunState.DONE
-        run.notify()
+        run.finish(self.clock.now())
         gevent.joinall(tasks)
         self.assertEqual(list('abcd'), tasks[0].value)
         self.assertEqual(list('cd'), tasks[1].value)
+        self.assertEqual(list('bcd'), sum(run.follow(1), []))
 
     def test_running_is_not_expired(self):
         run = self.runs.start('k', 1, 'd1')
