--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -59,11 +59,11 @@
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
 
-def _resident_mb(process):
-    """Return the memory of a process in MB."""
+def _memory_mb(process, kind):
+    """Return the memory of a process in MB, by its kind in /proc."""
     path = f'/proc/{process.popen.pid}/status'
     for line in pathlib.Path(path).read_text().splitlines():
-        if line.startswith('VmRSS'):
+        if line.startswith(f'{kind}:'):
             return int(line.split()[1]) / 1024
     return 0.0
 
@@ -182,7 +182,10 @@
         slopes.note(
             f'{role}, {label}: processor', 100 * cpu / seconds, '% of a core'
         )
-        slopes.note(f'{role}, {label}: memory', _resident_mb(process), 'MB')
+        resident = _memory_mb(process, 'VmRSS')
+        slopes.note(f'{role}, {label}: memory', resident, 'MB')
+        own = _memory_mb(process, 'RssAnon')
+        slopes.note(f'{role}, {label}: of this not file-backed', own, 'MB')
         if done:
             slopes.note(
                 f'{role}, {label}: processor for a request',
--- /dev/null
+++ b/examples/embed.py
@@ -0,0 +1,29 @@
+"""Embeds the ledger and a grant book: two holders share one budget.
+
+Run with `python examples/embed.py`.
+"""
+
+from galenaspoke import core
+from galenaspoke.core import ledger
+
+
+def main():
+    """Draw, spend, settle, and show what is left."""
+    clock = core.Clock()
+    page = core.Page()
+    ledger.top_up(page, 'voucher-desk', ledger.TopUp('invoice-1', 500))
+    books = {name: core.GrantBook(clock) for name in ('one', 'two')}
+    for name, book in books.items():
+        amount = ledger.draw(page, 'voucher-desk', name, need=100, want=200)
+        book.granted('voucher-desk', amount)
+        assert book.reserve('voucher-desk', 150)
+        book.settle('voucher-desk', 150, spent=120)
+    for name, book in books.items():
+        held = book.held('voucher-desk')
+        ledger.close_grant(page, 'voucher-desk', name, held.spent, held.doubt)
+    ledger.check(page)
+    print(page.entries['voucher-desk'].free(), 'tokens left of 500')
+
+
+if __name__ == '__main__':
+    main()
--- a/galenaspoke/agent/main.py
+++ b/galenaspoke/agent/main.py
@@ -65,7 +65,9 @@
                 self.runner,
             ),
         )
-        self.orders = orders.Orders(self.cfg, self.keeper, self.metrics)
+        self.orders = orders.Orders(
+            self.cfg, self.keeper, self.metrics, self.membership
+        )
         self.replaced = False
         self.server = bridge.Server(self.service.handlers())
 
@@ -155,7 +157,7 @@
 def main(settings):
     """Run the agent with the INI file SETTINGS."""
     cfg = programs.load_settings(settings, defaults.AgentConfig)
-    programs.start_logging()
+    programs.start_logging(cfg.logging)
     agent = Agent(cfg)
     try:
         agent.start()
--- a/galenaspoke/agent/orders.py
+++ b/galenaspoke/agent/orders.py
@@ -2,8 +2,9 @@
 
 The configuration's generation is the fencing number of an order, so an order
 from an older configuration is lower.  Engines that check it refuse an old
-one; before the others this agent is the only door, and it reads the
-configuration in force right before it sends.
+one; before the others this agent is the only door, so it makes sure in the
+store that it hasn't been replaced, and reads the configuration in force right
+before it sends.
 """
 
 import random
@@ -14,6 +15,7 @@
 from galenaspoke.core import objects
 from galenaspoke.engine import client as engine
 from galenaspoke.rpc import messages
+from galenaspoke.store import client as store_client
 from galenaspoke.utils import http
 
 # Loads are spread over this time, since the weight store is rate-limited.
@@ -23,10 +25,11 @@
 class Orders:
     """The order that the target obeys, and the one it should."""
 
-    __slots__ = ('applied', '_cfg', '_keeper', '_metrics')
+    __slots__ = ('applied', '_cfg', '_keeper', '_metrics', '_membership')
 
-    def __init__(self, cfg, keeper, metrics):
+    def __init__(self, cfg, keeper, metrics, membership):
         self._cfg = cfg
+        self._membership = membership
         self._keeper = keeper
         self._metrics = metrics
         self.applied = None
@@ -42,11 +45,23 @@
             config.generation, target.model, target.adapter, target.role
         )
 
+    def _may_send(self):
+        """Tell whether this agent may give orders to its target."""
+        target = self._keeper.config.targets[self._cfg.name]
+        if target.checks_fencing:
+            return True
+        try:
+            return not self._membership.replaced()
+        except store_client.StoreError:
+            return False
+
     def apply(self):
         """Give the target its order unless it has it already."""
         wanted = self._wanted()
         if wanted is None or _same(wanted, self.applied):
             return
+        if not self._may_send():
+            return
         if self.applied is not None:
             gevent.sleep(random.uniform(0, SPREAD_S))
             # What was published meanwhile goes first.
--- a/galenaspoke/conf/defaults.py
+++ b/galenaspoke/conf/defaults.py
@@ -84,6 +84,15 @@
     statsd: str = _option(_OPTIONAL_ADDRESS, 'the statsd daemon', '')
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class LoggingSettings:
+    """Section [logging]: what log lines look like."""
+
+    format: str = _option(
+        _one_of('text', 'json'), 'for people, or one object a line', 'text'
+    )
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RouterSettings:
     """Section [router]."""
@@ -233,6 +242,7 @@
     router: RouterSettings
     store: StoreSettings
     metrics: MetricsSettings
+    logging: LoggingSettings
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -242,6 +252,7 @@
     agent: AgentSettings
     store: StoreSettings
     metrics: MetricsSettings
+    logging: LoggingSettings
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/galenaspoke/router/main.py
+++ b/galenaspoke/router/main.py
@@ -213,7 +213,7 @@
 def main(settings):
     """Run the router with the INI file SETTINGS."""
     cfg = programs.load_settings(settings, defaults.RouterConfig)
-    programs.start_logging()
+    programs.start_logging(cfg.logging)
     router = Router(cfg)
     try:
         router.start()
--- a/galenaspoke/router/web.py
+++ b/galenaspoke/router/web.py
@@ -119,7 +119,9 @@
             max_tokens=body.max_tokens,
             repeatable=model or body.repeatable,
             stream=body.stream,
-            priority=_header(environ, 'HTTP_PRIORITY', 5, 0, 9),
+            priority=_header(
+                environ, 'HTTP_PRIORITY', self._priority(body.account), 0, 9
+            ),
             deadline_ms=_header(
                 environ,
                 'HTTP_REQUEST_TIMEOUT_MS',
@@ -129,6 +131,13 @@
             ),
         )
 
+    def _priority(self, account):
+        """Return the priority of an account's requests that name none."""
+        config = self._keeper.config
+        known = config.accounts.get(account)
+        policy = config.policy_of(known) if known else objects.DEFAULTS
+        return policy.priority
+
     def _serve(self, req, start_response):
         events = self._dispatcher.serve(req)
         first = next(events)
--- a/galenaspoke/utils/programs.py
+++ b/galenaspoke/utils/programs.py
@@ -1,5 +1,7 @@
 """What all daemons do alike: start, logging, stop signals."""
 
+import json
+import logging as pylogging
 import signal
 import sys
 import uuid
@@ -28,13 +30,30 @@
         sys.exit(EXIT_SETTINGS)
 
 
-def start_logging():
+class JsonFormatter(pylogging.Formatter):
+    """Makes one JSON object of each log record."""
+
+    def format(self, record):
+        line = {
+            'at': int(record.created * 1000),
+            'level': record.levelname.lower(),
+            'module': record.module,
+            'message': record.getMessage(),
+        }
+        if record.exc_info:
+            line['exception'] = self.formatException(record.exc_info)
+        return json.dumps(line)
+
+
+def start_logging(cfg):
     """Log to standard error from level info on."""
     # Settings come from INI files; absl is told that no flags will come.
     flags.FLAGS(['galenaspoke'])
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold('info')
+    if cfg.format == 'json':
+        logging.get_absl_handler().setFormatter(JsonFormatter())
 
 
 def until_stopped():
--- a/tests/router/test_treasury.py
+++ b/tests/router/test_treasury.py
@@ -31,6 +31,7 @@
         ),
         store=defaults.StoreSettings(url='http://127.0.0.1:3'),
         metrics=defaults.MetricsSettings(),
+        logging=defaults.LoggingSettings(),
     )
 
 
