One way to run a daemon and to come to rest; grants without a record are swept

Cause: start and stop stood twice, waiting for the books to settle stood twice; a grant of a holder without a record could stay for good if its router died right after it was sealed.

--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -270,27 +270,10 @@
         """Heal everything and wait until the books are settled."""
         self.cluster.control('store', outage=False, slow_ms=0, lose_answers=0)
         names = [name for name, _, _ in self.deployment.targets()]
-        self.cluster.wait_ready(
-            self.deployment.router_names(), names, REST_TIMEOUT_S
-        )
-        self.cluster.wait('the books to settle', self._settled, 60)
+        routers = self.deployment.router_names()
+        self.cluster.wait_ready(routers, names, REST_TIMEOUT_S)
         self._supervisor.kill()
-        for name in self.deployment.router_names():
-            self.cluster.processes[name].signal(15)
-        for name in self.deployment.router_names():
-            self.cluster.processes[name].popen.wait()
-
-    def _settled(self):
-        """Tell whether all money is with routers that live."""
-        gevent.sleep(0.2)
-        holders = set()
-        for name in self.deployment.router_names():
-            state = self.cluster.state(name)
-            if not state or state['unsettled'] or state['open']:
-                return False
-            holders.add(state['money']['holder'])
-        ledger = judge.budgets(self.cluster)
-        return all(set(row['holders']) <= holders for row in ledger.values())
+        judge.rest(self.cluster, routers, names, REST_TIMEOUT_S)
 
     def judge(self):
         """Return the Judgement."""
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -387,6 +387,13 @@
         )
         post(address, '/control', faults)
 
+    def stop_in_order(self, names):
+        """Ask processes to stop, and wait until they have."""
+        for name in names:
+            self.processes[name].signal(signal.SIGTERM)
+        for name in names:
+            self.processes[name].popen.wait(STOP_TIMEOUT_S)
+
     def stop_all(self):
         """End every process that was started here."""
         for process in self.processes.values():
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -176,10 +176,7 @@
             return not any(name.startswith(dead) for name in row['holders'])
 
         self.cluster.wait("the dead router's grant to be recovered", recovered)
-        for name in self.routers[1:]:
-            self.cluster.processes[name].signal(15)
-        for name in self.routers[1:]:
-            self.cluster.processes[name].popen.wait()
+        self.cluster.stop_in_order(self.routers[1:])
         found = judge.judge(self.cluster, self.limits, self.answers, self.want)
         ledger = judge.budgets(self.cluster)[self.budget]
         whole = {
--- a/bench/judge.py
+++ b/bench/judge.py
@@ -69,6 +69,28 @@
     return {row['budget']: row for row in json.loads(text)}
 
 
+def settled(cluster, routers):
+    """Tell whether all money is with routers that live, and certain."""
+    holders = set()
+    for name in routers:
+        state = cluster.state(name)
+        if not state or state['unsettled'] or state['open']:
+            return False
+        holders.add(state['money']['holder'])
+    return all(
+        set(row['holders']) <= holders for row in budgets(cluster).values()
+    )
+
+
+def rest(cluster, routers, agents, timeout_s=60):
+    """Wait until all is healed and certain, then stop the routers."""
+    cluster.wait_ready(routers, agents, timeout_s)
+    cluster.wait(
+        'the books to settle', lambda: settled(cluster, routers), timeout_s
+    )
+    cluster.stop_in_order(routers)
+
+
 def overspend(cluster, limits):
     """Return the tokens of whole answers beyond each budget's limit.
 
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -195,24 +195,7 @@
     def _stop(self):
         self.cluster.control('store', outage=False)
         names = [name for name, _, _ in self.deployment.targets()]
-        routers = self.deployment.router_names()
-        self.cluster.wait_ready(routers, names, 60)
-        self.cluster.wait('the books to settle', self._settled, 60)
-        for name in routers:
-            self.cluster.processes[name].signal(15)
-        for name in routers:
-            self.cluster.processes[name].popen.wait()
-
-    def _settled(self):
-        gevent.sleep(0.2)
-        holders = set()
-        for name in self.deployment.router_names():
-            state = self.cluster.state(name)
-            if not state or state['unsettled'] or state['open']:
-                return False
-            holders.add(state['money']['holder'])
-        row = judge.budgets(self.cluster)[BUDGET]
-        return set(row['holders']) <= holders
+        judge.rest(self.cluster, self.deployment.router_names(), names)
 
     def _false(self):
         """Count the refusals for budget while enough was unspent.
--- a/galenaspoke/agent/main.py
+++ b/galenaspoke/agent/main.py
@@ -4,8 +4,6 @@
 
 monkey.patch_all()
 
-import sys  # noqa: E402
-
 from absl import logging  # noqa: E402
 import click  # noqa: E402
 import gevent  # noqa: E402
@@ -117,7 +115,10 @@
             programs.request_stop()
 
     def stop(self):
-        """Take nothing new, finish what runs, hand over, and end."""
+        """Take nothing new, finish what runs, hand over, and end.
+
+        Returns the exit code.
+        """
         self.service.leave()
         logging.info('leaving')
         gevent.sleep(self.cfg.leave_ms / 1000)
@@ -132,6 +133,8 @@
             logging.warning('left without closing the entry: %s', exc)
         self.server.stop()
         logging.info('stopped')
+        replaced = self.replaced
+        return programs.EXIT_REPLACED if replaced else programs.EXIT_OK
 
     def dump(self):
         """Return the state for people and tools."""
@@ -156,18 +159,7 @@
 @click.argument('settings', type=click.Path())
 def main(settings):
     """Run the agent with the INI file SETTINGS."""
-    cfg = programs.load_settings(settings, defaults.AgentConfig)
-    programs.start_logging(cfg.logging)
-    agent = Agent(cfg)
-    try:
-        agent.start()
-    except OSError as exc:
-        logging.error('can not start: %s', exc)
-        sys.exit(programs.EXIT_START)
-    programs.until_stopped()
-    agent.stop()
-    if agent.replaced:
-        sys.exit(programs.EXIT_REPLACED)
+    programs.serve(settings, defaults.AgentConfig, Agent)
 
 
 if __name__ == '__main__':
--- a/galenaspoke/router/main.py
+++ b/galenaspoke/router/main.py
@@ -4,8 +4,6 @@
 
 monkey.patch_all()
 
-import sys  # noqa: E402
-
 from absl import logging  # noqa: E402
 import click  # noqa: E402
 import gevent  # noqa: E402
@@ -35,6 +33,7 @@
 SETTLE_MS = 300
 EXPIRE_MS = 5000
 RECOVERY_MS = 1000
+SWEEP_MS = 30_000
 STOP_POLL_S = 0.05
 # How long a balancer may take to see that this router is not ready.
 UNREADY_S = 0.5
@@ -136,6 +135,7 @@
         programs.every(EXPIRE_MS, self.sent.expire, self.cfg.record_ttl_ms)
         programs.every(RECOVERY_MS, self.recovery.turn)
         programs.every(RECOVERY_MS, self.recovery.declare_lost)
+        programs.every(SWEEP_MS, self.recovery.sweep)
         logging.info('router %s serves', self.cfg.name)
 
     def _open(self):
@@ -159,7 +159,10 @@
         return bool(known and served and not self.dispatcher.leaving)
 
     def stop(self):
-        """Turn unready, finish open requests, give the money back."""
+        """Turn unready, finish open requests, give the money back.
+
+        Returns the exit code.
+        """
         self.dispatcher.leaving = True
         logging.info('stopping with %d open requests', self.dispatcher.open)
         gevent.sleep(UNREADY_S)
@@ -172,6 +175,7 @@
         self.web.stop(timeout=1)
         self.server.stop()
         logging.info('stopped')
+        return programs.EXIT_OK
 
     def _close_money(self):
         """Pass on what was sent where, then end the grants."""
@@ -218,16 +222,7 @@
 @click.argument('settings', type=click.Path())
 def main(settings):
     """Run the router with the INI file SETTINGS."""
-    cfg = programs.load_settings(settings, defaults.RouterConfig)
-    programs.start_logging(cfg.logging)
-    router = Router(cfg)
-    try:
-        router.start()
-    except OSError as exc:
-        logging.error('can not start: %s', exc)
-        sys.exit(programs.EXIT_START)
-    programs.until_stopped()
-    router.stop()
+    programs.serve(settings, defaults.RouterConfig, Router)
 
 
 if __name__ == '__main__':
--- a/galenaspoke/router/recovery.py
+++ b/galenaspoke/router/recovery.py
@@ -118,13 +118,7 @@
         record = self._seal_record(name)
         if record is None:
             return
-        usage, lost, sent, hidden = self._collect(record)
-        running = False
-        for number in range(self._store_cfg.ledger_pages):
-            key = f'{ledger.PAGE_PREFIX}{number:04d}'
-            running = self._book(key, name, usage, lost) or running
-        if running:
-            raise Incomplete('requests are still running')
+        sent, hidden = self._book_all(record)
         self._vouching.adopt(sent)
         for service in hidden:
             vouching.note_unvouched(self._store, service, name)
@@ -132,6 +126,47 @@
         self._metrics.count('recoveries.done')
         logging.info('recovered the grants of %s', name)
 
+    def sweep(self):
+        """Recover grants of holders that have no record.
+
+        A holder that was sealed, woke, drew on a page that it had never used
+        and died before it could take that back leaves such a grant.
+        """
+        try:
+            named = set()
+            for item in self._store.list(ledger.PAGE_PREFIX).items:
+                page = store_client.decode(item, ledger.Page)
+                for entry in page.entries.values():
+                    named.update(entry.grants)
+            # Read after the pages: a record is there before any grant.
+            known = {r.holder for r in registries.holders(self._store)}
+            for name in named - known:
+                self._book_all(registry.HolderRecord(name))
+                logging.info('recovered the grants of %s, unknown', name)
+        except (
+            Incomplete,
+            store_client.StoreError,
+            store_client.OutcomeUnknown,
+        ) as exc:
+            logging.log_every_n_seconds(
+                logging.WARNING, 'sweep waits: %s', 60, exc
+            )
+
+    def _book_all(self, record):
+        """Book what a holder has on every page; raises Incomplete.
+
+        Returns what it had sent, and the services of which nobody can tell.
+        """
+        usage, lost, sent, hidden = self._collect(record)
+        running = False
+        for number in range(self._store_cfg.ledger_pages):
+            key = f'{ledger.PAGE_PREFIX}{number:04d}'
+            booked = self._book(key, record.holder, usage, lost)
+            running = running or booked
+        if running:
+            raise Incomplete('requests are still running')
+        return sent, hidden
+
     def _seal_record(self, name):
         """Mark the holder's record; return it, or None if it has gone."""
         key = registry.holder_key(name)
--- a/galenaspoke/utils/programs.py
+++ b/galenaspoke/utils/programs.py
@@ -56,6 +56,24 @@
         logging.get_absl_handler().setFormatter(JsonFormatter())
 
 
+def serve(path, program, make):
+    """Run a daemon: settings, start, wait for a signal, stop in order.
+
+    `make` takes the checked settings and returns an object with `start` and
+    `stop`, which returns the exit code.  Ends the process.
+    """
+    cfg = load_settings(path, program)
+    start_logging(cfg.logging)
+    daemon = make(cfg)
+    try:
+        daemon.start()
+    except OSError as exc:
+        logging.error('can not start: %s', exc)
+        sys.exit(EXIT_START)
+    until_stopped()
+    sys.exit(daemon.stop())
+
+
 def until_stopped():
     """Block until SIGTERM or SIGINT arrives."""
     gevent.signal_handler(signal.SIGTERM, _stop.set)
--- a/tests/system/base.py
+++ b/tests/system/base.py
@@ -120,6 +120,11 @@
         body = {'account': 'flight-day', 'prompt': f'seat {key}'}
         return self.ask(router, APPLICATION, body, key, timeout_s)
 
+    def seat_later(self, router, key):
+        """Confirm a seat in the background; return a Background."""
+        body = {'account': 'flight-day', 'prompt': f'seat {key}'}
+        return self.ask_later(router, APPLICATION, body, key)
+
     def running_at(self, names):
         """Return the agent whose target has a request running, or None."""
         for name in names:
@@ -150,12 +155,7 @@
 
     def stop_routers(self):
         """Stop all routers in order."""
-        names = self.deployment.router_names()
-        for name in names:
-            self.cluster.processes[name].signal(15)
-        for name in names:
-            if self.cluster.processes[name].popen.poll() is None:
-                self.cluster.processes[name].popen.wait(30)
+        self.cluster.stop_in_order(self.deployment.router_names())
 
     def assert_clean(self):
         """Stop the routers and judge by the stand-ins' logs."""
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -227,12 +227,7 @@
         """A frozen agent wakes after it was declared lost, and stops."""
         for name in self.agents('application'):
             self.cluster.control(f'target-{name}', slow_ms=300)
-        asked = self.ask_later(
-            0,
-            base.APPLICATION,
-            {'account': 'flight-day', 'prompt': 'seat seat-1'},
-            'seat-1',
-        )
+        asked = self.seat_later(0, 'seat-1')
         name = self.await_running('application')
         self.cluster.processes[name].freeze()
         self.answers.append(asked.answer())
--- a/tests/system/test_once.py
+++ b/tests/system/test_once.py
@@ -14,12 +14,7 @@
         """
         for name in self.agents('application'):
             self.cluster.control(f'target-{name}', slow_ms=600)
-        asked = self.ask_later(
-            0,
-            base.APPLICATION,
-            {'account': 'flight-day', 'prompt': 'seat seat-1'},
-            'seat-1',
-        )
+        asked = self.seat_later(0, 'seat-1')
         home = self.await_running('application')
         self.cluster.processes[home].kill()
         answer = asked.answer()
