--- a/galenaspoke/router/main.py
+++ b/galenaspoke/router/main.py
@@ -14,10 +14,11 @@
 from galenaspoke.core import clock as clocks  # noqa: E402
 from galenaspoke.core import routing  # noqa: E402
 from galenaspoke.fleet import keeper as fleet_keeper  # noqa: E402
-from galenaspoke.router import course  # noqa: E402
 from galenaspoke.router import dispatch  # noqa: E402
 from galenaspoke.router import holders as router_holders  # noqa: E402
+from galenaspoke.router import homes as router_homes  # noqa: E402
 from galenaspoke.router import members as router_members  # noqa: E402
+from galenaspoke.router import navigator  # noqa: E402
 from galenaspoke.router import recovery as router_recovery  # noqa: E402
 from galenaspoke.router import service as router_service  # noqa: E402
 from galenaspoke.router import treasury as treasuries  # noqa: E402
@@ -104,11 +105,13 @@
         self.vouching.note_registry(reg)
 
     def _navigator(self):
-        return course.Navigator(
+        return navigator.Navigator(
             self.cfg,
             self.clock,
             self.members,
-            routing.policy_named(self.cfg.placement),
+            router_homes.Homes(
+                self.members, routing.policy_named(self.cfg.placement)
+            ),
             self.unsettled,
             lambda: self.keeper.config.generation,
             self.metrics,
