--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -31,6 +31,7 @@
 OUTPUT = pathlib.Path('build/slopes.json')
 REST_S = 8
 LOAD_S = 8
+PUBLICATIONS = 5
 TICKS_PER_S = 100
 BODY = {
     'account': 'flight-day',
@@ -223,6 +224,7 @@
 
     _measure(slopes, cluster, f'{label}, idle', router, agent, REST_S, rest)
     if engines > 1:
+        _publications(slopes, cluster, deployment)
         return
     address = cluster.addresses[router]
     tokens = []
@@ -248,6 +250,29 @@
     slopes.note('load: tokens', sum(tokens) / LOAD_S, 'a second')
 
 
+def _publications(slopes, cluster, deployment):
+    """Measure how long a publication takes to be in force everywhere."""
+    names = deployment.router_names()
+    names += [name for name, _, _ in deployment.targets()]
+    took = []
+    for number in range(PUBLICATIONS):
+        cluster.publish(deployment.document(queue=50 + number))
+        started = time.monotonic()
+        generation = number + 2
+        cluster.wait(
+            'the generation',
+            lambda g=generation: all(
+                cluster.state(name)['generation'] == g for name in names
+            ),
+        )
+        took.append((time.monotonic() - started) * 1000)
+    slopes.note(
+        f'publication in force in {len(names)} processes: most',
+        max(took),
+        'ms',
+    )
+
+
 def main():
     """Measure all slopes."""
     slopes = Slopes()
--- a/galenaspoke/router/course.py
+++ b/galenaspoke/router/course.py
@@ -11,6 +11,7 @@
     __slots__ = (
         'req',
         'until',
+        'cost',
         'reservation',
         'holder',
         'dispatch',
@@ -33,6 +34,8 @@
     def __init__(self, req, until):
         self.req = req
         self.until = until
+        # The most that it can cost, in tokens.
+        self.cost = 0
         self.reservation = None
         # The identity under which it was last sent.
         self.holder = None
--- a/galenaspoke/router/dispatch.py
+++ b/galenaspoke/router/dispatch.py
@@ -86,6 +86,7 @@
                         wait_ms,
                     )
             if refusal is None:
+                course.cost = self._cost(req)
                 course.durable = not req.repeatable and self._durable(req)
                 yield from self._attempts(course, offered)
             elif req.fresh:
@@ -132,7 +133,8 @@
                     f'budget {req.budget} is not of account {req.account}'
                 )
         policy = config.policy_of(config.accounts[req.account])
-        if not 0 < req.max_tokens <= policy.max_tokens:
+        model = config.services[req.service].kind == objects.MODEL
+        if model and not 0 < req.max_tokens <= policy.max_tokens:
             return _bad(
                 f'max_tokens {req.max_tokens} is not between 1 and'
                 f' {policy.max_tokens}'
@@ -166,10 +168,11 @@
         return limit
 
     def _retries_of(self, account):
-        budget = self._retries.get(account)
+        percent = self._limit_of(account).policy.retry_percent
+        budget = self._retries.get((account, percent))
         if budget is None:
-            percent = self._limit_of(account).policy.retry_percent
-            budget = self._retries[account] = limits.RetryBudget(percent)
+            budget = limits.RetryBudget(percent)
+            self._retries[account, percent] = budget
         return budget
 
     def _attempts(self, course, offered):
@@ -220,7 +223,7 @@
     def _get_money(self, course, ask_others):
         """Reserve; on failure set `course.look`, return likely helpers."""
         req = course.req
-        cost = self._cost(req)
+        cost = course.cost
         if not cost and self._holders.current:
             return ()
         left_ms = self._navigator.left_ms(course)
--- a/galenaspoke/router/navigator.py
+++ b/galenaspoke/router/navigator.py
@@ -203,7 +203,7 @@
         """Return a final refusal, or raise Again."""
         if course.look is not None:
             if refusal.reason is Reason.UNKNOWN_KEY:
-                return course.look
+                return course.refuse(course.look)
             return verdicts.may_have_run(
                 course.look.reason,
                 course.look.detail,
