--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -11,9 +11,9 @@
 
 import json  # noqa: E402
 import pathlib  # noqa: E402
-import resource  # noqa: E402
 import tempfile  # noqa: E402
 import time  # noqa: E402
+import tracemalloc  # noqa: E402
 
 import gevent  # noqa: E402
 import msgspec  # noqa: E402
@@ -26,17 +26,19 @@
 from galenaspoke.core import objects  # noqa: E402
 from galenaspoke.core import records  # noqa: E402
 from galenaspoke.core import registry  # noqa: E402
+from galenaspoke.router import vouching  # noqa: E402
 from galenaspoke.rpc import messages  # noqa: E402
 
 OUTPUT = pathlib.Path('build/slopes.json')
 REST_S = 8
 LOAD_S = 8
+LOAD_CALLERS = 8
+ANSWER_TOKENS = (20, 200)
 PUBLICATIONS = 5
 TICKS_PER_S = 100
 BODY = {
     'account': 'flight-day',
     'budget': 'voucher-desk',
-    'max_tokens': 30,
     'stream': True,
 }
 
@@ -69,6 +71,13 @@
     return 0.0
 
 
+def _traced_kb():
+    """Return the memory that was taken since tracing began, and end it."""
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return taken / 1000
+
+
 def _timed(function, times):
     """Return the milliseconds that one call takes."""
     started = time.perf_counter()
@@ -125,7 +134,7 @@
 
 def agent_records(slopes):
     """Measure the memory of an agent's records."""
-    before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    tracemalloc.start()
     clock = clocks.Clock()
     claims, runs = records.Claims(clock), records.Runs(clock)
     count = 2000
@@ -137,10 +146,23 @@
         run.add([f'word{number % 50} ' for _ in range(300)])
         run.state = records.RunState.DONE
         run.finish(clock.now())
-    after = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-    slopes.note(
-        'record with an answer of 300 tokens', (after - before) / count, 'KB'
-    )
+    used = _traced_kb() / count
+    slopes.note('record with an answer of 300 tokens', used, 'KB')
+
+
+def sent_keys(slopes):
+    """Measure the memory of what a router remembers to vouch for."""
+    tracemalloc.start()
+    sent = vouching.SentKeys(clocks.Clock())
+    count = 20_000
+    for number in range(count):
+        key = f'account-{number % 9}/key-{number:08d}'
+        place = f'{number % 99} '.ljust(256)
+        digest = f'{number:032x}'
+        ident = f'agent-{number % 50}.abcdef012345'
+        sent.add(ident, messages.Handed(key, digest, place, 1, ident, False))
+    used = _traced_kb() / count
+    slopes.note('key remembered by a router', used, 'KB')
 
 
 def registries(slopes):
@@ -226,28 +248,40 @@
     if engines > 1:
         _publications(slopes, cluster, deployment)
         return
-    address = cluster.addresses[router]
-    tokens = []
+    for tokens in ANSWER_TOKENS:
+        load = _Load(cluster.addresses[router], tokens)
+        label = f'answers of {tokens} tokens'
+        _measure(slopes, cluster, label, router, agent, LOAD_S, load.run)
+        rate = len(load.billed) / LOAD_S
+        slopes.note(f'load, {label}: requests', rate, 'a second')
 
-    def caller(number, until):
-        turn = 0
-        while time.monotonic() < until:
-            turn += 1
-            key = f'{number}-{turn}'
-            body = {**BODY, 'prompt': key}
-            answer = callers.ask(address, 'assistant-pool', body, key)
-            tokens.append(answer.billed)
-            gevent.sleep(0.1)
 
-    def load(seconds):
+class _Load:
+    """Callers that ask for answers of one length."""
+
+    def __init__(self, address, tokens):
+        self.billed = []
+        self._address = address
+        self._tokens = tokens
+
+    def run(self, seconds):
+        """Ask for some seconds; return how many were answered."""
         until = time.monotonic() + seconds
-        tasks = [gevent.spawn(caller, n, until) for n in range(10)]
+        tasks = [
+            gevent.spawn(self._ask, n, until) for n in range(LOAD_CALLERS)
+        ]
         gevent.joinall(tasks)
-        return len(tokens)
+        return len(self.billed)
 
-    _measure(slopes, cluster, 'loaded', router, agent, LOAD_S, load)
-    slopes.note('load: requests', len(tokens) / LOAD_S, 'a second')
-    slopes.note('load: tokens', sum(tokens) / LOAD_S, 'a second')
+    def _ask(self, number, until):
+        turn = 0
+        while time.monotonic() < until:
+            turn += 1
+            key = f'{self._tokens}-{number}-{turn}'
+            body = {**BODY, 'prompt': key, 'max_tokens': self._tokens}
+            answer = callers.ask(self._address, 'assistant-pool', body, key)
+            self.billed.append(answer.billed)
+            gevent.sleep(0.1)
 
 
 def _publications(slopes, cluster, deployment):
@@ -276,7 +310,8 @@
 def main():
     """Measure all slopes."""
     slopes = Slopes()
-    for part in (pages, configurations, registries, agent_records, daemons):
+    parts = (pages, configurations, registries, agent_records, sent_keys)
+    for part in (*parts, daemons):
         part(slopes)
     OUTPUT.parent.mkdir(exist_ok=True)
     OUTPUT.write_bytes(msgspec.json.format(msgspec.json.encode(slopes.found)))
--- a/galenaspoke/ctl/main.py
+++ b/galenaspoke/ctl/main.py
@@ -180,11 +180,10 @@
 @click.pass_obj
 def budgets(obj, budget):
     """Show the money of BUDGET, or of all budgets."""
-    found = money.entries(obj.store)
-    if budget is not None:
-        if budget not in found:
-            raise ledger.UnknownBudget(f'budget {budget} has no entry')
-        found = {budget: found[budget]}
+    if budget is None:
+        found = money.entries(obj.store)
+    else:
+        found = {budget: money.entry(obj.store, obj.cfg.store, budget)}
     rows = [money.summary(name, entry) for name, entry in found.items()]
     lines = [
         f'{row["budget"]}: limit {row["limit"]}, settled {row["settled"]},'
--- a/galenaspoke/ctl/money.py
+++ b/galenaspoke/ctl/money.py
@@ -46,6 +46,15 @@
     return result is True, page.entries[budget]
 
 
+def entry(store, cfg, budget):
+    """Return one budget's ledger entry; raises UnknownBudget."""
+    item = store.get(ledger.page_key(budget, cfg.ledger_pages))
+    page = store_client.decode(item, ledger.Page)
+    if budget not in page.entries:
+        raise ledger.UnknownBudget(f'budget {budget} has no ledger entry')
+    return page.entries[budget]
+
+
 def entries(store):
     """Return all budgets' ledger entries by name."""
     found = {}
