An answer is never put together from two attempts

Cause, by reading: a router whose stream broke after some pieces could follow a later attempt, started by another router from nothing, at the piece where it had stopped. Our stand-in answers alike each time, so no run showed it; real engines don't. An agent now compares what was delivered with the attempt that is followed, and says that another answer has taken its place. Also: attempts that were fenced without ever coming were told to whoever seals a holder, as if they had been sent (no place, no content).

--- a/galenaspoke/agent/service.py
+++ b/galenaspoke/agent/service.py
@@ -101,7 +101,7 @@
             yield from self._as_runner(submit)
         else:
             run = self._runs.find_or_fence(submit.request.key, submit.attempt)
-            yield from self._follow(run, submit.skip)
+            yield from self._follow(run, submit)
 
     def _admit(self, submit):
         """Return why a holder may not spend here, or None if it may."""
@@ -164,7 +164,7 @@
             run = self._runs.find_or_fence(req.key, answer.attempt)
         yield answer
         if run:
-            yield from self._follow(run, submit.skip)
+            yield from self._follow(run, submit)
 
     def _needs_durable(self, submit, policy):
         req = submit.request
@@ -217,7 +217,7 @@
             yield refusal
             return
         run = self._start(submit, submit.attempt, submit)
-        yield from self._follow(run, submit.skip)
+        yield from self._follow(run, submit)
 
     def _start(self, submit, attempt, terms):
         key = submit.request.key
@@ -228,22 +228,36 @@
         self._runner.start(run, submit)
         return run
 
-    def _follow(self, run, skip):
-        for pieces in run.follow(skip):
-            yield messages.Pieces(pieces)
-        if run.state is records.RunState.FENCED:
-            yield run.refusal or verdicts.not_run(
-                verdicts.Reason.MOVED, 'this attempt never started here', 1
-            )
-            return
+    def _follow(self, run, submit):
+        """Yield a run's pieces after those that were delivered, and its end.
+
+        What was delivered may come from another attempt.  It is only gone on
+        from if this one began with the very same pieces: an answer is never
+        put together from two.
+        """
+        delivered = list(submit.resume)
+        for pieces in run.follow(0):
+            count = min(len(delivered), len(pieces))
+            if pieces[:count] != delivered[:count]:
+                break
+            delivered = delivered[count:]
+            if pieces[count:]:
+                yield messages.Pieces(pieces[count:])
+        else:
+            if not delivered or run.state is not records.RunState.DONE:
+                yield _end_of(run)
+                return
         yield messages.End(
-            run.state is records.RunState.DONE,
+            False,
             len(run.pieces),
-            run.dispatch,
-            run.spent,
-            run.doubt,
-            run.crash,
-            run.refusal,
+            '',
+            0,
+            0,
+            refusal=verdicts.may_have_run(
+                verdicts.Reason.DIVERGED,
+                'another answer has taken its place; ask for it anew',
+                1,
+            ),
         )
 
     def ask(self, ask):
@@ -286,7 +300,10 @@
                 run.key, run.digest, run.place, run.attempt, ident, False
             )
             for run in self._runs.every()
-            if run.keyed and run.holder not in live and run.key not in known
+            if run.keyed
+            and run.holder not in live
+            and run.key not in known
+            and run.state is not records.RunState.FENCED
         ]
         return sent
 
@@ -335,3 +352,20 @@
         """Take a configuration that a router pushes."""
         self._keeper.offer(box.generation, box.raw)
         return messages.Empty()
+
+
+def _end_of(run):
+    """Return what is said when a run has ended."""
+    if run.state is records.RunState.FENCED:
+        return run.refusal or verdicts.not_run(
+            verdicts.Reason.MOVED, 'this attempt never started here', 1
+        )
+    return messages.End(
+        run.state is records.RunState.DONE,
+        len(run.pieces),
+        run.dispatch,
+        run.spent,
+        run.doubt,
+        run.crash,
+        run.refusal,
+    )
--- a/galenaspoke/core/verdicts.py
+++ b/galenaspoke/core/verdicts.py
@@ -27,6 +27,7 @@
     ACCOUNT_LIMIT = 'account_limit'
     BAD_REQUEST = 'bad_request'
     DEADLINE = 'deadline'
+    DIVERGED = 'diverged'
     KEY_CONFLICT = 'key_conflict'
     LEAVING = 'leaving'
     MOVED = 'moved'
@@ -70,6 +71,7 @@
     Reason.ACCOUNT_LIMIT: 429,
     Reason.BAD_REQUEST: 400,
     Reason.DEADLINE: 504,
+    Reason.DIVERGED: 409,
     Reason.KEY_CONFLICT: 409,
     Reason.LEAVING: 503,
     Reason.MOVED: 503,
--- a/galenaspoke/router/navigator.py
+++ b/galenaspoke/router/navigator.py
@@ -119,7 +119,6 @@
             look=course.look is not None,
             skipped=sorted(course.skipped),
             failure=course.failure,
-            skip=len(course.delivered),
             resume=course.delivered,
         )
 
@@ -297,7 +296,8 @@
         refusal = item.refusal or verdicts.may_have_run(
             Reason.TARGET_FAILED, 'the run failed', 500
         )
-        if refusal.reason is Reason.DEADLINE or not course.req.repeatable:
+        final = refusal.reason in (Reason.DEADLINE, Reason.DIVERGED)
+        if final or not course.req.repeatable:
             return refusal
         course.maybe_ran = True
         course.failure = records.Failure(claimed.attempt, True, item.crash)
--- a/galenaspoke/rpc/messages.py
+++ b/galenaspoke/rpc/messages.py
@@ -43,8 +43,8 @@
     """Asks an agent to claim or to run a request.
 
     With `attempt` 0 the agent is asked as home; else it is asked to start
-    (`new`) or to follow that attempt.  `skip` pieces have been delivered
-    already; `resume` are the pieces to go on from.  With `look` set nothing
+    (`new`) or to follow that attempt.  `resume` are the pieces that
+    have been delivered already, to go on from.  With `look` set nothing
     is started: the home lets the request be followed, or says it has none.
 
     `to` is the incarnation meant, here and in every message to an agent that
@@ -66,7 +66,6 @@
     look: bool = False
     skipped: list[str] = []
     failure: records.Failure | None = None
-    skip: int = 0
     resume: list[str] = []
 
 
