A replaced holder gives back at once what it hasn't reserved

When an agent is lost a router goes on under a new holder; the old one kept all that it held until its last request had ended, and a crash in that time put the whole in doubt. It matters more since grants are drawn for 60 s. Ruled out: the horizon itself (a shorter one gives back the false refusals in an outage that were measured), the sealing (only what agents can't tell of is in doubt). Before: test_replaced_holder_gives_back_at_once fails (5,000 stay). After: it passes (140 stay, 40 of them reported as spent).

--- a/galenaspoke/core/records.py
+++ b/galenaspoke/core/records.py
@@ -233,17 +233,23 @@
             return claim.closed
         if failure is None or failure.attempt != claim.attempt:
             return self._claimed(claim, False)
+        return self._try_again(
+            claim, propose, failure, repeatable, poison_limit
+        )
+
+    def _try_again(self, claim, propose, failure, repeatable, poison_limit):
+        """Start the next attempt after a failure, or say why there is none."""
         if not repeatable and not failure.proved:
             return verdicts.may_have_run(
                 verdicts.Reason.TARGET_FAILED,
                 'an attempt ended without an answer',
             )
         claim.billable = claim.billable and failure.proved
-        if self._runners.get(digest) == claim.runner:
-            del self._runners[digest]
+        if self._runners.get(claim.digest) == claim.runner:
+            del self._runners[claim.digest]
         if failure.crash:
-            self._crashes.setdefault(digest, set()).add(failure.crash)
-        refusal = self._poisoned(digest, poison_limit)
+            self._crashes.setdefault(claim.digest, set()).add(failure.crash)
+        refusal = self._poisoned(claim.digest, poison_limit)
         if refusal:
             claim.closed = msgspec.structs.replace(
                 refusal, verdict=verdicts.Verdict.MAY_HAVE_RUN
--- a/galenaspoke/router/holders.py
+++ b/galenaspoke/router/holders.py
@@ -184,6 +184,8 @@
         old.ending = True
         self._ending.append(old)
         self.open()
+        for budget in old.book.budgets():
+            self.give_back(old, budget, old.book.available(budget))
         while not self.vouched() or old.reserved():
             gevent.sleep(RETRY_S)
         while not old.sealed and not self._end(old):
@@ -200,6 +202,35 @@
             )
         return writer
 
+    def give_back(self, holder, budget, surplus):
+        """Return `surplus` tokens that the holder has not reserved."""
+        if surplus <= 0:
+            return
+        held = holder.book.held(budget)
+        # Taken out first, so that it isn't spent while it is on its way.
+        held.granted -= surplus
+
+        def function(page):
+            kept = ledger.shrink_grant(
+                page, budget, holder.name, surplus, held.spent, held.doubt
+            )
+            return kept or pages.Unchanged(False)
+
+        def done(outcome):
+            if outcome is True:
+                self._metrics.count('grants.returned')
+            elif isinstance(outcome, ledger.LedgerError):
+                held.granted += surplus
+
+        def failed(exc):
+            if isinstance(exc, pages.HolderSealed):
+                self.sealed(holder)
+            else:
+                held.granted += surplus
+
+        writer = self.writer(holder, budget)
+        holder.returning[budget] = writer.submit(function, done, failed)
+
     def _verify(self, holder):
         """Make sure, after a page was first written, that it may be used."""
         while True:
--- a/galenaspoke/router/treasury.py
+++ b/galenaspoke/router/treasury.py
@@ -266,7 +266,7 @@
             keep = grants.give_back(held, idle, demand)
             surplus = held.granted - keep
             if surplus * RETURN_SHARE > held.granted or (idle and surplus):
-                self._return(holder, budget, surplus)
+                self._holders.give_back(holder, budget, surplus)
 
     def release(self, budget):
         """Give back all that is not reserved; return how much.
@@ -285,7 +285,7 @@
             drawing.result.wait(timeout=DRAW_TIMEOUT_S)
         surplus = holder.book.available(budget)
         if surplus > 0:
-            self._return(holder, budget, surplus)
+            self._holders.give_back(holder, budget, surplus)
         change = holder.returning.get(budget)
         if change is None or (surplus <= 0 and change.result.ready()):
             return 0
@@ -298,32 +298,6 @@
             return 0
         return max(1, surplus)
 
-    def _return(self, holder, budget, surplus):
-        held = holder.book.held(budget)
-        # Taken out first, so that it isn't spent while it is on its way.
-        held.granted -= surplus
-
-        def function(page):
-            kept = ledger.shrink_grant(
-                page, budget, holder.name, surplus, held.spent, held.doubt
-            )
-            return kept or pages.Unchanged(False)
-
-        def done(outcome):
-            if outcome is True:
-                self._metrics.count('grants.returned')
-            elif isinstance(outcome, ledger.LedgerError):
-                held.granted += surplus
-
-        def failed(exc):
-            if isinstance(exc, pages.HolderSealed):
-                self._holders.sealed(holder)
-            else:
-                held.granted += surplus
-
-        writer = self._holders.writer(holder, budget)
-        holder.returning[budget] = writer.submit(function, done, failed)
-
     def dump(self):
         """Return the state for people and tools."""
         holder = self._holders.current
--- a/tests/router/test_treasury.py
+++ b/tests/router/test_treasury.py
@@ -223,6 +223,22 @@
         self.assertNotIn(old.name, self.entry().grants)
         self.assertEqual(40, self.entry().settled)
 
+    def test_replaced_holder_gives_back_at_once(self):
+        """Only what is reserved stays under the old name, and spent is told.
+
+        Found by random faults, seed 31: 17,399 tokens of one budget were in
+        doubt, since routers crashed while their replaced holders, with all
+        that they held, waited for a request to end.
+        """
+        self.reserve(300).settle(40)
+        self.reserve(100)
+        old = self.holders.current
+        task = gevent.spawn(self.holders.replace)
+        gevent.sleep(0.05)
+        grant = self.entry().grants[old.name]
+        self.assertEqual((140, 40), (grant.granted, grant.spent))
+        task.kill()
+
     def test_sealed_before_its_first_write_on_a_page(self):
         """What a sealed holder drew too late is taken back by itself."""
         name = self.holders.current.name
