The baseline of equal shares draws its share at once

Cause, by reading: the baseline drew its share piece by piece, with as many writes and as much delay as a write for each request, and so looked worse than it is.

--- a/galenaspoke/router/treasury.py
+++ b/galenaspoke/router/treasury.py
@@ -230,7 +230,8 @@
             return max(short, min(self._cfg.grant_fixed, free))
         if policy == 'equal':
             share = entry.limit // self.routers() if entry else 0
-            return short if held.granted + short <= share else 0
+            left = share - held.granted
+            return left if left >= short else 0
         return grants.draw_size(short, demand, free, self.routers())
 
     def refill(self):
