--- a/galenaspoke/router/treasury.py
+++ b/galenaspoke/router/treasury.py
@@ -230,8 +230,7 @@
             return max(short, min(self._cfg.grant_fixed, free))
         if policy == 'equal':
             share = entry.limit // self.routers() if entry else 0
-            left = share - held.granted
-            return left if left >= short else 0
+            return max(0, share - held.granted)
         return grants.draw_size(short, demand, free, self.routers())
 
     def refill(self):
