A router's own ending holder is not asked for money; unreadable objects

Cause, by reading: a draw that found too little named the router's own replaced holder among those with something left, and the router would have recovered, that is sealed, itself. And an object that can't be decoded would have ended the watch of its prefix for good. Before: test_own_ending_holder_is_not_recovered fails; after: passes.

--- a/galenaspoke/router/members.py
+++ b/galenaspoke/router/members.py
@@ -7,6 +7,7 @@
 
 from absl import logging
 import gevent
+import msgspec
 
 from galenaspoke.core import registry
 from galenaspoke.core import routing
@@ -104,9 +105,17 @@
                 gevent.sleep(WATCH_RETRY_S)
                 continue
             if listing.revision != since:
-                found(listing.items)
+                self._take(prefix, found, listing.items)
             since = listing.revision
 
+    def _take(self, prefix, found, items):
+        """Hand on what was found; what can't be read changes nothing."""
+        try:
+            found(items)
+        except msgspec.DecodeError as exc:
+            self._metrics.count('store.unreadable')
+            logging.error('unreadable objects under %s: %s', prefix, exc)
+
     def _config(self, items):
         for item in items:
             self._keeper.offer_item(item)
--- a/galenaspoke/router/treasury.py
+++ b/galenaspoke/router/treasury.py
@@ -151,7 +151,8 @@
         if self._cfg.grant_policy != 'demand':
             return ()
         held = page.entries[budget].grants
-        names = [name for name in held if name != holder.name]
+        own = self._holders.names()
+        names = [name for name in held if name not in own]
         names.sort(key=lambda name: held[name].spent - held[name].granted)
         return tuple(names)
 
@@ -191,7 +192,7 @@
             amount = ledger.draw(page, budget, holder.name, short, want)
             if amount:
                 return Drawn(amount, free, ())
-            others = self._others(entry, holder)
+            others = self._others(entry)
             return pages.Unchanged(Drawn(0, free, others))
 
         def done(outcome):
@@ -208,15 +209,15 @@
         holder.drawing[budget] = change
         return change
 
-    def _others(self, entry, holder):
+    def _others(self, entry):
         """Return the other holders that have something left, shuffled."""
         if self._cfg.grant_policy != 'demand':
             return ()
+        own = self._holders.names()
         others = [
             name
             for name, grant in entry.grants.items()
-            if name != holder.name
-            and grant.granted > grant.spent + grant.doubt
+            if name not in own and grant.granted > grant.spent + grant.doubt
         ]
         random.shuffle(others)
         return tuple(others)
--- a/tests/router/test_treasury.py
+++ b/tests/router/test_treasury.py
@@ -239,6 +239,20 @@
         self.assertEqual((140, 40), (grant.granted, grant.spent))
         task.kill()
 
+    def test_own_ending_holder_is_not_recovered(self):
+        """What a replaced holder still has reserved is not money elsewhere.
+
+        Found by reading: the router would have sealed its own old holder.
+        """
+        self.reserve(LIMIT - 1000)
+        task = gevent.spawn(self.holders.replace)
+        gevent.sleep(0.05)
+        asked = []
+        self.treasury.release_at = lambda budget, names: asked.extend(names)
+        self.assertIsInstance(self.reserve(2000), treasury.NoMoney)
+        self.assertEqual([], asked)
+        task.kill()
+
     def test_sealed_before_its_first_write_on_a_page(self):
         """What a sealed holder drew too late is taken back by itself."""
         name = self.holders.current.name
