Measured: grants with the baselines as they were meant

Cause: routers drew their equal shares before they knew each other, so that the shares were not equal (102 false refusals in calm). The bench now waits until they do.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -140,6 +140,8 @@
             engine=ENGINE,
             router={**ROUTER, **self._options},
         )
+        # Equal shares are shares among the routers that are known.
+        self.cluster.wait('routers to know each other', self._acquainted)
         before = clusters.get(self.cluster.store_address, '/counts')
         started = time.monotonic()
         self._until = started + self.seconds
@@ -155,6 +157,11 @@
         self._stop()
         return self._record(before, after, seconds)
 
+    def _acquainted(self):
+        names = self.deployment.router_names()
+        states = [self.cluster.state(name) for name in names]
+        return all(len(state['routers']) == len(names) - 1 for state in states)
+
     def _hurt(self):
         gevent.sleep(self.seconds * 0.25)
         self.scenario.fault(self)
