Dead code: what nothing calls, and a field that nobody reads

Cause: read through once more. Ruled out as duplicates: the pairs of like shape that remain are constructors and the specifications' frames, with different logic. Conclusion: removed.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -5,7 +5,6 @@
 
 import configparser
 import json
-import os
 import pathlib
 import random
 import signal
@@ -406,8 +405,3 @@
             process.signal(signal.SIGKILL)
         for process in self.processes.values():
             process.popen.wait()
-
-
-def environment_seed(default):
-    """Return the seed that the environment asks for."""
-    return int(os.environ.get('SEED', default))
--- a/galenaspoke/agent/holders.py
+++ b/galenaspoke/agent/holders.py
@@ -81,8 +81,3 @@
     def every(self):
         """Return the usage of all holders, for each holder and budget."""
         return {holder: met.usage for holder, met in self._met.items()}
-
-    def is_sealed(self, holder):
-        """Tell whether a holder has been sealed here."""
-        known = self._met.get(holder)
-        return known is not None and known.sealed
--- a/galenaspoke/core/grants.py
+++ b/galenaspoke/core/grants.py
@@ -133,10 +133,6 @@
         reach *= 1 - 0.5 ** (age / DEMAND_HALF_LIFE_MS)
         return int(_decayed(held, now) / reach * horizon_ms)
 
-    def drop(self, budget):
-        """Forget a budget whose grant has been closed."""
-        self._held.pop(budget, None)
-
 
 def _decayed(held, now):
     age = now - held.demand_at
--- a/galenaspoke/core/objects.py
+++ b/galenaspoke/core/objects.py
@@ -16,7 +16,6 @@
 MODEL = 'model'
 APPLICATION = 'application'
 KINDS = (MODEL, APPLICATION)
-PRIORITIES = range(0, 10)
 
 
 class Budget(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/galenaspoke/router/main.py
+++ b/galenaspoke/router/main.py
@@ -116,7 +116,6 @@
                 self.members, routing.policy_named(self.cfg.placement)
             ),
             self.unsettled,
-            lambda: self.keeper.config.generation,
             self.metrics,
             self.sent,
             lambda: self.holders.current,
--- a/galenaspoke/router/navigator.py
+++ b/galenaspoke/router/navigator.py
@@ -31,7 +31,6 @@
         '_members',
         '_homes',
         '_unsettled',
-        '_generation',
         '_metrics',
         '_name',
         '_numbers',
@@ -46,7 +45,6 @@
         members,
         homes,
         unsettled,
-        generation,
         metrics,
         sent,
         holder,
@@ -56,7 +54,6 @@
         self._members = members
         self._homes = homes
         self._unsettled = unsettled
-        self._generation = generation
         self._metrics = metrics
         self._name = f'{cfg.name}.{programs.new_incarnation()}'
         self._numbers = itertools.count(1)
@@ -114,7 +111,6 @@
             holder=course.holder.name if course.holder else '',
             reserve=reservation.amount if reservation else 0,
             propose=propose,
-            generation=self._generation(),
             billable=course.billable,
             look=course.look is not None,
             skipped=sorted(course.skipped),
--- a/galenaspoke/rpc/messages.py
+++ b/galenaspoke/rpc/messages.py
@@ -58,7 +58,6 @@
     holder: str
     reserve: int
     propose: str
-    generation: int
     attempt: int = 0
     new: bool = True
     billable: bool = True
--- a/tests/agent/test_service.py
+++ b/tests/agent/test_service.py
@@ -116,7 +116,6 @@
             'holder': 'r1',
             'reserve': 9,
             'propose': IDENT,
-            'generation': 0,
         }
         return messages.Submit(**{**base, **fields})
 
