--- a/galenaspoke/edge/callers.py
+++ b/galenaspoke/edge/callers.py
@@ -23,10 +23,10 @@
     __slots__ = (
         'keep',
         'begun',
+        'serving',
         'reader',
         '_sock',
         '_clock',
-        '_chunked',
     )
 
     def __init__(self, sock, clock, limits):
@@ -38,11 +38,13 @@
         self.keep = True
         # Whether the head of the present answer has been sent.
         self.begun = False
-        self._chunked = False
+        # Whether a request of it is being served.
+        self.serving = False
 
     def idle(self):
-        """Tell whether no request has begun to arrive."""
-        return self.reader.current is None and not self.reader.requests
+        """Tell whether no request of it has begun to arrive or is served."""
+        waiting = self.reader.current or self.reader.requests
+        return not (self.serving or waiting)
 
     def next_request(self, limits):
         """Return the next whole Request, or None when there is none more.
--- a/galenaspoke/edge/service.py
+++ b/galenaspoke/edge/service.py
@@ -85,11 +85,13 @@
     def serve(self, req, caller):
         """Answer one request; return only when it is answered or given up."""
         self.open += 1
+        caller.serving = True
         caller.keep = req.keep_alive and not self.stopping
         try:
             with caller.attended():
                 self._serve(req, caller)
         finally:
+            caller.serving = False
             self.open -= 1
 
     def _serve(self, req, caller):
