--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -242,7 +242,11 @@
             else:
                 spent += grant.spent
         limit = min(entry.limit, entry.wanted)
-        detail = f'{spent} of {limit} tokens spent, {amount} needed'
+        detail = (
+            f'{spent} of {limit} tokens spent, {entry.in_doubt()} in doubt,'
+            f' {entry.free()} free, {self._book.available(budget)} held here,'
+            f' {amount} needed'
+        )
         if limit - spent < amount:
             return NoMoney(Shortage.EXHAUSTED, detail)
         return NoMoney(Shortage.HELD_ELSEWHERE, detail)
