--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -16,6 +16,7 @@
 import collections
 import dataclasses
 import enum
+import random
 
 import gevent
 from gevent import event
@@ -29,14 +30,20 @@
 # How long a demand the grants should last: longer than the cuts that are to
 # be ridden out.
 HORIZON_MS = 12_000
-REFILL_MS = 250
+# Of what is left of a budget, the part that all routers together may hold.
+# What is held is lost when all of them die, the rest is not.
+HELD_SHARE = 0.4
+REFILL_MS = (400, 600)
 RETRY_S = 0.2
 CLOSE_TIMEOUT_S = 1.0
 # A draw that found too little is not repeated before this time.
 SCARCE_PAUSE_MS = 400
-# More than this many times the demand is given back.
-SURPLUS_FACTOR = 3
-IDLE_MS = 15_000
+# After the ledger failed to answer, requests don't wait for it so long.
+UNREACHABLE_MS = 600
+# More than this many times the target is given back.
+SURPLUS_FACTOR = 2
+# Less than this isn't worth a write to give back.
+LEAST_RETURN = 5_000
 
 
 class Shortage(enum.Enum):
@@ -94,6 +101,7 @@
         '_closing',
         '_paged',
         '_paged_for',
+        '_unreachable_at',
     )
 
     def __init__(self, cfg, store, clock, metrics, journal, catalog):
@@ -115,6 +123,8 @@
         # Prepaid accounts by page, and the catalog that they are of.
         self._paged = {}
         self._paged_for = None
+        # When the ledger last failed to answer; None once it answered.
+        self._unreachable_at = None
 
     def start(self):
         """Replace the predecessor and keep the grants filled."""
@@ -153,6 +163,8 @@
         """Draw for a request that waits; return NoMoney or None."""
         if not self._opened[self._key(budget)].wait(wait_ms / 1000):
             return NoMoney(Shortage.UNREACHABLE, 'not opened yet')
+        if self._unreachable():
+            return NoMoney(Shortage.UNREACHABLE, 'failed a moment ago')
         held = self._book.held(budget)
         held.waiting += amount
         try:
@@ -168,42 +180,62 @@
             pages.HolderSealed,
             gevent.Timeout,
         ) as exc:
+            self._unreachable_at = self._clock.now()
             return NoMoney(Shortage.UNREACHABLE, str(exc))
         finally:
             held.waiting -= amount
         return None
 
+    def _unreachable(self):
+        since = self._unreachable_at
+        return since is not None and (
+            self._clock.now() - since < UNREACHABLE_MS
+        )
+
     def _scarce(self, held):
         return self._clock.now() - held.scarce_at < SCARCE_PAUSE_MS
 
     def _start_draw(self, budget):
         """Ask the ledger for what is wanted of a budget; return the Change."""
         held = self._book.held(budget)
-        demand = self._book.demand_in(budget, HORIZON_MS)
 
         def function(page):
             self._prepare(page, self._key(budget))
+            self._report(page)
             entry = page.entries.get(budget)
-            free = entry.free() if entry else 0
-            need = max(1, held.waiting - held.available())
-            want = grants.draw_size(
-                need, demand - held.available(), free, len(page.writers)
-            )
+            if entry is None:
+                return pages.Unchanged(0)
+            missing = self._target(budget, entry) - held.available()
+            need = held.waiting - held.available()
+            want = max(missing, need)
             amount = ledger.draw(page, budget, self.name, 1, want)
-            self._report(page)
             return amount or pages.Unchanged(0)
 
         def done(outcome):
+            self._unreachable_at = None
             if isinstance(outcome, ledger.LedgerError) or not outcome:
                 held.scarce_at = self._clock.now()
                 return
             self._book.granted(budget, outcome)
             self._metrics.count('grants.drawn')
 
-        change = self._writer_of(budget).submit(function, done)
+        def failed(_):
+            self._unreachable_at = self._clock.now()
+
+        change = self._writer_of(budget).submit(function, done, failed)
         self._drawing[budget] = change
         return change
 
+    def _target(self, budget, entry):
+        """Return how many tokens of a budget should be at hand."""
+        demand = self._book.demand_in(budget, HORIZON_MS)
+        share = entry.share_of(self.name, self._rate(budget))
+        return min(demand, int(HELD_SHARE * share * entry.left()))
+
+    def _rate(self, budget):
+        """Return the demand for a budget here, in tokens a second."""
+        return self._book.demand_in(budget, 1000)
+
     def _key(self, budget):
         return ledger.page_key(budget, self._cfg.ledger_pages)
 
@@ -228,6 +260,7 @@
             grant = entry.grants.get(self.name) if entry else None
             if grant is not None:
                 grant.spent = self._book.held(budget).spent
+                grant.rate = self._rate(budget)
 
     def _shortage(self, budget, amount):
         """Tell why a draw brought too little."""
@@ -286,23 +319,28 @@
 
     def _refill_for_good(self):
         while not self._closing:
-            gevent.sleep(REFILL_MS / 1000)
+            gevent.sleep(random.uniform(*REFILL_MS) / 1000)
             for budget in self._book.budgets():
                 self._refill(budget)
 
     def _refill(self, budget):
-        """Draw ahead where less than half of the demand to come is held."""
+        """Draw ahead where less than half of the target is at hand.
+
+        What is far above the target goes back.
+        """
         held = self._book.held(budget)
         change = self._drawing.get(budget)
         if change is not None and not change.result.ready():
             return
-        demand = self._book.demand_in(budget, HORIZON_MS)
-        now = self._clock.now()
-        if now - held.used_at > IDLE_MS:
-            self._give_back(budget, held, held.available())
-        elif held.available() > SURPLUS_FACTOR * demand:
-            self._give_back(budget, held, held.available() - demand)
-        elif 2 * held.available() < demand and not self._scarce(held):
+        page = self._writer_of(budget).page()
+        entry = page.entries.get(budget) if page else None
+        if entry is None:
+            return
+        target = self._target(budget, entry)
+        surplus = held.available() - target
+        if surplus > max(LEAST_RETURN, (SURPLUS_FACTOR - 1) * target):
+            self._give_back(budget, held, surplus)
+        elif 2 * held.available() < target and not self._scarce(held):
             self._start_draw(budget)
 
     def _open(self, key):
--- a/galenaspoke/platform/store.py
+++ b/galenaspoke/platform/store.py
@@ -170,7 +170,7 @@
         )
         self._put_back(link, answer)
         if answer.status == 409:
-            raise base.Conflict(f'{path} has changed')
+            raise base.Conflict(f'{path} has changed', _found(path, answer))
         if answer.status == 413:
             raise base.TooLarge(f'{path}: {len(body)} bytes are too many')
         if answer.status in (404, 429, 503):
@@ -227,6 +227,15 @@
     return base.Item(key, found.metadata.rev, found.spec)
 
 
+def _found(path, answer):
+    """Return the Item that a conflict comes with, or None."""
+    try:
+        found = _object.decode(bytes(answer.body))
+    except msgspec.DecodeError:
+        return None
+    return _item(path.split('/')[2], found) if found.metadata.rev else None
+
+
 def _decode(decoder, answer):
     try:
         return decoder.decode(bytes(answer.body))
--- a/galenaspoke/router/pages.py
+++ b/galenaspoke/router/pages.py
@@ -71,6 +71,7 @@
         '_opened',
         '_retiring',
         '_cached',
+        '_seen',
         '_task',
     )
 
@@ -84,7 +85,9 @@
         self._sequence = 0
         self._opened = False
         self._retiring = False
+        # The page as it is if nobody else wrote it, and as it was last seen.
         self._cached = None
+        self._seen = None
         self._task = gevent.spawn(self._run)
 
     def submit(self, function, done=_nothing, failed=_nothing):
@@ -96,9 +99,9 @@
 
     def page(self):
         """Return the page as last seen, or None."""
-        if self._cached is None:
+        if self._seen is None:
             return None
-        return store_base.decode(self._cached, ledger.Page)
+        return store_base.decode(self._seen, ledger.Page)
 
     def _run(self):
         while True:
@@ -137,7 +140,7 @@
             if self._took_effect(page, tries, batch):
                 break
             self._check_open(page)
-            self._cached = item
+            self._cached = self._seen = item
             changed = _apply(page, batch)
             if not changed and current:
                 return _finish(batch)
@@ -183,15 +186,18 @@
         self._cached = None
         try:
             version = self._store.put(self._key, item.version, raw)
-        except (store_base.Conflict, store_base.OutcomeUnknown):
+        except (store_base.Conflict, store_base.OutcomeUnknown) as exc:
             tries[self._sequence] = [change.outcome for change in batch]
+            # What stands there now may be this very write.
+            self._cached = getattr(exc, 'item', None)
             return False
         except store_base.StoreError as exc:
             if not tries:
                 raise
             self._hold(batch, exc)
             return False
-        self._cached = store_base.Item(self._key, version, msgspec.Raw(raw))
+        item = store_base.Item(self._key, version, msgspec.Raw(raw))
+        self._cached = self._seen = item
         return True
 
     def _hold(self, batch, exc):
--- a/galenaspoke/store/base.py
+++ b/galenaspoke/store/base.py
@@ -16,7 +16,14 @@
 
 
 class Conflict(StoreError):
-    """The object is no longer at the expected version."""
+    """The object is no longer at the expected version.
+
+    `item` is the object as it is, where the store tells.
+    """
+
+    def __init__(self, detail, item=None):
+        super().__init__(detail)
+        self.item = item
 
 
 class TooLarge(StoreError):
