--- a/galenaspoke/core/grants.py
+++ b/galenaspoke/core/grants.py
@@ -29,6 +29,7 @@
 
     __slots__ = (
         'granted',
+        'loaned',
         'reserved',
         'spent',
         'doubt',
@@ -38,10 +39,13 @@
         'used_at',
         'waiting',
         'scarce_at',
+        'refused_at',
     )
 
     def __init__(self, now):
         self.granted = 0
+        # What other holders lent; they count it as spent themselves.
+        self.loaned = 0
         self.reserved = 0
         self.spent = 0
         self.doubt = 0
@@ -53,10 +57,22 @@
         self.waiting = 0
         # When a draw last found too little.
         self.scarce_at = now - DEMAND_HALF_LIFE_MS
+        # When other holders last refused a loan.
+        self.refused_at = now - DEMAND_HALF_LIFE_MS
 
     def available(self):
         """Return the tokens that can be reserved."""
-        return self.granted - self.reserved - self.spent - self.doubt
+        owned = self.granted + self.loaned
+        return owned - self.reserved - self.spent - self.doubt
+
+    def own_spent(self):
+        """Return what was spent of the grant; loans are spent first."""
+        return max(0, self.spent - self.loaned)
+
+    def returnable(self):
+        """Return the tokens of the grant that can be given back."""
+        used = max(0, self.kept() - self.loaned)
+        return max(0, min(self.available(), self.granted - used))
 
     def kept(self):
         """Return the tokens that can't be given back now."""
@@ -92,6 +108,17 @@
         """Note that the store granted `amount` more tokens."""
         self.held(budget).granted += amount
 
+    def borrowed(self, budget, amount):
+        """Note that another holder lent `amount` tokens, for good."""
+        self.held(budget).loaned += amount
+
+    def lend(self, budget, amount):
+        """Spend `amount` tokens on a loan; return False if too few."""
+        if not self.reserve(budget, amount):
+            return False
+        self.settle(budget, amount, amount)
+        return True
+
     def reserve(self, budget, amount):
         """Set `amount` tokens aside; return False if there are too few."""
         held = self.held(budget)
--- a/galenaspoke/core/ledger.py
+++ b/galenaspoke/core/ledger.py
@@ -128,11 +128,13 @@
     """Many budgets in one object of the store.
 
     `writers` maps each holder to the number of its last write, by which a
-    writer recognises its own write after the answer was lost.
+    writer recognises its own write after the answer was lost.  `contacts`
+    maps holders to the address at which they lend to each other.
     """
 
     entries: dict[str, Entry] = {}
     writers: dict[str, int] = {}
+    contacts: dict[str, str] = {}
 
 
 def page_key(budget, pages):
@@ -232,6 +234,7 @@
     in doubt.  Returns True if the page knew the holder.
     """
     known = page.writers.pop(old, None) is not None
+    page.contacts.pop(old, None)
     for name, entry in page.entries.items():
         grant = entry.grants.get(old)
         if grant is not None:
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -13,6 +13,7 @@
 from galenaspoke.core import clock as clocks
 from galenaspoke.edge import callers
 from galenaspoke.edge import journal as journals
+from galenaspoke.edge import lending
 from galenaspoke.edge import metrics as edge_metrics
 from galenaspoke.edge import purse as purses
 from galenaspoke.edge import retries
@@ -70,6 +71,7 @@
             self.metrics,
             self.journal,
             lambda: self.config.catalog,
+            lending.Lending(),
         )
         self.service = services.Service(
             cfg,
@@ -96,15 +98,15 @@
         listener = _listen(host, port)
         self._server = gevent_server.StreamServer(listener, self._handle)
         self._server.start()
-        self._serve_state(self.cfg.ready_listen)
+        _serve(self.cfg.ready_listen, self._state)
         if self._metrics_port:
-            self._serve_state(f'{host}:{self._metrics_port}')
+            _serve(f'{host}:{self._metrics_port}', self._state)
+        if self.cfg.peer_listen:
+            _serve(
+                self.cfg.peer_listen, lending.application(self.purse.lend)
+            )
         self.journal.note('start', name=self.cfg.name, listen=self.cfg.listen)
 
-    def _serve_state(self, address):
-        host, port = edge_settings.split_address(address)
-        pywsgi.WSGIServer((host, port), self._state, log=None).start()
-
     def _state(self, environ, start_response):
         path = environ['PATH_INFO']
         if path == '/ready':
@@ -221,6 +223,11 @@
         }
 
 
+def _serve(address, application):
+    host, port = edge_settings.split_address(address)
+    pywsgi.WSGIServer((host, port), application, log=None).start()
+
+
 def _listen(host, port):
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -38,8 +38,11 @@
 CLOSE_TIMEOUT_S = 1.0
 # A draw that found too little is not repeated before this time.
 SCARCE_PAUSE_MS = 400
-# After the ledger failed to answer, requests don't wait for it so long.
-UNREACHABLE_MS = 600
+# A router that found no lender for a budget asks again after this time.
+BORROW_PAUSE_MS = 400
+MOST_LENDERS = 3
+# What a lender keeps for itself: its demand of this time.
+KEPT_MS = 1_500
 # More than this many times the target is given back.
 SURPLUS_FACTOR = 2
 # Less than this isn't worth a write to give back.
@@ -94,6 +97,7 @@
         '_metrics',
         '_journal',
         '_catalog',
+        '_lending',
         '_book',
         '_writers',
         '_opened',
@@ -101,10 +105,12 @@
         '_closing',
         '_paged',
         '_paged_for',
-        '_unreachable_at',
+        '_unreachable',
     )
 
-    def __init__(self, cfg, store, clock, metrics, journal, catalog):
+    def __init__(
+        self, cfg, store, clock, metrics, journal, catalog, lending
+    ):
         self.name = f'{cfg.name}#{identity.new_incarnation()}'
         self._cfg = cfg
         self._store = store
@@ -113,6 +119,8 @@
         self._journal = journal
         # Returns the catalog in force.
         self._catalog = catalog
+        # Asks other routers for loans.
+        self._lending = lending
         self._book = grants.GrantBook(clock)
         self._writers = {}
         # Pages on which the predecessor has been replaced, by key.
@@ -123,8 +131,9 @@
         # Prepaid accounts by page, and the catalog that they are of.
         self._paged = {}
         self._paged_for = None
-        # When the ledger last failed to answer; None once it answered.
-        self._unreachable_at = None
+        # The ledger failed to answer; requests don't wait for it until it
+        # has answered again.
+        self._unreachable = False
 
     def start(self):
         """Replace the predecessor and keep the grants filled."""
@@ -152,18 +161,53 @@
         self._book.note_demand(budget, amount)
         if self._book.reserve(budget, amount):
             return Reservation(self._book, budget, amount)
-        drawn = self._draw(budget, amount, wait_ms)
-        if isinstance(drawn, NoMoney):
-            return drawn
-        if self._book.reserve(budget, amount):
-            return Reservation(self._book, budget, amount)
-        return self._shortage(budget, amount)
+        failed = self._draw(budget, amount, wait_ms)
+        if not self._book.reserve(budget, amount):
+            failed = failed or self._shortage(budget, amount)
+            if failed.shortage is Shortage.EXHAUSTED:
+                return failed
+            self._borrow(budget, amount)
+            if not self._book.reserve(budget, amount):
+                return failed
+        return Reservation(self._book, budget, amount)
+
+    def _borrow(self, budget, amount):
+        """Ask those that hold most of a budget to lend some."""
+        held = self._book.held(budget)
+        if self._clock.now() - held.refused_at < BORROW_PAUSE_MS:
+            return
+        page = self._writer_of(budget).page()
+        if page is None:
+            return
+        for address in _lenders(page, budget, self.name)[:MOST_LENDERS]:
+            need = amount - held.available()
+            if need <= 0:
+                return
+            lent = self._lending.ask(address, budget, need)
+            if lent:
+                self._book.borrowed(budget, lent)
+                self._metrics.count('grants.borrowed')
+        if held.available() < amount:
+            held.refused_at = self._clock.now()
+
+    def lend(self, budget, need):
+        """Return how many tokens this router lends to another.
+
+        What is lent counts as spent here, so nothing needs to be agreed on.
+        """
+        held = self._book.held(budget)
+        spare = held.available() - self._book.demand_in(budget, KEPT_MS)
+        if spare < need:
+            return 0
+        amount = min(spare, max(need, spare // 2))
+        self._metrics.count('grants.lent')
+        return amount if self._book.lend(budget, amount) else 0
 
     def _draw(self, budget, amount, wait_ms):
         """Draw for a request that waits; return NoMoney or None."""
         if not self._opened[self._key(budget)].wait(wait_ms / 1000):
             return NoMoney(Shortage.UNREACHABLE, 'not opened yet')
-        if self._unreachable():
+        if self._unreachable:
             return NoMoney(Shortage.UNREACHABLE, 'failed a moment ago')
         held = self._book.held(budget)
         held.waiting += amount
@@ -180,18 +224,12 @@
             pages.HolderSealed,
             gevent.Timeout,
         ) as exc:
-            self._unreachable_at = self._clock.now()
+            self._unreachable = True
             return NoMoney(Shortage.UNREACHABLE, str(exc))
         finally:
             held.waiting -= amount
         return None
 
-    def _unreachable(self):
-        since = self._unreachable_at
-        return since is not None and (
-            self._clock.now() - since < UNREACHABLE_MS
-        )
-
     def _scarce(self, held):
         return self._clock.now() - held.scarce_at < SCARCE_PAUSE_MS
 
@@ -212,7 +250,7 @@
             return amount or pages.Unchanged(0)
 
         def done(outcome):
-            self._unreachable_at = None
+            self._unreachable = False
             if isinstance(outcome, ledger.LedgerError) or not outcome:
                 held.scarce_at = self._clock.now()
                 return
@@ -220,7 +258,7 @@
             self._metrics.count('grants.drawn')
 
         def failed(_):
-            self._unreachable_at = self._clock.now()
+            self._unreachable = True
 
         change = self._writer_of(budget).submit(function, done, failed)
         self._drawing[budget] = change
@@ -259,7 +297,7 @@
             entry = page.entries.get(budget)
             grant = entry.grants.get(self.name) if entry else None
             if grant is not None:
-                grant.spent = self._book.held(budget).spent
+                grant.spent = self._book.held(budget).own_spent()
                 grant.rate = self._rate(budget)
 
     def _shortage(self, budget, amount):
@@ -271,7 +309,7 @@
         spent = entry.settled
         for holder, grant in entry.grants.items():
             if holder == self.name:
-                spent += self._book.held(budget).spent
+                spent += self._book.held(budget).own_spent()
             else:
                 spent += grant.spent
         limit = min(entry.limit, entry.wanted)
@@ -291,7 +329,7 @@
                 continue
             held = self._book.held(account.name)
             if held.granted > account.prepaid:
-                self._give_back(account.name, held, held.available())
+                self._give_back(account.name, held, held.returnable())
 
     def _give_back(self, budget, held, surplus):
         """Return tokens that are not reserved."""
@@ -303,7 +341,7 @@
         def function(page):
             self._prepare(page, self._key(budget))
             kept = ledger.shrink_grant(
-                page, budget, self.name, surplus, held.spent, 0
+                page, budget, self.name, surplus, held.own_spent(), 0
             )
             return kept or pages.Unchanged(False)
 
@@ -320,9 +358,18 @@
     def _refill_for_good(self):
         while not self._closing:
             gevent.sleep(random.uniform(*REFILL_MS) / 1000)
+            if self._unreachable:
+                self._probe()
             for budget in self._book.budgets():
                 self._refill(budget)
 
+    def _probe(self):
+        """See whether the ledger answers again."""
+        for budget in self._book.budgets()[:1]:
+            change = self._drawing.get(budget)
+            if change is None or change.result.ready():
+                self._start_draw(budget)
+
     def _refill(self, budget):
         """Draw ahead where less than half of the target is at hand.
 
@@ -334,10 +381,10 @@
             return
         page = self._writer_of(budget).page()
         entry = page.entries.get(budget) if page else None
-        if entry is None:
+        if entry is None or self._unreachable:
             return
         target = self._target(budget, entry)
-        surplus = held.available() - target
+        surplus = min(held.returnable(), held.available() - target)
         if surplus > max(LEAST_RETURN, (SURPLUS_FACTOR - 1) * target):
             self._give_back(budget, held, surplus)
         elif 2 * held.available() < target and not self._scarce(held):
@@ -352,6 +399,8 @@
                 if holder.startswith(prefix) and holder != self.name:
                     ledger.replace_holder(page, holder, 'restarted')
             self._prepare(page, key)
+            if self._cfg.peer_listen:
+                page.contacts[self.name] = self._cfg.peer_listen
             return True
 
         while True:
@@ -397,8 +446,9 @@
         for budget in self._book.budgets():
             held = self._book.held(budget)
             if budget in page.entries:
-                spent = held.spent + held.reserved
+                spent = min(held.granted, held.own_spent() + held.reserved)
                 ledger.close_grant(page, budget, self.name, spent, 0)
+        page.contacts.pop(self.name, None)
         return True
 
     def dump(self):
@@ -413,3 +463,17 @@
                 'available': held.available(),
             }
         return {'holder': self.name, 'budgets': budgets}
+
+
+def _lenders(page, budget, own):
+    """Return the addresses of those that hold a budget, most first."""
+    entry = page.entries.get(budget)
+    grants_held = entry.grants if entry else {}
+
+    def unspent(holder):
+        grant = grants_held.get(holder)
+        return grant.granted - grant.spent if grant else 0
+
+    holders = [name for name in page.contacts if name != own]
+    holders.sort(key=unspent, reverse=True)
+    return [page.contacts[name] for name in holders]
--- a/galenaspoke/edge/settings.py
+++ b/galenaspoke/edge/settings.py
@@ -12,6 +12,7 @@
     together may send `retry_ratio` times the requests of `retry_window_ms`,
     plus `retry_slack`, once more.  Budgets are spread over `ledger_pages`
     objects of the store; the figure can't be changed while any is in use.
+    Routers lend money to each other at `peer_listen`, or don't if it's empty.
     """
 
     name: str
@@ -28,6 +29,7 @@
     retry_window_ms: int
     retry_slack: int
     ledger_pages: int = 1
+    peer_listen: str = ''
 
 
 def split_address(address):
--- a/galenaspoke/platform/settings.py
+++ b/galenaspoke/platform/settings.py
@@ -111,9 +111,22 @@
         retry_ratio=reader.number('Bounds.RetryRatio', 0.2),
         retry_window_ms=seconds('Bounds.RetryWindowS', 10),
         retry_slack=reader.number('Bounds.RetrySlack', 0),
+        peer_listen=_peer_listen(reader),
     )
 
 
+def _peer_listen(reader):
+    """Return the first address for talk between processes, '' for none."""
+    ports = reader.take('PortRange', _is_port_range, 'two ports', None)
+    host = reader.document.get('BindIp')
+    return f'{host}:{ports[0]}' if ports and host else ''
+
+
+def _is_port_range(value):
+    whole = isinstance(value, list) and len(value) == 2
+    return whole and all(isinstance(port, int) for port in value)
+
+
 def _to_ms(reader):
     def take(where, default):
         value = reader.number(where, default)
