--- a/galenaspoke/core/catalog.py
+++ b/galenaspoke/core/catalog.py
@@ -102,7 +102,6 @@
         'accounts',
         'limits',
         'keyed',
-        'first_priority',
         '_routes',
         '_keys',
     )
@@ -114,10 +113,6 @@
         self.limits = limits
         # Whether requests must carry a key at all.
         self.keyed = bool(accounts)
-        # The priority that comes before all other.
-        self.first_priority = min(
-            (route.priority for route in routes), default=0
-        )
         self._keys = keys
         self._routes = {}
         for route in routes:
--- a/galenaspoke/core/grants.py
+++ b/galenaspoke/core/grants.py
@@ -24,36 +24,6 @@
 SPARE_REQUESTS = 4
 
 
-class Demand:
-    """What is asked for, as a sum in which older amounts count less."""
-
-    __slots__ = ('_sum', '_at', '_since')
-
-    def __init__(self):
-        self._sum = 0.0
-        self._at = 0
-        self._since = 0
-
-    def note(self, now, amount):
-        """Count `amount` tokens as asked for."""
-        if not self._sum:
-            self._since = now
-        self._sum = self._decayed(now) + amount
-        self._at = now
-
-    def within(self, now, horizon_ms):
-        """Return the tokens that `horizon_ms` of the present demand need."""
-        # Over how long the decayed sum reaches: in the end the half-life
-        # divided by ln 2, in the beginning less.
-        age = max(DEMAND_LEAST_MS, now - self._since)
-        reach = DEMAND_HALF_LIFE_MS / math.log(2)
-        reach *= 1 - 0.5 ** (age / DEMAND_HALF_LIFE_MS)
-        return int(self._decayed(now) / reach * horizon_ms)
-
-    def _decayed(self, now):
-        return self._sum * 0.5 ** ((now - self._at) / DEMAND_HALF_LIFE_MS)
-
-
 class Held:
     """What one holder has of one budget, in tokens."""
 
@@ -64,7 +34,8 @@
         'spent',
         'doubt',
         'demand',
-        'urgent',
+        'demand_at',
+        'demand_since',
         'used_at',
         'waiting',
         'scarce_at',
@@ -78,9 +49,9 @@
         self.reserved = 0
         self.spent = 0
         self.doubt = 0
-        self.demand = Demand()
-        # The part of the demand that comes before all other.
-        self.urgent = Demand()
+        self.demand = 0.0
+        self.demand_at = now
+        self.demand_since = now
         self.used_at = now
         # What the requests need that wait for a draw.
         self.waiting = 0
@@ -169,23 +140,30 @@
         held.doubt += doubt
         held.used_at = self._clock.now()
 
-    def note_demand(self, budget, amount, urgent=False):
+    def note_demand(self, budget, amount):
         """Count `amount` tokens as asked for, granted or not."""
         held = self.held(budget)
         now = self._clock.now()
-        held.demand.note(now, amount)
-        if urgent:
-            held.urgent.note(now, amount)
+        if not held.demand:
+            held.demand_since = now
+        held.demand = _decayed(held, now) + amount
+        held.demand_at = now
 
     def demand_in(self, budget, horizon_ms):
         """Return the tokens that `horizon_ms` of the present demand need."""
         held = self.held(budget)
-        return held.demand.within(self._clock.now(), horizon_ms)
+        now = self._clock.now()
+        # Over how long the decayed sum reaches: in the end the half-life
+        # divided by ln 2, in the beginning less.
+        age = max(DEMAND_LEAST_MS, now - held.demand_since)
+        reach = DEMAND_HALF_LIFE_MS / math.log(2)
+        reach *= 1 - 0.5 ** (age / DEMAND_HALF_LIFE_MS)
+        return int(_decayed(held, now) / reach * horizon_ms)
 
-    def urgent_in(self, budget, horizon_ms):
-        """Return the part of `demand_in` that comes before all other."""
-        held = self.held(budget)
-        return held.urgent.within(self._clock.now(), horizon_ms)
+
+def _decayed(held, now):
+    age = now - held.demand_at
+    return held.demand * 0.5 ** (age / DEMAND_HALF_LIFE_MS)
 
 
 def draw_size(need, demand, free, holders):
--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -41,10 +41,6 @@
 # A router that found no lender for a budget asks again after this time.
 BORROW_PAUSE_MS = 400
 MOST_LENDERS = 3
-# How long the urgent demand should find money where it is rationed.
-RATION_MS = 15_000
-# Less in doubt than this part of the limit is no reason to ration.
-DOUBT_SHARE = 0.02
 # What a lender keeps for itself: its demand of this time.
 KEPT_MS = 1_500
 # More than this many times the target is given back.
@@ -60,8 +56,6 @@
     EXHAUSTED = 'exhausted'
     # What is left is held by others, or in doubt.
     HELD_ELSEWHERE = 'held_elsewhere'
-    # What is left is kept for more urgent requests.
-    RATIONED = 'rationed'
     # The ledger can't be asked.
     UNREACHABLE = 'unreachable'
 
@@ -162,14 +156,9 @@
                 known = max(known, len(page.writers))
         return known
 
-    def reserve(self, budget, amount, urgent, wait_ms):
-        """Return a Reservation of `amount` tokens, or a NoMoney.
-
-        `urgent` requests come before all others where money is rationed.
-        """
-        self._book.note_demand(budget, amount, urgent)
-        if not urgent and self._kept_for_urgent(budget, amount):
-            return NoMoney(Shortage.RATIONED, 'kept for what is urgent')
+    def reserve(self, budget, amount, wait_ms):
+        """Return a Reservation of `amount` tokens, or a NoMoney."""
+        self._book.note_demand(budget, amount)
         if self._book.reserve(budget, amount):
             return Reservation(self._book, budget, amount)
         failed = self._draw(budget, amount, wait_ms)
@@ -182,21 +171,6 @@
                 return failed
         return Reservation(self._book, budget, amount)
 
-    def _kept_for_urgent(self, budget, amount):
-        """Tell whether urgent requests need what this one would take.
-
-        Money is rationed while the ledger can't be reached, and while part
-        of the budget is in doubt, so that nobody may count on the rest.
-        """
-        left = self._book.available(budget)
-        if not self._unreachable:
-            page = self._writer_of(budget).page()
-            entry = page.entries.get(budget) if page else None
-            if entry is None or entry.in_doubt() < DOUBT_SHARE * entry.limit:
-                return False
-            left += entry.free()
-        return left - amount < self._book.urgent_in(budget, RATION_MS)
-
     def _borrow(self, budget, amount):
         """Ask those that hold most of a budget to lend some."""
         held = self._book.held(budget)
--- a/galenaspoke/edge/service.py
+++ b/galenaspoke/edge/service.py
@@ -193,9 +193,7 @@
         amount = course.call.most_tokens()
         if account is None or account.prepaid is None or not amount:
             return None
-        first = self._config.catalog.first_priority
-        urgent = course.route.priority == first
-        held = self._purse.reserve(account.name, amount, urgent, DRAW_WAIT_MS)
+        held = self._purse.reserve(account.name, amount, DRAW_WAIT_MS)
         if not isinstance(held, purses.NoMoney):
             return held
         self._metrics.count(f'refused.{held.shortage.value}')
