--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -17,6 +17,7 @@
 from galenaspoke.edge import metrics as edge_metrics
 from galenaspoke.edge import purse as purses
 from galenaspoke.edge import retries
+from galenaspoke.edge import second_path
 from galenaspoke.edge import service as services
 from galenaspoke.edge import settings as edge_settings
 from galenaspoke.edge import views
@@ -26,6 +27,8 @@
 from galenaspoke.platform import settings as platform_settings
 from galenaspoke.platform import store as platform_store
 from galenaspoke.platform import targets
+from galenaspoke.store import paths as store_paths
+from galenaspoke.store import relays
 from galenaspoke.utils import state
 
 EXIT_OK = 0
@@ -49,9 +52,14 @@
         self._metrics_port = metrics_port
         self._stopping = gevent.event.Event()
         self._connections = set()
-        store = platform_store.Client(
-            *edge_settings.split_address(cfg.store), self.metrics
+        self._paths = store_paths.Paths(
+            cfg.store,
+            platform_store.cheap_path(relays.KIND),
+            self.clock,
+            self.journal,
         )
+        store = platform_store.Client(self._paths, self.metrics)
+        self._store = store
         gone = platform_store.HistoryGone
         self.config = views.ConfigView(
             store, self.clock, self.journal, documents, gone
@@ -102,11 +110,22 @@
         if self._metrics_port:
             _serve(f'{host}:{self._metrics_port}', self._state)
         if self.cfg.peer_listen:
-            _serve(
-                self.cfg.peer_listen, lending.application(self.purse.lend)
-            )
+            self._serve_peers()
         self.journal.note('start', name=self.cfg.name, listen=self.cfg.listen)
 
+    def _serve_peers(self):
+        relay = store_paths.relay(self._paths)
+        lend = lending.application(self.purse.lend)
+
+        def application(environ, start_response):
+            relayed = environ['PATH_INFO'].startswith(store_paths.RELAY_PREFIX)
+            return (relay if relayed else lend)(environ, start_response)
+
+        _serve(self.cfg.peer_listen, application)
+        gevent.spawn(
+            second_path.keep, self.cfg, self._store, self._paths, self.journal
+        )
+
     def _state(self, environ, start_response):
         path = environ['PATH_INFO']
         if path == '/ready':
--- /dev/null
+++ b/galenaspoke/edge/relay_main.py
@@ -0,0 +1,65 @@
+"""galenaspoke-relay: a second path to the store, beside a target.
+
+It relays calls of routers that are cut off from the store.  It keeps nothing,
+and no caller's request passes through it.
+"""
+
+import gc
+import signal
+import sys
+
+import click
+import gevent
+from gevent import event
+from gevent import pywsgi
+
+from galenaspoke.core import clock as clocks
+from galenaspoke.edge import journal as journals
+from galenaspoke.edge import metrics as edge_metrics
+from galenaspoke.edge import second_path
+from galenaspoke.edge import settings as edge_settings
+from galenaspoke.platform import settings as platform_settings
+from galenaspoke.platform import store as platform_store
+from galenaspoke.store import paths as store_paths
+from galenaspoke.store import relays
+
+EXIT_SETTINGS = 2
+
+
+def serve(cfg):
+    """Relay until a signal says to stop."""
+    clock = clocks.Clock()
+    journal = journals.Journal(clock)
+    metrics = edge_metrics.Metrics()
+    paths = store_paths.Paths(
+        cfg.store, platform_store.cheap_path(relays.KIND), clock, journal
+    )
+    client = platform_store.Client(paths, metrics)
+    stopping = event.Event()
+    gevent.signal_handler(signal.SIGTERM, stopping.set)
+    gevent.signal_handler(signal.SIGINT, stopping.set)
+    gevent.signal_handler(signal.SIGHUP, journal.note, 'reload')
+    address = edge_settings.split_address(cfg.peer_listen)
+    server = pywsgi.WSGIServer(address, store_paths.relay(paths), log=None)
+    server.start()
+    gevent.spawn(second_path.enter, cfg, client, journal, True)
+    journal.note('start', name=cfg.name, listen=cfg.peer_listen)
+    stopping.wait()
+    journal.note('stopped')
+
+
+@click.command()
+@click.option('--settings', default=None, help='The settings file.')
+def main(settings):
+    """Relay calls to the store for routers that are cut off from it."""
+    try:
+        cfg = platform_settings.load(settings, serves_callers=False)
+    except platform_settings.SettingsInvalid as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    gc.freeze()
+    serve(cfg)
+
+
+if __name__ == '__main__':
+    main()
--- a/galenaspoke/http/links.py
+++ b/galenaspoke/http/links.py
@@ -7,6 +7,7 @@
     answer = link.answer()
 """
 
+import contextlib
 import socket as std_socket
 
 import gevent
@@ -143,6 +144,11 @@
             pass
         return False
 
+    def interrupt(self):
+        """Let whoever waits for the peer find the connection broken."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(std_socket.SHUT_RDWR)
+
     def close(self):
         """End the connection, whatever it carries."""
         if self._send is not None:
--- a/galenaspoke/platform/settings.py
+++ b/galenaspoke/platform/settings.py
@@ -75,8 +75,11 @@
     return environ.get(PATH_VARIABLE, DEFAULT_PATH)
 
 
-def load(path=None):
-    """Return the checked EdgeSettings; raise SettingsInvalid."""
+def load(path=None, serves_callers=True):
+    """Return the checked EdgeSettings; raise SettingsInvalid.
+
+    A process that doesn't serve callers needs no addresses for that.
+    """
     path = path or path_from(os.environ)
     try:
         with open(path, encoding='utf-8') as settings_file:
@@ -88,19 +91,20 @@
     if not isinstance(document, dict):
         raise SettingsInvalid(f'{path}: not a table of settings')
     reader = _Reader(path, document)
-    cfg = _translate(reader)
+    cfg = _translate(reader, serves_callers)
     if reader.problems:
         raise SettingsInvalid('\n'.join(reader.problems))
     return cfg
 
 
-def _translate(reader):
+def _translate(reader, serves_callers):
+    optional = _MISSING if serves_callers else ''
     seconds = _to_ms(reader)
     return edge_settings.EdgeSettings(
         name=reader.text('Node'),
         domain=reader.text('Zone'),
-        listen=reader.address('Listen.Front'),
-        ready_listen=reader.address('Listen.Ready'),
+        listen=reader.address('Listen.Front', optional),
+        ready_listen=reader.address('Listen.Ready', optional),
         store=reader.address('Platform.Addr'),
         first_start=bool(reader.document.get('FirstStart', False)),
         heartbeat_ms=reader.number('HeartbeatMs', 1200),
--- a/galenaspoke/platform/store.py
+++ b/galenaspoke/platform/store.py
@@ -5,16 +5,12 @@
 lost, `OutcomeUnknown` says so: it may be done, or be done seconds later.
 """
 
-import gevent
 import msgspec
 
-from galenaspoke.http import links
-from galenaspoke.http import messages
 from galenaspoke.store import base
+from galenaspoke.store import paths
 
-CONNECT_TIMEOUT_S = 0.5
-CALL_TIMEOUT_S = 1.0
-IDLE_LINKS = 4
+CALL_TIMEOUT_S = 0.8
 # How much longer than its wait a watch may take before it counts as lost.
 WATCH_SLACK_S = 0.7
 
@@ -74,15 +70,12 @@
         client.put('ledger/0003', item.version, b'{"entries": {}}')
     """
 
-    __slots__ = ('_host', '_port', '_metrics', '_idle', '_watches')
+    __slots__ = ('_paths', '_metrics')
 
-    def __init__(self, host, port, metrics):
-        self._host = host
-        self._port = port
+    def __init__(self, paths, metrics):
+        # Makes calls, over whatever path to the store works.
+        self._paths = paths
         self._metrics = metrics
-        self._idle = []
-        # The connection of each kind's watch.
-        self._watches = {}
 
     def get(self, key):
         """Return the Item at `key`, version 0 if there is none."""
@@ -92,13 +85,18 @@
         kind = key.split('/', 1)[0]
         return _item(kind, _decode(_object, answer))
 
-    def list(self, kind):
-        """Return the Listing of all objects of a kind."""
+    def list(self, kind, stale=False):
+        """Return the Listing of all objects of a kind.
+
+        A `stale` one costs less and may be seconds old.
+        """
         items = []
         after = ''
         while True:
-            query = f'?After={after}' if after else ''
-            answer = self._read(f'/objects/{kind}{query}')
+            query = [f'After={after}'] if after else []
+            if stale:
+                query.append('AllowStale=1')
+            answer = self._read(f'/objects/{kind}?{"&".join(query)}')
             page = _decode(_listing, answer)
             items += [_item(kind, found) for found in page.items]
             if not page.has_more or not page.items:
@@ -112,20 +110,11 @@
         nothing happened.  Raises HistoryGone where the store has forgotten.
         """
         path = f'/objects/{kind}?Watch={since}&WaitMs={wait_ms}'
-        link = self._watches.pop(kind, None)
-        link, answer = self._call(
-            link, 'GET', path, b'', wait_ms / 1000 + WATCH_SLACK_S
-        )
+        answer = self._call('GET', path, b'', wait_ms / 1000 + WATCH_SLACK_S)
         if answer.status == 410:
-            self._put_back(link, answer)
             raise HistoryGone(f'{kind}: nothing is known since {since}')
         if answer.status != 200:
-            link.close()
             raise base.StoreUnavailable(f'watch: status {answer.status}')
-        if link.spare(answer):
-            self._watches[kind] = link
-        else:
-            link.close()
         found = _decode(_events, answer)
         changes = [
             Change(_item(kind, event.object), event.gone)
@@ -151,75 +140,38 @@
         self._write('DELETE', f'/objects/{key}?Rev={version}', b'')
 
     def _read(self, path):
-        self._metrics.count('store.reads')
         try:
-            link, answer = self._call(
-                self._take(), 'GET', path, b'', CALL_TIMEOUT_S
-            )
+            answer = self._call('GET', path, b'', CALL_TIMEOUT_S)
         except base.OutcomeUnknown as exc:
             raise base.StoreUnavailable(str(exc)) from exc
-        self._put_back(link, answer)
         if answer.status not in (200, 404):
             raise base.StoreUnavailable(f'store: status {answer.status}')
         return answer
 
     def _write(self, method, path, body):
-        self._metrics.count('store.writes')
-        link, answer = self._call(
-            self._take(), method, path, body, CALL_TIMEOUT_S
-        )
-        self._put_back(link, answer)
+        answer = self._call(method, path, body, CALL_TIMEOUT_S)
         if answer.status == 409:
             raise base.Conflict(f'{path} has changed', _found(path, answer))
         if answer.status == 413:
             raise base.TooLarge(f'{path}: {len(body)} bytes are too many')
-        if answer.status in (404, 429, 503):
+        if answer.status in (404, *paths.NOTHING_DONE):
             raise base.StoreUnavailable(f'store: status {answer.status}')
         if answer.status not in (200, 201):
             raise base.OutcomeUnknown(f'store: status {answer.status}')
         return answer
 
-    def _call(self, link, method, path, body, timeout_s):
-        """Make one call; return the link and the whole answer.
+    def _call(self, method, path, body, timeout_s):
+        """Make one call; return the whole answer.
 
         Raises StoreUnavailable if nothing was sent, else OutcomeUnknown.
         """
-        if link is None or not link.quiet():
-            if link is not None:
-                link.close()
-            try:
-                link = links.connect(
-                    self._host, self._port, CONNECT_TIMEOUT_S
-                )
-            except links.NotSent as exc:
-                raise base.StoreUnavailable(f'store: {exc}') from exc
-        head = messages.encode_head(
-            f'{method} {path} HTTP/1.1'.encode(),
-            [
-                (b'Host', f'{self._host}:{self._port}'.encode()),
-                (b'Content-Type', b'application/json'),
-                (b'Content-Length', b'%d' % len(body)),
-            ],
-        )
-        try:
-            with gevent.Timeout(timeout_s, links.Broken('no answer in time')):
-                link.send(head + body)
-                return link, link.answer()
-        except links.Broken as exc:
-            link.close()
-            raise base.OutcomeUnknown(f'store: {exc}') from exc
-        except BaseException:
-            link.close()
-            raise
-
-    def _take(self):
-        return self._idle.pop() if self._idle else None
-
-    def _put_back(self, link, answer):
-        if link.spare(answer) and len(self._idle) < IDLE_LINKS:
-            self._idle.append(link)
-        else:
-            link.close()
+        self._metrics.count(f'store.{method.lower()}')
+        return self._paths.call(method, path, body, timeout_s)
+
+
+def cheap_path(kind):
+    """Return the path of a call that costs little and tells that all works."""
+    return f'/objects/{kind}?AllowStale=1'
 
 
 def _item(kind, found):
