--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -27,12 +27,12 @@
 from galenaspoke.store import base as store_base
 from galenaspoke.utils import identity
 
-# How long a demand the grants should last: longer than the cuts that are to
-# be ridden out.
-HORIZON_MS = 12_000
+# How long a demand the grants should last.  A cut from the store is ridden
+# out on the second path to it, not on what is held.
+HORIZON_MS = 1_500
 # Of what is left of a budget, the part that all routers together may hold.
 # What is held is lost when all of them die, the rest is not.
-HELD_SHARE = 0.4
+HELD_SHARE = 0.2
 REFILL_MS = (400, 600)
 RETRY_S = 0.2
 CLOSE_TIMEOUT_S = 1.0
