--- a/galenaspoke/edge/calls.py
+++ b/galenaspoke/edge/calls.py
@@ -36,10 +36,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Facts:
-    """What the head of a target's answer says about the request."""
+    """What the head of a target's answer says about the request.
+
+    `misdirected` tells that the answer comes from another target than was
+    meant.
+    """
 
     request_id: str
     not_run: bool
+    misdirected: bool
     genuine: bool
     encoded: bool
     retry_after_ms: int | None
--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -51,11 +51,13 @@
 class NotRun:
     """The target proved that it did not run the request.
 
-    `reached` is false where nothing was sent at all.
+    `reached` is false where nothing was sent at all, `misdirected` true where
+    another target has the address now.
     """
 
     why: str
     reached: bool = True
+    misdirected: bool = False
     retry_after_ms: int | None = None
 
 
--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -41,6 +41,8 @@
 # A router that found no lender for a budget asks again after this time.
 BORROW_PAUSE_MS = 400
 MOST_LENDERS = 3
+# How many draws a request may wait for.
+MOST_DRAWS = 3
 # What a lender keeps for itself: its demand of this time.
 KEPT_MS = 1_500
 # More than this many times the target is given back.
@@ -205,6 +207,7 @@
 
     def _draw(self, budget, amount, wait_ms):
         """Draw for a request that waits; return NoMoney or None."""
+        until = self._clock.now() + wait_ms
         if not self._opened[self._key(budget)].wait(wait_ms / 1000):
             return NoMoney(Shortage.UNREACHABLE, 'not opened yet')
         if self._unreachable:
@@ -212,17 +215,23 @@
         held = self._book.held(budget)
         held.waiting += amount
         try:
-            change = self._drawing.get(budget)
-            if change is None or change.result.ready():
-                if self._scarce(held):
-                    return None
-                change = self._start_draw(budget)
-            change.result.get(timeout=wait_ms / 1000)
+            # A draw that was under way did not know of this request.
+            for _ in range(MOST_DRAWS):
+                change = self._drawing.get(budget)
+                if change is None or change.result.ready():
+                    if self._scarce(held):
+                        break
+                    change = self._start_draw(budget)
+                left_ms = max(0, until - self._clock.now())
+                change.result.get(timeout=left_ms / 1000)
+                if held.available() >= amount:
+                    break
+        except gevent.Timeout:
+            return NoMoney(Shortage.UNREACHABLE, f'silent for {wait_ms} ms')
         except (
             store_base.StoreError,
             pages.Undecided,
             pages.HolderSealed,
-            gevent.Timeout,
         ) as exc:
             self._unreachable = True
             return NoMoney(Shortage.UNREACHABLE, str(exc))
--- a/galenaspoke/edge/relay.py
+++ b/galenaspoke/edge/relay.py
@@ -95,8 +95,12 @@
         self._facts = facts = self._dialect.read_answer(answer)
         if facts.not_run:
             link.whole(answer)
+            if facts.misdirected:
+                # It was not sent to a target that the route allows.
+                self._course.sent -= 1
             return outcomes.NotRun(
                 f'status {answer.status}',
+                misdirected=facts.misdirected,
                 retry_after_ms=facts.retry_after_ms,
             )
         if facts.encoded or not facts.genuine:
--- a/galenaspoke/edge/service.py
+++ b/galenaspoke/edge/service.py
@@ -19,8 +19,10 @@
 from galenaspoke.edge import relay
 from galenaspoke.http import messages
 
-# How long a request may wait for money to be drawn.
-DRAW_WAIT_MS = 300
+# How long a request may wait for money to be drawn, and which part of its
+# time at most.
+DRAW_WAIT_MS = 1_000
+DRAW_WAIT_SHARE = 0.25
 # Less than this is no time in which a target could answer.
 LEAST_LEFT_MS = 5
 # A repeatable request leaves a silent target after this share of its time,
@@ -193,7 +195,9 @@
         amount = course.call.most_tokens()
         if account is None or account.prepaid is None or not amount:
             return None
-        held = self._purse.reserve(account.name, amount, DRAW_WAIT_MS)
+        left_ms = course.left_ms(self._clock.now())
+        wait_ms = min(DRAW_WAIT_MS, DRAW_WAIT_SHARE * left_ms)
+        held = self._purse.reserve(account.name, amount, wait_ms)
         if not isinstance(held, purses.NoMoney):
             return held
         self._metrics.count(f'refused.{held.shortage.value}')
@@ -243,6 +247,8 @@
         if isinstance(outcome, outcomes.NotRun):
             if not outcome.reached:
                 return True
+            if outcome.misdirected:
+                return self._retries.take(course.service)
         elif not course.repeatable():
             return False
         if course.sent >= course.route.max_attempts:
@@ -294,7 +300,10 @@
             target.health.succeeded()
             return
         if isinstance(outcome, outcomes.NotRun):
-            rests = not outcome.reached and target.health.failed(now, True)
+            if outcome.misdirected:
+                self._targets.misdirected(target)
+            elif not outcome.reached:
+                rests = target.health.failed(now, True)
             why = outcome.why
         elif isinstance(outcome, outcomes.Unknown):
             rests = target.health.failed(now)
--- a/galenaspoke/edge/views.py
+++ b/galenaspoke/edge/views.py
@@ -155,6 +155,16 @@
         for item in self._items.values():
             self._put(item)
 
+    def misdirected(self, target):
+        """Use a target no more: another one has its address.
+
+        Its entry is older than that; a new one brings it back.
+        """
+        name = target.entry.id
+        if self.directory.get(name) is target:
+            self.directory.remove(name)
+            self._journal.note('target.gone', target=name, why='misdirected')
+
     def sweep(self):
         """Drop what stayed away and connections past their time, for good."""
         while True:
@@ -184,6 +194,9 @@
     def _put(self, item):
         name = _name(item)
         entry = self._decode(name, item.value, self._services())
+        if not self._services():
+            # It is looked at again with the first configuration.
+            return
         if entry is None:
             # Some other writer's: it says nothing of a target known before.
             self._journal.note('target.unreadable', target=name)
--- a/galenaspoke/platform/headers.py
+++ b/galenaspoke/platform/headers.py
@@ -19,6 +19,7 @@
         b'last-event-id',
     )
 )
+_MISDIRECTED = 421
 _FIRST_PRIORITY = 0
 _LAST_PRIORITY = 9
 
@@ -94,8 +95,8 @@
     found = dict(answer.headers)
     return calls.Facts(
         request_id=found.get(b'x-request-id', b'').decode('latin-1'),
-        # 421 comes from a target that isn't the one that was meant.
-        not_run=b'x-not-run' in found or answer.status == 421,
+        not_run=b'x-not-run' in found or answer.status == _MISDIRECTED,
+        misdirected=answer.status == _MISDIRECTED,
         genuine=b'x-response-stamp' in found,
         encoded=found.get(b'content-encoding', b'identity') != b'identity',
         retry_after_ms=_seconds(found.get(b'retry-after', b'')),
