--- a/galenaspoke/edge/course.py
+++ b/galenaspoke/edge/course.py
@@ -20,6 +20,7 @@
         'first_byte_ms',
         'events',
         'tried',
+        'charged',
     )
 
     def __init__(self, req, call, route, account):
@@ -43,6 +44,8 @@
         self.events = 0
         # Ids of the targets that were tried, in order.
         self.tried = []
+        # What it took of its account's budget in the end, in tokens.
+        self.charged = 0
 
     def left_ms(self, now):
         """Return the time that is left for an answer."""
--- a/galenaspoke/edge/service.py
+++ b/galenaspoke/edge/service.py
@@ -187,7 +187,8 @@
         finally:
             if held is not None:
                 tokens = self._event_tokens(course)
-                held.settle(min(held.amount, course.consumed(tokens)))
+                course.charged = min(held.amount, course.consumed(tokens))
+                held.settle(course.charged)
 
     def _reserve(self, course):
         """Return a Reservation, None where none is needed, or a Refusal."""
@@ -406,6 +407,7 @@
                 'targets': course.tried,
                 'first_ms': course.first_byte_ms,
                 'events': course.events,
+                'charged': course.charged,
                 'generation': self._config.catalog.generation,
             }
         else:
@@ -425,6 +427,8 @@
             'caller.gone',
             id=course.call.request_id if course else '',
             targets=course.tried if course else [],
+            charged=course.charged if course else 0,
+            account=course.account.name if course and course.account else None,
             ms=self._clock.now() - req.arrived,
         )
 
