--- a/galenaspoke/edge/journal.py
+++ b/galenaspoke/edge/journal.py
@@ -12,8 +12,8 @@
 
 from galenaspoke.core import limits
 
-LINES_PER_S = 3000
-BURST = 6000
+LINES_PER_S = 300
+BURST = 600
 # While fewer lines than this are left, those of plain successes are shed.
 RESERVED = 300
 PENDING_BYTES = 262_144
