--- a/galenaspoke/edge/placement.py
+++ b/galenaspoke/edge/placement.py
@@ -2,16 +2,20 @@
 
 Requests that share the front of a prompt go to the same target, in an order
 that all routers work out alike from the names alone, so that a part is read
-once and not once a target.  A target that has clearly more than its share is
-passed over.  Other requests go to the least loaded.
+once and not once a target.  A target at which the request would wait too long
+is passed over, if another one is enough better to make up for the reading.
+Other requests go to the least loaded.
 """
 
 import hashlib
 import random
 
-# How much more than the mean a target may have before it is passed over.
-BOUND_FACTOR = 1.5
-BOUND_REQUESTS = 2
+from galenaspoke.edge import pressure
+
+# A wait that is borne before a shared part is read once more elsewhere.
+BORNE_WAIT_MS = 150
+# How much better another target must be.
+LEAST_GAIN_MS = 50
 
 
 def order(key, targets):
@@ -36,15 +40,34 @@
     candidates = usable(targets, now)
     if not candidates:
         return None
-    key = call.affinity()
-    if not key:
+    if not call.affinity():
         return least_loaded(candidates, domain)
-    mean = sum(target.in_flight for target in candidates) / len(candidates)
-    bound = BOUND_FACTOR * mean + BOUND_REQUESTS
-    for target in order(key, candidates):
-        if target.in_flight <= bound:
-            return target
-    return least_loaded(candidates, domain)
+    return shared_prompt(call, candidates, now)
+
+
+def shared_prompt(call, targets, now):
+    """Return the target at which a prompt's first event would come first.
+
+    The target that the prompt prefers is kept unless that takes too long.
+    """
+    home, *others = order(call.affinity(), targets)
+    if not others:
+        return home
+    wait_ms = home.pressure.wait_ms(now)
+    if wait_ms <= BORNE_WAIT_MS:
+        return home
+    # The home has the shared parts: only the last one is read there.
+    own = call.parts[-1][1] if call.parts else 0
+    home_ms = wait_ms + own / pressure.TOKENS_PER_MS
+    waits = [(first_event_ms(other, call, now), other) for other in others]
+    best_ms, best = min(waits, key=lambda pair: pair[0])
+    return best if home_ms - best_ms > LEAST_GAIN_MS else home
+
+
+def first_event_ms(target, call, now):
+    """Return when a request's first event would come at a target."""
+    reading_ms = target.pressure.unread(call, now) / pressure.TOKENS_PER_MS
+    return target.pressure.wait_ms(now) + reading_ms
 
 
 def least_loaded(targets, domain):
--- a/galenaspoke/edge/relay.py
+++ b/galenaspoke/edge/relay.py
@@ -148,9 +148,11 @@
         ]
 
     def _pass_on(self, answer, fresh):
+        now = self._clock.now()
+        self._target.pressure.first_event(self._course, now)
         data = messages.chunk(b''.join(event.raw for event in fresh))
         if not self._caller.begun:
-            self._course.first_byte(self._clock.now())
+            self._course.first_byte(now)
             data = (
                 self._caller.begin(
                     answer.status, self._dialect.returned(answer)
--- a/galenaspoke/edge/service.py
+++ b/galenaspoke/edge/service.py
@@ -263,10 +263,10 @@
     def _attempt(self, course, target, caller):
         """Try one target, and learn from how it went."""
         course.tried.append(target.entry.id)
-        tokens = course.call.most_tokens()
         target.in_flight += 1
-        target.tokens += tokens
         began = self._clock.now()
+        if course.call.parts:
+            target.pressure.begin(course, began, course.call)
         attempt = relay.Attempt(
             course, target, caller, self._dialect, self._clock
         )
@@ -278,7 +278,7 @@
                 course.may_have_run = before
         finally:
             target.in_flight -= 1
-            target.tokens -= tokens
+            target.pressure.end(course)
         self._learn(course, target, outcome, self._clock.now() - began)
         return outcome
 
--- a/galenaspoke/edge/targets.py
+++ b/galenaspoke/edge/targets.py
@@ -1,6 +1,7 @@
 """The targets that this router knows, and its connections to them."""
 
 from galenaspoke.edge import health
+from galenaspoke.edge import pressure
 from galenaspoke.http import links
 
 CONNECT_TIMEOUT_S = 0.3
@@ -15,14 +16,13 @@
 class Target:
     """One incarnation of a target."""
 
-    __slots__ = ('entry', 'health', 'in_flight', 'tokens', 'gone', '_idle')
+    __slots__ = ('entry', 'health', 'pressure', 'in_flight', 'gone', '_idle')
 
     def __init__(self, entry):
         self.entry = entry
         self.health = health.Health()
+        self.pressure = pressure.Pressure()
         self.in_flight = 0
-        # Of the requests in flight, the tokens at their most.
-        self.tokens = 0
         # It left, or was replaced by another incarnation.
         self.gone = False
         self._idle = []
