--- a/galenaspoke/edge/placement.py
+++ b/galenaspoke/edge/placement.py
@@ -13,7 +13,7 @@
 from galenaspoke.edge import pressure
 
 # A wait that is borne before a shared part is read once more elsewhere.
-BORNE_WAIT_MS = 150
+BORNE_WAIT_MS = 300
 # How much better another target must be.
 LEAST_GAIN_MS = 50
 
