--- a/galenaspoke/edge/callers.py
+++ b/galenaspoke/edge/callers.py
@@ -132,7 +132,9 @@
     def begin(self, status, headers):
         """Return the head of an answer whose length isn't known."""
         self.begun = True
-        return self._head(status, [*headers, (b'Transfer-Encoding', b'chunked')])
+        return self._head(
+            status, [*headers, (b'Transfer-Encoding', b'chunked')]
+        )
 
     def _head(self, status, headers):
         if not self.keep:
--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -110,9 +110,7 @@
         '_unreachable',
     )
 
-    def __init__(
-        self, cfg, store, clock, metrics, journal, catalog, lending
-    ):
+    def __init__(self, cfg, store, clock, metrics, journal, catalog, lending):
         self.name = f'{cfg.name}#{identity.new_incarnation()}'
         self._cfg = cfg
         self._store = store
--- a/galenaspoke/edge/views.py
+++ b/galenaspoke/edge/views.py
@@ -171,7 +171,9 @@
             gevent.sleep(SWEEP_S)
             now = self._clock.now()
             for name in self.directory.drop_missing(now):
-                self._journal.note('target.gone', target=name, why='stayed away')
+                self._journal.note(
+                    'target.gone', target=name, why='stayed away'
+                )
             self.directory.close_expired(now)
 
     def _listed(self, items):
--- a/galenaspoke/platform/store.py
+++ b/galenaspoke/platform/store.py
@@ -192,4 +192,6 @@
     try:
         return decoder.decode(bytes(answer.body))
     except msgspec.DecodeError as exc:
-        raise base.StoreUnavailable(f'store: unreadable answer: {exc}') from exc
+        raise base.StoreUnavailable(
+            f'store: unreadable answer: {exc}'
+        ) from exc
--- a/galenaspoke/router/pages.py
+++ b/galenaspoke/router/pages.py
@@ -229,9 +229,7 @@
 
         while True:
             try:
-                store_base.update(
-                    self._store, self._key, ledger.Page, change
-                )
+                store_base.update(self._store, self._key, ledger.Page, change)
                 return
             except store_base.StoreError:
                 gevent.sleep(RETRY_S)
--- /dev/null
+++ b/tests/core/test_catalog.py
@@ -0,0 +1,69 @@
+"""Routes by host and longest prefix, split by weight; accounts by key."""
+
+import unittest
+
+from galenaspoke.core import catalog
+
+
+def route(prefix, **options):
+    """Return a route."""
+    fields = {
+        'name': prefix,
+        'host': 'desk',
+        'prefix': prefix,
+        'kind': catalog.Kind.ONCE,
+        'splits': (('pool', 1.0),),
+        'timeout_ms': 1000,
+        'latency_target_ms': 100,
+        'max_attempts': 1,
+        'priority': 0,
+        'public': False,
+        'resumable': False,
+        'gap_target_ms': 0,
+        **options,
+    }
+    return catalog.Route(**fields)
+
+
+class CatalogTest(unittest.TestCase):
+    """One generation of the configuration."""
+
+    def setUp(self):
+        self.catalog = catalog.Catalog(
+            3,
+            [route('/'), route('/a/'), route('/a/b/')],
+            [],
+            [catalog.Account('desk')],
+            {'k': 'desk'},
+            catalog.Limits(),
+        )
+
+    def matched(self, path, host='desk'):
+        """Return the name of the route that a path selects."""
+        found = self.catalog.match(host, path)
+        return found and found.name
+
+    def test_longest_prefix(self):
+        self.assertEqual('/a/b/', self.matched('/a/b/c'))
+        self.assertEqual('/a/', self.matched('/a/bc'))
+        self.assertEqual('/', self.matched('/ab'))
+        self.assertIsNone(self.matched('/a', host='other'))
+
+    def test_split(self):
+        found = route('/', splits=(('a', 0.9), ('b', 0.1)))
+        self.assertEqual('a', found.service_for(0.89))
+        self.assertEqual('b', found.service_for(0.95))
+        self.assertEqual('b', found.service_for(1.0))
+
+    def test_what_may_be_repeated(self):
+        kind = catalog.Kind
+        self.assertFalse(route('/').repeatable())
+        self.assertTrue(route('/', kind=kind.IDEMPOTENT).repeatable())
+        self.assertFalse(route('/', kind=kind.STREAM).repeatable())
+        self.assertTrue(
+            route('/', kind=kind.STREAM, resumable=True).repeatable()
+        )
+
+    def test_keys(self):
+        self.assertEqual('desk', self.catalog.account_of('k').name)
+        self.assertIsNone(self.catalog.account_of('unknown'))
--- /dev/null
+++ b/tests/edge/base.py
@@ -0,0 +1,91 @@
+"""What the tests of the edge router share."""
+
+import socket as std_socket
+
+from gevent import socket
+
+from galenaspoke.core import clock
+from galenaspoke.core import instances
+from galenaspoke.edge import calls
+from galenaspoke.edge import settings
+from galenaspoke.http import links
+
+
+class Recorder:
+    """Stands for a journal and for metrics; keeps what is noted."""
+
+    def __init__(self):
+        self.lines = []
+
+    def note(self, event, **fields):
+        """Keep a line."""
+        self.lines.append((event, fields))
+
+    plain = note
+
+    def count(self, name, amount=1):
+        """Keep a count."""
+        self.lines.append((name, {'amount': amount}))
+
+    def timing(self, name, ms):
+        """Keep a duration."""
+        self.lines.append((name, {'ms': ms}))
+
+    def events(self):
+        """Return the names of all that was noted."""
+        return [event for event, _ in self.lines]
+
+
+def edge_settings(name='front-a-1', **options):
+    """Return settings of an edge router."""
+    fields = {
+        'domain': 'a',
+        'listen': '127.0.0.1:1',
+        'ready_listen': '127.0.0.1:2',
+        'store': '127.0.0.1:3',
+        'first_start': True,
+        'heartbeat_ms': 1200,
+        'drain_ms': 2000,
+        'grace_ms': 8000,
+        'config_apply_ms': 2000,
+        'retry_ratio': 0.2,
+        'retry_window_ms': 10_000,
+        'retry_slack': 50,
+        **options,
+    }
+    return settings.EdgeSettings(name=name, **fields)
+
+
+def target_entry(name, port=1, **options):
+    """Return a target's entry."""
+    fields = {
+        'born': 1,
+        'host': '127.0.0.1',
+        'service': 'pool',
+        'domain': 'a',
+        'slots': 6,
+        'leaving': False,
+        **options,
+    }
+    return instances.TargetEntry(id=name, port=port, **fields)
+
+
+def model_call(shared='aa', own=100, shared_tokens=1000):
+    """Return a call with one shared part and one of its own."""
+    return calls.Call(
+        request_id='9c41',
+        input_tokens=shared_tokens + own,
+        output_tokens=60,
+        parts=((shared, shared_tokens), ('own', own)),
+    )
+
+
+def link_pair():
+    """Return a Link and the socket at its other end."""
+    near, far = socket.socketpair(std_socket.AF_UNIX, std_socket.SOCK_STREAM)
+    return links.Link(near), far
+
+
+def manual_clock():
+    """Return a clock that a test moves."""
+    return clock.ManualClock(1_000_000)
--- /dev/null
+++ b/tests/edge/test_hot_engine.py
@@ -0,0 +1,119 @@
+"""One engine that is slower, fuller or sicker than the others."""
+
+import unittest
+
+from galenaspoke.edge import health
+from galenaspoke.edge import placement
+from galenaspoke.edge import targets
+from tests.edge import base
+
+NOW = 1_000_000
+
+
+def pool(count=4, **options):
+    """Return some targets."""
+    return [
+        targets.Target(base.target_entry(f'i-{number}', **options))
+        for number in range(count)
+    ]
+
+
+class SharedPromptTest(unittest.TestCase):
+    """Requests that share the front of a prompt."""
+
+    def setUp(self):
+        self.pool = pool()
+        self.call = base.model_call()
+        self.home = placement.order('aa', self.pool)[0]
+
+    def chosen(self):
+        """Return the target of one more request."""
+        return placement.choose(self.call, self.pool, NOW, 'a')
+
+    def test_all_routers_choose_alike(self):
+        self.assertIs(self.home, self.chosen())
+        names = [
+            target.entry.id
+            for target in placement.order('aa', reversed(self.pool))
+        ]
+        self.assertEqual(self.home.entry.id, names[0])
+
+    def test_prompts_are_spread(self):
+        homes = {
+            placement.order(f'{number}', self.pool)[0].entry.id
+            for number in range(50)
+        }
+        self.assertEqual(4, len(homes))
+
+    def test_stays_while_the_wait_is_borne(self):
+        self.home.pressure.begin('x', NOW - 100, self.call)
+        self.assertIs(self.home, self.chosen())
+
+    def test_leaves_an_engine_that_keeps_others_waiting(self):
+        self.home.pressure.begin('x', NOW - 900, self.call)
+        self.assertIsNot(self.home, self.chosen())
+
+    def test_leaves_an_engine_whose_last_answers_were_late(self):
+        self.home.pressure.begin('x', NOW - 2000, self.call)
+        self.home.pressure.first_event('x', NOW)
+        self.assertIsNot(self.home, self.chosen())
+        self.assertIs(
+            self.home,
+            placement.choose(self.call, self.pool, NOW + 5000, 'a'),
+        )
+
+    def test_stays_if_all_are_as_late(self):
+        for target in self.pool:
+            target.pressure.begin('x', NOW - 900, self.call)
+        self.assertIs(self.home, self.chosen())
+
+    def test_parts_that_were_sent_need_no_reading(self):
+        pressure = self.home.pressure
+        self.assertEqual(1100, pressure.unread(self.call, NOW))
+        pressure.begin('x', NOW, self.call)
+        self.assertEqual(100, pressure.unread(self.call, NOW))
+
+
+class ApplicationTest(unittest.TestCase):
+    """Requests that share nothing."""
+
+    def test_least_loaded_for_its_slots(self):
+        found = pool(2)
+        found[0].in_flight = 1
+        call = base.model_call()
+        call = type(call)(request_id='1')
+        self.assertIs(found[1], placement.choose(call, found, NOW, 'a'))
+
+
+class HealthTest(unittest.TestCase):
+    """Targets that fail get a rest, and another chance."""
+
+    def test_two_failures_in_a_row(self):
+        found = health.Health()
+        self.assertFalse(found.failed(NOW))
+        self.assertTrue(found.failed(NOW))
+        self.assertFalse(found.usable(NOW))
+        self.assertTrue(found.usable(NOW + health.FIRST_REST_MS))
+
+    def test_each_rest_is_longer_up_to_a_bound(self):
+        found = health.Health()
+        now = NOW
+        rests = []
+        for _ in range(6):
+            found.failed(now, certain=True)
+            rests.append(found.rest_until - now)
+            now = found.rest_until
+        self.assertEqual(sorted(rests), rests)
+        self.assertEqual(health.LONGEST_REST_MS, rests[-1])
+
+    def test_success_forgives(self):
+        found = health.Health()
+        found.failed(NOW)
+        found.succeeded()
+        self.assertFalse(found.failed(NOW))
+
+    def test_none_is_left(self):
+        found = pool(2)
+        for target in found:
+            target.health.failed(NOW, certain=True)
+        self.assertEqual(found, placement.usable(found, NOW))
--- a/tests/spec/test_specs.py
+++ b/tests/spec/test_specs.py
@@ -6,10 +6,11 @@
 
 from spec import joining
 from spec import money
+from spec import restarts
 from spec import topups
 from spec import vouching
 
-MODULES = (joining, money, topups, vouching)
+MODULES = (joining, money, restarts, topups, vouching)
 
 
 def _broken(protocol):
