--- a/spec/restarts.py
+++ b/spec/restarts.py
@@ -31,8 +31,8 @@
 # `used_a`, `used_b`: really spent.  `lent`: what B may spend of A's.  `grant_b`: B's own grant.
 State = collections.namedtuple(
     'State',
-    'granted reported mine sent used_a lent used_lent grant_b used_b'
-    ' settled doubt alive',
+    'granted reported mine sent used_a lent used_lent grant_b used_b settled'
+    ' doubt alive',
 )
 INITIAL = State(0, 0, 0, -1, 0, 0, 0, 0, 0, 0, 0, 1)
 
