--- a/galenaspoke/edge/course.py
+++ b/galenaspoke/edge/course.py
@@ -21,6 +21,7 @@
         'events',
         'tried',
         'charged',
+        'fingerprint',
     )
 
     def __init__(self, req, call, route, account):
@@ -46,6 +47,8 @@
         self.tried = []
         # What it took of its account's budget in the end, in tokens.
         self.charged = 0
+        # What it has in common with the same request sent again.
+        self.fingerprint = ''
 
     def left_ms(self, now):
         """Return the time that is left for an answer."""
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -6,15 +6,18 @@
 
 import click
 import gevent
+from gevent import event
 from gevent import pywsgi
 from gevent import server as gevent_server
 from gevent import socket
 
 from galenaspoke.core import clock as clocks
 from galenaspoke.edge import callers
+from galenaspoke.edge import following
 from galenaspoke.edge import journal as journals
 from galenaspoke.edge import lending
 from galenaspoke.edge import metrics as edge_metrics
+from galenaspoke.edge import poison
 from galenaspoke.edge import purse as purses
 from galenaspoke.edge import retries
 from galenaspoke.edge import second_path
@@ -50,7 +53,8 @@
         self.metrics = edge_metrics.Metrics()
         self.journal = journals.Journal(self.clock)
         self._metrics_port = metrics_port
-        self._stopping = gevent.event.Event()
+        self._stopping = event.Event()
+        self.containment = poison.Containment(self.clock)
         self._connections = set()
         self._paths = store_paths.Paths(
             cfg.store,
@@ -71,6 +75,16 @@
             targets,
             lambda: self.config.catalog.services,
             gone,
+            self.containment.went_down,
+        )
+        self._suspects = following.Follower(
+            poison.KIND,
+            store,
+            self.clock,
+            self.journal,
+            lambda items: [self._hear(item) for item in items],
+            lambda change: self._hear(change.item),
+            gone,
         )
         self.purse = purses.Purse(
             cfg,
@@ -87,6 +101,7 @@
             self.targets,
             self.purse,
             retries.RetryBudget(cfg, self.clock, self.purse.routers),
+            self.containment,
             headers,
             self.clock,
             self.metrics,
@@ -101,6 +116,14 @@
         gevent.spawn(self.config.follower.run)
         gevent.spawn(self.targets.follower.run)
         gevent.spawn(self.targets.sweep)
+        gevent.spawn(self._suspects.run)
+        gevent.spawn(
+            poison.publish,
+            self.cfg.name,
+            self._store,
+            self.containment,
+            self.journal,
+        )
         self.purse.start()
         host, port = edge_settings.split_address(self.cfg.listen)
         listener = _listen(host, port)
@@ -113,6 +136,10 @@
             self._serve_peers()
         self.journal.note('start', name=self.cfg.name, listen=self.cfg.listen)
 
+    def _hear(self, item):
+        if not item.key.endswith(f'/{self.cfg.name}'):
+            poison.hear(self.containment, item)
+
     def _serve_peers(self):
         relay = store_paths.relay(self._paths)
         lend = lending.application(self.purse.lend)
--- a/galenaspoke/edge/service.py
+++ b/galenaspoke/edge/service.py
@@ -15,6 +15,7 @@
 from galenaspoke.edge import course as courses
 from galenaspoke.edge import outcomes
 from galenaspoke.edge import placement
+from galenaspoke.edge import poison
 from galenaspoke.edge import purse as purses
 from galenaspoke.edge import relay
 from galenaspoke.http import messages
@@ -35,6 +36,7 @@
 RETRY_SOON_MS = (150, 450)
 RETRY_MONEY_MS = (800, 1_600)
 RETRY_STALE_MS = (500, 1_200)
+RETRY_POISON_MS = (20_000, 30_000)
 
 
 class _TimeUp(Exception):
@@ -52,6 +54,7 @@
         '_targets',
         '_purse',
         '_retries',
+        '_containment',
         '_dialect',
         '_clock',
         '_metrics',
@@ -65,6 +68,7 @@
         targets,
         purse,
         retries,
+        containment,
         dialect,
         clock,
         metrics,
@@ -79,6 +83,7 @@
         self._targets = targets
         self._purse = purse
         self._retries = retries
+        self._containment = containment
         self._dialect = dialect
         self._clock = clock
         self._metrics = metrics
@@ -134,6 +139,16 @@
             if isinstance(account, outcomes.Refusal):
                 return account
         course = courses.Course(req, call, route, account)
+        course.fingerprint = poison.fingerprint(
+            req, account.name if account else ''
+        )
+        if self._containment.refused(course.fingerprint):
+            return outcomes.Refusal(
+                503,
+                outcomes.Reason.POISON,
+                'the targets that ran it went down',
+                _spread(RETRY_POISON_MS),
+            )
         course.service = route.service_for(_point(call))
         return course
 
@@ -299,16 +314,22 @@
         rests = False
         if isinstance(outcome, outcomes.Served):
             target.health.succeeded()
+            self._containment.answered(course.fingerprint)
             return
         if isinstance(outcome, outcomes.NotRun):
             if outcome.misdirected:
                 self._targets.misdirected(target)
             elif not outcome.reached:
                 rests = target.health.failed(now, True)
+                self._containment.went_down(target.entry.identity())
             why = outcome.why
         elif isinstance(outcome, outcomes.Unknown):
             rests = target.health.failed(now)
             why = outcome.why
+            if not outcome.late:
+                self._containment.cut_off(
+                    course.fingerprint, target.entry.identity()
+                )
         else:
             target.health.succeeded()
             why = f'status {outcome.answer.status}'
--- a/galenaspoke/edge/views.py
+++ b/galenaspoke/edge/views.py
@@ -129,10 +129,15 @@
         '_journal',
         '_services',
         '_items',
+        '_went_down',
     )
 
-    def __init__(self, store, clock, journal, entries, services, gone):
+    def __init__(
+        self, store, clock, journal, entries, services, gone, went_down
+    ):
         self.directory = edge_targets.Directory()
+        # Is told the identity of a target that went without having left.
+        self._went_down = went_down
         self._decode = entries.decode
         self._clock = clock
         self._journal = journal
@@ -162,6 +167,7 @@
         """
         name = target.entry.id
         if self.directory.get(name) is target:
+            self._went_down(target.entry.identity())
             self.directory.remove(name)
             self._journal.note('target.gone', target=name, why='misdirected')
 
@@ -202,7 +208,11 @@
         if entry is None:
             # Some other writer's: it says nothing of a target known before.
             self._journal.note('target.unreadable', target=name)
-        elif self.directory.put(entry):
+            return
+        known = self.directory.get(name)
+        if known and known.entry.identity() != entry.identity():
+            self._went_down(known.entry.identity())
+        if self.directory.put(entry):
             self._journal.note(
                 'target.leaving' if entry.leaving else 'target.ready',
                 target=name,
@@ -220,6 +230,8 @@
         if back is not None and now - back < RETURN_MS:
             self.directory.miss(name, back + BACK_MS)
             return
+        if not target.entry.leaving:
+            self._went_down(target.entry.identity())
         self.directory.remove(name)
         self._journal.note('target.gone', target=name, why='entry removed')
 
--- a/tests/edge/test_store_outage.py
+++ b/tests/edge/test_store_outage.py
@@ -75,6 +75,7 @@
         self.clock = base.manual_clock()
         self.journal = base.Recorder()
         self.store = None
+        self.down = []
 
     def view(self, *answers):
         """Return a view after the store has given some answers."""
@@ -86,6 +87,7 @@
             targets,
             lambda: SERVICES,
             platform_store.HistoryGone,
+            self.down.append,
         )
         gevent.spawn(view.follower.run).join()
         return view
@@ -163,6 +165,7 @@
             (6, [platform_store.Change(entry('i-1', born=9), False)]),
         )
         self.assertEqual(9, view.directory.get('i-1').entry.born)
+        self.assertEqual([('i-1', 5)], self.down)
 
     def test_unreadable_entry_leaves_the_known_target(self):
         torn = store_base.Item('servers/i-1', 2, msgspec.Raw(b'{"Addr":7}'))
