--- a/galenaspoke/edge/callers.py
+++ b/galenaspoke/edge/callers.py
@@ -151,10 +151,22 @@
         except OSError as exc:
             raise CallerGone(f'send: {exc}') from exc
 
-    def shut(self):
-        """Let a caller that waits for its next turn find the end."""
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RD)
+    def shut_if_idle(self):
+        """End the connection, unless a request of it is here already."""
+        if self.idle() and self._nothing_came():
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RD)
+
+    def _nothing_came(self):
+        """Tell whether no byte waits to be read."""
+        flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
+        try:
+            self._sock._sock.recv(1, flags)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
 
     def close(self):
         """End the connection."""
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -39,6 +39,9 @@
 BACKLOG = 1024
 # A balancer needs so long to see that this router isn't ready.
 UNREADY_MS = 2_500
+# Requests that may outlast the process are taken for so long after it was told
+# to stop.
+TAKE_MS = 2_800
 # So long before the end of its grace the process gives up what is open.
 GRACE_MARGIN_MS = 700
 STOP_POLL_S = 0.05
@@ -203,13 +206,12 @@
         """Finish what is open, give the money back; return the exit code."""
         began = self.clock.now()
         self._stopping.set()
-        self.service.stopping = True
         self.journal.note('stop', open=self.service.open)
         until = began + self.cfg.grace_ms - GRACE_MARGIN_MS
+        self.service.stop_by(began + TAKE_MS, until)
         self._wait(began + UNREADY_MS, lambda: False)
         for caller in list(self._connections):
-            if caller.idle():
-                caller.shut()
+            caller.shut_if_idle()
         self._wait(until, lambda: not self._connections)
         self._server.stop_accepting()
         self.purse.close()
--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -15,6 +15,7 @@
     BUDGET_EXHAUSTED = 'budget_exhausted'
     BUDGET_ELSEWHERE = 'budget_elsewhere'
     DEADLINE = 'deadline'
+    LEAVING = 'leaving'
     NO_CONFIGURATION = 'no_configuration'
     NO_TARGET = 'no_target'
     OVERLOAD = 'overload'
--- a/galenaspoke/edge/service.py
+++ b/galenaspoke/edge/service.py
@@ -49,6 +49,8 @@
     __slots__ = (
         'open',
         'stopping',
+        '_take_until',
+        '_ends_at',
         '_cfg',
         '_config',
         '_targets',
@@ -78,6 +80,10 @@
         self.open = 0
         # The process is about to stop: connections end with their request.
         self.stopping = False
+        # Until when any request is taken; after that, only one that is over
+        # before the process ends.
+        self._take_until = None
+        self._ends_at = None
         self._cfg = cfg
         self._config = config
         self._targets = targets
@@ -89,6 +95,20 @@
         self._metrics = metrics
         self._journal = journal
 
+    def stop_by(self, take_until, ends_at):
+        """Note that the process stops, and by when."""
+        self.stopping = True
+        self._take_until = take_until
+        self._ends_at = ends_at
+
+    def _too_late(self, course):
+        """Tell whether a request may outlast a process that stops."""
+        return (
+            self.stopping
+            and course.arrived > self._take_until
+            and course.deadline > self._ends_at
+        )
+
     def serve(self, req, caller):
         """Answer one request; return only when it is answered or given up."""
         self.open += 1
@@ -142,6 +162,12 @@
         course.fingerprint = poison.fingerprint(
             req, account.name if account else ''
         )
+        if self._too_late(course):
+            return outcomes.Refusal(
+                503,
+                outcomes.Reason.LEAVING,
+                retry_after_ms=_spread(RETRY_SOON_MS),
+            )
         if self._containment.refused(course.fingerprint):
             return outcomes.Refusal(
                 503,
--- a/tests/edge/test_rolling_stop.py
+++ b/tests/edge/test_rolling_stop.py
@@ -39,10 +39,18 @@
         self.assertFalse(self.caller.idle())
 
     def test_idle_one_finds_the_end(self):
-        self.caller.shut()
+        self.caller.shut_if_idle()
         with self.assertRaises(callers.CallerGone):
             self.caller.next_request(self.limits)
 
+    def test_request_that_was_not_read_yet_is_answered(self):
+        self.far.sendall(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+        gevent.sleep(0.01)
+        self.caller.shut_if_idle()
+        self.caller.next_request(self.limits)
+        with self.caller.attended():
+            gevent.sleep(0.01)
+
     def test_caller_that_leaves_is_noticed(self):
         self.far.sendall(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
         self.caller.next_request(self.limits)
