--- a/spec/restarts.py
+++ b/spec/restarts.py
@@ -28,7 +28,8 @@
 # `granted`, `reported`: A's grant in the store, and what it said it spent.
 # `mine`: what A believes it may spend in all.  `sent`: a draw on its way (-1:
 # none, 0: the page is as it was read, 1: it has been written since).
-# `used_a`, `used_b`: really spent.  `lent`: what B may spend of A's.  `grant_b`: B's own grant.
+# `used_a`, `used_b`: really spent.  `lent`: what B may spend of A's.
+# `grant_b`: B's own grant.
 State = collections.namedtuple(
     'State',
     'granted reported mine sent used_a lent used_lent grant_b used_b settled'
