--- a/galenaspoke/edge/callers.py
+++ b/galenaspoke/edge/callers.py
@@ -1,7 +1,6 @@
 """A caller's connection: requests in, answers out, and its leaving."""
 
 import contextlib
-import socket as std_socket
 
 import gevent
 from gevent import socket
@@ -103,14 +102,13 @@
         watcher = gevent.get_hub().loop.io(self._sock.fileno(), _READ)
 
         def look():
-            flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
             try:
-                left = not self._sock._sock.recv(1, flags)
+                left = not links.peek(self._sock)
             except BlockingIOError:
                 return
             except OSError:
                 left = True
-            # The next request is already here: it is read when its turn is.
+            # Else the next request is here: it is read when its turn is.
             watcher.stop()
             if left:
                 task.kill(CallerGone('closed'), block=False)
@@ -153,21 +151,10 @@
 
     def shut_if_idle(self):
         """End the connection, unless a request of it is here already."""
-        if self.idle() and self._nothing_came():
+        if self.idle() and links.nothing_came(self._sock):
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RD)
 
-    def _nothing_came(self):
-        """Tell whether no byte waits to be read."""
-        flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
-        try:
-            self._sock._sock.recv(1, flags)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False
-
     def close(self):
         """End the connection."""
         self._sock.close()
--- a/galenaspoke/edge/lending.py
+++ b/galenaspoke/edge/lending.py
@@ -95,3 +95,17 @@
         return [body]
 
     return serve
+
+
+def lenders(page, budget, own):
+    """Return the addresses of those that hold a budget, most first."""
+    entry = page.entries.get(budget)
+    grants_held = entry.grants if entry else {}
+
+    def unspent(holder):
+        grant = grants_held.get(holder)
+        return grant.granted - grant.spent if grant else 0
+
+    holders = [name for name in page.contacts if name != own]
+    holders.sort(key=unspent, reverse=True)
+    return [page.contacts[name] for name in holders]
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -12,6 +12,7 @@
 from gevent import socket
 
 from galenaspoke.core import clock as clocks
+from galenaspoke.edge import admission
 from galenaspoke.edge import callers
 from galenaspoke.edge import following
 from galenaspoke.edge import journal as journals
@@ -98,8 +99,12 @@
             lambda: self.config.catalog,
             lending.Lending(),
         )
+        self.admission = admission.Admission(
+            self.config, self.containment, headers
+        )
         self.service = services.Service(
             cfg,
+            self.admission,
             self.config,
             self.targets,
             self.purse,
@@ -208,7 +213,7 @@
         self._stopping.set()
         self.journal.note('stop', open=self.service.open)
         until = began + self.cfg.grace_ms - GRACE_MARGIN_MS
-        self.service.stop_by(began + TAKE_MS, until)
+        self.admission.stop_by(began + TAKE_MS, until)
         self._wait(began + UNREADY_MS, lambda: False)
         for caller in list(self._connections):
             caller.shut_if_idle()
--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import random
 
 
 class Reason(enum.Enum):
@@ -75,3 +76,8 @@
 
     why: str
     late: bool = False
+
+
+def spread(bounds_ms):
+    """Return a time in ms between two, so that callers return apart."""
+    return int(random.uniform(*bounds_ms))
--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -14,8 +14,6 @@
 """
 
 import collections
-import dataclasses
-import enum
 import random
 
 import gevent
@@ -23,6 +21,8 @@
 
 from galenaspoke.core import grants
 from galenaspoke.core import ledger
+from galenaspoke.edge import lending
+from galenaspoke.edge import reservations
 from galenaspoke.router import pages
 from galenaspoke.store import base as store_base
 from galenaspoke.utils import identity
@@ -51,43 +51,6 @@
 LEAST_RETURN = 5_000
 
 
-class Shortage(enum.Enum):
-    """Why there is no money."""
-
-    # Proved: what is left can't cover the request.
-    EXHAUSTED = 'exhausted'
-    # What is left is held by others, or in doubt.
-    HELD_ELSEWHERE = 'held_elsewhere'
-    # The ledger can't be asked.
-    UNREACHABLE = 'unreachable'
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class NoMoney:
-    """Why a reservation failed, with the figures that decided."""
-
-    shortage: Shortage
-    detail: str
-
-
-class Reservation:
-    """Tokens set aside for one request."""
-
-    __slots__ = ('amount', '_book', '_budget', '_open')
-
-    def __init__(self, book, budget, amount):
-        self.amount = amount
-        self._book = book
-        self._budget = budget
-        self._open = True
-
-    def settle(self, spent):
-        """End the reservation; does nothing the second time."""
-        if self._open:
-            self._open = False
-            self._book.settle(self._budget, self.amount, spent)
-
-
 class Purse:
     """The grants of one router."""
 
@@ -160,16 +123,16 @@
         """Return a Reservation of `amount` tokens, or a NoMoney."""
         self._book.note_demand(budget, amount)
         if self._book.reserve(budget, amount):
-            return Reservation(self._book, budget, amount)
+            return reservations.Reservation(self._book, budget, amount)
         failed = self._draw(budget, amount, wait_ms)
         if not self._book.reserve(budget, amount):
             failed = failed or self._shortage(budget, amount)
-            if failed.shortage is Shortage.EXHAUSTED:
+            if failed.shortage is reservations.Shortage.EXHAUSTED:
                 return failed
             self._borrow(budget, amount)
             if not self._book.reserve(budget, amount):
                 return failed
-        return Reservation(self._book, budget, amount)
+        return reservations.Reservation(self._book, budget, amount)
 
     def _borrow(self, budget, amount):
         """Ask those that hold most of a budget to lend some."""
@@ -179,7 +142,7 @@
         page = self._writer_of(budget).page()
         if page is None:
             return
-        for address in _lenders(page, budget, self.name)[:MOST_LENDERS]:
+        for address in lending.lenders(page, budget, self.name)[:MOST_LENDERS]:
             need = amount - held.available()
             if need <= 0:
                 return
@@ -207,9 +170,13 @@
         """Draw for a request that waits; return NoMoney or None."""
         until = self._clock.now() + wait_ms
         if not self._opened[self._key(budget)].wait(wait_ms / 1000):
-            return NoMoney(Shortage.UNREACHABLE, 'not opened yet')
+            return reservations.NoMoney(
+                reservations.Shortage.UNREACHABLE, 'not opened yet'
+            )
         if self._unreachable:
-            return NoMoney(Shortage.UNREACHABLE, 'failed a moment ago')
+            return reservations.NoMoney(
+                reservations.Shortage.UNREACHABLE, 'failed a moment ago'
+            )
         held = self._book.held(budget)
         held.waiting += amount
         try:
@@ -225,14 +192,18 @@
                 if held.available() >= amount:
                     break
         except gevent.Timeout:
-            return NoMoney(Shortage.UNREACHABLE, f'silent for {wait_ms} ms')
+            return reservations.NoMoney(
+                reservations.Shortage.UNREACHABLE, f'silent for {wait_ms} ms'
+            )
         except (
             store_base.StoreError,
             pages.Undecided,
             pages.HolderSealed,
         ) as exc:
             self._unreachable = True
-            return NoMoney(Shortage.UNREACHABLE, str(exc))
+            return reservations.NoMoney(
+                reservations.Shortage.UNREACHABLE, str(exc)
+            )
         finally:
             held.waiting -= amount
         return None
@@ -311,23 +282,8 @@
         """Tell why a draw brought too little."""
         page = self._writer_of(budget).page()
         entry = page.entries.get(budget) if page else None
-        if entry is None:
-            return NoMoney(Shortage.UNREACHABLE, 'the page is not known')
-        spent = entry.settled
-        for holder, grant in entry.grants.items():
-            if holder == self.name:
-                spent += self._book.held(budget).own_spent()
-            else:
-                spent += grant.spent
-        limit = min(entry.limit, entry.wanted)
-        detail = (
-            f'{spent} of {limit} tokens spent, {entry.in_doubt()} in doubt,'
-            f' {entry.free()} free, {self._book.available(budget)} held here,'
-            f' {amount} needed'
-        )
-        if limit - spent < amount:
-            return NoMoney(Shortage.EXHAUSTED, detail)
-        return NoMoney(Shortage.HELD_ELSEWHERE, detail)
+        held = self._book.held(budget)
+        return reservations.shortage(entry, self.name, held, amount)
 
     def follow(self):
         """Give back at once what a lowered limit no longer covers."""
@@ -470,17 +426,3 @@
                 'available': held.available(),
             }
         return {'holder': self.name, 'budgets': budgets}
-
-
-def _lenders(page, budget, own):
-    """Return the addresses of those that hold a budget, most first."""
-    entry = page.entries.get(budget)
-    grants_held = entry.grants if entry else {}
-
-    def unspent(holder):
-        grant = grants_held.get(holder)
-        return grant.granted - grant.spent if grant else 0
-
-    holders = [name for name in page.contacts if name != own]
-    holders.sort(key=unspent, reverse=True)
-    return [page.contacts[name] for name in holders]
--- /dev/null
+++ b/galenaspoke/edge/reservations.py
@@ -0,0 +1,66 @@
+"""What came of asking for prepaid money."""
+
+import dataclasses
+import enum
+
+
+class Shortage(enum.Enum):
+    """Why there is no money."""
+
+    # Proved: what is left can't cover the request.
+    EXHAUSTED = 'exhausted'
+    # What is left is held by others, or in doubt.
+    HELD_ELSEWHERE = 'held_elsewhere'
+    # The ledger can't be asked.
+    UNREACHABLE = 'unreachable'
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NoMoney:
+    """Why a reservation failed, with the figures that decided."""
+
+    shortage: Shortage
+    detail: str
+
+
+class Reservation:
+    """Tokens set aside for one request."""
+
+    __slots__ = ('amount', '_book', '_budget', '_open')
+
+    def __init__(self, book, budget, amount):
+        self.amount = amount
+        self._book = book
+        self._budget = budget
+        self._open = True
+
+    def settle(self, spent):
+        """End the reservation; does nothing the second time."""
+        if self._open:
+            self._open = False
+            self._book.settle(self._budget, self.amount, spent)
+
+
+def shortage(entry, own, held, amount):
+    """Return the NoMoney for a budget that brought too little.
+
+    `entry` is the ledger's as it was last seen, None if it wasn't; `own` is
+    this router's holder and `held` what it has.
+    """
+    if entry is None:
+        return NoMoney(Shortage.UNREACHABLE, 'the page is not known')
+    others = sum(
+        grant.spent for name, grant in entry.grants.items() if name != own
+    )
+    spent = entry.settled + others
+    if own in entry.grants:
+        spent += held.own_spent()
+    limit = min(entry.limit, entry.wanted)
+    detail = (
+        f'{spent} of {limit} tokens spent, {entry.in_doubt()} in doubt,'
+        f' {entry.free()} free, {held.available()} held here,'
+        f' {amount} needed'
+    )
+    if limit - spent < amount:
+        return NoMoney(Shortage.EXHAUSTED, detail)
+    return NoMoney(Shortage.HELD_ELSEWHERE, detail)
--- a/galenaspoke/edge/service.py
+++ b/galenaspoke/edge/service.py
@@ -5,19 +5,17 @@
 run and when to come back.
 """
 
-import random
-
 import gevent
 import msgspec
 
 from galenaspoke.core import catalog
+from galenaspoke.edge import admission
 from galenaspoke.edge import callers
 from galenaspoke.edge import course as courses
 from galenaspoke.edge import outcomes
 from galenaspoke.edge import placement
-from galenaspoke.edge import poison
-from galenaspoke.edge import purse as purses
 from galenaspoke.edge import relay
+from galenaspoke.edge import reservations
 from galenaspoke.http import messages
 
 # How long a request may wait for money to be drawn, and which part of its
@@ -32,11 +30,8 @@
 PATIENCE_TARGETS = 2.5
 # A stream that may be resumed leaves a target that is silent for so long.
 STREAM_PATIENCE_MS = 1_500
-# Callers that are refused come back spread over this time.
-RETRY_SOON_MS = (150, 450)
+# Callers that find no money come back spread over this time.
 RETRY_MONEY_MS = (800, 1_600)
-RETRY_STALE_MS = (500, 1_200)
-RETRY_POISON_MS = (20_000, 30_000)
 
 
 class _TimeUp(Exception):
@@ -48,10 +43,8 @@
 
     __slots__ = (
         'open',
-        'stopping',
-        '_take_until',
-        '_ends_at',
         '_cfg',
+        '_admission',
         '_config',
         '_targets',
         '_purse',
@@ -66,6 +59,7 @@
     def __init__(
         self,
         cfg,
+        admitting,
         config,
         targets,
         purse,
@@ -78,13 +72,8 @@
     ):
         # How many requests are being served.
         self.open = 0
-        # The process is about to stop: connections end with their request.
-        self.stopping = False
-        # Until when any request is taken; after that, only one that is over
-        # before the process ends.
-        self._take_until = None
-        self._ends_at = None
         self._cfg = cfg
+        self._admission = admitting
         self._config = config
         self._targets = targets
         self._purse = purse
@@ -95,25 +84,11 @@
         self._metrics = metrics
         self._journal = journal
 
-    def stop_by(self, take_until, ends_at):
-        """Note that the process stops, and by when."""
-        self.stopping = True
-        self._take_until = take_until
-        self._ends_at = ends_at
-
-    def _too_late(self, course):
-        """Tell whether a request may outlast a process that stops."""
-        return (
-            self.stopping
-            and course.arrived > self._take_until
-            and course.deadline > self._ends_at
-        )
-
     def serve(self, req, caller):
         """Answer one request; return only when it is answered or given up."""
         self.open += 1
         caller.serving = True
-        caller.keep = req.keep_alive and not self.stopping
+        caller.keep = req.keep_alive and not self._admission.stopping
         try:
             with caller.attended():
                 self._serve(req, caller)
@@ -124,7 +99,7 @@
     def _serve(self, req, caller):
         course = None
         try:
-            found = self._admit(req)
+            found = self._admission.admit(req)
             if isinstance(found, courses.Course):
                 course = found
                 found = self._run(course, caller)
@@ -135,82 +110,10 @@
         except callers.CallerGone:
             self._note_gone(req, course)
             raise
-        if self.stopping:
+        if self._admission.stopping:
             caller.keep = False
         self._conclude(req, course, caller, found)
 
-    # Admission.
-
-    def _admit(self, req):
-        """Return the request's Course, or a Refusal."""
-        if not self._config.known():
-            return outcomes.Refusal(
-                503,
-                outcomes.Reason.NO_CONFIGURATION,
-                retry_after_ms=_spread(RETRY_STALE_MS),
-            )
-        call = self._dialect.read_call(req)
-        route = self._route(req)
-        if isinstance(route, outcomes.Refusal):
-            return route
-        account = None
-        if self._config.catalog.keyed and not route.public:
-            account = self._account(call)
-            if isinstance(account, outcomes.Refusal):
-                return account
-        course = courses.Course(req, call, route, account)
-        course.fingerprint = poison.fingerprint(
-            req, account.name if account else ''
-        )
-        if self._too_late(course):
-            return outcomes.Refusal(
-                503,
-                outcomes.Reason.LEAVING,
-                retry_after_ms=_spread(RETRY_SOON_MS),
-            )
-        if self._containment.refused(course.fingerprint):
-            return outcomes.Refusal(
-                503,
-                outcomes.Reason.POISON,
-                'the targets that ran it went down',
-                _spread(RETRY_POISON_MS),
-            )
-        course.service = route.service_for(_point(call))
-        return course
-
-    def _route(self, req):
-        host = req.header(b'host').lower().rpartition(':')
-        host = host[0] if host[1] and host[2].isdecimal() else ''.join(host)
-        path = req.path
-        route = self._config.catalog.match(host, path)
-        if route is not None:
-            return route
-        if not self._config.confirm():
-            return self._stale('no route is known')
-        route = self._config.catalog.match(host, path)
-        return route or outcomes.Refusal(
-            404, outcomes.Reason.UNKNOWN_ROUTE, f'{host}{path}'
-        )
-
-    def _account(self, call):
-        account = self._config.catalog.account_of(call.key)
-        if account is not None:
-            return account
-        if call.key and not self._config.confirm():
-            return self._stale('the key is not known')
-        account = self._config.catalog.account_of(call.key)
-        return account or outcomes.Refusal(
-            401, outcomes.Reason.UNKNOWN_KEY, 'no account holds this key'
-        )
-
-    def _stale(self, detail):
-        return outcomes.Refusal(
-            503,
-            outcomes.Reason.VIEW_STALE,
-            f'{detail}, and the configuration may have changed',
-            _spread(RETRY_STALE_MS),
-        )
-
     # Money.
 
     def _run(self, course, caller):
@@ -240,10 +143,10 @@
         left_ms = course.left_ms(self._clock.now())
         wait_ms = min(DRAW_WAIT_MS, DRAW_WAIT_SHARE * left_ms)
         held = self._purse.reserve(account.name, amount, wait_ms)
-        if not isinstance(held, purses.NoMoney):
+        if not isinstance(held, reservations.NoMoney):
             return held
         self._metrics.count(f'refused.{held.shortage.value}')
-        if held.shortage is purses.Shortage.EXHAUSTED:
+        if held.shortage is reservations.Shortage.EXHAUSTED:
             return outcomes.Refusal(
                 402, outcomes.Reason.BUDGET_EXHAUSTED, held.detail
             )
@@ -251,7 +154,7 @@
             503,
             outcomes.Reason.BUDGET_ELSEWHERE,
             held.detail,
-            _spread(RETRY_MONEY_MS),
+            outcomes.spread(RETRY_MONEY_MS),
         )
 
     def _event_tokens(self, course):
@@ -388,13 +291,13 @@
             return outcomes.Refusal(
                 503,
                 outcomes.Reason.NO_TARGET,
-                retry_after_ms=_spread(RETRY_SOON_MS),
+                retry_after_ms=outcomes.spread(admission.RETRY_SOON_MS),
             )
         return outcomes.Refusal(
             503,
             outcomes.Reason.OVERLOAD,
             outcome.why,
-            outcome.retry_after_ms or _spread(RETRY_SOON_MS),
+            outcome.retry_after_ms or outcomes.spread(admission.RETRY_SOON_MS),
         )
 
     def _time_up(self, course, caller):
@@ -403,7 +306,7 @@
         return outcomes.Refusal(
             503,
             outcomes.Reason.DEADLINE,
-            retry_after_ms=_spread(RETRY_SOON_MS),
+            retry_after_ms=outcomes.spread(admission.RETRY_SOON_MS),
         )
 
     def _conclude(self, req, course, caller, found):
@@ -478,12 +381,3 @@
             account=course.account.name if course and course.account else None,
             ms=self._clock.now() - req.arrived,
         )
-
-
-def _spread(bounds_ms):
-    return int(random.uniform(*bounds_ms))
-
-
-def _point(call):
-    """Return where in a split route a request falls, from 0 to 1."""
-    return random.random()
--- a/galenaspoke/http/links.py
+++ b/galenaspoke/http/links.py
@@ -135,14 +135,7 @@
 
     def quiet(self):
         """Tell whether an idle connection is still open, with no bytes."""
-        flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
-        try:
-            self._sock._sock.recv(1, flags)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False
+        return nothing_came(self._sock)
 
     def interrupt(self):
         """Let whoever waits for the peer find the connection broken."""
@@ -167,6 +160,26 @@
     return Link(sock)
 
 
+def peek(sock):
+    """Return the next byte of a gevent socket without taking it.
+
+    Returns b'' at the end, and raises BlockingIOError if nothing has come.
+    """
+    flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
+    return sock._sock.recv(1, flags)
+
+
+def nothing_came(sock):
+    """Tell whether a socket is open and has no bytes to read."""
+    try:
+        peek(sock)
+    except BlockingIOError:
+        return True
+    except OSError:
+        pass
+    return False
+
+
 def watch_over(sock):
     """Send small packets at once, and notice a peer that went silent."""
     tcp = std_socket.IPPROTO_TCP
--- a/tests/edge/test_admission.py
+++ b/tests/edge/test_admission.py
@@ -1,12 +1,11 @@
 """Which requests are taken: unknown keys, stale views, a router that stops."""
 
-import types
 import unittest
 
 from galenaspoke.core import catalog
+from galenaspoke.edge import admission
 from galenaspoke.edge import outcomes
 from galenaspoke.edge import poison
-from galenaspoke.edge import service
 from galenaspoke.http import messages
 from galenaspoke.platform import headers
 from tests.core import test_catalog
@@ -57,21 +56,12 @@
         req.method, req.url = b'GET', path.encode()
         req.headers = [(b'host', b'Desk:80'), (b'api-key', key.encode())]
         req.arrived = self.clock.now()
-        found = service.Service(
-            base.edge_settings(),
-            self.config,
-            types.SimpleNamespace(),
-            None,
-            None,
-            poison.Containment(self.clock),
-            headers,
-            self.clock,
-            base.Recorder(),
-            base.Recorder(),
+        found = admission.Admission(
+            self.config, poison.Containment(self.clock), headers
         )
         if stop:
             found.stop_by(*stop)
-        result = found._admit(req)
+        result = found.admit(req)
         if isinstance(result, outcomes.Refusal):
             return result.status, result.reason
         return None
--- a/tests/edge/test_prepaid_restarts.py
+++ b/tests/edge/test_prepaid_restarts.py
@@ -12,6 +12,7 @@
 from galenaspoke.core import ledger
 from galenaspoke.edge import lending
 from galenaspoke.edge import purse
+from galenaspoke.edge import reservations
 from tests.edge import base
 from tests import fakes
 
@@ -81,7 +82,7 @@
     def serve(self, name, amount, spent):
         """Serve a request; return whether there was money."""
         held = self.purses[name].reserve(BUDGET, amount, WAIT_MS)
-        if isinstance(held, purse.NoMoney):
+        if isinstance(held, reservations.NoMoney):
             return False
         self.spent += spent
         held.settle(spent)
@@ -140,13 +141,13 @@
     def test_exhausted_is_proved(self):
         self.assertTrue(self.fleet.serve('a', 900, 900))
         found = self.fleet.purses['a'].reserve(BUDGET, 200, WAIT_MS)
-        self.assertIs(purse.Shortage.EXHAUSTED, found.shortage)
+        self.assertIs(reservations.Shortage.EXHAUSTED, found.shortage)
 
     def test_doubt_is_no_proof(self):
         self.fleet.serve('a', 900, 900)
         self.fleet.start('a')
         found = self.fleet.purses['a'].reserve(BUDGET, 200, WAIT_MS)
-        self.assertIs(purse.Shortage.HELD_ELSEWHERE, found.shortage)
+        self.assertIs(reservations.Shortage.HELD_ELSEWHERE, found.shortage)
 
     def test_top_up(self):
         self.fleet.serve('a', 900, 900)
@@ -172,7 +173,7 @@
         self.fleet.serve('a', 100, 100)
         self.fleet.store.down = True
         held = self.fleet.purses['a'].reserve(BUDGET, 950, WAIT_MS)
-        self.assertIs(purse.Shortage.UNREACHABLE, held.shortage)
+        self.assertIs(reservations.Shortage.UNREACHABLE, held.shortage)
 
     def test_request_that_joins_a_draw_gets_a_draw_of_its_own(self):
         fleet = Fleet(100_000)
