--- a/galenaspoke/router/pages.py
+++ b/galenaspoke/router/pages.py
@@ -72,6 +72,7 @@
         '_retiring',
         '_cached',
         '_seen',
+        '_decoded',
         '_task',
     )
 
@@ -88,6 +89,8 @@
         # The page as it is if nobody else wrote it, and as it was last seen.
         self._cached = None
         self._seen = None
+        # What was last decoded, and what it came to.
+        self._decoded = None
         self._task = gevent.spawn(self._run)
 
     def submit(self, function, done=_nothing, failed=_nothing):
@@ -98,10 +101,13 @@
         return change
 
     def page(self):
-        """Return the page as last seen, or None."""
+        """Return the page as last seen, or None; it is only to be read."""
         if self._seen is None:
             return None
-        return store_base.decode(self._seen, ledger.Page)
+        if self._decoded is None or self._decoded[0] is not self._seen:
+            page = store_base.decode(self._seen, ledger.Page)
+            self._decoded = (self._seen, page)
+        return self._decoded[1]
 
     def _run(self):
         while True:
