--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -29,11 +29,11 @@
 
 # How long a demand the grants should last.  A cut from the store is ridden
 # out on the second path to it, not on what is held.
-HORIZON_MS = 1_500
+HORIZON_MS = 5_000
 # Of what is left of a budget, the part that all routers together may hold.
 # What is held is lost when all of them die, the rest is not.
-HELD_SHARE = 0.2
-REFILL_MS = (400, 600)
+HELD_SHARE = 0.1
+REFILL_MS = (700, 900)
 RETRY_S = 0.2
 CLOSE_TIMEOUT_S = 1.0
 # A draw that found too little is not repeated before this time.
