--- a/galenaspoke/edge/health.py
+++ b/galenaspoke/edge/health.py
@@ -18,10 +18,6 @@
 LONGEST_REST_MS = 4_000
 # What is remembered of earlier outcomes halves in this many outcomes.
 OUTCOMES_HALF = 4
-# A target that fails so much more often than its peers is taken out.
-EXCESS_SHARE = 0.3
-# How many outcomes a comparison with the peers needs.
-LEAST_OUTCOMES = 4
 
 _KEEP = math.exp(-math.log(2) / OUTCOMES_HALF)
 
@@ -68,13 +64,6 @@
         """Tell whether it may get requests."""
         return now >= self.rest_until
 
-    def worse_than(self, others):
-        """Tell whether it fails clearly more often than its peers do."""
-        if self.outcomes < LEAST_OUTCOMES or not others:
-            return False
-        mean = sum(peer.failure_share for peer in others) / len(others)
-        return self.failure_share - mean > EXCESS_SHARE
-
     def _note(self, failure):
         self.outcomes += 1
         keep = min(_KEEP, 1 - 1 / self.outcomes)
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -132,6 +132,7 @@
             self.containment,
             self.journal,
         )
+        gevent.spawn(poison.forget, self.containment)
         self.purse.start()
         host, port = edge_settings.split_address(self.cfg.listen)
         listener = _listen(host, port)
--- a/galenaspoke/edge/poison.py
+++ b/galenaspoke/edge/poison.py
@@ -31,6 +31,7 @@
 MEMORY_MS = 60_000
 MOST_PUBLISHED = 200
 PUBLISH_S = 0.05
+FORGET_S = 10
 
 
 class Suspicion(msgspec.Struct, frozen=True):
@@ -130,6 +131,13 @@
             gevent.sleep(random.uniform(0.5, 1.0))
 
 
+def forget(containment):
+    """Drop what is too old now and then, for good."""
+    while True:
+        gevent.sleep(FORGET_S)
+        containment.forget_old()
+
+
 def hear(containment, item):
     """Take what another router published."""
     try:
--- a/galenaspoke/edge/service.py
+++ b/galenaspoke/edge/service.py
@@ -361,7 +361,7 @@
                 'generation': self._config.catalog.generation,
             }
         else:
-            fields['id'] = req.header(b'x-request-id')
+            fields['id'] = self._dialect.request_id(req)
         if found is None:
             self._journal.plain('answered', **fields)
             return
--- a/galenaspoke/edge/settings.py
+++ b/galenaspoke/edge/settings.py
@@ -7,10 +7,9 @@
 class EdgeSettings:
     """One edge router's settings.
 
-    Addresses are IP:PORT.  `drain_ms` is how long a leaving target still
-    takes requests, `grace_ms` how long this process has to stop.  All routers
-    together may send `retry_ratio` times the requests of `retry_window_ms`,
-    plus `retry_slack`, once more.  Budgets are spread over `ledger_pages`
+    Addresses are IP:PORT.  `grace_ms` is how long this process has to stop.
+    All routers together may send `retry_ratio` times the requests of
+    `retry_window_ms`, plus `retry_slack`, once more.  Budgets are spread over `ledger_pages`
     objects of the store; the figure can't be changed while any is in use.
     Routers lend money to each other at `peer_listen`, or don't if it's empty.
     """
@@ -20,11 +19,7 @@
     listen: str
     ready_listen: str
     store: str
-    first_start: bool
-    heartbeat_ms: int
-    drain_ms: int
     grace_ms: int
-    config_apply_ms: int
     retry_ratio: float
     retry_window_ms: int
     retry_slack: int
--- a/galenaspoke/edge/targets.py
+++ b/galenaspoke/edge/targets.py
@@ -41,7 +41,6 @@
 
     def give_link(self, link, now, idle_ms):
         """Keep a connection for the next request, or close it."""
-        link.fresh = False
         link.idle_since = now
         link.idle_ms = UNSTATED_IDLE_MS if idle_ms is None else idle_ms
         if self.gone or len(self._idle) >= IDLE_LINKS:
--- a/galenaspoke/http/links.py
+++ b/galenaspoke/http/links.py
@@ -38,12 +38,10 @@
 class Link:
     """One connection to a peer."""
 
-    __slots__ = ('reader', 'fresh', 'idle_since', 'idle_ms', '_sock', '_send')
+    __slots__ = ('reader', 'idle_since', 'idle_ms', '_sock', '_send')
 
     def __init__(self, sock):
         self.reader = messages.AnswerReader()
-        # Whether no request has been answered on it yet.
-        self.fresh = True
         self.idle_since = 0
         # How long the peer keeps it open while idle.
         self.idle_ms = 0
--- a/galenaspoke/platform/headers.py
+++ b/galenaspoke/platform/headers.py
@@ -45,6 +45,11 @@
     )
 
 
+def request_id(req):
+    """Return the id that a request carries, for a line about it."""
+    return req.header(b'x-request-id')
+
+
 def _numbers(text, header):
     if not text:
         return ()
--- a/galenaspoke/platform/settings.py
+++ b/galenaspoke/platform/settings.py
@@ -106,12 +106,7 @@
         listen=reader.address('Listen.Front', optional),
         ready_listen=reader.address('Listen.Ready', optional),
         store=reader.address('Platform.Addr'),
-        first_start=bool(reader.document.get('FirstStart', False)),
-        heartbeat_ms=reader.number('HeartbeatMs', 1200),
-        # The platform calls the time that a leaving target stays DrainMs.
-        drain_ms=reader.number('Bounds.DrainMs', 2000),
         grace_ms=seconds('Bounds.GraceS', 8),
-        config_apply_ms=reader.number('Bounds.ConfigApplyMs', 2000),
         retry_ratio=reader.number('Bounds.RetryRatio', 0.2),
         retry_window_ms=seconds('Bounds.RetryWindowS', 10),
         retry_slack=reader.number('Bounds.RetrySlack', 0),
