Money: one owner a ledger page draws, the other routers borrow from it

Cause: on the grown sites all budgets stood in one page, and each of nine or ten routers drew for itself.

Ruled out: only spreading the budgets over 64 pages (trial).

Now each page has an owner (whoever needed it first) that draws ahead; others ask it for loans over the routers' own connections. Nothing depends on there being one owner. A silent owner is replaced, one that stops hands the page on, unused loans go back to the process that lent them, and a closed purse neither spends nor lends (it could before). Pages are opened at first use, 4,096 of them, so an instance no longer opens them all at its start. The count of routers that divides the retry slack came from the page; it now has a list of its own (edge/roster.py).

--- a/galenaspoke/core/grants.py
+++ b/galenaspoke/core/grants.py
@@ -119,6 +119,18 @@
         self.settle(budget, amount, amount)
         return True
 
+    def taken_back(self, budget, amount):
+        """Note that a borrower gave back `amount` tokens of a loan."""
+        self.held(budget).spent -= amount
+
+    def give_back_loan(self, budget, most):
+        """Take out what is left of loans, up to `most` tokens."""
+        held = self.held(budget)
+        unused = held.loaned - held.reserved - held.spent - held.doubt
+        amount = max(0, min(held.available(), unused, most))
+        held.loaned -= amount
+        return amount
+
     def reserve(self, budget, amount):
         """Set `amount` tokens aside; return False if there are too few."""
         held = self.held(budget)
--- a/galenaspoke/core/ledger.py
+++ b/galenaspoke/core/ledger.py
@@ -129,12 +129,14 @@
 
     `writers` maps each holder to the number of its last write, by which a
     writer recognises its own write after the answer was lost.  `contacts`
-    maps holders to the address at which they lend to each other.
+    maps holders to the address at which they lend to each other.  `owner` is
+    the holder that the others ask first; nothing depends on it being right.
     """
 
     entries: dict[str, Entry] = {}
     writers: dict[str, int] = {}
     contacts: dict[str, str] = {}
+    owner: str = ''
 
 
 def page_key(budget, pages):
--- a/galenaspoke/edge/lending.py
+++ b/galenaspoke/edge/lending.py
@@ -2,11 +2,14 @@
 
 A router that lends counts the loan as spent, and the borrower spends it
 without telling anybody.  So a loan needs no agreement: when either dies, or
-an answer is lost, money is at most stranded and never spent twice.
+an answer is lost, money is at most stranded and never spent twice.  What a
+borrower doesn't need any more it may give back, to the very process that
+lent it.
 
 Example::
 
-    Lending().ask('10.1.0.40:7340', 'voucher-desk', 1500)    # 4000
+    asked = Ask('voucher-desk', 1500, 500, 'front-a-1', 0)
+    Lending().ask('10.1.0.40:7340', asked).tokens      # 2000
 """
 
 import msgspec
@@ -15,17 +18,50 @@
 from galenaspoke.http import links
 from galenaspoke.http import messages
 
-PATH = '/lend'
+LEND_PATH = '/lend'
+RETURN_PATH = '/return'
 CONNECT_TIMEOUT_S = 0.1
-ANSWER_TIMEOUT_S = 0.2
+ANSWER_TIMEOUT_S = 0.35
 MOST_IDLE = 4
 
 
+class Ask(msgspec.Struct):
+    """What a borrower asks for, in tokens.
+
+    `need` is the least that helps, `ahead` what it would like on top, and
+    `unsettled` what it has of earlier loans and hasn't spent.
+    """
+
+    budget: str
+    need: int
+    ahead: int
+    borrower: str
+    unsettled: int
+
+
 class Loan(msgspec.Struct):
-    """What is asked for, and the answer to it."""
+    """The answer: tokens lent by `holder`, or why there are none.
+
+    `shortage` is a reservations.Shortage, or MOVED where another router owns
+    the budget's page by now.
+    """
+
+    holder: str
+    tokens: int = 0
+    shortage: str = ''
+    detail: str = ''
+
+
+class Return(msgspec.Struct):
+    """Tokens of a loan that go back to the holder that lent them."""
 
     budget: str
     tokens: int
+    holder: str
+    borrower: str
+
+
+MOVED = 'moved'
 
 
 class Lending:
@@ -34,63 +70,83 @@
     __slots__ = ('_idle',)
 
     def __init__(self):
-        # By address.
+        # Unused links by address.
         self._idle = {}
 
-    def ask(self, address, budget, need):
-        """Return how many tokens the router at `address` lends."""
+    def ask(self, address, asked):
+        """Return the Loan of the router at `address`, None if silent."""
+        answer = self._post(address, LEND_PATH, asked)
+        if answer is None:
+            return None
+        try:
+            return msgspec.json.decode(answer, type=Loan)
+        except msgspec.DecodeError:
+            # What was lent, if anything, is stranded with the lender.
+            return None
+
+    def give_back(self, address, returned):
+        """Give tokens back; if that fails they are stranded."""
+        self._post(address, RETURN_PATH, returned)
+
+    def _post(self, address, path, message):
+        """Return the body of the answer, None if there is none."""
         host, port = edge_settings.split_address(address)
-        body = msgspec.json.encode(Loan(budget, need))
+        body = msgspec.json.encode(message)
         head = messages.encode_head(
-            f'POST {PATH} HTTP/1.1'.encode(),
+            f'POST {path} HTTP/1.1'.encode(),
             [
                 (b'Host', address.encode()),
                 (b'Content-Length', b'%d' % len(body)),
             ],
         )
-        link = self._idle.pop(address, None)
-        if link is not None and not link.quiet():
-            link.close()
-            link = None
+        link = self._taken(address)
         try:
             link = link or links.connect(host, port, CONNECT_TIMEOUT_S)
             link.wait_at_most(ANSWER_TIMEOUT_S)
             link.send(head + body)
             answer = link.answer()
-            lent = msgspec.json.decode(bytes(answer.body), type=Loan).tokens
         except links.NotSent:
-            return 0
-        except (links.Broken, links.Silent, msgspec.DecodeError):
-            # What was lent, if anything, is stranded with the lender.
+            return None
+        except (links.Broken, links.Silent):
             link.close()
-            return 0
-        if link.spare(answer) and len(self._idle) < MOST_IDLE:
-            self._idle[address] = link
+            return None
+        idle = self._idle.setdefault(address, [])
+        if link.spare(answer) and len(idle) < MOST_IDLE:
+            idle.append(link)
         else:
             link.close()
-        return lent
-
+        return bytes(answer.body)
+
+    def _taken(self, address):
+        idle = self._idle.get(address, [])
+        while idle:
+            link = idle.pop()
+            if link.quiet():
+                return link
+            link.close()
+        return None
 
-def application(lend):
-    """Return the WSGI application that answers other routers' `ask`.
 
-    `lend` takes a budget and the tokens needed, and returns those lent.
-    """
+def application(purse):
+    """Return the WSGI application that answers other routers."""
+    verbs = {
+        LEND_PATH: (Ask, purse.lend),
+        RETURN_PATH: (Return, purse.take_back),
+    }
 
     def serve(environ, start_response):
-        if environ['PATH_INFO'] != PATH:
+        if environ['PATH_INFO'] not in verbs:
             start_response('404 Not Found', [('Content-Length', '0')])
             return [b'']
+        kind, function = verbs[environ['PATH_INFO']]
         try:
             asked = msgspec.json.decode(
-                environ['wsgi.input'].read(), type=Loan
+                environ['wsgi.input'].read(), type=kind
             )
         except msgspec.DecodeError:
             start_response('400 Bad Request', [('Content-Length', '0')])
             return [b'']
-        body = msgspec.json.encode(
-            Loan(asked.budget, lend(asked.budget, asked.tokens))
-        )
+        body = msgspec.json.encode(function(asked))
         start_response('200 OK', [('Content-Length', str(len(body)))])
         return [body]
 
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -21,6 +21,7 @@
 from galenaspoke.edge import poison
 from galenaspoke.edge import purse as purses
 from galenaspoke.edge import retries
+from galenaspoke.edge import roster as rosters
 from galenaspoke.edge import second_path
 from galenaspoke.edge import service as services
 from galenaspoke.edge import settings as edge_settings
@@ -99,6 +100,7 @@
             lambda: self.config.catalog,
             lending.Lending(),
         )
+        self.roster = rosters.Roster(cfg.name, store, self.journal)
         self.admission = admission.Admission(
             self.config, self.containment, headers
         )
@@ -108,7 +110,7 @@
             self.config,
             self.targets,
             self.purse,
-            retries.RetryBudget(cfg, self.clock, self.purse.routers),
+            retries.RetryBudget(cfg, self.clock, self.roster.routers),
             self.containment,
             headers,
             self.clock,
@@ -134,6 +136,7 @@
         )
         gevent.spawn(poison.forget, self.containment)
         self.purse.start()
+        gevent.spawn(self.roster.keep)
         host, port = edge_settings.split_address(self.cfg.listen)
         listener = _listen(host, port)
         self._server = gevent_server.StreamServer(listener, self._handle)
@@ -151,7 +154,7 @@
 
     def _serve_peers(self):
         relay = store_paths.relay(self._paths)
-        lend = lending.application(self.purse.lend)
+        lend = lending.application(self.purse)
 
         def application(environ, start_response):
             relayed = environ['PATH_INFO'].startswith(store_paths.RELAY_PREFIX)
@@ -221,6 +224,7 @@
         self._wait(until, lambda: not self._connections)
         self._server.stop_accepting()
         self.purse.close()
+        self.roster.leave()
         self.journal.note(
             'stopped', open=self.service.open, ms=self.clock.now() - began
         )
--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -1,9 +1,8 @@
-"""One router's prepaid money: granted by the ledger, spent without asking.
+"""One router's prepaid money: had from the ledger or lent by its owner.
 
-The router is a holder of the ledger under a name that starts with its
-instance's.  A process that starts on an instance proves that the one before
-is dead, so it ends its predecessor's grants: what was reported counts as
-spent, the rest is in doubt.
+What is at hand is spent without asking.  What is missing comes from the
+ledger if this router owns the budget's page, else as a loan from the router
+that does; `drawing` says why.
 
 Example::
 
@@ -17,34 +16,38 @@
 import random
 
 import gevent
-from gevent import event
 
 from galenaspoke.core import grants
-from galenaspoke.core import ledger
+from galenaspoke.edge import drawing as drawings
 from galenaspoke.edge import lending
 from galenaspoke.edge import reservations
-from galenaspoke.router import pages
-from galenaspoke.store import base as store_base
 from galenaspoke.utils import identity
 
-# How long a demand the grants should last.  A cut from the store is ridden
-# out on the second path to it, not on what is held.
-HORIZON_MS = 5_000
-# Of what is left of a budget, the part that all routers together may hold.
-# What is held is lost when all of them die, the rest is not.
-HELD_SHARE = 0.1
 REFILL_MS = (700, 900)
-RETRY_S = 0.2
 CLOSE_TIMEOUT_S = 1.0
 # A draw that found too little is not repeated before this time.
 SCARCE_PAUSE_MS = 400
 # A router that found no lender for a budget asks again after this time.
 BORROW_PAUSE_MS = 400
 MOST_LENDERS = 3
-# How many draws a request may wait for.
-MOST_DRAWS = 3
-# What a lender keeps for itself: its demand of this time.
+# How often a request's need is looked after before it is refused.
+MOST_TRIES = 3
+# How many owners, one after the other, are asked for one loan.
+MOST_OWNERS = 3
+# An owner that didn't answer isn't asked again before this time.
+SILENT_MS = 1_500
+# What a borrower asks for on top: its demand of this time.
+AHEAD_MS = 1_000
+# Of what a lender has, the part that it lends beyond the need.
+AHEAD_SHARE = 0.125
+# A lender waits so long for the ledger; the borrower waits a little longer.
+LEND_WAIT_MS = 250
+# What a lender that isn't the owner keeps for itself: its demand of this time.
 KEPT_MS = 1_500
+# A loan that nobody has used for so long goes back.
+UNUSED_MS = 1_500
+# What a borrower had is taken for spent after this time without a word.
+LENT_KNOWN_MS = 20_000
 # More than this many times the target is given back.
 SURPLUS_FACTOR = 2
 # Less than this isn't worth a write to give back.
@@ -52,238 +55,291 @@
 
 
 class Purse:
-    """The grants of one router."""
+    """The money of one router."""
 
     __slots__ = (
         'name',
         '_cfg',
-        '_store',
         '_clock',
         '_metrics',
         '_journal',
         '_catalog',
         '_lending',
         '_book',
-        '_writers',
-        '_opened',
         '_drawing',
+        '_supplies',
+        '_silent',
+        '_lenders',
+        '_lent',
         '_closing',
-        '_paged',
-        '_paged_for',
-        '_unreachable',
     )
 
-    def __init__(self, cfg, store, clock, metrics, journal, catalog, lending):
+    def __init__(self, cfg, store, clock, metrics, journal, catalog, lending_):
         self.name = f'{cfg.name}#{identity.new_incarnation()}'
         self._cfg = cfg
-        self._store = store
         self._clock = clock
         self._metrics = metrics
         self._journal = journal
         # Returns the catalog in force.
         self._catalog = catalog
         # Asks other routers for loans.
-        self._lending = lending
+        self._lending = lending_
         self._book = grants.GrantBook(clock)
-        self._writers = {}
-        # Pages on which the predecessor has been replaced, by key.
-        self._opened = {}
-        # The last draw of each budget.
-        self._drawing = {}
+        self._drawing = drawings.Drawing(
+            self.name, cfg, store, clock, metrics, journal, catalog
+        )
+        self._drawing.bind(self._book)
+        # What is being done to get money, by budget.
+        self._supplies = {}
+        # Until when owners aren't asked, by address.
+        self._silent = {}
+        # Who lent last: budget to (address, holder, tokens lent by it).
+        self._lenders = {}
+        # What borrowers may still have: budget to borrower to (tokens, when).
+        self._lent = collections.defaultdict(dict)
         self._closing = False
-        # Prepaid accounts by page, and the catalog that they are of.
-        self._paged = {}
-        self._paged_for = None
-        # The ledger failed to answer; requests don't wait for it until it
-        # has answered again.
-        self._unreachable = False
 
     def start(self):
-        """Replace the predecessor and keep the grants filled."""
-        for number in range(self._cfg.ledger_pages):
-            key = f'{ledger.PAGE_PREFIX}{number:04d}'
-            self._opened[key] = event.Event()
-            gevent.spawn(self._open, key)
+        """Keep the grants filled."""
         gevent.spawn(self._refill_for_good)
 
-    def opened(self):
-        """Tell whether money can be drawn."""
-        return all(opened.is_set() for opened in self._opened.values())
-
-    def routers(self):
-        """Return how many routers hold money, as far as is known."""
-        known = 1
-        for writer in self._writers.values():
-            page = writer.page()
-            if page is not None:
-                known = max(known, len(page.writers))
-        return known
+    # Spending.
 
     def reserve(self, budget, amount, wait_ms):
         """Return a Reservation of `amount` tokens, or a NoMoney."""
         self._book.note_demand(budget, amount)
-        if self._book.reserve(budget, amount):
-            return reservations.Reservation(self._book, budget, amount)
-        failed = self._draw(budget, amount, wait_ms)
+        if self._closing:
+            return _unreachable('the process stops')
         if not self._book.reserve(budget, amount):
-            failed = failed or self._shortage(budget, amount)
-            if failed.shortage is reservations.Shortage.EXHAUSTED:
-                return failed
-            self._borrow(budget, amount)
-            if not self._book.reserve(budget, amount):
-                return failed
+            failed = self._obtain(budget, amount, wait_ms, self._supply)
+            if self._closing or not self._book.reserve(budget, amount):
+                known = isinstance(failed, reservations.NoMoney)
+                return failed if known else self._shortage(budget, amount)
         return reservations.Reservation(self._book, budget, amount)
 
-    def _borrow(self, budget, amount):
-        """Ask those that hold most of a budget to lend some."""
-        held = self._book.held(budget)
-        if self._clock.now() - held.refused_at < BORROW_PAUSE_MS:
-            return
-        page = self._writer_of(budget).page()
-        if page is None:
-            return
-        for address in lending.lenders(page, budget, self.name)[:MOST_LENDERS]:
-            need = amount - held.available()
-            if need <= 0:
-                return
-            lent = self._lending.ask(address, budget, need)
-            if lent:
-                self._book.borrowed(budget, lent)
-                self._metrics.count('grants.borrowed')
-        if held.available() < amount:
-            held.refused_at = self._clock.now()
-
-    def lend(self, budget, need):
-        """Return how many tokens this router lends to another.
-
-        What is lent counts as spent here, so nothing needs to be agreed on.
-        """
-        held = self._book.held(budget)
-        spare = held.available() - self._book.demand_in(budget, KEPT_MS)
-        if spare < need:
-            return 0
-        amount = min(spare, max(need, spare // 2))
-        self._metrics.count('grants.lent')
-        return amount if self._book.lend(budget, amount) else 0
-
-    def _draw(self, budget, amount, wait_ms):
-        """Draw for a request that waits; return NoMoney or None."""
+    def _obtain(self, budget, amount, wait_ms, supply):
+        """Have `supply` bring money in; return a NoMoney or None."""
         until = self._clock.now() + wait_ms
-        if not self._opened[self._key(budget)].wait(wait_ms / 1000):
-            return reservations.NoMoney(
-                reservations.Shortage.UNREACHABLE, 'not opened yet'
-            )
-        if self._unreachable:
-            return reservations.NoMoney(
-                reservations.Shortage.UNREACHABLE, 'failed a moment ago'
-            )
         held = self._book.held(budget)
         held.waiting += amount
+        failed = None
         try:
-            # A draw that was under way did not know of this request.
-            for _ in range(MOST_DRAWS):
-                change = self._drawing.get(budget)
-                if change is None or change.result.ready():
-                    if self._scarce(held):
-                        break
-                    change = self._start_draw(budget)
+            # What was under way may not have known of this request.
+            for _ in range(MOST_TRIES):
+                task = self._supplies.get(budget)
+                if task is None or task.ready():
+                    task = gevent.spawn(supply, budget)
+                    self._supplies[budget] = task
                 left_ms = max(0, until - self._clock.now())
-                change.result.get(timeout=left_ms / 1000)
-                if held.available() >= amount:
+                failed = task.get(timeout=left_ms / 1000)
+                known = isinstance(failed, reservations.NoMoney)
+                if known or held.available() >= amount:
                     break
         except gevent.Timeout:
-            return reservations.NoMoney(
-                reservations.Shortage.UNREACHABLE, f'silent for {wait_ms} ms'
-            )
-        except (
-            store_base.StoreError,
-            pages.Undecided,
-            pages.HolderSealed,
-        ) as exc:
-            self._unreachable = True
-            return reservations.NoMoney(
-                reservations.Shortage.UNREACHABLE, str(exc)
-            )
+            return _unreachable(f'silent for {wait_ms} ms')
         finally:
             held.waiting -= amount
+        return failed
+
+    def _supply(self, budget):
+        """Get what requests wait for; return a NoMoney or None."""
+        held = self._book.held(budget)
+        if self._drawing.unreachable and self._drawing.seen(budget) is None:
+            return _unreachable('failed a moment ago')
+        try:
+            return self._from_owner(budget, held)
+        except drawings.FAILURES as exc:
+            return _unreachable(str(exc))
+
+    def _from_owner(self, budget, held):
+        page = self._drawing.read(budget)
+        displaced = ''
+        for _ in range(MOST_OWNERS):
+            address = page.contacts.get(page.owner)
+            mine = not page.owner or self._drawing.owns(page)
+            if mine or not address or self._is_silent(address):
+                displaced = page.owner
+            if mine or page.owner == displaced:
+                failed = self._draw(budget, displaced)
+                if failed != drawings.MOVED:
+                    return failed
+                page = self._drawing.seen(budget)
+                continue
+            loan = self._ask(budget, held, address)
+            if loan is None:
+                self._silent[address] = self._clock.now() + SILENT_MS
+            elif loan.tokens:
+                return None
+            elif loan.shortage != lending.MOVED:
+                return self._refused(budget, held, loan)
+            page = self._drawing.read(budget, again=True)
+        return self._draw_aside(budget)
+
+    def _is_silent(self, address):
+        return self._clock.now() < self._silent.get(address, 0)
+
+    def _ask(self, budget, held, address):
+        """Ask the owner for a loan; return the Loan, or None."""
+        need = held.waiting - held.available()
+        asked = lending.Ask(
+            budget,
+            max(1, need),
+            self._book.demand_in(budget, AHEAD_MS),
+            self._cfg.name,
+            max(0, held.loaned - held.spent),
+        )
+        loan = self._lending.ask(address, asked)
+        if loan is not None and loan.tokens:
+            self._borrowed(budget, address, loan)
+        return loan
+
+    def _borrowed(self, budget, address, loan):
+        self._book.borrowed(budget, loan.tokens)
+        self._metrics.count('grants.borrowed')
+        last = self._lenders.get(budget)
+        before = last[2] if last and last[1] == loan.holder else 0
+        self._lenders[budget] = (address, loan.holder, before + loan.tokens)
+
+    def _refused(self, budget, held, loan):
+        """Go on without the owner's money; return a NoMoney or None."""
+        shortage = reservations.Shortage(loan.shortage)
+        if shortage is reservations.Shortage.UNREACHABLE:
+            return self._draw_aside(budget)
+        if shortage is reservations.Shortage.HELD_ELSEWHERE:
+            self._borrow(budget, held)
+            if held.available() >= held.waiting:
+                return None
+        return reservations.NoMoney(shortage, loan.detail)
+
+    def _draw(self, budget, displaced):
+        """Draw from the ledger; return a NoMoney, None or MOVED."""
+        held = self._book.held(budget)
+        if self._drawing.unreachable:
+            return _unreachable('failed a moment ago')
+        if not self._scarce(held):
+            change = self._drawing.draw(budget, displaced)
+            if change.result.get() == drawings.MOVED:
+                return drawings.MOVED
+        if held.available() < held.waiting:
+            self._borrow(budget, held)
+        return None
+
+    def _draw_aside(self, budget):
+        held = self._book.held(budget)
+        if self._drawing.unreachable:
+            return _unreachable('failed a moment ago')
+        if not self._scarce(held):
+            self._drawing.draw_aside(budget).result.get()
         return None
 
+    def _borrow(self, budget, held):
+        """Ask those that hold most of a budget to lend some."""
+        if self._clock.now() - held.refused_at < BORROW_PAUSE_MS:
+            return
+        page = self._drawing.seen(budget)
+        addresses = lending.lenders(page, budget, self.name)
+        for address in addresses[:MOST_LENDERS]:
+            if held.available() >= held.waiting:
+                return
+            if not self._is_silent(address):
+                self._ask(budget, held, address)
+        if held.available() < held.waiting:
+            held.refused_at = self._clock.now()
+
     def _scarce(self, held):
         return self._clock.now() - held.scarce_at < SCARCE_PAUSE_MS
 
-    def _start_draw(self, budget):
-        """Ask the ledger for what is wanted of a budget; return the Change."""
+    def _shortage(self, budget, amount):
+        """Tell why too little was brought in."""
+        lent = self._still_lent(budget)
+        return self._drawing.shortage(budget, amount, lent)
+
+    # Lending.
+
+    def lend(self, asked):
+        """Answer another router's Ask.
+
+        What is lent counts as spent here, so nothing needs to be agreed on.
+        """
+        budget, need = asked.budget, asked.need
+        page = self._drawing.seen(budget)
+        owner = page is not None and self._drawing.owns(page)
         held = self._book.held(budget)
+        kept = 0
+        if owner or page is None:
+            self._book.note_demand(budget, need)
+            self._note_lent(asked, asked.unsettled)
+            if held.available() < need:
+                failed = self._obtain(
+                    budget, need, LEND_WAIT_MS, self._supply_as_owner
+                )
+                if held.available() < need:
+                    return self._no_loan(budget, need, failed)
+        else:
+            kept = self._book.demand_in(budget, KEPT_MS)
+        spare = held.available() - kept
+        if spare < need or self._closing:
+            return lending.Loan(self.name, shortage=lending.MOVED)
+        amount = need + min(asked.ahead, int(AHEAD_SHARE * (spare - need)))
+        self._book.lend(budget, amount)
+        self._note_lent(asked, asked.unsettled + amount)
+        self._metrics.count('grants.lent')
+        return lending.Loan(self.name, amount)
 
-        def function(page):
-            self._prepare(page, self._key(budget))
-            self._report(page)
-            entry = page.entries.get(budget)
-            if entry is None:
-                return pages.Unchanged(0)
-            missing = self._target(budget, entry) - held.available()
-            need = held.waiting - held.available()
-            want = max(missing, need)
-            amount = ledger.draw(page, budget, self.name, 1, want)
-            return amount or pages.Unchanged(0)
-
-        def done(outcome):
-            self._unreachable = False
-            if isinstance(outcome, ledger.LedgerError) or not outcome:
-                held.scarce_at = self._clock.now()
-                return
-            self._book.granted(budget, outcome)
-            self._metrics.count('grants.drawn')
-
-        def failed(_):
-            self._unreachable = True
-
-        change = self._writer_of(budget).submit(function, done, failed)
-        self._drawing[budget] = change
-        return change
-
-    def _target(self, budget, entry):
-        """Return how many tokens of a budget should be at hand."""
-        demand = self._book.demand_in(budget, HORIZON_MS)
-        share = entry.share_of(self.name, self._rate(budget))
-        return min(demand, int(HELD_SHARE * share * entry.left()))
-
-    def _rate(self, budget):
-        """Return the demand for a budget here, in tokens a second."""
-        return self._book.demand_in(budget, 1000)
-
-    def _key(self, budget):
-        return ledger.page_key(budget, self._cfg.ledger_pages)
-
-    def _prepare(self, page, key):
-        """Bring a page's limits up to the configuration in force."""
-        catalog = self._catalog()
-        if self._paged_for is not catalog:
-            self._paged_for = catalog
-            self._paged = collections.defaultdict(list)
-            for account in catalog.accounts.values():
-                if account.prepaid is not None:
-                    self._paged[self._key(account.name)].append(account)
-        for account in self._paged[key]:
-            ledger.set_limit(
-                page, account.name, account.prepaid, catalog.generation
+    def _supply_as_owner(self, budget):
+        """Draw what borrowers wait for, but never ask others for loans."""
+        try:
+            page = self._drawing.read(budget)
+            if page.owner and not self._drawing.owns(page):
+                return drawings.MOVED
+            return self._draw_only(budget)
+        except drawings.FAILURES as exc:
+            return _unreachable(str(exc))
+
+    def _draw_only(self, budget):
+        held = self._book.held(budget)
+        if self._drawing.unreachable:
+            return _unreachable('failed a moment ago')
+        if self._scarce(held):
+            return None
+        outcome = self._drawing.draw(budget).result.get()
+        return drawings.MOVED if outcome == drawings.MOVED else None
+
+    def _no_loan(self, budget, need, failed):
+        if failed == drawings.MOVED:
+            return lending.Loan(self.name, shortage=lending.MOVED)
+        failed = failed or self._shortage(budget, need)
+        return lending.Loan(
+            self.name, shortage=failed.shortage.value, detail=failed.detail
+        )
+
+    def take_back(self, returned):
+        """Take back what is left of a loan; refuse what wasn't lent."""
+        held = self._book.held(returned.budget)
+        lent, _ = self._lent[returned.budget].get(returned.borrower, (0, 0))
+        known = returned.holder == self.name and not self._closing
+        if known and 0 < returned.tokens <= min(lent, held.spent):
+            self._book.taken_back(returned.budget, returned.tokens)
+            self._lent[returned.budget][returned.borrower] = (
+                lent - returned.tokens,
+                self._clock.now(),
             )
+            self._metrics.count('grants.taken_back')
+            return True
+        self._journal.note('money.return_refused', budget=returned.budget)
+        return False
 
-    def _report(self, page):
-        """Write what has been spent into the grants of this page."""
-        for budget in self._book.budgets():
-            entry = page.entries.get(budget)
-            grant = entry.grants.get(self.name) if entry else None
-            if grant is not None:
-                grant.spent = self._book.held(budget).own_spent()
-                grant.rate = self._rate(budget)
+    def _note_lent(self, asked, tokens):
+        now = self._clock.now()
+        self._lent[asked.budget][asked.borrower] = (tokens, now)
 
-    def _shortage(self, budget, amount):
-        """Tell why a draw brought too little."""
-        page = self._writer_of(budget).page()
-        entry = page.entries.get(budget) if page else None
-        held = self._book.held(budget)
-        return reservations.shortage(entry, self.name, held, amount)
+    def _still_lent(self, budget):
+        """Return what borrowers may not have spent yet."""
+        since = self._clock.now() - LENT_KNOWN_MS
+        lent = self._lent[budget].values()
+        return sum(tokens for tokens, at in lent if at >= since)
+
+    # Keeping it in order.
 
     def follow(self):
         """Give back at once what a lowered limit no longer covers."""
@@ -292,36 +348,12 @@
                 continue
             held = self._book.held(account.name)
             if held.granted > account.prepaid:
-                self._give_back(account.name, held, held.returnable())
-
-    def _give_back(self, budget, held, surplus):
-        """Return tokens that are not reserved."""
-        if surplus <= 0:
-            return
-        # Taken out first, so that it isn't spent while it is on its way.
-        held.granted -= surplus
-
-        def function(page):
-            self._prepare(page, self._key(budget))
-            kept = ledger.shrink_grant(
-                page, budget, self.name, surplus, held.own_spent(), 0
-            )
-            return kept or pages.Unchanged(False)
-
-        def done(outcome):
-            if isinstance(outcome, ledger.LedgerError):
-                held.granted += surplus
-
-        def failed(_):
-            held.granted += surplus
-
-        self._writer_of(budget).submit(function, done, failed)
-        self._metrics.count('grants.returned')
+                self._drawing.give_back(account.name, held.returnable())
 
     def _refill_for_good(self):
         while not self._closing:
             gevent.sleep(random.uniform(*REFILL_MS) / 1000)
-            if self._unreachable:
+            if self._drawing.unreachable:
                 self._probe()
             for budget in self._book.budgets():
                 self._refill(budget)
@@ -329,91 +361,54 @@
     def _probe(self):
         """See whether the ledger answers again."""
         for budget in self._book.budgets()[:1]:
-            change = self._drawing.get(budget)
-            if change is None or change.result.ready():
-                self._start_draw(budget)
+            self._drawing.draw(budget)
 
     def _refill(self, budget):
         """Draw ahead where less than half of the target is at hand.
 
-        What is far above the target goes back.
+        What is far above the target goes back, and so do loans that nobody
+        uses.
         """
         held = self._book.held(budget)
-        change = self._drawing.get(budget)
-        if change is not None and not change.result.ready():
+        self._give_back_loan(budget, held)
+        task = self._supplies.get(budget)
+        if task is not None and not task.ready():
             return
-        page = self._writer_of(budget).page()
-        entry = page.entries.get(budget) if page else None
-        if entry is None or self._unreachable:
+        if self._drawing.unreachable:
             return
-        target = self._target(budget, entry)
-        surplus = min(held.returnable(), held.available() - target)
+        missing, target = self._drawing.wants(budget)
+        surplus = min(held.returnable(), -missing)
         if surplus > max(LEAST_RETURN, (SURPLUS_FACTOR - 1) * target):
-            self._give_back(budget, held, surplus)
-        elif 2 * held.available() < target and not self._scarce(held):
-            self._start_draw(budget)
-
-    def _open(self, key):
-        """Take over a page from the process that ran here before."""
-        prefix = f'{self._cfg.name}#'
-
-        def function(page):
-            for holder in list(page.writers):
-                if holder.startswith(prefix) and holder != self.name:
-                    ledger.replace_holder(page, holder, 'restarted')
-            self._prepare(page, key)
-            if self._cfg.peer_listen:
-                page.contacts[self.name] = self._cfg.peer_listen
-            return True
-
-        while True:
-            try:
-                self._writer(key).submit(function).result.get()
-                break
-            except (store_base.StoreError, pages.Undecided):
-                gevent.sleep(RETRY_S)
-        self._opened[key].set()
-        self._journal.note('money.opened', page=key, holder=self.name)
-
-    def _writer_of(self, budget):
-        return self._writer(self._key(budget))
-
-    def _writer(self, key):
-        writer = self._writers.get(key)
-        if writer is None:
-            writer = self._writers[key] = pages.PageWriter(
-                self._store, key, self.name, lambda: None
+            self._drawing.give_back(budget, surplus)
+        elif 2 * missing > target and not self._scarce(held):
+            self._supplies[budget] = gevent.spawn(
+                self._supply_as_owner, budget
             )
-        return writer
+
+    def _give_back_loan(self, budget, held, unused_ms=UNUSED_MS):
+        lender = self._lenders.get(budget)
+        if lender is None or self._clock.now() - held.used_at < unused_ms:
+            return
+        address, holder, most = lender
+        tokens = self._book.give_back_loan(budget, most)
+        del self._lenders[budget]
+        if tokens:
+            returned = lending.Return(budget, tokens, holder, self._cfg.name)
+            self._lending.give_back(address, returned)
 
     def close(self):
-        """End the grants in order; what is reserved counts as spent."""
+        """Give everything back; what is reserved counts as spent."""
         self._closing = True
-        changes = []
-        for key, writer in self._writers.items():
-            if self._opened[key].is_set():
-                writer.retire()
-                changes.append(writer.submit(self._end))
+        for budget in list(self._lenders):
+            held = self._book.held(budget)
+            self._give_back_loan(budget, held, unused_ms=0)
+        changes = self._drawing.close()
         try:
             for change in changes:
                 change.result.get(timeout=CLOSE_TIMEOUT_S)
-        except (
-            store_base.StoreError,
-            pages.Undecided,
-            pages.HolderSealed,
-            gevent.Timeout,
-        ) as exc:
+        except (*drawings.FAILURES, gevent.Timeout) as exc:
             self._journal.note('money.left_open', reason=str(exc))
 
-    def _end(self, page):
-        for budget in self._book.budgets():
-            held = self._book.held(budget)
-            if budget in page.entries:
-                spent = min(held.granted, held.own_spent() + held.reserved)
-                ledger.close_grant(page, budget, self.name, spent, 0)
-        page.contacts.pop(self.name, None)
-        return True
-
     def dump(self):
         """Return the state for people and tools."""
         budgets = {}
@@ -421,8 +416,13 @@
             held = self._book.held(budget)
             budgets[budget] = {
                 'granted': held.granted,
+                'loaned': held.loaned,
                 'reserved': held.reserved,
                 'spent': held.spent,
                 'available': held.available(),
             }
         return {'holder': self.name, 'budgets': budgets}
+
+
+def _unreachable(detail):
+    return reservations.NoMoney(reservations.Shortage.UNREACHABLE, detail)
--- a/galenaspoke/edge/reservations.py
+++ b/galenaspoke/edge/reservations.py
@@ -41,11 +41,12 @@
             self._book.settle(self._budget, self.amount, spent)
 
 
-def shortage(entry, own, held, amount):
+def shortage(entry, own, held, amount, lent=0):
     """Return the NoMoney for a budget that brought too little.
 
     `entry` is the ledger's as it was last seen, None if it wasn't; `own` is
-    this router's holder and `held` what it has.
+    this router's holder and `held` what it has.  `lent` of what counts as
+    spent may still be unspent with borrowers.
     """
     if entry is None:
         return NoMoney(Shortage.UNREACHABLE, 'the page is not known')
@@ -55,6 +56,7 @@
     spent = entry.settled + others
     if own in entry.grants:
         spent += held.own_spent()
+    spent -= lent
     limit = min(entry.limit, entry.wanted)
     detail = (
         f'{spent} of {limit} tokens spent, {entry.in_doubt()} in doubt,'
--- a/galenaspoke/edge/retries.py
+++ b/galenaspoke/edge/retries.py
@@ -38,6 +38,7 @@
     def __init__(self, cfg, clock, routers):
         self._cfg = cfg
         self._clock = clock
+        # Returns how many routers there are, 0 while that isn't known.
         self._routers = routers
         self._windows = collections.defaultdict(_Window)
 
@@ -48,7 +49,8 @@
     def take(self, service):
         """Count a repeat, or return False where none is left."""
         window = self._now(service)
-        slack = SLACK_SHARE * self._cfg.retry_slack / self._routers()
+        routers = self._routers()
+        slack = SLACK_SHARE * self._cfg.retry_slack / routers if routers else 0
         allowed = self._cfg.retry_ratio * sum(window.requests) + slack
         if sum(window.repeats) + 1 > allowed:
             return False
--- a/galenaspoke/edge/settings.py
+++ b/galenaspoke/edge/settings.py
@@ -10,9 +10,9 @@
     Addresses are IP:PORT.  `grace_ms` is how long this process has to stop.
     All routers together may send `retry_ratio` times the requests of
     `retry_window_ms`, plus `retry_slack`, once more.  Budgets are spread over
-    `ledger_pages` objects of the store; the figure can't be changed while any
-    is in use.  Routers lend money to each other at `peer_listen`, or don't if
-    it's empty.
+    `ledger_pages` objects of the store, of which only those in use exist; the
+    figure can't be changed while any is in use.  Routers lend money to each
+    other at `peer_listen`, or don't if it's empty.
     """
 
     name: str
@@ -24,7 +24,7 @@
     retry_ratio: float
     retry_window_ms: int
     retry_slack: int
-    ledger_pages: int = 1
+    ledger_pages: int = 4096
     peer_listen: str = ''
 
 
--- a/tests/edge/test_prepaid_restarts.py
+++ b/tests/edge/test_prepaid_restarts.py
@@ -26,8 +26,10 @@
     """Nobody lends."""
 
     def ask(self, *_):
-        """Lend nothing."""
-        return 0
+        """Answer nothing."""
+
+    def give_back(self, *_):
+        """Take nothing."""
 
 
 class DirectLending:
@@ -36,10 +38,16 @@
     def __init__(self, purses):
         self.purses = purses
 
-    def ask(self, address, budget, need):
+    def ask(self, address, asked):
         """Ask one."""
         found = self.purses.get(address)
-        return found.lend(budget, need) if found else 0
+        return found.lend(asked) if found else None
+
+    def give_back(self, address, returned):
+        """Give tokens back to one."""
+        found = self.purses.get(address)
+        if found:
+            found.take_back(returned)
 
 
 def published(limit, generation=1):
@@ -63,7 +71,7 @@
     def start(self, name, lenders=None):
         """Start the process of an instance, or its successor."""
         found = purse.Purse(
-            base.edge_settings(name, peer_listen=name),
+            base.edge_settings(name, peer_listen=name, ledger_pages=1),
             self.store,
             self.clock,
             base.Recorder(),
@@ -73,10 +81,6 @@
         )
         found.start()
         self.purses[name] = found
-        for _ in range(20):
-            if found.opened():
-                break
-            gevent.sleep(0.001)
         return found
 
     def serve(self, name, amount, spent):
@@ -105,9 +109,10 @@
         held = self.fleet.page().entries[BUDGET]
         granted = sum(grant.granted for grant in held.grants.values())
         self.fleet.start('a')
+        self.assertTrue(self.fleet.serve('a', 1, 0))
         entry = self.fleet.page().entries[BUDGET]
         self.assertEqual(granted, entry.settled + entry.in_doubt())
-        self.assertEqual({}, entry.grants)
+        self.assertEqual([self.fleet.purses['a'].name], list(entry.grants))
         self.assertEqual(1, len(self.fleet.page().writers))
 
     def test_other_instances_are_left_alone(self):
@@ -213,6 +218,7 @@
         self.fleet.serve('b', 300, 300)
         self.fleet.start('a')
         self.fleet.start('b')
+        self.fleet.serve('a', 1, 0)
         entry = self.fleet.page().entries[BUDGET]
         self.assertGreaterEqual(entry.settled + entry.in_doubt(), 300)
 
@@ -227,8 +233,8 @@
             def read(self):
                 return b'garbage'
 
-        lending.application(None)(
-            {'PATH_INFO': lending.PATH, 'wsgi.input': Body()},
+        lending.application(self.fleet.purses['a'])(
+            {'PATH_INFO': lending.LEND_PATH, 'wsgi.input': Body()},
             lambda status, _: seen.append(status),
         )
         self.assertEqual(['400 Bad Request'], seen)
--- a/tests/edge/test_retry_storm.py
+++ b/tests/edge/test_retry_storm.py
@@ -2,8 +2,12 @@
 
 import unittest
 
+import gevent
+
 from galenaspoke.edge import retries
+from galenaspoke.edge import roster
 from tests.edge import base
+from tests import fakes
 
 ROUTERS = 5
 WINDOW_MS = 10_000
@@ -52,3 +56,43 @@
             pass
         self.clock.advance(WINDOW_MS)
         self.assertTrue(budget.take('desk'))
+
+
+class RosterTest(unittest.TestCase):
+    """How many routers divide the slack."""
+
+    def setUp(self):
+        self.store = fakes.FakeStore()
+        self.rosters = {}
+        for name in ('a', 'b', 'c'):
+            self.enter(name)
+
+    def enter(self, name):
+        """Let a router enter itself, and count."""
+        found = roster.Roster(name, self.store, base.Recorder())
+        task = gevent.spawn(found.keep)
+        gevent.sleep(0)
+        task.kill()
+        self.rosters[name] = found
+
+    def test_counts_all(self):
+        self.assertEqual(3, self.rosters['c'].routers())
+
+    def test_restarted_one_counts_once(self):
+        self.enter('a')
+        self.assertEqual(3, self.rosters['a'].routers())
+
+    def test_one_that_left(self):
+        self.rosters['b'].leave()
+        self.enter('a')
+        self.assertEqual(2, self.rosters['a'].routers())
+
+    def test_no_slack_while_the_count_is_unknown(self):
+        self.store.down = True
+        self.enter('d')
+        self.assertEqual(0, self.rosters['d'].routers())
+        clock = base.manual_clock()
+        budget = retries.RetryBudget(
+            base.edge_settings(), clock, self.rosters['d'].routers
+        )
+        self.assertFalse(budget.take('desk'))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -29,8 +29,10 @@
         version, value = self.objects.get(key, (0, b''))
         return store_client.Item(key, version, msgspec.Raw(value))
 
-    def list(self, prefix):
+    def list(self, prefix, stale=False):
         """Return all items under a prefix."""
+        if self.down:
+            raise store_client.StoreUnavailable('down')
         items = [self.get(k) for k in self.objects if k.startswith(prefix)]
         return store_client.Listing(self.revision, items)
 
