Money: hold less, end a predecessor's grants at once, say what is in doubt

An instance that had lost a page to another router never ended its predecessor's grants there. Callers were told to come back after a second for money that only an operator can free.

The longer Retry-After changes nothing in what is priced; it is what callers need to know.

--- a/galenaspoke/edge/drawing.py
+++ b/galenaspoke/edge/drawing.py
@@ -27,7 +27,7 @@
 HORIZON_MS = 5_000
 # Of what is left of a budget, the part that its owner may hold.  What is
 # held is lost when the owner dies, the rest is not.
-HELD_SHARE = 0.1
+HELD_SHARE = 0.04
 # What a draw comes to on a page that another router owns.
 MOVED = 'moved'
 # What asking the ledger may raise.
@@ -81,14 +81,15 @@
     def read(self, budget, again=False):
         """Return a budget's page, from the store if it wasn't seen yet.
 
-        Raises what is in FAILURES.
+        A predecessor's grants there are ended.  Raises what is in FAILURES.
         """
-        page = self.seen(budget)
-        if page is None or again:
-            change = self._submit(budget, lambda _: pages.Unchanged(None))
-            change.result.get()
-            page = self.seen(budget)
-        return page
+
+        def function(page):
+            return self._replace(page) or pages.Unchanged(None)
+
+        if again or self.seen(budget) is None:
+            self._submit(budget, function).result.get()
+        return self.seen(budget)
 
     def owns(self, page):
         """Tell whether this instance owns a page."""
@@ -179,14 +180,7 @@
 
         Returns whether a predecessor's grants were ended.
         """
-        replaced = False
-        for holder in list(page.writers):
-            if holder.startswith(self._prefix()) and holder != self.name:
-                ledger.replace_holder(page, holder, 'restarted')
-                replaced = True
-                self._journal.note(
-                    'money.replaced', holder=holder, by=self.name
-                )
+        replaced = self._replace(page)
         if self._cfg.peer_listen:
             page.contacts[self.name] = self._cfg.peer_listen
         catalog = self._catalog()
@@ -202,6 +196,18 @@
             )
         return replaced
 
+    def _replace(self, page):
+        """End a predecessor's grants; return whether there was one."""
+        gone = [
+            holder
+            for holder in page.writers
+            if holder.startswith(self._prefix()) and holder != self.name
+        ]
+        for holder in gone:
+            ledger.replace_holder(page, holder, 'restarted')
+            self._journal.note('money.replaced', holder=holder, by=self.name)
+        return bool(gone)
+
     def _take(self, page, displaced):
         """Own a page if nobody else does; return whether it's owned."""
         if page.owner in ('', displaced) or self.owns(page):
--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -15,6 +15,7 @@
     BAD_REQUEST = 'bad_request'
     BUDGET_EXHAUSTED = 'budget_exhausted'
     BUDGET_ELSEWHERE = 'budget_elsewhere'
+    BUDGET_IN_DOUBT = 'budget_in_doubt'
     DEADLINE = 'deadline'
     LEAVING = 'leaving'
     NO_CONFIGURATION = 'no_configuration'
--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -24,9 +24,11 @@
 from galenaspoke.utils import identity
 
 REFILL_MS = (700, 900)
+# A grant is filled up once this part of the target is missing.
+REFILL_SHARE = 0.75
 CLOSE_TIMEOUT_S = 1.0
 # A draw that found too little is not repeated before this time.
-SCARCE_PAUSE_MS = 400
+SCARCE_PAUSE_MS = 1_000
 # A router that found no lender for a budget asks again after this time.
 BORROW_PAUSE_MS = 400
 MOST_LENDERS = 3
@@ -342,11 +344,15 @@
     # Keeping it in order.
 
     def follow(self):
-        """Give back at once what a lowered limit no longer covers."""
+        """Follow new limits: what is scarce is asked for again at once.
+
+        What a lowered limit no longer covers goes back.
+        """
         for account in self._catalog().accounts.values():
             if account.prepaid is None:
                 continue
             held = self._book.held(account.name)
+            held.scarce_at = self._clock.now() - SCARCE_PAUSE_MS
             if held.granted > account.prepaid:
                 self._drawing.give_back(account.name, held.returnable())
 
@@ -364,7 +370,7 @@
             self._drawing.draw(budget)
 
     def _refill(self, budget):
-        """Draw ahead where less than half of the target is at hand.
+        """Draw ahead where most of the target is spent.
 
         What is far above the target goes back, and so do loans that nobody
         uses.
@@ -380,7 +386,7 @@
         surplus = min(held.returnable(), -missing)
         if surplus > max(LEAST_RETURN, (SURPLUS_FACTOR - 1) * target):
             self._drawing.give_back(budget, surplus)
-        elif 2 * missing > target and not self._scarce(held):
+        elif missing > REFILL_SHARE * target and not self._scarce(held):
             self._supplies[budget] = gevent.spawn(
                 self._supply_as_owner, budget
             )
--- a/galenaspoke/edge/reservations.py
+++ b/galenaspoke/edge/reservations.py
@@ -11,6 +11,8 @@
     EXHAUSTED = 'exhausted'
     # What is left is held by others, or in doubt.
     HELD_ELSEWHERE = 'held_elsewhere'
+    # What is left can't be had until an operator settles what is in doubt.
+    IN_DOUBT = 'in_doubt'
     # The ledger can't be asked.
     UNREACHABLE = 'unreachable'
 
@@ -65,4 +67,6 @@
     )
     if limit - spent < amount:
         return NoMoney(Shortage.EXHAUSTED, detail)
+    if limit - spent - entry.in_doubt() < amount:
+        return NoMoney(Shortage.IN_DOUBT, detail)
     return NoMoney(Shortage.HELD_ELSEWHERE, detail)
--- a/galenaspoke/edge/service.py
+++ b/galenaspoke/edge/service.py
@@ -33,8 +33,10 @@
 PATIENCE_TARGETS = 2.5
 # A stream that may be resumed leaves a target that is silent for so long.
 STREAM_PATIENCE_MS = 1_500
-# Callers that find no money come back spread over this time.
+# Callers that find no money come back spread over this time; later where it
+# takes an operator.
 RETRY_MONEY_MS = (800, 1_600)
+RETRY_OPERATOR_MS = (30_000, 60_000)
 
 
 class _TimeUp(Exception):
@@ -156,6 +158,13 @@
             return outcomes.Refusal(
                 402, outcomes.Reason.BUDGET_EXHAUSTED, held.detail
             )
+        if held.shortage is reservations.Shortage.IN_DOUBT:
+            return outcomes.Refusal(
+                503,
+                outcomes.Reason.BUDGET_IN_DOUBT,
+                held.detail,
+                outcomes.spread(RETRY_OPERATOR_MS),
+            )
         return outcomes.Refusal(
             503,
             outcomes.Reason.BUDGET_ELSEWHERE,
