Money: what was drawn aside and isn't used goes back

Cause: in a cut or while the store is slow an owner says that it can't reach the ledger, and routers draw for themselves. Test failed first.

It stays because stranded money is wrong.

--- a/galenaspoke/edge/drawing.py
+++ b/galenaspoke/edge/drawing.py
@@ -95,6 +95,11 @@
         """Tell whether this instance owns a page."""
         return page.owner.startswith(self._prefix())
 
+    def owned(self, budget):
+        """Tell whether this instance owns a budget's page, as last seen."""
+        page = self.seen(budget)
+        return page is not None and self.owns(page)
+
     def draw(self, budget, displaced=''):
         """Ask the ledger for what is wanted of a budget; return the Change.
 
@@ -162,7 +167,7 @@
     def wants(self, budget):
         """Return how far from its target a budget is, and the target."""
         page = self.seen(budget)
-        if page is None or not self.owns(page):
+        if page is None:
             return 0, 0
         target = self._target(page, budget)
         return target - self._book.available(budget), target
--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -46,7 +46,7 @@
 LEND_WAIT_MS = 250
 # What a lender that isn't the owner keeps for itself: its demand of this time.
 KEPT_MS = 1_500
-# A loan that nobody has used for so long goes back.
+# What nobody has used for so long on another owner's page goes back.
 UNUSED_MS = 1_500
 # What a borrower had is taken for spent after this time without a word.
 LENT_KNOWN_MS = 20_000
@@ -265,7 +265,7 @@
         """
         budget, need = asked.budget, asked.need
         page = self._drawing.seen(budget)
-        owner = page is not None and self._drawing.owns(page)
+        owner = self._drawing.owned(budget)
         held = self._book.held(budget)
         kept = 0
         if owner or page is None:
@@ -372,8 +372,8 @@
     def _refill(self, budget):
         """Draw ahead where most of the target is spent.
 
-        What is far above the target goes back, and so do loans that nobody
-        uses.
+        What is far above the target goes back, and so do loans and grants on
+        another owner's page that nobody uses.
         """
         held = self._book.held(budget)
         self._give_back_loan(budget, held)
@@ -382,6 +382,10 @@
             return
         if self._drawing.unreachable:
             return
+        if not self._drawing.owned(budget):
+            if self._clock.now() - held.used_at >= UNUSED_MS:
+                self._drawing.give_back(budget, held.returnable())
+            return
         missing, target = self._drawing.wants(budget)
         surplus = min(held.returnable(), -missing)
         if surplus > max(LEAST_RETURN, (SURPLUS_FACTOR - 1) * target):
--- a/tests/edge/test_many_routers_one_budget.py
+++ b/tests/edge/test_many_routers_one_budget.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import gevent
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
@@ -99,6 +100,20 @@
         self.assertTrue(self.fleet.serve('b', 200_000, 900))
         self.assertEqual('a', self.owner())
 
+    def test_what_was_drawn_aside_goes_back(self):
+        self.fleet.serve('b', 1000, 900)
+        self.fleet.purses['a']._drawing.unreachable = True
+        self.assertTrue(self.fleet.serve('b', 200_000, 900))
+        self.fleet.clock.advance(purse.UNUSED_MS)
+        self.fleet.purses['b']._refill(BUDGET)
+        gevent.sleep(0.01)
+        grant = (
+            self.fleet.page()
+            .entries[BUDGET]
+            .grants[self.fleet.purses['b'].name]
+        )
+        self.assertLess(grant.granted, 2_000)
+
 
 class LoanTest(unittest.TestCase):
     """What is lent counts once, and what isn't needed comes back."""
