--- a/spec/restarts.py
+++ b/spec/restarts.py
@@ -2,8 +2,9 @@
 
 Two routers hold one budget.  Router A draws by a conditional write that may
 land late, spends without a report, reports now and then, and lends to router
-B.  A's process may die at any step; its successor on the same instance ends
-its grant, and B may draw what that frees.
+B, which may give back what it hasn't spent.  A's process may die at any step;
+its successor on the same instance ends its grant, and B may draw what that
+frees.
 
 Safe means: never more than the limit is spent.
 """
@@ -23,6 +24,8 @@
     'lend_spent',
     # A grant whose write is undecided is not spent from.
     'await_write',
+    # A borrower can't spend any more what it gives back.
+    'forget_returned',
 )
 
 # `granted`, `reported`: A's grant in the store, and what it said it spent.
@@ -44,7 +47,7 @@
     def transitions(raw):
         state = State(*raw)
         steps = []
-        for part in (_draw, _land, _spend, _lend, _restart, _other):
+        for part in PARTS:
             steps += part(state, guards)
         return [(label, tuple(new)) for label, new in steps]
 
@@ -127,6 +130,16 @@
     return steps
 
 
+def _return(s, guards):
+    """Let B give back a loan that it hasn't spent."""
+    if not s.lent or not s.alive:
+        return []
+    if 'forget_returned' in guards:
+        return [('return', s._replace(lent=s.lent - 1))]
+    # A has it back, and B may spend it too.
+    return [('return', s._replace(mine=min(2 * LIMIT, s.mine + 1)))]
+
+
 def _restart(s, guards):
     """Let A die, and a successor end its grant."""
     if s.alive:
@@ -150,3 +163,6 @@
     if s.used_b < s.grant_b:
         steps.append(('spend at B', s._replace(used_b=s.used_b + 1)))
     return steps
+
+
+PARTS = (_draw, _land, _spend, _lend, _return, _restart, _other)
