galenaspoke-ctl explain ID: a request's story from collected lines

Reads the lines of any number of routers, tells each step in a person's words, and what befell the same router or target in the 5 s before. A line that isn't ours is counted and left out; exit code 4 where no line names the request. Nothing that runs on the data path changed.

--- a/galenaspoke/ctl/main.py
+++ b/galenaspoke/ctl/main.py
@@ -19,6 +19,7 @@
 from galenaspoke.core import registry  # noqa: E402
 from galenaspoke.ctl import money  # noqa: E402
 from galenaspoke.ctl import publishing  # noqa: E402
+from galenaspoke.ctl import stories  # noqa: E402
 from galenaspoke.store import client as store_client  # noqa: E402
 from galenaspoke.utils import metrics as utils_metrics  # noqa: E402
 
@@ -79,7 +80,7 @@
 @click.pass_context
 def main(ctx, settings, as_json):
     """Publish configurations, look after budgets, see how the fleet is."""
-    if ctx.invoked_subcommand in ('settings', 'validate'):
+    if ctx.invoked_subcommand in ('settings', 'validate', 'explain'):
         ctx.obj = as_json
         return
     if not settings:
@@ -109,6 +110,21 @@
     click.echo(f'{document}: {count} objects, no problems')
 
 
+@main.command()
+@click.argument('request_id')
+@click.argument('logs', nargs=-1, required=True, type=click.File())
+@click.pass_obj
+def explain(as_json, request_id, logs):
+    """Tell the story of REQUEST_ID from collected LOGS (- for input)."""
+    story = stories.tell(request_id, logs)
+    if as_json:
+        click.echo(msgspec.json.encode(story).decode())
+    else:
+        click.echo(story.text)
+    if not story.steps:
+        sys.exit(EXIT_UNKNOWN)
+
+
 @main.command()
 @click.argument('document', type=click.Path())
 @click.pass_obj
