--- a/galenaspoke/ctl/stories.py
+++ b/galenaspoke/ctl/stories.py
@@ -141,7 +141,8 @@
     first = _when(steps[0])
     rows = [(_when(step), step['writer'], _step(step)) for step in steps]
     rows += [(_when(line), line['writer'], _event(line)) for line in around]
-    for when, writer, sentence in sorted(rows):
+    rows.sort(key=lambda row: row[0])
+    for when, writer, sentence in rows:
         told.append(f'{when - first:+7d} ms  {writer}: {sentence}')
     return '\n'.join(told)
 
--- a/galenaspoke/edge/drawing.py
+++ b/galenaspoke/edge/drawing.py
@@ -126,7 +126,7 @@
                 return
             self._book.granted(budget, outcome)
             self._metrics.count('grants.drawn')
-            if displaced:
+            if displaced not in ('', self.name):
                 self._journal.note(
                     'money.taken_over', budget=budget, of=displaced
                 )
--- a/tests/ctl/test_stories.py
+++ b/tests/ctl/test_stories.py
@@ -14,7 +14,7 @@
   1.2 front-a {"at_ms":1000,"event":"start","name":"front-a"}
   1.3 front-a {"at_ms":1400,"event":"attempt.failed","id":"9c41",\
 "target":"i-7","outcome":"Unknown","why":"reset","ms":3,"rests":true}
-  1.4 front-a {"at_ms":1401,"event":"refused","status":502,"ms":4,\
+  1.4 front-a {"at_ms":1400,"event":"refused","status":502,"ms":4,\
 "id":"9c41","targets":["i-7"],"reason":"target_failed","detail":"reset"}
   1.5 front-a {"at_ms":1500,"event":"answered","status":200,"ms":4,"id":"ff"}
 not a line of ours
