Only the owner calls a budget exhausted; connecting is not running

A router that doesn't own a page took loans for spent: with 8,000 of 10,000 tokens lent and unused, another router that couldn't get through the owner answered 402 to a request for 2,000 (test failed first). It's 503 now.

A request whose time ended while the router was connecting counted as maybe run: charged, and 504 where 503 is true. It's marked once there is a connection.

--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -252,9 +252,19 @@
         return self._clock.now() - held.scarce_at < SCARCE_PAUSE_MS
 
     def _shortage(self, budget, amount):
-        """Tell why too little was brought in."""
+        """Tell why too little was brought in.
+
+        Only the owner knows which loans may still be unspent, and so whether
+        a budget is exhausted.
+        """
         lent = self._still_lent(budget)
-        return self._drawing.shortage(budget, amount, lent)
+        found = self._drawing.shortage(budget, amount, lent)
+        exhausted = found.shortage is reservations.Shortage.EXHAUSTED
+        if exhausted and not self._drawing.owned(budget):
+            return reservations.NoMoney(
+                reservations.Shortage.HELD_ELSEWHERE, found.detail
+            )
+        return found
 
     # Lending.
 
--- a/galenaspoke/edge/relay.py
+++ b/galenaspoke/edge/relay.py
@@ -47,6 +47,8 @@
             return outcomes.NotRun(str(exc), reached=False)
         answer = None
         spare = False
+        # Until it is known to have ended, it may be running.
+        self._course.may_have_run = True
         try:
             link.send(self._encode())
             self._course.sent += 1
--- a/galenaspoke/edge/service.py
+++ b/galenaspoke/edge/service.py
@@ -135,7 +135,7 @@
             with gevent.Timeout(max(0.001, left_ms / 1000), _TimeUp()):
                 return self._attempts(course, caller)
         except _TimeUp:
-            return self._time_up(course, caller)
+            return self._time_up(course)
         finally:
             if held is not None:
                 tokens = self._event_tokens(course)
@@ -233,8 +233,7 @@
             course, target, caller, self._dialect, self._clock
         )
         try:
-            # Until it is known to have ended, it may be running.
-            before, course.may_have_run = course.may_have_run, True
+            before = course.may_have_run
             outcome = attempt.run(self._patience(course))
             if isinstance(outcome, outcomes.NotRun):
                 course.may_have_run = before
@@ -318,7 +317,7 @@
             outcome.retry_after_ms or outcomes.spread(admission.RETRY_SOON_MS),
         )
 
-    def _time_up(self, course, caller):
+    def _time_up(self, course):
         if course.may_have_run:
             return outcomes.Refusal(504, outcomes.Reason.DEADLINE)
         return outcomes.Refusal(
--- a/tests/edge/test_cut_streams.py
+++ b/tests/edge/test_cut_streams.py
@@ -199,6 +199,23 @@
             self.assertIsInstance(found, outcomes.Unknown, extra)
         self.assertEqual(b'', self.caller.data)
 
+    def test_time_that_ends_while_connecting_is_no_run(self):
+        class Connecting(FakeTarget):
+            """Never gets a connection."""
+
+            def take_link(self, now):
+                """Wait for good."""
+                gevent.sleep(60)
+
+        attempt = relay.Attempt(
+            self.course, Connecting(None), self.caller, headers, self.clock
+        )
+        with self.assertRaises(gevent.Timeout):
+            with gevent.Timeout(0.01):
+                attempt.run(50)
+        self.assertFalse(self.course.may_have_run)
+        self.assertEqual(0, self.course.consumed(1))
+
     def test_charged_as_delivered(self):
         self.course.may_have_run = True
         self.attempt(HEAD, self.chunk(1, 2))
--- a/tests/edge/test_many_routers_one_budget.py
+++ b/tests/edge/test_many_routers_one_budget.py
@@ -171,6 +171,17 @@
         found = self.lender.reserve(BUDGET, 2000, WAIT_MS)
         self.assertIs(reservations.Shortage.EXHAUSTED, found.shortage)
 
+    def test_who_is_not_the_owner_calls_nothing_exhausted(self):
+        self.fleet.start('c')
+        held = self.borrower.reserve(BUDGET, 8000, WAIT_MS)
+        self.lender.reserve(BUDGET, 900, WAIT_MS).settle(900)
+        # The owner reports the loan as spent, and loses the ledger.
+        self.lender._drawing.draw(BUDGET).result.get()
+        self.lender._drawing.unreachable = True
+        found = self.fleet.purses['c'].reserve(BUDGET, 2000, WAIT_MS)
+        self.assertIs(reservations.Shortage.HELD_ELSEWHERE, found.shortage)
+        held.settle(0)
+
 
 STEPS = strategies.lists(
     strategies.tuples(
