Configuration: listed again after each cut

While the store dropped its history (7 to 10 s) it cut the watch at 8.20 s. The path to the store asked the same watch again over a relay by itself, from the old position; the store held it for its whole 5 s and then said that the history was gone (13.21 s in the trace). The follower never heard of the cut.

Ruled out: a lost listing or an unreadable document; the trace has no watch answer between 2.8 and 13.2 s.

A watch of the configuration that is cut is now for the follower to know, and it lists again at once. Targets and suspects go on as before, since their entries lapse by rules of their own. Tests failed first (with relist off).

--- a/galenaspoke/edge/following.py
+++ b/galenaspoke/edge/following.py
@@ -41,9 +41,20 @@
         '_on_list',
         '_on_change',
         '_gone',
+        '_relist',
     )
 
-    def __init__(self, kind, store, clock, journal, on_list, on_change, gone):
+    def __init__(
+        self,
+        kind,
+        store,
+        clock,
+        journal,
+        on_list,
+        on_change,
+        gone,
+        relist=False,
+    ):
         self.revision = 0
         # When it was last certain that nothing newer existed; None: never.
         self.confirmed_at = None
@@ -59,6 +70,9 @@
         self._on_change = on_change
         # What the store's client raises when history is gone.
         self._gone = gone
+        # Whether to list again after each cut: what happened behind it may
+        # be told late to a watch that goes on where it was.
+        self._relist = relist
 
     def run(self):
         """Follow for good."""
@@ -76,7 +90,8 @@
                 listed = False
             except (store_base.StoreError, store_base.OutcomeUnknown) as exc:
                 self._lost(exc)
-                # A watch that was cut goes on where it was.
+                # Otherwise a watch that was cut goes on where it was.
+                listed = listed and not self._relist
                 gevent.sleep(retry_s * random.uniform(0.6, 1.0))
                 retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
 
@@ -92,8 +107,9 @@
 
     def _watch(self):
         wait_ms = WATCH_MS if self.lost_at is None else RETURN_WATCH_MS
+        options = {'again': False} if self._relist else {}
         revision, changes = self._store.watch(
-            self._kind, self.revision, wait_ms
+            self._kind, self.revision, wait_ms, **options
         )
         self._answered()
         if revision < self.revision:
--- a/galenaspoke/edge/views.py
+++ b/galenaspoke/edge/views.py
@@ -53,6 +53,7 @@
             self._listed,
             self._changed,
             gone,
+            relist=True,
         )
 
     def listen(self, listener):
--- a/galenaspoke/platform/store.py
+++ b/galenaspoke/platform/store.py
@@ -103,14 +103,18 @@
                 return base.Listing(page.store_revision, items)
             after = page.items[-1].metadata.name
 
-    def watch(self, kind, since, wait_ms):
+    def watch(self, kind, since, wait_ms, again=True):
         """Wait for changes after revision `since`.
 
+        One that is cut is asked again on another path, or raises if `again`
+        is False.
+
         Returns the revision to go on from and a list of Change, empty when
         nothing happened.  Raises HistoryGone where the store has forgotten.
         """
         path = f'/objects/{kind}?Watch={since}&WaitMs={wait_ms}'
-        answer = self._call('GET', path, b'', wait_ms / 1000 + WATCH_SLACK_S)
+        timeout_s = wait_ms / 1000 + WATCH_SLACK_S
+        answer = self._call('GET', path, b'', timeout_s, again)
         if answer.status == 410:
             raise HistoryGone(f'{kind}: nothing is known since {since}')
         if answer.status != 200:
@@ -160,13 +164,13 @@
             raise base.OutcomeUnknown(f'store: status {answer.status}')
         return answer
 
-    def _call(self, method, path, body, timeout_s):
+    def _call(self, method, path, body, timeout_s, again=True):
         """Make one call; return the whole answer.
 
         Raises StoreUnavailable if nothing was sent, else OutcomeUnknown.
         """
         self._metrics.count(f'store.{method.lower()}')
-        return self._paths.call(method, path, body, timeout_s)
+        return self._paths.call(method, path, body, timeout_s, again)
 
 
 def cheap_path(kind):
--- a/galenaspoke/store/paths.py
+++ b/galenaspoke/store/paths.py
@@ -130,11 +130,12 @@
         """Make a call on the direct path only; raise NotSent or Broken."""
         return self._direct.call(method, path, body, timeout_s)
 
-    def call(self, method, path, body, timeout_s):
+    def call(self, method, path, body, timeout_s, again=True):
         """Make a call on the first path that works; return the answer.
 
         Raises StoreUnavailable if it is certain that nothing was done, else
-        OutcomeUnknown.  What may have been done is not sent again.
+        OutcomeUnknown.  What may have been done is not sent again; a read is,
+        unless `again` is False.
         """
         answer = None
         why = 'no path is known to work'
@@ -150,7 +151,7 @@
             except (links.Broken, links.Silent) as exc:
                 self._failed(way, str(exc))
                 why = str(exc)
-                if method == 'GET':
+                if method == 'GET' and again:
                     continue
                 raise base.OutcomeUnknown(f'store: {exc}') from exc
             if answer.status not in NOTHING_DONE:
--- a/tests/edge/test_second_path.py
+++ b/tests/edge/test_second_path.py
@@ -58,6 +58,12 @@
         self.direct.does = links.Broken('silent')
         self.assertEqual(200, self.call('GET'))
 
+    def test_watch_that_was_cut_is_for_its_caller_to_know(self):
+        self.direct.does = links.Broken('reset')
+        with self.assertRaises(store_base.OutcomeUnknown):
+            self.paths.call('GET', '/x', b'', 1, again=False)
+        self.assertEqual(0, self.first.calls)
+
     def test_write_without_an_answer_is_not(self):
         self.direct.does = links.Broken('silent')
         with self.assertRaises(store_base.OutcomeUnknown):
--- a/tests/edge/test_store_outage.py
+++ b/tests/edge/test_store_outage.py
@@ -50,7 +50,7 @@
         """Return the next listing."""
         return self._next()
 
-    def watch(self, _, since, wait_ms):
+    def watch(self, _, since, wait_ms, again=True):
         """Return the next events."""
         self.waits.append(wait_ms)
         return self._next()
@@ -205,6 +205,15 @@
         )
         self.assertEqual(7, view.catalog.generation)
 
+    def test_listed_again_after_a_cut(self):
+        # What came behind the cut is told late to a watch that goes on.
+        view = self.view(
+            store_base.Listing(5, [document(7)]),
+            DOWN,
+            store_base.Listing(9, [document(8)]),
+        )
+        self.assertEqual(8, view.catalog.generation)
+
     def test_unreadable_one_is_not_installed(self):
         torn = store_base.Item('config/main', 6, msgspec.Raw(b'{"Routes":1}'))
         view = self.view(
