Specifications share how they are built

Five modules turned named states into plain tuples and back in the same lines. protocols.build does it for all; transitions and guards are the same.

--- a/spec/joining.py
+++ b/spec/joining.py
@@ -6,7 +6,7 @@
 
 import collections
 
-import minicheck
+from spec import protocols
 
 GUARDS = (
     # With a new registry a router asks the former home first.
@@ -30,22 +30,19 @@
 def protocol(guards=frozenset(GUARDS)):
     """Return the protocol under some guards."""
 
-    def transitions(raw):
-        s = State(*raw)
+    def steps_from(s):
         steps = []
         if not s.joined:
             steps.append(('join', s._replace(joined=1)))
         for number in ('1', '2'):
             steps += _router(s, number, guards)
-        return [(label, tuple(new)) for label, new in steps]
+        return steps
 
-    return minicheck.Protocol(
-        name='joining',
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(INITIAL),
-        transitions=transitions,
-        invariants={'runs_once': lambda s: s['ran_old'] + s['ran_new'] <= 1},
+    return protocols.build(
+        'joining',
+        INITIAL,
+        steps_from,
+        {'runs_once': lambda s: s['ran_old'] + s['ran_new'] <= 1},
     )
 
 
--- a/spec/money.py
+++ b/spec/money.py
@@ -10,7 +10,7 @@
 
 import collections
 
-import minicheck
+from spec import protocols
 
 LIMIT = 2
 
@@ -43,20 +43,14 @@
 def protocol(guards=frozenset(GUARDS)):
     """Return the protocol under some guards."""
 
-    def transitions(raw):
-        state = State(*raw)
+    def steps_from(state):
         steps = []
         for part in (_draw, _spend, _join, _arrive, _recover):
             steps += part(state, guards)
-        return [(label, tuple(new)) for label, new in steps]
-
-    return minicheck.Protocol(
-        name='grants',
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(INITIAL),
-        transitions=transitions,
-        invariants={'no_overspend': _no_overspend},
+        return steps
+
+    return protocols.build(
+        'grants', INITIAL, steps_from, {'no_overspend': _no_overspend}
     )
 
 
--- a/spec/restarts.py
+++ b/spec/restarts.py
@@ -11,7 +11,7 @@
 
 import collections
 
-import minicheck
+from spec import protocols
 
 LIMIT = 2
 
@@ -44,20 +44,14 @@
 def protocol(guards=frozenset(GUARDS)):
     """Return the protocol under some guards."""
 
-    def transitions(raw):
-        state = State(*raw)
+    def steps_from(state):
         steps = []
         for part in PARTS:
             steps += part(state, guards)
-        return [(label, tuple(new)) for label, new in steps]
-
-    return minicheck.Protocol(
-        name='restarts',
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(INITIAL),
-        transitions=transitions,
-        invariants={'no_overspend': _no_overspend},
+        return steps
+
+    return protocols.build(
+        'restarts', INITIAL, steps_from, {'no_overspend': _no_overspend}
     )
 
 
--- a/spec/topups.py
+++ b/spec/topups.py
@@ -6,7 +6,7 @@
 
 import collections
 
-import minicheck
+from spec import protocols
 
 GUARDS = (
     # A payment id counts once.
@@ -27,8 +27,7 @@
 def protocol(guards=frozenset(GUARDS)):
     """Return the protocol under some guards."""
 
-    def transitions(raw):
-        s = State(*raw)
+    def steps_from(s):
         steps = []
         if s.tries < 2:
             known = s.tries > 0 and 'know_payment_id' in guards
@@ -47,15 +46,13 @@
             steps.append(('draw', new))
         if s.read >= 0 and not stands:
             steps.append(('conflict', s._replace(read=-1)))
-        return [(label, tuple(new)) for label, new in steps]
-
-    return minicheck.Protocol(
-        name='top-ups',
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(INITIAL),
-        transitions=transitions,
-        invariants={
+        return steps
+
+    return protocols.build(
+        'top-ups',
+        INITIAL,
+        steps_from,
+        {
             'limit_was_paid': lambda s: s['limit'] <= s['paid'],
             'granted_within_limit': lambda s: s['granted'] <= s['limit'],
         },
--- a/spec/vouching.py
+++ b/spec/vouching.py
@@ -8,7 +8,7 @@
 
 import collections
 
-import minicheck
+from spec import protocols
 
 GUARDS = (
     # A router sends nothing to an agent that it knows to be lost.
@@ -40,8 +40,7 @@
 def protocol(guards=frozenset(GUARDS)):
     """Return the protocol under some guards."""
 
-    def transitions(raw):
-        s = State(*raw)
+    def steps_from(s):
         steps = []
         if not s.lost:
             steps.append(('declare lost', s._replace(lost=1)))
@@ -52,15 +51,13 @@
             steps += _vouch(s, me, guards)
             steps += _crash(s, me, other, guards)
         steps += _lift(s, guards)
-        return [(label, tuple(new)) for label, new in steps if new != s]
-
-    return minicheck.Protocol(
-        name='vouching',
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(INITIAL),
-        transitions=transitions,
-        invariants={'runs_once': lambda s: s['old'] + s['new'] <= 1},
+        return [(label, new) for label, new in steps if new != s]
+
+    return protocols.build(
+        'vouching',
+        INITIAL,
+        steps_from,
+        {'runs_once': lambda s: s['old'] + s['new'] <= 1},
     )
 
 
