Split: runs from claims, processes from the cluster that they make

core/records.py held two tables, the one of requests' homes and the one of what runs where; runs.py has the second now. bench/cluster.py held single processes, ports and links beside the cluster; processes.py has those. Moves only: no line of logic changed.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -1,141 +1,18 @@
-"""Starts, hurts and stops the real processes on this machine.
-
-This is the only place that starts processes; galenaspoke itself never does.
-"""
+"""Starts, hurts and stops a whole fleet of real processes."""
 
 import configparser
 import json
 import pathlib
-import random
 import signal
 import socket
 import subprocess
 import sys
 import time
 import urllib.error
-import urllib.request
-
-READY_TIMEOUT_S = 30
-STOP_TIMEOUT_S = 30
-LISTEN_PORTS = (10_000, 32_000)
-
-_ports = random.SystemRandom()
-_given = set()
-
-
-def free_port():
-    """Return a port of the loopback address that nobody uses now.
-
-    Taken from below the range that the system gives to outgoing connections,
-    so that none of these takes it before it is listened on.
-    """
-    while True:
-        port = _ports.randrange(*LISTEN_PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        if port not in _given:
-            _given.add(port)
-            return port
-
-
-def free_address():
-    """Return a free IP:PORT."""
-    return f'127.0.0.1:{free_port()}'
-
-
-def post(address, path, document):
-    """POST a JSON document to a stand-in."""
-    body = json.dumps(document).encode()
-    url = f'http://{address}{path}'
-    with urllib.request.urlopen(url, body, timeout=5) as resp:
-        return resp.read()
 
+from bench import processes
 
-def get(address, path):
-    """Return the JSON document at a path."""
-    url = f'http://{address}{path}'
-    with urllib.request.urlopen(url, timeout=5) as resp:
-        return json.loads(resp.read())
-
-
-class Process:
-    """One process that was started here."""
-
-    def __init__(self, name, argv, directory):
-        self.name = name
-        self._argv = argv
-        self._directory = directory
-        self.popen = None
-        self.start()
-
-    def start(self):
-        """Start it, again if need be."""
-        with open(self._directory / f'{self.name}.err', 'ab') as err:
-            self.popen = subprocess.Popen(
-                self._argv, stdout=err, stderr=err, stdin=subprocess.DEVNULL
-            )
-
-    def alive(self):
-        """Tell whether it runs."""
-        return self.popen.poll() is None
-
-    def signal(self, number):
-        """Send it a signal if it runs."""
-        if self.alive():
-            self.popen.send_signal(number)
-
-    def kill(self):
-        """End it at once, as a crash does."""
-        self.signal(signal.SIGKILL)
-        self.popen.wait()
-
-    def freeze(self):
-        """Stop it from running until it is thawed."""
-        self.signal(signal.SIGSTOP)
-
-    def thaw(self):
-        """Let it run on."""
-        self.signal(signal.SIGCONT)
-
-    def stop(self):
-        """Ask it to stop in order; return its exit code."""
-        self.signal(signal.SIGTERM)
-        return self.popen.wait(STOP_TIMEOUT_S)
-
-
-class Link:
-    """A relay between routers and one agent, which can be cut."""
-
-    def __init__(self, cluster, name, to):
-        self.listen = free_address()
-        self._control = free_address()
-        cluster.standin(
-            f'link-{name}',
-            'link',
-            '--listen',
-            self.listen,
-            '--to',
-            to,
-            '--control',
-            self._control,
-        )
-
-    def _say(self, word):
-        host, _, port = self._control.rpartition(':')
-        with socket.create_connection((host, int(port)), timeout=5) as conn:
-            conn.sendall(f'{word}\n'.encode())
-            conn.recv(16)
-
-    def cut(self):
-        """Let nothing through."""
-        self._say('cut')
-
-    def mend(self):
-        """Let everything through that waited."""
-        self._say('mend')
+READY_TIMEOUT_S = 30
 
 
 class Cluster:
@@ -157,7 +34,9 @@
         self.stop_all()
 
     def _start(self, name, *argv):
-        process = Process(name, [sys.executable, *argv], self.directory)
+        process = processes.Process(
+            name, [sys.executable, *argv], self.directory
+        )
         self.processes[name] = process
         return process
 
@@ -167,7 +46,7 @@
 
     def start_store(self, **options):
         """Start the stand-in for the platform's object API."""
-        self.store_address = free_address()
+        self.store_address = processes.free_address()
         argv = ['--listen', self.store_address, '--log', self.log('store')]
         for option, value in options.items():
             argv += [f'--{option.replace("_", "-")}', str(value)]
@@ -176,7 +55,7 @@
 
     def start_roster(self, lag_ms=300):
         """Start the stand-in for the platform's list of instances."""
-        self.roster_address = free_address()
+        self.roster_address = processes.free_address()
         argv = ['--listen', self.roster_address, '--lag-ms', str(lag_ms)]
         self.standin('roster', 'roster', *argv)
         self._await_port(self.roster_address)
@@ -215,7 +94,7 @@
 
     def start_target(self, name, kind, **options):
         """Start an engine or an application."""
-        address = free_address()
+        address = processes.free_address()
         argv = ['--listen', address, '--log', self.log(f'target-{name}')]
         for option, value in options.items():
             argv += [f'--{option.replace("_", "-")}', str(value)]
@@ -227,11 +106,11 @@
     def start_agent(self, name, service, kind, domain, link=False, **options):
         """Start the agent of a target; with `link` behind a relay."""
         target = self.addresses[f'target-{name}']
-        listen = free_address()
-        state_listen = free_address()
+        listen = processes.free_address()
+        state_listen = processes.free_address()
         address = listen
         if link:
-            relay = Link(self, name, listen)
+            relay = processes.Link(self, name, listen)
             self.addresses[f'link-{name}'] = relay
             address = relay.listen
         section = {
@@ -258,11 +137,11 @@
         """Start a router; with `store_link` behind a relay to the store."""
         store = {}
         if store_link:
-            relay = Link(self, f'store-{name}', self.store_address)
+            relay = processes.Link(self, f'store-{name}', self.store_address)
             self.addresses[f'store-link-{name}'] = relay
             store['url'] = f'http://{relay.listen}'
-        listen = free_address()
-        peer_listen = free_address()
+        listen = processes.free_address()
+        peer_listen = processes.free_address()
         section = {
             'name': name,
             'domain': domain,
@@ -317,7 +196,7 @@
         """Return a process's state dump, or None if it doesn't answer."""
         address = self.addresses.get(f'state-{name}', self.addresses[name])
         try:
-            return get(address, '/state')
+            return processes.get(address, '/state')
         except (OSError, urllib.error.URLError):
             return None
 
@@ -382,21 +261,21 @@
             if f'peer-{name}' in self.addresses
         ]
         if self.roster_address:
-            post(self.roster_address, '/control', instances)
+            processes.post(self.roster_address, '/control', instances)
 
     def control(self, name, **faults):
         """Set a stand-in's faults."""
         address = (
             self.store_address if name == 'store' else self.addresses[name]
         )
-        post(address, '/control', faults)
+        processes.post(address, '/control', faults)
 
     def stop_in_order(self, names):
         """Ask processes to stop, and wait until they have."""
         for name in names:
             self.processes[name].signal(signal.SIGTERM)
         for name in names:
-            self.processes[name].popen.wait(STOP_TIMEOUT_S)
+            self.processes[name].popen.wait(processes.STOP_TIMEOUT_S)
 
     def stop_all(self):
         """End every process that was started here."""
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -21,6 +21,7 @@
 from bench import cluster as clusters  # noqa: E402
 from bench import deployments  # noqa: E402
 from bench import judge  # noqa: E402
+from bench import processes  # noqa: E402
 
 OUTPUT = pathlib.Path('build/measure.json')
 PAGE = pathlib.Path('docs/MEASUREMENTS.md')
@@ -142,7 +143,7 @@
         )
         # Equal shares are shares among the routers that are known.
         self.cluster.wait('routers to know each other', self._acquainted)
-        before = clusters.get(self.cluster.store_address, '/counts')
+        before = processes.get(self.cluster.store_address, '/counts')
         started = time.monotonic()
         self._until = started + self.seconds
         tasks = [
@@ -153,7 +154,7 @@
             tasks.append(gevent.spawn(self._hurt))
         gevent.joinall(tasks, raise_error=True)
         seconds = time.monotonic() - started
-        after = clusters.get(self.cluster.store_address, '/counts')
+        after = processes.get(self.cluster.store_address, '/counts')
         self._stop()
         return self._record(before, after, seconds)
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -26,6 +26,7 @@
 from galenaspoke.core import objects  # noqa: E402
 from galenaspoke.core import records  # noqa: E402
 from galenaspoke.core import registry  # noqa: E402
+from galenaspoke.core import runs as run_table  # noqa: E402
 from galenaspoke.router import vouching  # noqa: E402
 from galenaspoke.rpc import messages  # noqa: E402
 
@@ -136,7 +137,7 @@
     """Measure the memory of an agent's records."""
     tracemalloc.start()
     clock = clocks.Clock()
-    claims, runs = records.Claims(clock), records.Runs(clock)
+    claims, runs = records.Claims(clock), run_table.Runs(clock)
     count = 2000
     for number in range(count):
         key = f'account-{number % 9}/key-{number:08d}'
@@ -144,7 +145,7 @@
         run = runs.start(key, 1, f'router-1.abcdef.{number}')
         run.place = 'x' * 256
         run.add([f'word{number % 50} ' for _ in range(300)])
-        run.state = records.RunState.DONE
+        run.state = run_table.RunState.DONE
         run.finish(clock.now())
     used = _traced_kb() / count
     slopes.note('record with an answer of 300 tokens', used, 'KB')
--- a/galenaspoke/agent/main.py
+++ b/galenaspoke/agent/main.py
@@ -17,6 +17,7 @@
 from galenaspoke.conf import defaults  # noqa: E402
 from galenaspoke.core import clock as clocks  # noqa: E402
 from galenaspoke.core import records  # noqa: E402
+from galenaspoke.core import runs as run_table  # noqa: E402
 from galenaspoke.fleet import keeper as fleet_keeper  # noqa: E402
 from galenaspoke.rpc import bridge  # noqa: E402
 from galenaspoke.store import client as store_client  # noqa: E402
@@ -41,7 +42,7 @@
         self.store = store_client.Client(cfg.store, self.metrics)
         self.keeper = fleet_keeper.ConfigKeeper(self.metrics)
         self.claims = records.Claims(self.clock)
-        self.runs = records.Runs(self.clock)
+        self.runs = run_table.Runs(self.clock)
         self.holders = agent_holders.Holders(self.store)
         self.runner = agent_runner.Runner(
             self.cfg, self.clock, self.metrics, self.runs, self.holders
--- a/galenaspoke/agent/runner.py
+++ b/galenaspoke/agent/runner.py
@@ -10,7 +10,7 @@
 from galenaspoke.application import client as application
 from galenaspoke.core import limits
 from galenaspoke.core import objects
-from galenaspoke.core import records
+from galenaspoke.core import runs as run_table
 from galenaspoke.core import verdicts
 from galenaspoke.engine import client as engine
 from galenaspoke.utils import http
@@ -115,7 +115,7 @@
                     self._generate(run, submit, started)
                 else:
                     self._call(run, submit, deadline_s)
-            run.state = records.RunState.DONE
+            run.state = run_table.RunState.DONE
         except gevent.Timeout:
             self._timed_out(run)
         except http.TargetFailed as exc:
@@ -151,9 +151,9 @@
     def _timed_out(self, run):
         if self._cfg.kind == objects.MODEL:
             engine.cancel(self._cfg.target, run.dispatch)
-            run.state = records.RunState.FAILED
+            run.state = run_table.RunState.FAILED
         else:
-            run.state = records.RunState.UNKNOWN
+            run.state = run_table.RunState.UNKNOWN
         run.refusal = verdicts.may_have_run(
             verdicts.Reason.DEADLINE, 'the deadline passed during the run'
         )
@@ -161,15 +161,15 @@
     def _failed(self, run, submit, life, exc):
         if self._cfg.kind == objects.MODEL:
             self._note_down(life, exc)
-            run.state = records.RunState.FAILED
+            run.state = run_table.RunState.FAILED
             if exc.sent:
                 run.crash = f'{submit.to}.{life}'
         elif exc.sent:
-            run.state = records.RunState.UNKNOWN
+            run.state = run_table.RunState.UNKNOWN
         else:
             self._note_down(life, exc)
-            run.state = records.RunState.FENCED
-        started = run.state is not records.RunState.FENCED
+            run.state = run_table.RunState.FENCED
+        started = run.state is not run_table.RunState.FENCED
         make = verdicts.may_have_run if started else verdicts.not_run
         run.refusal = make(
             verdicts.Reason.TARGET_FAILED, f'the target failed: {exc}', 500
@@ -179,9 +179,12 @@
         used = len(run.pieces)
         if self._cfg.kind == objects.APPLICATION:
             used = submit.reserve
-        if run.state is records.RunState.DONE and run.billable:
+        if run.state is run_table.RunState.DONE and run.billable:
             run.spent = used
-        elif run.state in (records.RunState.DONE, records.RunState.UNKNOWN):
+        elif run.state in (
+            run_table.RunState.DONE,
+            run_table.RunState.UNKNOWN,
+        ):
             run.doubt = used
         self._holders.end(run)
         self._metrics.count(f'runs.{run.state.value}')
--- a/galenaspoke/agent/service.py
+++ b/galenaspoke/agent/service.py
@@ -11,6 +11,7 @@
 from galenaspoke.core import objects
 from galenaspoke.core import records
 from galenaspoke.core import registry
+from galenaspoke.core import runs as run_table
 from galenaspoke.core import verdicts
 from galenaspoke.rpc import messages
 from galenaspoke.rpc import methods
@@ -244,7 +245,7 @@
             if pieces[count:]:
                 yield messages.Pieces(pieces[count:])
         else:
-            if not delivered or run.state is not records.RunState.DONE:
+            if not delivered or run.state is not run_table.RunState.DONE:
                 yield _end_of(run)
                 return
         yield messages.End(
@@ -269,7 +270,7 @@
         """Tell what a dispatch cost; one that never came is fenced."""
         self._check_meant(ask)
         run = self._runs.outcome_or_fence(ask.dispatch)
-        running = run.state is records.RunState.RUNNING
+        running = run.state is run_table.RunState.RUNNING
         return messages.Outcome(running, run.spent, run.doubt)
 
     def seal(self, seal):
@@ -303,7 +304,7 @@
             if run.keyed
             and run.holder not in live
             and run.key not in known
-            and run.state is not records.RunState.FENCED
+            and run.state is not run_table.RunState.FENCED
         ]
         return sent
 
@@ -336,7 +337,7 @@
             )
             if handed.state is None:
                 continue
-            run = records.Run(handed.key, handed.attempt, handed.state)
+            run = run_table.Run(handed.key, handed.attempt, handed.state)
             run.add(handed.pieces)
             run.refusal = handed.refusal
             run.finish(self._clock.now())
@@ -356,12 +357,12 @@
 
 def _end_of(run):
     """Return what is said when a run has ended."""
-    if run.state is records.RunState.FENCED:
+    if run.state is run_table.RunState.FENCED:
         return run.refusal or verdicts.not_run(
             verdicts.Reason.MOVED, 'this attempt never started here', 1
         )
     return messages.End(
-        run.state is records.RunState.DONE,
+        run.state is run_table.RunState.DONE,
         len(run.pieces),
         run.dispatch,
         run.spent,
--- a/galenaspoke/core/__init__.py
+++ b/galenaspoke/core/__init__.py
@@ -12,9 +12,9 @@
 from galenaspoke.core.objects import Config
 from galenaspoke.core.objects import Document
 from galenaspoke.core.records import Claims
-from galenaspoke.core.records import Runs
 from galenaspoke.core.registry import placement
 from galenaspoke.core.registry import Registry
+from galenaspoke.core.runs import Runs
 from galenaspoke.core.verdicts import Refusal
 from galenaspoke.core.verdicts import Verdict
 
--- a/galenaspoke/rpc/messages.py
+++ b/galenaspoke/rpc/messages.py
@@ -9,6 +9,7 @@
 
 from galenaspoke.core import records
 from galenaspoke.core import registry
+from galenaspoke.core import runs as run_table
 from galenaspoke.core import verdicts
 
 
@@ -229,7 +230,7 @@
     runner: str
     billable: bool
     closed: verdicts.Refusal | None = None
-    state: records.RunState | None = None
+    state: run_table.RunState | None = None
     pieces: list[str] = []
     refusal: verdicts.Refusal | None = None
 
--- a/tests/agent/test_service.py
+++ b/tests/agent/test_service.py
@@ -8,6 +8,7 @@
 from galenaspoke.core import clock
 from galenaspoke.core import records
 from galenaspoke.core import registry
+from galenaspoke.core import runs as run_table
 from galenaspoke.core import verdicts
 from galenaspoke.fleet import keeper
 from galenaspoke.rpc import messages
@@ -89,7 +90,7 @@
         )
         counters = metrics.Metrics(defaults.MetricsSettings(), 'x')
         manual = clock.ManualClock()
-        self.runs = records.Runs(manual)
+        self.runs = run_table.Runs(manual)
         self.holders = Holders()
         tables = (
             records.Claims(manual),
@@ -123,7 +124,7 @@
         """Add a run that has ended whole."""
         run = self.runs.start('k', attempt, f'other-{attempt}')
         run.add(pieces)
-        run.state = records.RunState.DONE
+        run.state = run_table.RunState.DONE
         run.finish(0)
 
     def test_stream_goes_on_from_the_same_pieces(self):
--- a/tests/core/test_records.py
+++ b/tests/core/test_records.py
@@ -6,6 +6,7 @@
 
 from galenaspoke.core import clock
 from galenaspoke.core import records
+from galenaspoke.core import runs as run_table
 from galenaspoke.core import verdicts
 from galenaspoke.rpc import messages
 
@@ -107,7 +108,7 @@
 
     def setUp(self):
         self.clock = clock.ManualClock()
-        self.runs = records.Runs(self.clock)
+        self.runs = run_table.Runs(self.clock)
 
     def test_fenced_attempt_never_starts(self):
         self.runs.find_or_fence('k', 1)
@@ -130,7 +131,7 @@
         for piece in 'abcd':
             run.add([piece])
             gevent.sleep(0)
-        run.state = records.RunState.DONE
+        run.state = run_table.RunState.DONE
         run.finish(self.clock.now())
         gevent.joinall(tasks)
         self.assertEqual(list('abcd'), tasks[0].value)
@@ -142,7 +143,7 @@
         self.clock.advance(10_000)
         self.runs.expire(1000)
         self.assertIs(run, self.runs.find('k', 1))
-        run.state = records.RunState.DONE
+        run.state = run_table.RunState.DONE
         run.ended_at = self.clock.now()
         self.clock.advance(1001)
         self.runs.expire(1000)
--- a/tests/system/base.py
+++ b/tests/system/base.py
@@ -8,6 +8,7 @@
 from bench import cluster as clusters
 from bench import deployments
 from bench import judge
+from bench import processes
 
 ROUTER = {
     'reclaim_after_ms': 1000,
@@ -129,7 +130,7 @@
         """Return the agent whose target has a request running, or None."""
         for name in names:
             address = self.cluster.addresses[f'target-{name}']
-            if clusters.get(address, '/load')['running']:
+            if processes.get(address, '/load')['running']:
                 return name
         return None
 
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -5,8 +5,8 @@
 import json
 
 from bench import callers
-from bench import cluster as clusters
 from bench import judge
+from bench import processes
 from tests.system import base
 
 
@@ -166,7 +166,7 @@
         agent = self.await_running('model')
         target = self.cluster.addresses[f'target-{agent}']
         try:
-            clusters.post(
+            processes.post(
                 target,
                 '/generate',
                 {
@@ -296,7 +296,7 @@
 
     def _model(self, name):
         address = self.cluster.addresses[f'target-{name}']
-        return clusters.get(address, '/load')['order'].get('model')
+        return processes.get(address, '/load')['order'].get('model')
 
 
 class RefusalTest(base.ClusterTest):
