Edge: dead fields, one beginning of an answer, fingerprints when needed

Grant.rate and Entry.share_of have no reader since pages have owners. Both ends of a stream began the answer in the same lines. Each body was hashed on its way in, though the hash is only compared when there is a suspect or a request was cut off. The follower passed an option by a dict. Answers, counts and lines are as before.

--- a/galenaspoke/core/ledger.py
+++ b/galenaspoke/core/ledger.py
@@ -56,15 +56,11 @@
 
 
 class Grant(msgspec.Struct):
-    """Tokens that one holder may spend, and what it reported of them.
-
-    `rate` is the demand that the holder sees, in tokens a second.
-    """
+    """Tokens that one holder may spend, and what it reported of them."""
 
     granted: int
     spent: int = 0
     doubt: int = 0
-    rate: int = 0
 
 
 class Doubt(msgspec.Struct):
@@ -109,16 +105,6 @@
         )
         return max(0, min(self.limit, self.wanted) - spent - self.in_doubt())
 
-    def share_of(self, holder, rate):
-        """Return a holder's part of the demand on this budget, 0 to 1.
-
-        `rate` is what the holder sees now; of the others the page tells.
-        """
-        others = sum(
-            grant.rate for name, grant in self.grants.items() if name != holder
-        )
-        return rate / (rate + others) if rate else 0.0
-
     def free(self):
         """Return the tokens that can still be granted; never negative."""
         return max(0, min(self.limit, self.wanted) - self.committed())
--- a/galenaspoke/edge/admission.py
+++ b/galenaspoke/edge/admission.py
@@ -10,7 +10,6 @@
 
 from galenaspoke.edge import course as courses
 from galenaspoke.edge import outcomes
-from galenaspoke.edge import poison
 
 RETRY_SOON_MS = (150, 450)
 RETRY_STALE_MS = (500, 1_200)
@@ -66,16 +65,13 @@
             if isinstance(account, outcomes.Refusal):
                 return account
         course = courses.Course(req, call, route, account)
-        course.fingerprint = poison.fingerprint(
-            req, account.name if account else ''
-        )
         if self._too_late(course):
             return outcomes.Refusal(
                 503,
                 outcomes.Reason.LEAVING,
                 retry_after_ms=outcomes.spread(RETRY_SOON_MS),
             )
-        if self._containment.refused(course.fingerprint):
+        if self._poisoned(course):
             return outcomes.Refusal(
                 503,
                 outcomes.Reason.POISON,
@@ -85,6 +81,12 @@
         course.service = route.service_for(_point(call))
         return course
 
+    def _poisoned(self, course):
+        containment = self._containment
+        return containment.any_suspects() and containment.refused(
+            course.fingerprint()
+        )
+
     def _route(self, req):
         host = req.header(b'host').lower().rpartition(':')
         host = host[0] if host[1] and host[2].isdecimal() else ''.join(host)
--- a/galenaspoke/edge/course.py
+++ b/galenaspoke/edge/course.py
@@ -1,6 +1,7 @@
 """What is kept of one request while it is served."""
 
 from galenaspoke.core import catalog
+from galenaspoke.edge import poison
 
 
 class Course:
@@ -24,7 +25,7 @@
         'sent_at',
         'tried',
         'charged',
-        'fingerprint',
+        '_fingerprint',
     )
 
     def __init__(self, req, call, route, account):
@@ -54,8 +55,17 @@
         self.tried = []
         # What it took of its account's budget in the end, in tokens.
         self.charged = 0
-        # What it has in common with the same request sent again.
-        self.fingerprint = ''
+        self._fingerprint = None
+
+    def fingerprint(self):
+        """Return what it has in common with the same request sent again.
+
+        It takes reading the whole body, so it's found when first needed.
+        """
+        if self._fingerprint is None:
+            account = self.account.name if self.account else ''
+            self._fingerprint = poison.fingerprint(self.req, account)
+        return self._fingerprint
 
     def left_ms(self, now):
         """Return the time that is left for an answer."""
--- a/galenaspoke/edge/following.py
+++ b/galenaspoke/edge/following.py
@@ -107,9 +107,8 @@
 
     def _watch(self):
         wait_ms = WATCH_MS if self.lost_at is None else RETURN_WATCH_MS
-        options = {'again': False} if self._relist else {}
         revision, changes = self._store.watch(
-            self._kind, self.revision, wait_ms, **options
+            self._kind, self.revision, wait_ms, again=not self._relist
         )
         self._answered()
         if revision < self.revision:
--- a/galenaspoke/edge/poison.py
+++ b/galenaspoke/edge/poison.py
@@ -87,6 +87,10 @@
         now = self._clock.now()
         self._crashes[suspicion.request][tuple(suspicion.target)] = now
 
+    def any_suspects(self):
+        """Tell whether there is any suspect to compare a request with."""
+        return bool(self._crashes)
+
     def answered(self, request):
         """Note that a request was run to its end: it is no suspect."""
         self._crashes.pop(request, None)
--- a/galenaspoke/edge/relay.py
+++ b/galenaspoke/edge/relay.py
@@ -136,7 +136,7 @@
                 raise links.Broken('closed in the middle of a stream')
         if splitter.rest():
             raise links.Broken('the last event is not whole')
-        self._finish(answer)
+        self._send(answer, messages.LAST_CHUNK)
         return outcomes.Served(answer.status)
 
     def _fresh(self, found):
@@ -153,25 +153,17 @@
     def _pass_on(self, answer, fresh):
         now = self._clock.now()
         self._target.pressure.first_event(self._course, now)
-        data = messages.chunk(b''.join(event.raw for event in fresh))
         if not self._caller.begun:
             self._course.first_byte(now)
-            data = (
-                self._caller.begin(
-                    answer.status, self._dialect.returned(answer)
-                )
-                + data
-            )
         self._course.delivered(fresh, now)
-        self._caller.send(data)
+        data = messages.chunk(b''.join(event.raw for event in fresh))
+        self._send(answer, data)
 
-    def _finish(self, answer):
-        data = messages.LAST_CHUNK
+    def _send(self, answer, data):
+        """Send a part of the answer's body, after its head if need be."""
         if not self._caller.begun:
-            data = (
-                self._caller.begin(
-                    answer.status, self._dialect.returned(answer)
-                )
-                + data
+            head = self._caller.begin(
+                answer.status, self._dialect.returned(answer)
             )
+            data = head + data
         self._caller.send(data)
--- a/galenaspoke/edge/service.py
+++ b/galenaspoke/edge/service.py
@@ -260,7 +260,8 @@
         rests = False
         if isinstance(outcome, outcomes.Served):
             target.health.succeeded()
-            self._containment.answered(course.fingerprint)
+            if self._containment.any_suspects():
+                self._containment.answered(course.fingerprint())
             return
         if isinstance(outcome, outcomes.NotRun):
             if outcome.misdirected:
@@ -274,7 +275,7 @@
             why = outcome.why
             if not outcome.late:
                 self._containment.cut_off(
-                    course.fingerprint, target.entry.identity()
+                    course.fingerprint(), target.entry.identity()
                 )
         else:
             target.health.succeeded()
