Edge: loans and refusals are modules, one way to draw, one start

edge/purse.py held spending, borrowing and the record of what was lent; loans.py has the last two. Drawing as the owner, for borrowers and aside had the same checks three times, and noted the outcome in two copies; each is one function. MOVED was defined twice; the book was handed over after the constructor. edge/service.py's own answers are refusals.py. Both programs read their settings and ended with status 2 in the same lines. No behaviour changed; the tests keep their assertions.

--- a/galenaspoke/edge/drawing.py
+++ b/galenaspoke/edge/drawing.py
@@ -28,8 +28,6 @@
 # Of what is left of a budget, the part that its owner may hold.  What is
 # held is lost when the owner dies, the rest is not.
 HELD_SHARE = 0.04
-# What a draw comes to on a page that another router owns.
-MOVED = 'moved'
 # What asking the ledger may raise.
 FAILURES = (store_base.StoreError, pages.Undecided, pages.HolderSealed)
 
@@ -52,7 +50,9 @@
         '_paged_for',
     )
 
-    def __init__(self, name, cfg, store, clock, metrics, journal, catalog):
+    def __init__(
+        self, name, cfg, store, clock, metrics, journal, catalog, book
+    ):
         self.name = name
         # The ledger failed to answer; requests don't wait for it until it
         # has answered again.
@@ -64,16 +64,13 @@
         self._journal = journal
         # Returns the catalog in force.
         self._catalog = catalog
-        self._book = None
+        # Where the grants are kept.
+        self._book = book
         self._writers = {}
         # Prepaid accounts by page, and the catalog that they are of.
         self._paged = {}
         self._paged_for = None
 
-    def bind(self, book):
-        """Let the grants be kept in `book`."""
-        self._book = book
-
     def seen(self, budget):
         """Return a budget's page as last seen, or None."""
         return self._writer(budget).page()
@@ -106,27 +103,19 @@
         A page without an owner, or whose owner `displaced` is, becomes this
         router's.
         """
-        held = self._book.held(budget)
 
         def function(page):
             altered = self._prepare(page, budget)
             before = page.owner
             if not self._take(page, displaced):
-                return pages.Unchanged(MOVED)
+                return pages.Unchanged(reservations.MOVED)
             altered = altered or page.owner != before
             target = self._target(page, budget)
             return self._grant(page, budget, target, altered)
 
         def done(outcome):
-            self.unreachable = False
-            if outcome == MOVED:
-                return
-            if isinstance(outcome, ledger.LedgerError) or not outcome:
-                held.scarce_at = self._clock.now()
-                return
-            self._book.granted(budget, outcome)
-            self._metrics.count('grants.drawn')
-            if displaced not in ('', self.name):
+            drawn = self._drawn(budget, outcome, 'grants.drawn')
+            if drawn and displaced not in ('', self.name):
                 self._journal.note(
                     'money.taken_over', budget=budget, of=displaced
                 )
@@ -135,22 +124,28 @@
 
     def draw_aside(self, budget):
         """Draw only what requests wait for, on a page of another owner."""
-        held = self._book.held(budget)
 
         def function(page):
             altered = self._prepare(page, budget)
             return self._grant(page, budget, 0, altered)
 
         def done(outcome):
-            self.unreachable = False
-            if isinstance(outcome, int) and outcome:
-                self._book.granted(budget, outcome)
-                self._metrics.count('grants.drawn_aside')
-            else:
-                held.scarce_at = self._clock.now()
+            self._drawn(budget, outcome, 'grants.drawn_aside')
 
         return self._submit(budget, function, done)
 
+    def _drawn(self, budget, outcome, counter):
+        """Note what came of a draw; return whether it brought anything."""
+        self.unreachable = False
+        if outcome == reservations.MOVED:
+            return False
+        if isinstance(outcome, ledger.LedgerError) or not outcome:
+            self._book.held(budget).scarce_at = self._clock.now()
+            return False
+        self._book.granted(budget, outcome)
+        self._metrics.count(counter)
+        return True
+
     def _grant(self, page, budget, target, altered):
         """Grant in a page what `target` and the requests need.
 
--- a/galenaspoke/edge/lending.py
+++ b/galenaspoke/edge/lending.py
@@ -42,8 +42,8 @@
 class Loan(msgspec.Struct):
     """The answer: tokens lent by `holder`, or why there are none.
 
-    `shortage` is a reservations.Shortage, or MOVED where another router owns
-    the budget's page by now.
+    `shortage` is a reservations.Shortage's value, or reservations.MOVED where
+    another router owns the budget's page by now.
     """
 
     holder: str
@@ -61,9 +61,6 @@
     borrower: str
 
 
-MOVED = 'moved'
-
-
 class Lending:
     """Asks other routers, on connections that are kept."""
 
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -1,6 +1,5 @@
 """galenaspoke-edge: the router on the data path, on a platform's machines."""
 
-import gc
 import signal
 import sys
 
@@ -25,6 +24,7 @@
 from galenaspoke.edge import second_path
 from galenaspoke.edge import service as services
 from galenaspoke.edge import settings as edge_settings
+from galenaspoke.edge import start
 from galenaspoke.edge import views
 from galenaspoke.http import messages
 from galenaspoke.platform import documents
@@ -37,7 +37,6 @@
 from galenaspoke.utils import state
 
 EXIT_OK = 0
-EXIT_SETTINGS = 2
 BACKLOG = 1024
 # A balancer needs so long to see that this router isn't ready.
 UNREADY_MS = 2_500
@@ -299,12 +298,7 @@
 @click.option('--metrics-port', default=0, help='Where to serve /metrics.')
 def main(settings, metrics_port):
     """Run the edge router."""
-    try:
-        cfg = platform_settings.load(settings)
-    except platform_settings.SettingsInvalid as exc:
-        print(exc, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    gc.freeze()
+    cfg = start.settings_or_end(settings)
     sys.exit(Edge(cfg, metrics_port).run())
 
 
--- a/galenaspoke/edge/purse.py
+++ b/galenaspoke/edge/purse.py
@@ -12,7 +12,6 @@
         held.settle(1490)
 """
 
-import collections
 import random
 
 import gevent
@@ -20,6 +19,7 @@
 from galenaspoke.core import grants
 from galenaspoke.edge import drawing as drawings
 from galenaspoke.edge import lending
+from galenaspoke.edge import loans
 from galenaspoke.edge import reservations
 from galenaspoke.utils import identity
 
@@ -29,27 +29,16 @@
 CLOSE_TIMEOUT_S = 1.0
 # A draw that found too little is not repeated before this time.
 SCARCE_PAUSE_MS = 1_000
-# A router that found no lender for a budget asks again after this time.
-BORROW_PAUSE_MS = 400
-MOST_LENDERS = 3
 # How often a request's need is looked after before it is refused.
 MOST_TRIES = 3
 # How many owners, one after the other, are asked for one loan.
 MOST_OWNERS = 3
-# An owner that didn't answer isn't asked again before this time.
-SILENT_MS = 1_500
-# What a borrower asks for on top: its demand of this time.
-AHEAD_MS = 1_000
 # Of what a lender has, the part that it lends beyond the need.
 AHEAD_SHARE = 0.125
 # A lender waits so long for the ledger; the borrower waits a little longer.
 LEND_WAIT_MS = 250
 # What a lender that isn't the owner keeps for itself: its demand of this time.
 KEPT_MS = 1_500
-# What nobody has used for so long on another owner's page goes back.
-UNUSED_MS = 1_500
-# What a borrower had is taken for spent after this time without a word.
-LENT_KNOWN_MS = 20_000
 # More than this many times the target is given back.
 SURPLUS_FACTOR = 2
 # Less than this isn't worth a write to give back.
@@ -66,13 +55,11 @@
         '_metrics',
         '_journal',
         '_catalog',
-        '_lending',
         '_book',
         '_drawing',
-        '_supplies',
-        '_silent',
-        '_lenders',
+        '_borrowed',
         '_lent',
+        '_supplies',
         '_closing',
     )
 
@@ -84,21 +71,16 @@
         self._journal = journal
         # Returns the catalog in force.
         self._catalog = catalog
-        # Asks other routers for loans.
-        self._lending = lending_
         self._book = grants.GrantBook(clock)
         self._drawing = drawings.Drawing(
-            self.name, cfg, store, clock, metrics, journal, catalog
+            self.name, cfg, store, clock, metrics, journal, catalog, self._book
         )
-        self._drawing.bind(self._book)
+        self._borrowed = loans.Borrowed(
+            cfg, clock, metrics, lending_, self._book
+        )
+        self._lent = loans.Lent(clock)
         # What is being done to get money, by budget.
         self._supplies = {}
-        # Until when owners aren't asked, by address.
-        self._silent = {}
-        # Who lent last: budget to (address, holder, tokens lent by it).
-        self._lenders = {}
-        # What borrowers may still have: budget to borrower to (tokens, when).
-        self._lent = collections.defaultdict(dict)
         self._closing = False
 
     def start(self):
@@ -159,94 +141,58 @@
         for _ in range(MOST_OWNERS):
             address = page.contacts.get(page.owner)
             mine = not page.owner or self._drawing.owns(page)
-            if mine or not address or self._is_silent(address):
+            if mine or not address or self._borrowed.is_silent(address):
                 displaced = page.owner
             if mine or page.owner == displaced:
                 failed = self._draw(budget, displaced)
-                if failed != drawings.MOVED:
+                if failed != reservations.MOVED:
                     return failed
                 page = self._drawing.seen(budget)
                 continue
-            loan = self._ask(budget, held, address)
+            loan = self._borrowed.ask(budget, address)
             if loan is None:
-                self._silent[address] = self._clock.now() + SILENT_MS
+                self._borrowed.note_silent(address)
             elif loan.tokens:
                 return None
-            elif loan.shortage != lending.MOVED:
+            elif loan.shortage != reservations.MOVED:
                 return self._refused(budget, held, loan)
             page = self._drawing.read(budget, again=True)
         return self._draw_aside(budget)
 
-    def _is_silent(self, address):
-        return self._clock.now() < self._silent.get(address, 0)
-
-    def _ask(self, budget, held, address):
-        """Ask the owner for a loan; return the Loan, or None."""
-        need = held.waiting - held.available()
-        asked = lending.Ask(
-            budget,
-            max(1, need),
-            self._book.demand_in(budget, AHEAD_MS),
-            self._cfg.name,
-            max(0, held.loaned - held.spent),
-        )
-        loan = self._lending.ask(address, asked)
-        if loan is not None and loan.tokens:
-            self._borrowed(budget, address, loan)
-        return loan
-
-    def _borrowed(self, budget, address, loan):
-        self._book.borrowed(budget, loan.tokens)
-        self._metrics.count('grants.borrowed')
-        last = self._lenders.get(budget)
-        before = last[2] if last and last[1] == loan.holder else 0
-        self._lenders[budget] = (address, loan.holder, before + loan.tokens)
-
     def _refused(self, budget, held, loan):
         """Go on without the owner's money; return a NoMoney or None."""
         shortage = reservations.Shortage(loan.shortage)
         if shortage is reservations.Shortage.UNREACHABLE:
             return self._draw_aside(budget)
         if shortage is reservations.Shortage.HELD_ELSEWHERE:
-            self._borrow(budget, held)
+            self._ask_holders(budget)
             if held.available() >= held.waiting:
                 return None
         return reservations.NoMoney(shortage, loan.detail)
 
+    def _ask_holders(self, budget):
+        page = self._drawing.seen(budget)
+        self._borrowed.ask_holders(budget, page, self.name)
+
     def _draw(self, budget, displaced):
-        """Draw from the ledger; return a NoMoney, None or MOVED."""
+        """Draw as the owner, or borrow; return a NoMoney, None or MOVED."""
+        found = self._drawn(budget, self._drawing.draw, displaced)
         held = self._book.held(budget)
-        if self._drawing.unreachable:
-            return _unreachable('failed a moment ago')
-        if not self._scarce(held):
-            change = self._drawing.draw(budget, displaced)
-            if change.result.get() == drawings.MOVED:
-                return drawings.MOVED
-        if held.available() < held.waiting:
-            self._borrow(budget, held)
-        return None
+        if found is None and held.available() < held.waiting:
+            self._ask_holders(budget)
+        return found
 
     def _draw_aside(self, budget):
-        held = self._book.held(budget)
+        return self._drawn(budget, self._drawing.draw_aside)
+
+    def _drawn(self, budget, draw, *args):
+        """Have `draw` ask the ledger; return a NoMoney, None or MOVED."""
         if self._drawing.unreachable:
             return _unreachable('failed a moment ago')
-        if not self._scarce(held):
-            self._drawing.draw_aside(budget).result.get()
-        return None
-
-    def _borrow(self, budget, held):
-        """Ask those that hold most of a budget to lend some."""
-        if self._clock.now() - held.refused_at < BORROW_PAUSE_MS:
-            return
-        page = self._drawing.seen(budget)
-        addresses = lending.lenders(page, budget, self.name)
-        for address in addresses[:MOST_LENDERS]:
-            if held.available() >= held.waiting:
-                return
-            if not self._is_silent(address):
-                self._ask(budget, held, address)
-        if held.available() < held.waiting:
-            held.refused_at = self._clock.now()
+        if self._scarce(self._book.held(budget)):
+            return None
+        outcome = draw(budget, *args).result.get()
+        return outcome if outcome == reservations.MOVED else None
 
     def _scarce(self, held):
         return self._clock.now() - held.scarce_at < SCARCE_PAUSE_MS
@@ -257,7 +203,7 @@
         Only the owner knows which loans may still be unspent, and so whether
         a budget is exhausted.
         """
-        lent = self._still_lent(budget)
+        lent = self._lent.still(budget)
         found = self._drawing.shortage(budget, amount, lent)
         exhausted = found.shortage is reservations.Shortage.EXHAUSTED
         if exhausted and not self._drawing.owned(budget):
@@ -280,7 +226,7 @@
         kept = 0
         if owner or page is None:
             self._book.note_demand(budget, need)
-            self._note_lent(asked, asked.unsettled)
+            self._lent.note(budget, asked.borrower, asked.unsettled)
             if held.available() < need:
                 failed = self._obtain(
                     budget, need, LEND_WAIT_MS, self._supply_as_owner
@@ -291,10 +237,10 @@
             kept = self._book.demand_in(budget, KEPT_MS)
         spare = held.available() - kept
         if spare < need or self._closing:
-            return lending.Loan(self.name, shortage=lending.MOVED)
+            return lending.Loan(self.name, shortage=reservations.MOVED)
         amount = need + min(asked.ahead, int(AHEAD_SHARE * (spare - need)))
         self._book.lend(budget, amount)
-        self._note_lent(asked, asked.unsettled + amount)
+        self._lent.note(budget, asked.borrower, asked.unsettled + amount)
         self._metrics.count('grants.lent')
         return lending.Loan(self.name, amount)
 
@@ -303,23 +249,14 @@
         try:
             page = self._drawing.read(budget)
             if page.owner and not self._drawing.owns(page):
-                return drawings.MOVED
-            return self._draw_only(budget)
+                return reservations.MOVED
+            return self._drawn(budget, self._drawing.draw)
         except drawings.FAILURES as exc:
             return _unreachable(str(exc))
 
-    def _draw_only(self, budget):
-        held = self._book.held(budget)
-        if self._drawing.unreachable:
-            return _unreachable('failed a moment ago')
-        if self._scarce(held):
-            return None
-        outcome = self._drawing.draw(budget).result.get()
-        return drawings.MOVED if outcome == drawings.MOVED else None
-
     def _no_loan(self, budget, need, failed):
-        if failed == drawings.MOVED:
-            return lending.Loan(self.name, shortage=lending.MOVED)
+        if failed == reservations.MOVED:
+            return lending.Loan(self.name, shortage=reservations.MOVED)
         failed = failed or self._shortage(budget, need)
         return lending.Loan(
             self.name, shortage=failed.shortage.value, detail=failed.detail
@@ -327,30 +264,18 @@
 
     def take_back(self, returned):
         """Take back what is left of a loan; refuse what wasn't lent."""
-        held = self._book.held(returned.budget)
-        lent, _ = self._lent[returned.budget].get(returned.borrower, (0, 0))
+        budget, tokens = returned.budget, returned.tokens
+        lent = self._lent.of(budget, returned.borrower)
+        most = min(lent, self._book.held(budget).spent)
         known = returned.holder == self.name and not self._closing
-        if known and 0 < returned.tokens <= min(lent, held.spent):
-            self._book.taken_back(returned.budget, returned.tokens)
-            self._lent[returned.budget][returned.borrower] = (
-                lent - returned.tokens,
-                self._clock.now(),
-            )
+        if known and 0 < tokens <= most:
+            self._book.taken_back(budget, tokens)
+            self._lent.note(budget, returned.borrower, lent - tokens)
             self._metrics.count('grants.taken_back')
             return True
-        self._journal.note('money.return_refused', budget=returned.budget)
+        self._journal.note('money.return_refused', budget=budget)
         return False
 
-    def _note_lent(self, asked, tokens):
-        now = self._clock.now()
-        self._lent[asked.budget][asked.borrower] = (tokens, now)
-
-    def _still_lent(self, budget):
-        """Return what borrowers may not have spent yet."""
-        since = self._clock.now() - LENT_KNOWN_MS
-        lent = self._lent[budget].values()
-        return sum(tokens for tokens, at in lent if at >= since)
-
     # Keeping it in order.
 
     def follow(self):
@@ -386,14 +311,14 @@
         another owner's page that nobody uses.
         """
         held = self._book.held(budget)
-        self._give_back_loan(budget, held)
+        self._borrowed.give_back(budget)
         task = self._supplies.get(budget)
         if task is not None and not task.ready():
             return
         if self._drawing.unreachable:
             return
         if not self._drawing.owned(budget):
-            if self._clock.now() - held.used_at >= UNUSED_MS:
+            if self._clock.now() - held.used_at >= loans.UNUSED_MS:
                 self._drawing.give_back(budget, held.returnable())
             return
         missing, target = self._drawing.wants(budget)
@@ -405,23 +330,10 @@
                 self._supply_as_owner, budget
             )
 
-    def _give_back_loan(self, budget, held, unused_ms=UNUSED_MS):
-        lender = self._lenders.get(budget)
-        if lender is None or self._clock.now() - held.used_at < unused_ms:
-            return
-        address, holder, most = lender
-        tokens = self._book.give_back_loan(budget, most)
-        del self._lenders[budget]
-        if tokens:
-            returned = lending.Return(budget, tokens, holder, self._cfg.name)
-            self._lending.give_back(address, returned)
-
     def close(self):
         """Give everything back; what is reserved counts as spent."""
         self._closing = True
-        for budget in list(self._lenders):
-            held = self._book.held(budget)
-            self._give_back_loan(budget, held, unused_ms=0)
+        self._borrowed.give_all_back()
         changes = self._drawing.close()
         try:
             for change in changes:
--- a/galenaspoke/edge/relay_main.py
+++ b/galenaspoke/edge/relay_main.py
@@ -4,9 +4,7 @@
 and no caller's request passes through it.
 """
 
-import gc
 import signal
-import sys
 
 import click
 import gevent
@@ -18,13 +16,11 @@
 from galenaspoke.edge import metrics as edge_metrics
 from galenaspoke.edge import second_path
 from galenaspoke.edge import settings as edge_settings
-from galenaspoke.platform import settings as platform_settings
+from galenaspoke.edge import start
 from galenaspoke.platform import store as platform_store
 from galenaspoke.store import paths as store_paths
 from galenaspoke.store import relays
 
-EXIT_SETTINGS = 2
-
 
 def serve(cfg):
     """Relay until a signal says to stop."""
@@ -52,13 +48,7 @@
 @click.option('--settings', default=None, help='The settings file.')
 def main(settings):
     """Relay calls to the store for routers that are cut off from it."""
-    try:
-        cfg = platform_settings.load(settings, serves_callers=False)
-    except platform_settings.SettingsInvalid as exc:
-        print(exc, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    gc.freeze()
-    serve(cfg)
+    serve(start.settings_or_end(settings, serves_callers=False))
 
 
 if __name__ == '__main__':
--- a/galenaspoke/edge/reservations.py
+++ b/galenaspoke/edge/reservations.py
@@ -3,6 +3,9 @@
 import dataclasses
 import enum
 
+# Stands for the money that was asked for where another router owns the page.
+MOVED = 'moved'
+
 
 class Shortage(enum.Enum):
     """Why there is no money."""
--- a/galenaspoke/edge/service.py
+++ b/galenaspoke/edge/service.py
@@ -11,12 +11,12 @@
 import msgspec
 
 from galenaspoke.core import catalog
-from galenaspoke.edge import admission
 from galenaspoke.edge import callers
 from galenaspoke.edge import course as courses
 from galenaspoke.edge import lanes
 from galenaspoke.edge import outcomes
 from galenaspoke.edge import placement
+from galenaspoke.edge import refusals
 from galenaspoke.edge import relay
 from galenaspoke.edge import reservations
 from galenaspoke.http import messages
@@ -33,10 +33,6 @@
 PATIENCE_TARGETS = 2.5
 # A stream that may be resumed leaves a target that is silent for so long.
 STREAM_PATIENCE_MS = 1_500
-# Callers that find no money come back spread over this time; later where it
-# takes an operator.
-RETRY_MONEY_MS = (800, 1_600)
-RETRY_OPERATOR_MS = (30_000, 60_000)
 
 
 class _TimeUp(Exception):
@@ -135,7 +131,7 @@
             with gevent.Timeout(max(0.001, left_ms / 1000), _TimeUp()):
                 return self._attempts(course, caller)
         except _TimeUp:
-            return self._time_up(course)
+            return refusals.time_up(course)
         finally:
             if held is not None:
                 tokens = self._event_tokens(course)
@@ -154,23 +150,7 @@
         if not isinstance(held, reservations.NoMoney):
             return held
         self._metrics.count(f'refused.{held.shortage.value}')
-        if held.shortage is reservations.Shortage.EXHAUSTED:
-            return outcomes.Refusal(
-                402, outcomes.Reason.BUDGET_EXHAUSTED, held.detail
-            )
-        if held.shortage is reservations.Shortage.IN_DOUBT:
-            return outcomes.Refusal(
-                503,
-                outcomes.Reason.BUDGET_IN_DOUBT,
-                held.detail,
-                outcomes.spread(RETRY_OPERATOR_MS),
-            )
-        return outcomes.Refusal(
-            503,
-            outcomes.Reason.BUDGET_ELSEWHERE,
-            held.detail,
-            outcomes.spread(RETRY_MONEY_MS),
-        )
+        return refusals.no_money(held)
 
     def _event_tokens(self, course):
         service = self._config.catalog.services.get(course.service)
@@ -190,7 +170,7 @@
             outcome = self._attempt(course, target, caller)
             if isinstance(outcome, outcomes.Served):
                 return outcome
-        return self._give_up(course, outcome)
+        return refusals.given_up(course, outcome)
 
     def _choose(self, course):
         now = self._clock.now()
@@ -293,40 +273,6 @@
 
     # Ends.
 
-    def _give_up(self, course, outcome):
-        """Return what to answer when no further target may be tried."""
-        if isinstance(outcome, outcomes.Failure):
-            return outcome
-        if isinstance(outcome, outcomes.Unknown):
-            return outcomes.Refusal(
-                504 if outcome.late else 502,
-                outcomes.Reason.TARGET_FAILED,
-                outcome.why,
-            )
-        if course.may_have_run:
-            return outcomes.Refusal(502, outcomes.Reason.TARGET_FAILED)
-        if outcome is None:
-            return outcomes.Refusal(
-                503,
-                outcomes.Reason.NO_TARGET,
-                retry_after_ms=outcomes.spread(admission.RETRY_SOON_MS),
-            )
-        return outcomes.Refusal(
-            503,
-            outcomes.Reason.OVERLOAD,
-            outcome.why,
-            outcome.retry_after_ms or outcomes.spread(admission.RETRY_SOON_MS),
-        )
-
-    def _time_up(self, course):
-        if course.may_have_run:
-            return outcomes.Refusal(504, outcomes.Reason.DEADLINE)
-        return outcomes.Refusal(
-            503,
-            outcomes.Reason.DEADLINE,
-            retry_after_ms=outcomes.spread(admission.RETRY_SOON_MS),
-        )
-
     def _conclude(self, req, course, caller, found):
         """Give the final answer, where it hasn't been given, and note it."""
         if isinstance(found, outcomes.Served):
--- a/tests/edge/test_many_routers_one_budget.py
+++ b/tests/edge/test_many_routers_one_budget.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 
 from galenaspoke.edge import lending
-from galenaspoke.edge import purse
+from galenaspoke.edge import loans
 from galenaspoke.edge import reservations
 from tests.edge import test_prepaid_restarts as base
 
@@ -104,7 +104,7 @@
         self.fleet.serve('b', 1000, 900)
         self.fleet.purses['a']._drawing.unreachable = True
         self.assertTrue(self.fleet.serve('b', 200_000, 900))
-        self.fleet.clock.advance(purse.UNUSED_MS)
+        self.fleet.clock.advance(loans.UNUSED_MS)
         self.fleet.purses['b']._refill(BUDGET)
         gevent.sleep(0.01)
         grant = (
@@ -133,7 +133,7 @@
     def test_unused_loan_goes_back(self):
         self.fleet.serve('b', 5000, 100)
         before = self.spent()
-        self.fleet.clock.advance(purse.UNUSED_MS)
+        self.fleet.clock.advance(loans.UNUSED_MS)
         self.borrower._refill(BUDGET)
         self.assertEqual(before - 4900, self.spent())
 
@@ -167,7 +167,7 @@
         found = self.lender.reserve(BUDGET, 2000, WAIT_MS)
         self.assertIs(reservations.Shortage.HELD_ELSEWHERE, found.shortage)
         held.settle(8500)
-        self.fleet.clock.advance(purse.LENT_KNOWN_MS + 1)
+        self.fleet.clock.advance(loans.LENT_KNOWN_MS + 1)
         found = self.lender.reserve(BUDGET, 2000, WAIT_MS)
         self.assertIs(reservations.Shortage.EXHAUSTED, found.shortage)
 
@@ -210,7 +210,7 @@
             if step == 'serve':
                 fleet.serve(name, amount, amount // 2)
             elif step == 'idle':
-                fleet.clock.advance(purse.UNUSED_MS)
+                fleet.clock.advance(loans.UNUSED_MS)
                 fleet.purses[name]._refill(BUDGET)
             elif step == 'restart':
                 fleet.start(name, lenders)
