--- a/tests/edge/test_clock_jumps.py
+++ b/tests/edge/test_clock_jumps.py
@@ -6,8 +6,7 @@
 
 from galenaspoke.core import clock
 from galenaspoke.edge import journal
-from tests.edge import test_many_routers_one_budget as many
-from tests.edge import test_prepaid_restarts as base
+from tests.edge import fleets
 
 JUMPS_NS = (0, 7_200_000_000_000, -7_200_000_000_000)
 
@@ -17,7 +16,7 @@
 
     def spend(self, jump_ns):
         """Return what a fleet decides while the time of day jumps."""
-        fleet = base.Fleet(10_000)
+        fleet = fleets.Fleet(10_000)
         for name in 'ab':
             fleet.start(name)
         with mock.patch('time.time_ns', return_value=10**18 + jump_ns):
@@ -25,8 +24,8 @@
                 found = [
                     fleet.serve(name, 900, 800) for name in 'abababababab'
                 ]
-                fleet.purses['b']._refill(many.BUDGET)
-        return found, fleet.page().entries[many.BUDGET].committed()
+                fleet.purses['b']._refill(fleets.BUDGET)
+        return found, fleet.page().entries[fleets.BUDGET].committed()
 
     def test_money(self):
         found = [self.spend(jump) for jump in JUMPS_NS]
--- a/tests/edge/test_many_routers_one_budget.py
+++ b/tests/edge/test_many_routers_one_budget.py
@@ -10,14 +10,14 @@
 from galenaspoke.edge import lending
 from galenaspoke.edge import loans
 from galenaspoke.edge import reservations
-from tests.edge import test_prepaid_restarts as base
+from tests.edge import fleets
 
-BUDGET = base.BUDGET
-WAIT_MS = base.WAIT_MS
+BUDGET = fleets.BUDGET
+WAIT_MS = fleets.WAIT_MS
 LIMIT = 1_000_000
 
 
-class FaultyLending(base.DirectLending):
+class FaultyLending(fleets.DirectLending):
     """Some routers don't answer."""
 
     def __init__(self, purses):
@@ -37,7 +37,7 @@
     """Who draws, and what happens when that one is gone."""
 
     def setUp(self):
-        self.fleet = base.Fleet(LIMIT)
+        self.fleet = fleets.Fleet(LIMIT)
         self.lending = FaultyLending(self.fleet.purses)
         for name in 'abc':
             self.fleet.start(name, self.lending)
@@ -119,7 +119,7 @@
     """What is lent counts once, and what isn't needed comes back."""
 
     def setUp(self):
-        self.fleet = base.Fleet(10_000)
+        self.fleet = fleets.Fleet(10_000)
         for name in 'ab':
             self.fleet.start(name)
         self.fleet.serve('a', 1000, 1000)
@@ -201,7 +201,7 @@
     @settings(max_examples=80, deadline=None, derandomize=True)
     @given(STEPS)
     def test_random_histories(self, steps):
-        fleet = base.Fleet(1000)
+        fleet = fleets.Fleet(1000)
         lenders = FaultyLending(fleet.purses)
         for name in 'abc':
             fleet.start(name, lenders)
--- a/tests/edge/test_prepaid_restarts.py
+++ b/tests/edge/test_prepaid_restarts.py
@@ -6,111 +6,27 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
-import msgspec
 
-from galenaspoke.core import catalog
 from galenaspoke.core import ledger
 from galenaspoke.edge import lending
-from galenaspoke.edge import purse
 from galenaspoke.edge import reservations
-from tests.edge import base
-from tests import fakes
-
-BUDGET = 'voucher-desk'
-LIMIT = 10_000
-KEY = 'ledger/0000'
-WAIT_MS = 50
-
-
-class NoLenders:
-    """Nobody lends."""
-
-    def ask(self, *_):
-        """Answer nothing."""
-
-    def give_back(self, *_):
-        """Take nothing."""
-
-
-class DirectLending:
-    """Asks purses in this process, by address."""
-
-    def __init__(self, purses):
-        self.purses = purses
-
-    def ask(self, address, asked):
-        """Ask one."""
-        found = self.purses.get(address)
-        return found.lend(asked) if found else None
-
-    def give_back(self, address, returned):
-        """Give tokens back to one."""
-        found = self.purses.get(address)
-        if found:
-            found.take_back(returned)
-
-
-def published(limit, generation=1):
-    """Return a catalog with one prepaid account."""
-    account = catalog.Account(BUDGET, prepaid=limit)
-    return catalog.Catalog(
-        generation, (), (), (account,), {}, catalog.Limits()
-    )
-
-
-class Fleet:
-    """Routers with one store; counts what each really spent."""
-
-    def __init__(self, limit=LIMIT):
-        self.store = fakes.FakeStore()
-        self.clock = base.manual_clock()
-        self.catalog = published(limit)
-        self.purses = {}
-        self.spent = 0
-
-    def start(self, name, lenders=None):
-        """Start the process of an instance, or its successor."""
-        found = purse.Purse(
-            base.edge_settings(name, peer_listen=name, ledger_pages=1),
-            self.store,
-            self.clock,
-            base.Recorder(),
-            base.Recorder(),
-            lambda: self.catalog,
-            lenders or DirectLending(self.purses),
-        )
-        found.start()
-        self.purses[name] = found
-        return found
-
-    def serve(self, name, amount, spent):
-        """Serve a request; return whether there was money."""
-        held = self.purses[name].reserve(BUDGET, amount, WAIT_MS)
-        if isinstance(held, reservations.NoMoney):
-            return False
-        self.spent += spent
-        held.settle(spent)
-        return True
-
-    def page(self):
-        """Return the page as the store has it."""
-        return msgspec.json.decode(self.store.get(KEY).value, type=ledger.Page)
+from tests.edge import fleets
 
 
 class RestartTest(unittest.TestCase):
     """A process that starts on an instance replaces the one before."""
 
     def setUp(self):
-        self.fleet = Fleet()
+        self.fleet = fleets.Fleet()
 
     def test_spent_without_a_report_is_in_doubt(self):
         self.fleet.start('a')
         self.assertTrue(self.fleet.serve('a', 600, 500))
-        held = self.fleet.page().entries[BUDGET]
+        held = self.fleet.page().entries[fleets.BUDGET]
         granted = sum(grant.granted for grant in held.grants.values())
         self.fleet.start('a')
         self.assertTrue(self.fleet.serve('a', 1, 0))
-        entry = self.fleet.page().entries[BUDGET]
+        entry = self.fleet.page().entries[fleets.BUDGET]
         self.assertEqual(granted, entry.settled + entry.in_doubt())
         self.assertEqual([self.fleet.purses['a'].name], list(entry.grants))
         self.assertEqual(1, len(self.fleet.page().writers))
@@ -124,7 +40,7 @@
         self.fleet.serve('b', 2000, 500)
         self.fleet.start('a')
         self.assertTrue(self.fleet.serve('a', 600, 500))
-        entry = self.fleet.page().entries[BUDGET]
+        entry = self.fleet.page().entries[fleets.BUDGET]
         self.assertNotIn(before, entry.grants)
         self.assertGreater(entry.in_doubt(), 0)
 
@@ -132,69 +48,77 @@
         self.fleet.start('a')
         self.fleet.serve('a', 600, 500)
         self.fleet.start('b')
-        self.assertEqual(1, len(self.fleet.page().entries[BUDGET].grants))
+        self.assertEqual(
+            1, len(self.fleet.page().entries[fleets.BUDGET].grants)
+        )
 
     def test_stop_in_order_leaves_nothing_in_doubt(self):
         self.fleet.start('a')
         self.fleet.serve('a', 600, 500)
         self.fleet.purses['a'].close()
-        entry = self.fleet.page().entries[BUDGET]
+        entry = self.fleet.page().entries[fleets.BUDGET]
         self.assertEqual((500, 0), (entry.settled, entry.in_doubt()))
-        self.assertEqual(LIMIT - 500, entry.free())
+        self.assertEqual(fleets.LIMIT - 500, entry.free())
 
     def test_unfinished_requests_count_as_spent_at_a_stop(self):
         self.fleet.start('a')
-        self.fleet.purses['a'].reserve(BUDGET, 600, WAIT_MS)
+        self.fleet.purses['a'].reserve(fleets.BUDGET, 600, fleets.WAIT_MS)
         self.fleet.purses['a'].close()
-        self.assertEqual(600, self.fleet.page().entries[BUDGET].settled)
+        self.assertEqual(600, self.fleet.page().entries[fleets.BUDGET].settled)
 
 
 class LimitTest(unittest.TestCase):
     """Limits that operators raise and lower."""
 
     def setUp(self):
-        self.fleet = Fleet(1000)
+        self.fleet = fleets.Fleet(1000)
         self.fleet.start('a')
 
     def test_exhausted_is_proved(self):
         self.assertTrue(self.fleet.serve('a', 900, 900))
-        found = self.fleet.purses['a'].reserve(BUDGET, 200, WAIT_MS)
+        found = self.fleet.purses['a'].reserve(
+            fleets.BUDGET, 200, fleets.WAIT_MS
+        )
         self.assertIs(reservations.Shortage.EXHAUSTED, found.shortage)
 
     def test_doubt_is_no_proof(self):
         self.fleet.serve('a', 900, 900)
         self.fleet.start('a')
-        found = self.fleet.purses['a'].reserve(BUDGET, 200, WAIT_MS)
+        found = self.fleet.purses['a'].reserve(
+            fleets.BUDGET, 200, fleets.WAIT_MS
+        )
         self.assertIs(reservations.Shortage.IN_DOUBT, found.shortage)
 
     def test_top_up(self):
         self.fleet.serve('a', 900, 900)
-        self.fleet.catalog = published(2000, 2)
+        self.fleet.catalog = fleets.published(2000, 2)
         self.assertTrue(self.fleet.serve('a', 500, 500))
 
     def test_older_generation_changes_nothing(self):
         page = ledger.Page()
-        ledger.set_limit(page, BUDGET, 500, 7)
-        self.assertFalse(ledger.set_limit(page, BUDGET, 900, 6))
-        self.assertEqual(500, page.entries[BUDGET].limit)
+        ledger.set_limit(page, fleets.BUDGET, 500, 7)
+        self.assertFalse(ledger.set_limit(page, fleets.BUDGET, 900, 6))
+        self.assertEqual(500, page.entries[fleets.BUDGET].limit)
 
     def test_limit_far_below_what_is_used(self):
         self.fleet.serve('a', 600, 600)
-        self.fleet.catalog = published(100, 2)
+        self.fleet.catalog = fleets.published(100, 2)
         self.fleet.purses['a'].follow()
         gevent.sleep(0.01)
         self.assertFalse(self.fleet.serve('a', 1, 1))
-        entry = self.fleet.page().entries[BUDGET]
+        entry = self.fleet.page().entries[fleets.BUDGET]
         self.assertLessEqual(entry.committed(), 600)
 
     def test_store_that_is_out_of_reach(self):
         self.fleet.serve('a', 100, 100)
         self.fleet.store.down = True
-        held = self.fleet.purses['a'].reserve(BUDGET, 950, WAIT_MS)
+        held = self.fleet.purses['a'].reserve(
+            fleets.BUDGET, 950, fleets.WAIT_MS
+        )
         self.assertIs(reservations.Shortage.UNREACHABLE, held.shortage)
 
     def test_request_that_joins_a_draw_gets_a_draw_of_its_own(self):
-        fleet = Fleet(100_000)
+        fleet = fleets.Fleet(100_000)
         fleet.start('a')
         found = []
 
@@ -209,12 +133,12 @@
     """Routers that lend to each other while the ledger has none."""
 
     def setUp(self):
-        self.fleet = Fleet(1000)
+        self.fleet = fleets.Fleet(1000)
         self.fleet.start('a')
         self.fleet.start('b')
         # All is granted to one router.
         rich = self.fleet.purses['a']
-        rich.reserve(BUDGET, 1000, WAIT_MS).settle(0)
+        rich.reserve(fleets.BUDGET, 1000, fleets.WAIT_MS).settle(0)
         # It has long forgotten that it needed so much.
         self.fleet.clock.advance(60_000)
 
@@ -224,7 +148,7 @@
 
     def test_loan_counts_as_spent_by_the_lender(self):
         self.fleet.serve('b', 300, 0)
-        lender = self.fleet.purses['a'].dump()['budgets'][BUDGET]
+        lender = self.fleet.purses['a'].dump()['budgets'][fleets.BUDGET]
         self.assertGreaterEqual(lender['spent'], 300)
 
     def test_both_restart(self):
@@ -232,11 +156,11 @@
         self.fleet.start('a')
         self.fleet.start('b')
         self.fleet.serve('a', 1, 0)
-        entry = self.fleet.page().entries[BUDGET]
+        entry = self.fleet.page().entries[fleets.BUDGET]
         self.assertGreaterEqual(entry.settled + entry.in_doubt(), 300)
 
     def test_nobody_lends(self):
-        self.fleet.start('c', NoLenders())
+        self.fleet.start('c', fleets.NoLenders())
         self.assertFalse(self.fleet.serve('c', 300, 300))
 
     def test_garbage_is_refused(self):
@@ -286,7 +210,7 @@
     @settings(max_examples=60, deadline=None, derandomize=True)
     @given(STEPS)
     def test_random_histories(self, steps):
-        fleet = Fleet(1000)
+        fleet = fleets.Fleet(1000)
         highest = 1000
         for name in 'abc':
             fleet.start(name)
@@ -300,6 +224,6 @@
                 fleet.store.faults.append(name)
             else:
                 generation = fleet.catalog.generation + 1
-                fleet.catalog = published(amount, generation)
+                fleet.catalog = fleets.published(amount, generation)
                 highest = max(highest, amount)
         self.assertLessEqual(fleet.spent, highest)
