--- a/galenaspoke/core/ledger.py
+++ b/galenaspoke/core/ledger.py
@@ -9,10 +9,12 @@
 anything, and then spends from that grant without contacting the store.  Every
 version of a page satisfies, for each budget::
 
-    settled + in doubt + sum(grant.granted for each holder) <= limit
+    settled + in doubt + unseen + sum(grant.granted for each holder) <= limit
 
 Tokens are *in doubt* when no remaining process can determine whether they
-were spent.  They count as spent until an operator settles them.
+were spent.  They count as spent until an operator settles them.  Tokens are
+*unseen* while updates that granted them may have been lost with the store's
+latest changes; `durability` explains that.
 
 Example::
 
@@ -29,7 +31,12 @@
 
 MAX_TOKENS = 10**15
 TOP_UPS_KEPT = 64
-PAGE_PREFIX = 'ledger/'
+PAGE_KIND = 'ledger'
+PAGE_PREFIX = f'{PAGE_KIND}/'
+# The share of a budget's limit that may be volatile at a time, or a number of
+# tokens for a small budget, whose first requests need most of it.
+VOLATILE_SHARE = 0.4
+MIN_VOLATILE_TOKENS = 50_000
 
 
 class LedgerError(Exception):
@@ -64,12 +71,17 @@
     amount: int
 
 
-class Grant(msgspec.Struct):
-    """Tokens granted to one holder, and the usage that it last reported."""
+class Grant(msgspec.Struct, omit_defaults=True):
+    """Tokens granted to one holder, and the usage that it last reported.
+
+    `volatile` tokens were granted so recently that a copy of the store may
+    not include them.
+    """
 
     granted: int
     spent: int = 0
     doubt: int = 0
+    volatile: int = 0
 
 
 class Doubt(msgspec.Struct):
@@ -83,7 +95,7 @@
     why: str
 
 
-class BudgetEntry(msgspec.Struct):
+class BudgetEntry(msgspec.Struct, omit_defaults=True):
     """The ledger's record of one budget.
 
     `wanted` is the limit that the operator requested.  It differs from
@@ -92,6 +104,9 @@
     `top_up_floor` is the highest top-up id that is no longer kept in
     `top_ups`.  `generation` is the generation of the configuration that last
     set the limit, or 0 if the limit is raised by payments.
+    `closed_volatile` is the number of volatile tokens under closed grants.
+    `joined` lists the holders that have stated their grants since the page was
+    taken over from a copy of the store.
     """
 
     limit: int = 0
@@ -102,11 +117,14 @@
     top_ups: list[TopUp] = []
     top_up_floor: str = ''
     generation: int = 0
+    closed_volatile: int = 0
+    unseen: int = 0
+    joined: list[str] = []
 
     def committed_tokens(self):
-        """Return the tokens that are settled, in doubt or granted."""
+        """Return the tokens that are settled, in doubt, unseen or granted."""
         granted = sum(grant.granted for grant in self.grants.values())
-        return self.settled + self.in_doubt_tokens() + granted
+        return self.settled + self.in_doubt_tokens() + self.unseen + granted
 
     def in_doubt_tokens(self):
         """Return the tokens that are in doubt."""
@@ -130,7 +148,7 @@
         return max(0, min(self.limit, self.wanted) - self.committed_tokens())
 
 
-class Page(msgspec.Struct):
+class Page(msgspec.Struct, omit_defaults=True):
     """A group of budgets that is stored as one object.
 
     `writers` maps each holder to the sequence number of its last write, so
@@ -141,18 +159,27 @@
     `contacts` maps each holder to the address at which other holders can
     borrow from it.  `owner` is the holder that other holders ask first.  It
     is only a hint: correctness does not depend on it.
+
+    If the page was taken over from a copy of the store, `lost_eras` is the
+    number of times that its latest changes may have been lost, until nothing
+    is unseen any more.
     """
 
     entries: dict[str, BudgetEntry] = {}
     writers: dict[str, int] = {}
     contacts: dict[str, str] = {}
     owner: str = ''
+    lost_eras: int = 0
+
+
+def page_name(budget, page_count):
+    """Return the name of the page that contains `budget`."""
+    return f'{zlib.crc32(budget.encode()) % page_count:04d}'
 
 
 def page_key(budget, page_count):
     """Return the store key of the page that contains `budget`."""
-    number = zlib.crc32(budget.encode()) % page_count
-    return f'{PAGE_PREFIX}{number:04d}'
+    return PAGE_PREFIX + page_name(budget, page_count)
 
 
 def check_invariants(page):
@@ -197,7 +224,7 @@
     while len(entry.top_ups) > TOP_UPS_KEPT:
         entry.top_up_floor = entry.top_ups.pop(0).id
     entry.wanted += payment.amount
-    _update_limit(entry)
+    update_limit(entry)
     return True
 
 
@@ -214,7 +241,7 @@
             f' requested, {entry.wanted}'
         )
     entry.wanted = wanted
-    _update_limit(entry)
+    update_limit(entry)
     return entry.limit
 
 
@@ -236,8 +263,11 @@
     elif generation <= entry.generation:
         return False
     entry.generation = generation
+    if page.lost_eras:
+        raised = max(0, volatile_limit(limit) - volatile_limit(entry.wanted))
+        entry.unseen += page.lost_eras * raised
     entry.wanted = limit
-    _update_limit(entry)
+    update_limit(entry)
     return True
 
 
@@ -259,7 +289,14 @@
     return found
 
 
-def _update_limit(entry):
+def volatile_limit(limit):
+    """Return how many tokens of a budget may be volatile at a time."""
+    share = int(VOLATILE_SHARE * limit)
+    return min(limit, max(share, MIN_VOLATILE_TOKENS))
+
+
+def update_limit(entry):
+    """Set the limit that applies, after a change of an entry."""
     entry.limit = max(entry.wanted, entry.committed_tokens())
 
 
@@ -297,9 +334,10 @@
             ' doubt'
         )
     grant.granted -= returned
+    grant.volatile = max(0, grant.volatile - returned)
     grant.spent = spent
     grant.doubt = doubt
-    _update_limit(entry)
+    update_limit(entry)
     return True
 
 
@@ -320,9 +358,10 @@
             f' doubt of {grant.granted} granted'
         )
     entry.settled += spent
+    entry.closed_volatile += grant.volatile
     if doubt:
         entry.doubts.append(Doubt(holder, doubt, why))
-    _update_limit(entry)
+    update_limit(entry)
     return True
 
 
@@ -335,7 +374,7 @@
     for entry in page.entries.values():
         if entry.grants.pop(holder, None) is not None:
             found = True
-            _update_limit(entry)
+            update_limit(entry)
     return found
 
 
@@ -358,5 +397,5 @@
         )
     entry.doubts.remove(doubt)
     entry.settled += spent
-    _update_limit(entry)
+    update_limit(entry)
     return True
--- a/galenaspoke/edge/budgets.py
+++ b/galenaspoke/edge/budgets.py
@@ -22,7 +22,7 @@
 from galenaspoke.edge import loan_protocol
 from galenaspoke.edge import loans
 from galenaspoke.edge import reservations
-from galenaspoke.utils import identity
+from galenaspoke.store import base as store_base
 
 # Bounds of the random time between two rebalancing passes.
 REBALANCE_INTERVAL_MS = (700, 900)
@@ -56,7 +56,7 @@
     """Reserves, obtains and lends the prepaid tokens of one router.
 
     A budget is the prepaid tokens of one client account and is named after it.
-    `holder_name` is the router's name as a holder, with its incarnation.
+    `members` is the list of routers and `eras` are the Eras of the store.
     `get_catalog` returns the catalog in force; `loan_client` asks other
     routers for loans.
     """
@@ -77,9 +77,19 @@
     )
 
     def __init__(
-        self, cfg, store, clock, metrics, journal, get_catalog, loan_client
+        self,
+        cfg,
+        store,
+        eras,
+        members,
+        clock,
+        metrics,
+        journal,
+        get_catalog,
+        loan_client,
     ):
-        self.holder_name = f'{cfg.name}#{identity.new_incarnation()}'
+        # The router's name as a holder, with its incarnation.
+        self.holder_name = members.holder_name
         self._cfg = cfg
         self._clock = clock
         self._metrics = metrics
@@ -87,9 +97,10 @@
         self._get_catalog = get_catalog
         self._book = grants.GrantBook(clock)
         self._ledger_client = ledger_client.LedgerClient(
-            self.holder_name,
             cfg,
             store,
+            eras,
+            members,
             clock,
             metrics,
             journal,
@@ -171,7 +182,11 @@
                 'the ledger is unreachable; it is probed until it responds'
             )
         try:
-            return self._draw_or_borrow(budget, balance)
+            try:
+                return self._draw_or_borrow(budget, balance)
+            except store_base.EraChanged:
+                # The pages of the new era have other keys; look again.
+                return self._draw_or_borrow(budget, balance)
         except ledger_client.LEDGER_CALL_ERRORS as exc:
             return _unreachable(str(exc))
 
@@ -417,6 +432,7 @@
         desired tokens.
         """
         balance = self._book.get_balance(budget)
+        self._ledger_client.check_unseen(budget)
         self._borrower.return_unused(budget)
         task = self._fetches.get(budget)
         if task is not None and not task.ready():
--- a/galenaspoke/edge/ledger_client.py
+++ b/galenaspoke/edge/ledger_client.py
@@ -9,6 +9,10 @@
 A process that starts on an instance proves that the previous incarnation is
 dead.  It ends its predecessor's grants on every page that it uses.
 
+When the store comes back from a copy, changes under way are given up, the
+router states what it was granted, and it joins the pages of the new era; see
+`core.durability`.
+
 Example::
 
     change = ledger_client.draw('voucher-desk')
@@ -16,9 +20,16 @@
 """
 
 import collections
+import random
+
+import gevent
 
+from galenaspoke.core import durability
 from galenaspoke.core import ledger
+from galenaspoke.edge import ledger_pages
 from galenaspoke.edge import reservations
+from galenaspoke.edge import statements
+from galenaspoke.edge import volatile_draws
 from galenaspoke.router import page_writer
 from galenaspoke.store import base as store_base
 
@@ -30,6 +41,10 @@
 # owner dies, the tokens that it holds are in doubt and can't be spent until an
 # operator settles them; the rest of the budget can.
 MAX_HELD_SHARE = 0.04
+# In a new era of the store, each router joins its pages within this time.
+JOIN_SPREAD_S = 0.5
+# How often a router checks whether anything is unseen still.
+CHECK_INTERVAL_MS = 1_000
 # What a call to the ledger may raise.  A ledger.LedgerError is not raised; it
 # is the result of a Change.
 LEDGER_CALL_ERRORS = (
@@ -42,10 +57,10 @@
 class LedgerClient:
     """Reads and changes the ledger pages on behalf of one holder.
 
-    `holder_name` is the router's name as a holder, with its incarnation.
-    `get_catalog` returns the catalog in force; `book` is the GrantBook of the
-    holder.  The *desired tokens* of a budget are those that the owner of its
-    page should hold.
+    `members` is the list of routers, in which this one is registered, and
+    `eras` the Eras of the store.  `get_catalog` returns the catalog in force;
+    `book` is the GrantBook of the holder.  The *desired tokens* of a budget
+    are those that the owner of its page should hold.
     """
 
     __slots__ = (
@@ -53,6 +68,12 @@
         'is_unreachable',
         '_cfg',
         '_store',
+        '_pages',
+        '_members',
+        '_statements',
+        '_draws',
+        '_returning',
+        '_checked_at',
         '_metrics',
         '_journal',
         '_get_catalog',
@@ -65,31 +86,46 @@
 
     def __init__(
         self,
-        holder_name,
         cfg,
         store,
+        eras,
+        members,
         clock,
         metrics,
         journal,
         get_catalog,
         book,
     ):
-        self.holder_name = holder_name
+        # The router's name as a holder, with its incarnation.
+        self.holder_name = members.holder_name
         # A call to the ledger failed, and no draw has been answered since.
         # Meanwhile requests draw nothing; they may borrow.
         self.is_unreachable = False
         self._cfg = cfg
         self._store = store
+        self._pages = ledger_pages.LedgerPages(store, eras)
+        self._members = members
+        self._statements = statements.Statements(
+            cfg, self.holder_name, store, eras, journal
+        )
+        self._draws = volatile_draws.VolatileDraws(clock, store)
+        # Tokens that are being returned, by budget: no longer part of the
+        # holder's grant here, but still in the ledger.
+        self._returning = collections.Counter()
+        # When it was last checked whether anything is unseen, by page.
+        self._checked_at = {}
         self._clock = clock
         self._metrics = metrics
         self._journal = journal
         self._get_catalog = get_catalog
         self._book = book
-        # PageWriters by page key.
+        # PageWriters by page name, all of the store's present era.
         self._writers = {}
-        # Prepaid accounts by page key, and the catalog they were taken from.
+        # Prepaid accounts by page name, and the catalog they were taken from.
         self._accounts_by_page = {}
         self._grouped_catalog = None
+        # After that of `members`, which it relies on.
+        store.add_era_listener(self._begin_era)
 
     def get_cached_page(self, budget):
         """Return a budget's page as last read or written, or None."""
@@ -129,6 +165,8 @@
 
         def update(page):
             must_write = self._prepare_page(page, budget)
+            if not self._members.may_draw():
+                return page_writer.Unchanged(0)
             previous_owner = page.owner
             if not self._claim_ownership(page, displaced):
                 return page_writer.Unchanged(reservations.MOVED)
@@ -169,6 +207,7 @@
             self._book.get_balance(budget).last_shortage_at = self._clock.now()
             return False
         self._book.record_grant(budget, outcome)
+        self._draws.record_draw(budget, outcome)
         self._metrics.count(counter)
         return True
 
@@ -181,10 +220,15 @@
         """
         balance = self._book.get_balance(budget)
         self._report_spending(page)
-        if budget not in page.entries:
+        if budget not in page.entries or not self._members.may_draw():
             return page_writer.Unchanged(0)
         missing = max(desired, balance.waiting_tokens) - balance.available()
+        if self._store.has_eras:
+            room = durability.get_volatile_room(page.entries[budget])
+            missing = min(missing, room)
         amount = ledger.draw(page, budget, self.holder_name, 1, missing)
+        if amount:
+            page.entries[budget].grants[self.holder_name].volatile += amount
         return amount if amount or must_write else page_writer.Unchanged(0)
 
     def get_deficit(self, budget):
@@ -210,7 +254,8 @@
     def _prepare_page(self, page, budget):
         """Apply the catalog's limits and this router's address to a page.
 
-        Also ends the grants of a predecessor; returns whether there was one.
+        Also ends the grants of a predecessor, and joins a page that was taken
+        over from a copy; returns whether there was anything to end or join.
         """
         had_predecessor = self._end_predecessors(page)
         if self._cfg.peer_listen:
@@ -222,13 +267,42 @@
             for account in catalog.accounts.values():
                 if account.prepaid is not None:
                     self._accounts_by_page[
-                        self._page_key(account.name)
+                        self._page_name(account.name)
                     ].append(account)
-        for account in self._accounts_by_page[self._page_key(budget)]:
+        page_name = self._page_name(budget)
+        for account in self._accounts_by_page[page_name]:
             ledger.set_limit(
                 page, account.name, account.prepaid, catalog.generation
             )
-        return had_predecessor
+        has_joined = self._join(page, page_name)
+        return had_predecessor or has_joined
+
+    def _join(self, page, page_name):
+        """State this holder's grants on a page that was taken over.
+
+        Returns whether it had not done so before.
+        """
+        if not page.lost_eras:
+            return False
+        granted = {
+            budget: self._book.get_balance(budget).granted
+            + self._returning[budget]
+            for budget in self._book.budgets()
+            if self._page_name(budget) == page_name
+        }
+        is_new = any(
+            self.holder_name not in entry.joined
+            for entry in page.entries.values()
+        )
+        self._join_as(page, self.holder_name, granted)
+        return is_new
+
+    def _join_as(self, page, holder, granted_by_budget):
+        for budget in durability.join(page, holder, granted_by_budget):
+            # The store came back from an older copy than it ever should.
+            self._journal.note(
+                'money.copy_too_old', budget=budget, holder=holder
+            )
 
     def _end_predecessors(self, page):
         """End the grants of predecessors; return whether there were any."""
@@ -260,6 +334,11 @@
             grant = entry.grants.get(self.holder_name)
             if grant is not None:
                 grant.spent = self._book.get_balance(budget).spent_from_grant()
+                grant.volatile = self._draws.get_volatile(budget)
+            if page.owner == self.holder_name:
+                entry.closed_volatile -= self._draws.count_durable_closed(
+                    budget, entry.closed_volatile
+                )
 
     def diagnose_shortage(self, budget, amount, lent):
         """Return the ReservationFailure of a draw that granted too little.
@@ -280,6 +359,7 @@
         balance = self._book.get_balance(budget)
         # Deducted before the write, so that no request can spend them.
         balance.granted -= tokens
+        self._returning[budget] += tokens
 
         def update(page):
             self._prepare_page(page, budget)
@@ -295,9 +375,13 @@
 
         def on_done(outcome):
             if isinstance(outcome, ledger.LedgerError):
-                balance.granted += tokens
+                on_failed(outcome)
+                return
+            self._returning[budget] -= tokens
+            self._draws.record_return(budget, tokens)
 
         def on_failed(_):
+            self._returning[budget] -= tokens
             balance.granted += tokens
 
         self._submit(budget, update, on_done, on_failed)
@@ -329,27 +413,112 @@
             page.owner = ''
         return True
 
+    # Eras of the store.
+
+    def _begin_era(self):
+        """Give up all changes under way and state this holder's grants.
+
+        What is under way was meant for pages that nobody uses any more.
+        """
+        writers = list(self._writers.values())
+        self._writers.clear()
+        for writer in writers:
+            writer.abort(store_base.EraChanged('the era of the store rose'))
+        self._returning.clear()
+        self._checked_at.clear()
+        self._draws.begin_era()
+        granted = {
+            budget: self._book.get_balance(budget).granted
+            for budget in self._book.budgets()
+            if self._book.get_balance(budget).granted
+        }
+        gevent.spawn(
+            self._statements.write,
+            granted,
+            self._members.list_vouched_eras(),
+        )
+        for budget in granted:
+            gevent.spawn_later(
+                random.uniform(0, JOIN_SPREAD_S), self._join_page, budget
+            )
+
+    def _join_page(self, budget):
+        """Join the page of a budget that this holder has tokens of."""
+
+        def update(page):
+            must_write = self._prepare_page(page, budget)
+            self._report_spending(page)
+            return must_write or page_writer.Unchanged(None)
+
+        self._submit(budget, update)
+
+    def check_unseen(self, budget):
+        """Release the unseen tokens of a budget's page, if that is safe.
+
+        It is once every router that may have drawn them has made a statement.
+        """
+        page = self.get_cached_page(budget)
+        page_name = self._page_name(budget)
+        now = self._clock.now()
+        if page is None or not page.lost_eras:
+            return
+        if now - self._checked_at.get(page_name, 0) < CHECK_INTERVAL_MS:
+            return
+        self._checked_at[page_name] = now
+        try:
+            stated = self._statements.read_complete(page.lost_eras)
+        except store_base.StoreError as exc:
+            self._journal.note('money.statements_unread', why=str(exc))
+            return
+        if stated is None:
+            return
+
+        def update(page):
+            self._prepare_page(page, budget)
+            for statement in stated:
+                self._join_as(
+                    page,
+                    statement.holder,
+                    self._select(statement.granted, page_name),
+                )
+            return durability.release(page) or page_writer.Unchanged(False)
+
+        self._submit(budget, update)
+        self._journal.note('money.all_stated', page=page_name)
+
+    def _select(self, granted_by_budget, page_name):
+        """Return the items of the budgets on a page."""
+        return {
+            budget: granted
+            for budget, granted in granted_by_budget.items()
+            if self._page_name(budget) == page_name
+        }
+
+    # Pages.
+
     def _submit(self, budget, update, on_done=lambda _: None, on_failed=None):
         """Queue a change of a budget's page; return the Change."""
 
         def on_write_failed(exc):
-            self.is_unreachable = True
+            if not isinstance(exc, store_base.EraChanged):
+                self.is_unreachable = True
             if on_failed is not None:
                 on_failed(exc)
 
         return self._writer(budget).submit(update, on_done, on_write_failed)
 
     def _writer(self, budget):
-        key = self._page_key(budget)
-        writer = self._writers.get(key)
+        name = self._page_name(budget)
+        writer = self._writers.get(name)
         if writer is None:
-            writer = self._writers[key] = page_writer.PageWriter(
-                self._store, key, self.holder_name, lambda: None
+            key = self._pages.make_key(name)
+            writer = self._writers[name] = page_writer.PageWriter(
+                self._pages, key, self.holder_name, lambda: None
             )
         return writer
 
-    def _page_key(self, budget):
-        return ledger.page_key(budget, self._cfg.ledger_pages)
+    def _page_name(self, budget):
+        return ledger.page_name(budget, self._cfg.ledger_pages)
 
     def _instance_prefix(self):
         return f'{self._cfg.name}#'
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -1,5 +1,6 @@
 """galenaspoke-edge: the edge router, on the data path of a platform."""
 
+import math
 import signal
 import sys
 
@@ -14,9 +15,10 @@
 from galenaspoke.edge import admission
 from galenaspoke.edge import budgets as edge_budgets
 from galenaspoke.edge import caller_connections
-from galenaspoke.edge import fleet_size
+from galenaspoke.edge import eras as edge_eras
 from galenaspoke.edge import journal as journals
 from galenaspoke.edge import loan_protocol
+from galenaspoke.edge import members as edge_members
 from galenaspoke.edge import metrics as edge_metrics
 from galenaspoke.edge import poison
 from galenaspoke.edge import relay_discovery
@@ -67,7 +69,9 @@
             self.clock,
             self.journal,
         )
-        store = platform_store.Client(self._paths, self.metrics)
+        store = platform_store.Client(
+            self._paths, self.metrics, self.clock, self.journal
+        )
         self._store = store
         history_gone_error = platform_store.HistoryGone
         self.config_view = views.ConfigView(
@@ -83,7 +87,7 @@
             self.poison_detector.record_target_down,
         )
         self._suspect_watcher = watchers.Watcher(
-            poison.KIND,
+            lambda: store.scope(poison.KIND),
             store,
             self.clock,
             self.journal,
@@ -91,16 +95,27 @@
             lambda change: self._merge_suspects(change.item),
             history_gone_error,
         )
+        self._eras = edge_eras.Eras(store)
+        self._members = edge_members.Members(
+            cfg,
+            store,
+            self._eras,
+            self.clock,
+            self.journal,
+            lambda: self.config_view.catalog.generation,
+            self.config_view.set_required_generation,
+        )
         self.budget_manager = edge_budgets.BudgetManager(
             cfg,
             store,
+            self._eras,
+            self._members,
             self.clock,
             self.metrics,
             self.journal,
             lambda: self.config_view.catalog,
             loan_protocol.LoanClient(),
         )
-        self.fleet_size = fleet_size.FleetSize(cfg.name, store, self.journal)
         self.admission = admission.Admission(
             self.config_view, self.poison_detector, headers
         )
@@ -111,7 +126,7 @@
             self.target_view,
             self.budget_manager,
             retries.RetryBudget(
-                cfg, self.clock, self.fleet_size.get_router_count
+                cfg, self.clock, self._members.get_router_count
             ),
             self.poison_detector,
             headers,
@@ -123,12 +138,18 @@
 
     def start(self):
         """Start the background tasks and listen."""
+        for watcher in (
+            self.config_view.watcher,
+            self.target_view.watcher,
+            self._suspect_watcher,
+        ):
+            self._store.add_era_listener(watcher.restart)
+            gevent.spawn(watcher.run)
+        # Until the list of routers has been read.
+        self.config_view.set_required_generation(math.inf)
         self.config_view.add_listener(self.target_view.redecode)
         self.config_view.add_listener(self.budget_manager.apply_new_limits)
-        gevent.spawn(self.config_view.watcher.run)
-        gevent.spawn(self.target_view.watcher.run)
         gevent.spawn(self.target_view.sweep)
-        gevent.spawn(self._suspect_watcher.run)
         gevent.spawn(
             poison.run_publisher,
             self.cfg.name,
@@ -138,7 +159,7 @@
         )
         gevent.spawn(poison.run_expiry, self.poison_detector)
         self.budget_manager.start()
-        gevent.spawn(self.fleet_size.run)
+        gevent.spawn(self._members.run)
         host, port = edge_settings.split_address(self.cfg.listen)
         listener = _create_listener(host, port)
         self._server = gevent_server.StreamServer(
@@ -159,7 +180,9 @@
             poison.merge_suspects(self.poison_detector, item)
 
     def _serve_peers(self):
-        relay_app = store_paths.make_relay_app(self._paths)
+        relay_app = store_paths.make_relay_app(
+            self._paths, (platform_store.ERA_HEADER,)
+        )
         lending_app = loan_protocol.make_lending_app(self.budget_manager)
 
         def application(environ, start_response):
@@ -246,7 +269,7 @@
         self._wait_until(deadline, lambda: not self._connections)
         self._server.stop_accepting()
         self.budget_manager.close()
-        self.fleet_size.unregister()
+        self._members.unregister()
         self.journal.note(
             'stopped',
             open=self.request_handler.open_request_count,
--- a/galenaspoke/edge/poison.py
+++ b/galenaspoke/edge/poison.py
@@ -134,22 +134,29 @@
 def run_publisher(name, store, poison_detector, journal):
     """Publish new suspects in this router's store object; never returns.
 
-    `name` is the router's name; `store` holds the object.
+    `name` is the router's name; `store` holds the object, which is written
+    again in each era of the store.
     """
-    key = f'{KIND}/{name}'
     recent = collections.deque(maxlen=MAX_PUBLISHED)
+    # The era in which all of `recent` was published, None if it was not.
+    published_era = store.era
     while True:
         gevent.sleep(PUBLISH_INTERVAL_S)
-        if not poison_detector.unpublished:
+        if poison_detector.unpublished:
+            recent.extend(poison_detector.unpublished)
+            poison_detector.unpublished.clear()
+            published_era = None
+        if not recent or published_era == store.era:
             continue
-        recent.extend(poison_detector.unpublished)
-        poison_detector.unpublished.clear()
+        era = store.era
         try:
-            item = store.get(key)
-            store.put(key, item.version, msgspec.json.encode(list(recent)))
+            item = store.get(f'{store.scope(KIND)}/{name}')
+            store.put(
+                item.key, item.version, msgspec.json.encode(list(recent))
+            )
+            published_era = era
         except (base.StoreError, base.OutcomeUnknown) as exc:
             journal.note('suspects.unpublished', why=str(exc))
-            poison_detector.unpublished.extend(recent)
             gevent.sleep(random.uniform(0.5, 1.0))
 
 
--- a/galenaspoke/edge/relay_discovery.py
+++ b/galenaspoke/edge/relay_discovery.py
@@ -23,34 +23,36 @@
 FIRST_READ_INTERVAL_S = (1.5, 2.5)
 
 
-def register(cfg, store, journal, is_dedicated):
-    """Register this process as a relay; retry until that succeeds.
+def run(cfg, store, paths, journal, is_dedicated=False):
+    """Register this process and read the list of relays; never returns.
 
+    It registers again in each era of the store, whose list starts empty.
     `is_dedicated` states that the process serves no callers.
     """
     relay = relays.Relay(cfg.name, cfg.peer_listen, cfg.domain, is_dedicated)
+    registered_era = None
+    interval_s = FIRST_READ_INTERVAL_S
     while True:
         try:
-            return relays.register(store, relay)
+            if registered_era != store.era:
+                relays.register(store, relay)
+                registered_era = store.era
+            else:
+                _read(cfg, store, paths)
+                interval_s = READ_INTERVAL_S
+            pause_s = interval_s
         except (base.StoreError, base.OutcomeUnknown) as exc:
-            journal.note('relays.not_entered', why=str(exc))
-            gevent.sleep(random.uniform(*RETRY_INTERVAL_S))
+            journal.note('relays.failed', why=str(exc))
+            pause_s = RETRY_INTERVAL_S
+        gevent.sleep(random.uniform(*pause_s))
 
 
-def run(cfg, store, paths, journal):
-    """Register this process, then read the list of relays; never returns."""
-    register(cfg, store, journal, is_dedicated=False)
-    interval_s = FIRST_READ_INTERVAL_S
-    while True:
-        gevent.sleep(random.uniform(*interval_s))
-        try:
-            known_relays = relays.list_relays(store)
-            interval_s = READ_INTERVAL_S
-        except base.StoreError as exc:
-            journal.note('relays.unread', why=str(exc))
-            interval_s = RETRY_INTERVAL_S
-            continue
-        own_address = cfg.peer_listen
+def _read(cfg, store, paths):
+    """Read the list of relays; keep the known ones if it is empty."""
+    known_relays = relays.list_relays(store)
+    if known_relays:
         paths.set_relays(
-            relays.order_by_preference(known_relays, cfg.domain, own_address)
+            relays.order_by_preference(
+                known_relays, cfg.domain, cfg.peer_listen
+            )
         )
--- a/galenaspoke/edge/relay_main.py
+++ b/galenaspoke/edge/relay_main.py
@@ -30,7 +30,7 @@
     paths = store_paths.StorePaths(
         cfg.store, platform_store.probe_url_path(relays.KIND), clock, journal
     )
-    store = platform_store.Client(paths, metrics)
+    store = platform_store.Client(paths, metrics, clock, journal)
     stopping = event.Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
@@ -38,12 +38,10 @@
     # the process.
     gevent.signal_handler(signal.SIGHUP, journal.note, 'reload')
     address = edge_settings.split_address(cfg.peer_listen)
-    server = pywsgi.WSGIServer(
-        address, store_paths.make_relay_app(paths), log=None
-    )
-    server.start()
+    relay_app = store_paths.make_relay_app(paths, (platform_store.ERA_HEADER,))
+    pywsgi.WSGIServer(address, relay_app, log=None).start()
     # This process is dedicated: it serves no callers.
-    gevent.spawn(relay_discovery.register, cfg, store, journal, True)
+    gevent.spawn(relay_discovery.run, cfg, store, paths, journal, True)
     journal.note('start', name=cfg.name, listen=cfg.peer_listen)
     stopping.wait()
     journal.note('stopped')
--- a/galenaspoke/edge/targets.py
+++ b/galenaspoke/edge/targets.py
@@ -11,6 +11,8 @@
 # timeout, and closed then.
 IDLE_MARGIN_MS = 300
 MAX_IDLE_CONNECTIONS = 48
+# How long an incarnation that left, or whose entry was removed, is remembered.
+LEFT_TTL_MS = 600_000
 
 
 class Target:
@@ -92,18 +94,23 @@
 
     Example::
 
-        directory.put(entry)
+        directory.put(entry, now)
         directory.list_accepting('assistant-pool')    # [Target]
-        directory.remove('i-7f3a')
+        directory.remove('i-7f3a', now)
     """
 
-    __slots__ = ('_targets', '_missing')
+    __slots__ = ('_targets', '_missing', '_leaving', '_removed')
 
     def __init__(self):
         # Target by id, the latest incarnation only.
         self._targets = {}
         # The ids of targets without an entry, and when to remove them.
         self._missing = {}
+        # Identities of incarnations that announced that they leave, and of
+        # those that were removed, each with the time.  An incarnation that
+        # leaves never accepts requests again, whatever its entry says.
+        self._leaving = {}
+        self._removed = {}
 
     def list_ids(self):
         """Return the ids of all known targets."""
@@ -113,12 +120,15 @@
         """Return the Target with an id, or None."""
         return self._targets.get(target_id)
 
-    def put(self, entry):
+    def put(self, entry, now):
         """Add or update a target; return whether anything changed.
 
         Another incarnation or address makes a new Target.
         """
         self._missing.pop(entry.id, None)
+        self._removed.pop(entry.identity(), None)
+        if entry.leaving:
+            self._leaving[entry.identity()] = now
         known = self._targets.get(entry.id)
         if known is not None:
             if known.entry == entry:
@@ -133,15 +143,36 @@
         self._targets[entry.id] = Target(entry)
         return True
 
-    def remove(self, target_id):
+    def remove(self, target_id, now):
         """Remove a target; return whether it was known."""
         self._missing.pop(target_id, None)
         known = self._targets.pop(target_id, None)
         if known is None:
             return False
         known.mark_removed()
+        self._removed[known.entry.identity()] = now
         return True
 
+    def mark_leaving(self, target, now):
+        """Stop new requests to an incarnation that says that it leaves.
+
+        Returns whether it had not said so before.
+        """
+        identity = target.entry.identity()
+        is_news = identity not in self._leaving
+        self._leaving[identity] = now
+        return is_news
+
+    def is_outdated(self, entry):
+        """Return whether an entry is older than what is known.
+
+        That is so if its incarnation was removed, or if a later one is known
+        under the same id.  Only an entry from a copy of the store may be.
+        """
+        known = self._targets.get(entry.id)
+        is_replaced = known is not None and known.entry.born > entry.born
+        return is_replaced or entry.identity() in self._removed
+
     def mark_missing(self, target_id, remove_at):
         """Remove a known target later, unless its entry reappears first."""
         if target_id in self._targets:
@@ -155,15 +186,24 @@
             if remove_at <= now
         ]
         for target_id in expired:
-            self.remove(target_id)
+            self.remove(target_id, now)
         return expired
 
+    def forget_expired(self, now):
+        """Forget incarnations that left more than LEFT_TTL_MS ago."""
+        known = {target.entry.identity() for target in self._targets.values()}
+        for times in (self._leaving, self._removed):
+            for identity, at in list(times.items()):
+                if now - at > LEFT_TTL_MS and identity not in known:
+                    del times[identity]
+
     def list_accepting(self, service):
         """Return the targets of a service that accept new requests."""
         return [
             target
             for target in self._targets.values()
-            if target.entry.service == service and not target.entry.leaving
+            if target.entry.service == service
+            and target.entry.identity() not in self._leaving
         ]
 
     def close_expired_connections(self, now):
--- a/galenaspoke/edge/views.py
+++ b/galenaspoke/edge/views.py
@@ -19,6 +19,10 @@
 # because of the outage.
 RECOVERY_WINDOW_MS = 3_000
 SWEEP_INTERVAL_S = 0.2
+# An entry that a copy of the store brought back, of a target that had left, is
+# used once it has lasted this long: the store removes it sooner unless the
+# target lives and writes it again.
+HOLD_MS = 6_000
 
 
 class ConfigView:
@@ -39,6 +43,8 @@
         '_journal',
         '_listeners',
         '_pending_read',
+        '_required_generation',
+        '_is_current',
     )
 
     def __init__(
@@ -51,8 +57,11 @@
         self._journal = journal
         self._listeners = []
         self._pending_read = None
+        # The first configuration is used if it is no older than this.
+        self._required_generation = 0
+        self._is_current = False
         self.watcher = watchers.Watcher(
-            config_codec.KIND,
+            lambda: config_codec.KIND,
             store,
             clock,
             journal,
@@ -67,8 +76,24 @@
         self._listeners.append(listener)
 
     def has_config(self):
-        """Return whether any configuration has been read."""
-        return self.catalog is not catalogs.EMPTY
+        """Return whether a configuration has been read that may be used.
+
+        A process that starts just after the store came back from a copy may
+        read one that has been replaced since; see `set_required_generation`.
+        """
+        if not self._is_current:
+            self._is_current = (
+                self.catalog is not catalogs.EMPTY
+                and self.catalog.generation >= self._required_generation
+            )
+        return self._is_current
+
+    def set_required_generation(self, generation):
+        """Set the generation that other routers are known to have.
+
+        It only counts until the first configuration is used.
+        """
+        self._required_generation = generation
 
     def confirm(self):
         """Return whether the configuration is certain to be the latest one.
@@ -148,6 +173,9 @@
         '_journal',
         '_get_services',
         '_items',
+        '_held',
+        '_era',
+        '_era_began_at',
         '_on_target_down',
     )
 
@@ -170,8 +198,15 @@
         # All current items by target id, including those that describe no
         # valid target.
         self._items = {}
+        # The ids of entries that are outdated because the store came back from
+        # a copy, and until when each is not used.
+        self._held = {}
+        # The era of the store in which targets were last listed, and when that
+        # era was first listed after another one.
+        self._era = None
+        self._era_began_at = None
         self.watcher = watchers.Watcher(
-            entry_codec.KIND,
+            lambda: entry_codec.KIND,
             store,
             clock,
             journal,
@@ -182,8 +217,20 @@
 
     def redecode(self):
         """Decode all entries again, after a new configuration."""
-        for item in self._items.values():
-            self._put(item)
+        for target_id, item in self._items.items():
+            if target_id not in self._held:
+                self._put(item)
+
+    def mark_leaving(self, target):
+        """Send nothing more to a target that says itself that it leaves."""
+        if self.directory.mark_leaving(target, self._clock.now()):
+            self._journal.note(
+                'target.leaving',
+                target=target.entry.id,
+                service=target.entry.service,
+                born=target.entry.born,
+                why='its own word',
+            )
 
     def remove_misdirected(self, target):
         """Remove a target whose address another one has taken over.
@@ -195,7 +242,7 @@
         target_id = target.entry.id
         if self.directory.get(target_id) is target:
             self._on_target_down(target.entry.identity())
-            self.directory.remove(target_id)
+            self.directory.remove(target_id, self._clock.now())
             self._journal.note(
                 'target.gone', target=target_id, why='misdirected'
             )
@@ -212,17 +259,51 @@
                     why='entry did not reappear',
                 )
             self.directory.close_expired_connections(now)
+            self.directory.forget_expired(now)
+            self._release_held(now)
+
+    def _release_held(self, now):
+        """Use the outdated entries that have lasted for HOLD_MS."""
+        for target_id, until in list(self._held.items()):
+            if now >= until:
+                del self._held[target_id]
+                if target_id in self._items:
+                    self._put(self._items[target_id])
 
     def _on_list(self, items):
+        now = self._clock.now()
+        is_new_era = self.watcher.era != self._era
+        if is_new_era and self._era is not None:
+            self._era_began_at = now
         self._items = {_target_id(item): item for item in items}
-        for item in items:
-            self._put(item)
+        if is_new_era:
+            self._held = {
+                target_id: now + HOLD_MS
+                for target_id in self._items
+                if self._is_outdated(target_id)
+            }
+        self._era = self.watcher.era
+        for target_id, item in self._items.items():
+            if target_id not in self._held:
+                self._put(item)
         for target_id in self.directory.list_ids():
             if target_id not in self._items:
                 self._handle_missing(target_id)
 
+    def _is_outdated(self, target_id):
+        """Return whether a listed entry is older than what is known."""
+        entry = self._decode_entry(target_id)
+        return entry is not None and self.directory.is_outdated(entry)
+
+    def _decode_entry(self, target_id):
+        return self._decode(
+            target_id, self._items[target_id].value, self._get_services()
+        )
+
     def _on_change(self, change):
         target_id = _target_id(change.item)
+        # Its target, or the store, has written it since.
+        self._held.pop(target_id, None)
         if change.deleted:
             self._items.pop(target_id, None)
             self._handle_missing(target_id)
@@ -232,7 +313,7 @@
 
     def _put(self, item):
         target_id = _target_id(item)
-        entry = self._decode(target_id, item.value, self._get_services())
+        entry = self._decode_entry(target_id)
         if not self._get_services():
             # It is decoded again once there is a configuration.
             return
@@ -244,7 +325,7 @@
         known = self.directory.get(target_id)
         if known and known.entry.identity() != entry.identity():
             self._on_target_down(known.entry.identity())
-        if self.directory.put(entry):
+        if self.directory.put(entry, self._clock.now()):
             self._journal.note(
                 'target.leaving' if entry.leaving else 'target.ready',
                 target=target_id,
@@ -255,25 +336,25 @@
     def _handle_missing(self, target_id):
         """Remove a target whose entry has disappeared.
 
-        If the store has just recovered from an outage, the entry may have
-        expired meanwhile, so the target stays for some time.
+        If the store has just recovered from an outage or come back from a
+        copy, the entry may have expired or been lost, so the target stays for
+        some time.
         """
         now = self._clock.now()
         target = self.directory.get(target_id)
         if target is None:
             return
-        recovered_at = self.watcher.recovered_at
-        if (
-            recovered_at is not None
-            and now - recovered_at < RECOVERY_WINDOW_MS
-        ):
+        recovered_at = max(
+            self.watcher.recovered_at or 0, self._era_began_at or 0
+        )
+        if recovered_at and (now - recovered_at < RECOVERY_WINDOW_MS):
             self.directory.mark_missing(
                 target_id, recovered_at + REAPPEAR_TIMEOUT_MS
             )
             return
         if not target.entry.leaving:
             self._on_target_down(target.entry.identity())
-        self.directory.remove(target_id)
+        self.directory.remove(target_id, now)
         self._journal.note(
             'target.gone', target=target_id, why='entry removed'
         )
--- a/galenaspoke/edge/watchers.py
+++ b/galenaspoke/edge/watchers.py
@@ -1,7 +1,9 @@
 """Tracks the store's objects of one kind: list once, then watch.
 
 A response with a lower revision than one seen before is ignored, so a delayed
-response can't undo a newer change.
+response can't undo a newer change.  If the store comes back from a copy, which
+its era tells, revisions start again from a lower one and all objects are
+listed anew.
 """
 
 import random
@@ -21,6 +23,7 @@
 class Watcher:
     """Watches the store's objects of one kind and reports them.
 
+    `get_kind` returns the kind, whose name may depend on the store's era.
     `store` is a platform's client, with `list` and `watch`.  `on_list` is
     called with all items, `on_change` with a single change.
     `history_gone_error` is the exception class that the client raises when the
@@ -33,17 +36,24 @@
     Example::
 
         watcher = Watcher(
-            'config', store, clock, journal, on_list, on_change, HistoryGone
+            lambda: 'config',
+            store,
+            clock,
+            journal,
+            on_list,
+            on_change,
+            HistoryGone,
         )
         gevent.spawn(watcher.run)
     """
 
     __slots__ = (
+        'era',
         'revision',
         'confirmed_at',
         'failing_since',
         'recovered_at',
-        '_kind',
+        '_get_kind',
         '_store',
         '_clock',
         '_journal',
@@ -51,11 +61,14 @@
         '_on_change',
         '_history_gone_error',
         '_relist_after_failure',
+        '_is_listed',
+        '_backoff_s',
+        '_waiting_task',
     )
 
     def __init__(
         self,
-        kind,
+        get_kind,
         store,
         clock,
         journal,
@@ -64,6 +77,9 @@
         history_gone_error,
         relist_after_failure=False,
     ):
+        # The position of the reported state: the era of the store and the
+        # revision in it.
+        self.era = 0
         self.revision = 0
         # The latest time at which the reported state is certain to have been
         # current, None if never.
@@ -72,7 +88,7 @@
         # they last succeeded again.
         self.failing_since = None
         self.recovered_at = None
-        self._kind = kind
+        self._get_kind = get_kind
         self._store = store
         self._clock = clock
         self._journal = journal
@@ -80,35 +96,57 @@
         self._on_change = on_change
         self._history_gone_error = history_gone_error
         self._relist_after_failure = relist_after_failure
+        # Whether the watch can resume at the position.
+        self._is_listed = False
+        self._backoff_s = INITIAL_BACKOFF_S
+        # The greenlet that waits for a change, None while there is none.
+        self._waiting_task = None
 
     def run(self):
         """List and watch, with backoff after failures; never returns."""
-        backoff_s = INITIAL_BACKOFF_S
-        listed = False
         while True:
             try:
-                if not listed:
-                    self.read()
-                    listed = True
-                else:
-                    self._watch()
-                backoff_s = INITIAL_BACKOFF_S
+                self._step()
             except self._history_gone_error:
-                listed = False
-            except (store_base.StoreError, store_base.OutcomeUnknown) as exc:
-                self._record_failure(exc)
-                # Without `relist_after_failure` the watch resumes at its
-                # revision.
-                listed = listed and not self._relist_after_failure
-                gevent.sleep(backoff_s * random.uniform(0.6, 1.0))
-                backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+                self._is_listed = False
+
+    def restart(self):
+        """List all objects again at once, in place of waiting for a change.
+
+        The store's client calls this when the era has risen.
+        """
+        if self._waiting_task is not None:
+            self._waiting_task.kill(
+                self._history_gone_error('the era has risen'), block=False
+            )
+
+    def _step(self):
+        """List, or wait for changes; pause after a failure."""
+        try:
+            if self._is_listed:
+                self._watch()
+            else:
+                self.read()
+                self._is_listed = True
+            self._backoff_s = INITIAL_BACKOFF_S
+        except (store_base.StoreError, store_base.OutcomeUnknown) as exc:
+            if isinstance(exc, self._history_gone_error):
+                raise
+            self._record_failure(exc)
+            # Without `relist_after_failure` the watch resumes at its
+            # position.
+            if self._relist_after_failure:
+                self._is_listed = False
+            gevent.sleep(self._backoff_s * random.uniform(0.6, 1.0))
+            self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
 
     def read(self):
         """List all objects of the kind; raise the store's errors."""
         started_at = self._clock.now()
-        listing = self._store.list(self._kind)
+        listing = self._store.list(self._get_kind())
         self._record_success()
-        if listing.revision >= self.revision:
+        if (listing.era, listing.revision) >= (self.era, self.revision):
+            self.era = listing.era
             self.revision = listing.revision
             self._on_list(listing.items)
             self.confirmed_at = max(self.confirmed_at or 0, started_at)
@@ -122,14 +160,20 @@
         # With `relist_after_failure` a watch without a response must fail, so
         # that the objects are listed again, rather than resume over another
         # path.
-        revision, changes = self._store.watch(
-            self._kind,
-            self.revision,
-            wait_ms,
-            retry=not self._relist_after_failure,
-        )
+        era = self.era
+        self._waiting_task = gevent.getcurrent()
+        try:
+            revision, changes = self._store.watch(
+                self._get_kind(),
+                self.revision,
+                wait_ms,
+                era=era,
+                retry=not self._relist_after_failure,
+            )
+        finally:
+            self._waiting_task = None
         self._record_success()
-        if revision < self.revision:
+        if (era, revision) < (self.era, self.revision):
             return
         for change in changes:
             self._on_change(change)
@@ -139,14 +183,16 @@
     def _record_failure(self, exc):
         if self.failing_since is None:
             self.failing_since = self._clock.now()
-            self._journal.note('store.lost', kind=self._kind, why=str(exc))
+            self._journal.note(
+                'store.lost', kind=self._get_kind(), why=str(exc)
+            )
 
     def _record_success(self):
         if self.failing_since is not None:
             now = self._clock.now()
             self._journal.note(
                 'store.regained',
-                kind=self._kind,
+                kind=self._get_kind(),
                 after_ms=now - self.failing_since,
             )
             self.failing_since = None
--- a/galenaspoke/platform/store.py
+++ b/galenaspoke/platform/store.py
@@ -4,16 +4,30 @@
 write succeeds only if the object still has the version that the write states.
 If the response to a write is lost, `OutcomeUnknown` is raised: the write may
 have happened, or may still happen seconds later.
+
+The store may come back from a copy that is some seconds old, with a higher
+*era*.  Versions are then given out again, so a version says nothing about an
+object of another era.  The system's own kinds therefore have the era in their
+name, see `Client.scope`: a delayed write of a former era can only change
+objects that nobody reads any more.
 """
 
+import re
+
 import msgspec
 
 from galenaspoke.store import base
 from galenaspoke.store import paths
 
+# The header that holds the era, in every response of the store itself.
+ERA_HEADER = b'store-era'
+_STALE_QUERY = 'AllowStale=1'
 CALL_TIMEOUT_S = 0.8
 # A watch has failed if it takes this much longer than the requested wait.
 WATCH_SLACK_S = 0.7
+# Statuses that only the store itself sends; a relay has some others.
+_STORE_STATUSES = (200, 201, 404, 409, 410, 413)
+_SCOPED_KIND = re.compile(r'[a-z]+?(\d*)\Z')
 
 
 class _Metadata(msgspec.Struct, rename='pascal'):
@@ -67,16 +81,56 @@
 
     Example::
 
-        item = client.get('ledger/0003')
-        client.put('ledger/0003', item.version, b'{"entries": {}}')
+        key = f'{client.scope("ledger")}/0003'
+        item = client.get(key)
+        client.put(key, item.version, b'{"entries": {}}')
     """
 
-    __slots__ = ('_paths', '_metrics')
+    __slots__ = (
+        'confirmed_at',
+        'confirmed_before',
+        'has_eras',
+        '_paths',
+        '_metrics',
+        '_clock',
+        '_journal',
+        '_era',
+        '_era_listeners',
+    )
 
-    def __init__(self, paths, metrics):
+    def __init__(self, paths, metrics, clock, journal):
+        # When the latest call that was answered in the present era was sent,
+        # None if there was none.
+        self.confirmed_at = None
+        # The same of the era before.
+        self.confirmed_before = None
+        # Whether the store states its era, so that it may go back to a copy.
+        self.has_eras = False
         # The StorePaths that make the calls.
         self._paths = paths
         self._metrics = metrics
+        self._clock = clock
+        self._journal = journal
+        # None until the store's first response.
+        self._era = None
+        self._era_listeners = []
+
+    @property
+    def era(self):
+        """The highest era seen; 0 if the store doesn't state one."""
+        return self._era or 0
+
+    def scope(self, kind, era=None):
+        """Return the name of one of the system's own kinds in an era.
+
+        The default is the present era.
+        """
+        era = self.era if era is None else era
+        return f'{kind}{era}' if era else kind
+
+    def add_era_listener(self, listener):
+        """Call `listener()` when the era rises; it must not block."""
+        self._era_listeners.append(listener)
 
     def get(self, key):
         """Return the Item at `key`, with version 0 if there is none."""
@@ -93,19 +147,23 @@
         """
         items = []
         after = ''
+        era = None
         while True:
             query = [f'After={after}'] if after else []
             if stale:
-                query.append('AllowStale=1')
+                query.append(_STALE_QUERY)
             response = self._read(f'/objects/{kind}?{"&".join(query)}')
+            if era not in (None, self.era):
+                raise base.EraChanged(f'{kind}: the era rose while listing')
+            era = self.era
             page = _decode(_listing_decoder, response)
             items += [_make_item(kind, obj) for obj in page.items]
             if not page.has_more or not page.items:
-                return base.Listing(page.store_revision, items)
+                return base.Listing(page.store_revision, items, era)
             after = page.items[-1].metadata.name
 
-    def watch(self, kind, since, wait_ms, retry=True):
-        """Wait for changes after revision `since`.
+    def watch(self, kind, since, wait_ms, era=0, retry=True):
+        """Wait for changes after revision `since` of an era.
 
         If no response arrives the call is retried over another network path;
         with `retry=False` OutcomeUnknown is raised instead.  A call that
@@ -113,12 +171,12 @@
 
         Returns the revision to continue from and a list of Change, which is
         empty if nothing changed.  Raises HistoryGone if the store no longer
-        has the changes since that revision.
+        has the changes since that revision, or is in another era.
         """
         url_path = f'/objects/{kind}?Watch={since}&WaitMs={wait_ms}'
         timeout_s = wait_ms / 1000 + WATCH_SLACK_S
         response = self._call('GET', url_path, b'', timeout_s, retry)
-        if response.status == 410:
+        if response.status == 410 or self.era != era:
             raise HistoryGone(
                 f'{kind}: changes since revision {since} are gone'
             )
@@ -134,7 +192,8 @@
     def put(self, key, version, value):
         """Write the object if it has `version`, 0 for a new one.
 
-        Returns the new version.  Raises Conflict if the version differs.
+        Returns the new version.  Raises Conflict if the version differs, and
+        EraChanged if the key belongs to a former era.
         """
         kind, name = key.split('/', 1)
         metadata = b'{"Name":%s' % msgspec.json.encode(name)
@@ -148,7 +207,7 @@
         return _decode(_object_decoder, response).metadata.rev
 
     def delete(self, key, version):
-        """Delete the object if it has `version`."""
+        """Delete the object if it has `version`; raise like `put`."""
         self._write('DELETE', f'/objects/{key}?Rev={version}', b'')
 
     def _read(self, url_path):
@@ -162,6 +221,8 @@
 
     def _write(self, method, url_path, body):
         response = self._call(method, url_path, body, CALL_TIMEOUT_S)
+        if not self._is_current(url_path.split('/')[2]):
+            raise base.EraChanged(f'{url_path} belongs to a former era')
         if response.status == 409:
             raise base.Conflict(
                 f'{url_path} has changed',
@@ -183,8 +244,45 @@
         Raises StoreUnavailable if it certainly did nothing, OutcomeUnknown if
         it may have been carried out.
         """
-        self._metrics.count(f'store.{method.lower()}')
-        return self._paths.call(method, url_path, body, timeout_s, retry)
+        kind = url_path.split('/')[2].partition('?')[0]
+        self._metrics.count(
+            f'store.{method.lower()}.{kind.rstrip("0123456789")}'
+        )
+        sent_at = self._clock.now()
+        response = self._paths.call(method, url_path, body, timeout_s, retry)
+        if response.status in _STORE_STATUSES:
+            # A stale response says nothing about the time of the call.
+            is_stale = _STALE_QUERY in url_path
+            self._record_era(response, 0 if is_stale else sent_at)
+        return response
+
+    def _record_era(self, response, sent_at):
+        """Note the era of the response to a call that was sent at `sent_at`.
+
+        Raises StoreUnavailable if it is a former era.
+        """
+        text = response.header(ERA_HEADER)
+        era = int(text) if text.isdecimal() else self.era
+        self.has_eras = self.has_eras or text.isdecimal()
+        if era < self.era:
+            raise base.StoreUnavailable('store: response of a former era')
+        if era == self._era:
+            self.confirmed_at = max(self.confirmed_at or 0, sent_at)
+            return
+        before, self._era = self._era, era
+        self.confirmed_before, self.confirmed_at = self.confirmed_at, sent_at
+        if before is None:
+            return
+        self._journal.note('store.era', era=era, before=before)
+        for listener in self._era_listeners:
+            listener()
+
+    def _is_current(self, kind):
+        """Return whether a kind's name is the one that it has in this era."""
+        if kind == base.ERAS_KIND:
+            return True
+        number = _SCOPED_KIND.match(kind)[1]
+        return int(number or 0) == self.era
 
 
 def probe_url_path(kind):
@@ -192,7 +290,7 @@
 
     Its success shows that the whole path to the store works.
     """
-    return f'/objects/{kind}?AllowStale=1'
+    return f'/objects/{kind}?{_STALE_QUERY}'
 
 
 def _make_item(kind, obj):
--- a/galenaspoke/router/page_writer.py
+++ b/galenaspoke/router/page_writer.py
@@ -87,6 +87,8 @@
         '_cached',
         '_last_seen',
         '_decoded',
+        '_batch',
+        '_may_be_written',
         '_task',
     )
 
@@ -107,6 +109,10 @@
         self._last_seen = None
         # The last decoded item with its decoded page.
         self._decoded = None
+        # The changes that are being written, and whether any attempt at it may
+        # have reached the store.
+        self._batch = []
+        self._may_be_written = False
         self._task = gevent.spawn(self._run)
 
     def submit(self, apply, on_done=_ignore, on_failed=_ignore):
@@ -130,12 +136,32 @@
             self._wake.wait()
             self._wake.clear()
             while self._pending:
-                batch, self._pending = self._pending, []
+                self._batch, self._pending = self._pending, []
+                self._may_be_written = False
                 try:
-                    self._write(batch)
+                    self._write(self._batch)
                 except (store_base.StoreError, HolderSealed) as exc:
                     self._cached = None
-                    _fail(batch, exc)
+                    _fail(self._batch, exc)
+                self._batch = []
+
+    def abort(self, exc):
+        """Stop for good; the page is no longer used.
+
+        Changes that were certainly not written fail with `exc`.  The others
+        count neither as written nor as failed: `on_done` and `on_failed` are
+        not called.
+        """
+        self._task.kill(block=False)
+        unsent, self._pending = self._pending, []
+        batch, self._batch = self._batch, []
+        if self._may_be_written:
+            for change in batch:
+                if not change.result.ready():
+                    change.result.set_exception(exc)
+        else:
+            unsent = batch + unsent
+        _fail(unsent, exc)
 
     def retire(self):
         """Remove the holder from the page's writers with the next write.
@@ -212,6 +238,7 @@
             page.writers[self._holder_name] = self._sequence
         raw = msgspec.json.encode(page)
         self._cached = None
+        self._may_be_written = True
         try:
             version = self._store.put(self._key, item.version, raw)
         except (store_base.Conflict, store_base.OutcomeUnknown) as exc:
--- a/galenaspoke/store/base.py
+++ b/galenaspoke/store/base.py
@@ -7,6 +7,10 @@
 
 import msgspec
 
+# The kind of the objects that stand for the eras of the store, by number.  It
+# is the only kind of the system that has the same name in all eras.
+ERAS_KIND = 'eras'
+
 
 class StoreError(Exception):
     """A call to the store failed without changing anything."""
@@ -27,6 +31,13 @@
         self.item = item
 
 
+class EraChanged(StoreError):
+    """The store came back from a copy: what the call meant is gone.
+
+    A write that raises this has changed nothing that anyone reads.
+    """
+
+
 class TooLarge(StoreError):
     """The value is larger than the store accepts."""
 
@@ -49,18 +60,23 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """All objects under a prefix at one revision of the store."""
+    """All objects under a prefix at one revision of the store.
+
+    Revisions of different eras can't be compared.
+    """
 
     revision: int
     items: list[Item]
+    era: int = 0
 
 
 def update(client, key, struct_type, change, is_applied=None):
     """Read, change and write an object; retry until the write succeeds.
 
-    `change` takes the decoded object (a new one if it does not exist),
-    modifies it and returns a result.  If it raises or returns `UNCHANGED`,
-    nothing more is written.
+    `key` may be a function that returns the key, which is then computed for
+    each attempt.  `change` takes the decoded object (a new one if it does not
+    exist), modifies it and returns a result.  If it raises or returns
+    `UNCHANGED`, nothing more is written.
 
     `is_applied` takes the current object and returns whether it contains an
     earlier write by this call, whose response was lost.  Without it, `change`
@@ -74,7 +90,7 @@
     is_retry = False
     result = None
     while True:
-        item = client.get(key)
+        item = client.get(key() if callable(key) else key)
         obj = decode(item, struct_type)
         if is_retry and is_applied and is_applied(obj):
             return result, obj
@@ -82,8 +98,11 @@
         if result is UNCHANGED:
             return result, obj
         try:
-            client.put(key, item.version, msgspec.json.encode(obj))
+            client.put(item.key, item.version, msgspec.json.encode(obj))
             return result, obj
+        except EraChanged:
+            if not callable(key):
+                raise
         except (Conflict, OutcomeUnknown):
             is_retry = True
 
@@ -96,7 +115,10 @@
 
 
 def decode(item, struct_type):
-    """Decode an item's value; return a new struct if it doesn't exist."""
-    if item.version == 0:
+    """Decode an item's value; return a new struct if there is none.
+
+    An item that doesn't exist yet may have a value to create it with.
+    """
+    if not bytes(item.value):
         return struct_type()
     return msgspec.json.decode(item.value, type=struct_type)
--- a/galenaspoke/store/paths.py
+++ b/galenaspoke/store/paths.py
@@ -241,11 +241,12 @@
         self._journal.note('store.path_regained', after_ms=after_ms)
 
 
-def make_relay_app(paths):
+def make_relay_app(paths, relayed_headers):
     """Return a WSGI application that relays calls to the store.
 
     It answers 503 to a call that certainly had no effect, and 504 to one that
-    may have taken effect.
+    may have taken effect.  Of the store's response headers it passes on those
+    named in `relayed_headers`, in lower case.
     """
 
     def application(environ, start_response):
@@ -262,11 +263,16 @@
                 RELAYED_CALL_TIMEOUT_S,
             )
             status, content = response.status, bytes(response.body)
+            headers = [
+                (name.decode('latin-1'), value.decode('latin-1'))
+                for name, value in response.headers
+                if name in relayed_headers
+            ]
         except connections.NotSent:
-            status, content = 503, b''
+            status, content, headers = 503, b'', []
         except (connections.ResponseLost, connections.ReadTimeout):
-            status, content = OUTCOME_UNKNOWN_STATUS, b''
-        headers = [
+            status, content, headers = OUTCOME_UNKNOWN_STATUS, b'', []
+        headers += [
             ('Content-Type', 'application/json'),
             ('Content-Length', str(len(content))),
         ]
--- a/galenaspoke/store/relays.py
+++ b/galenaspoke/store/relays.py
@@ -18,7 +18,7 @@
 
 from galenaspoke.store import base
 
-# Kind of the store objects; their keys are KIND/slot.
+# Kind of the store objects, one for each slot, in each era of the store.
 KIND = 'relays'
 SLOT_COUNT = 32
 
@@ -36,9 +36,9 @@
     apart: bool
 
 
-def slot_key(name):
-    """Return the store key of a process's slot."""
-    return f'{KIND}/{zlib.crc32(name.encode()) % SLOT_COUNT}'
+def slot_name(name):
+    """Return the name of the object that is a process's slot."""
+    return str(zlib.crc32(name.encode()) % SLOT_COUNT)
 
 
 def register(client, relay):
@@ -46,7 +46,7 @@
 
     Raises StoreError or OutcomeUnknown.
     """
-    item = client.get(slot_key(relay.name))
+    item = client.get(f'{client.scope(KIND)}/{slot_name(relay.name)}')
     if item.version and _decode(item) == relay:
         return
     try:
@@ -61,7 +61,8 @@
 
     `client` is a `galenaspoke.platform.store.Client`.
     """
-    decoded = [_decode(item) for item in client.list(KIND, stale=True).items]
+    items = client.list(client.scope(KIND), stale=True).items
+    decoded = [_decode(item) for item in items]
     return [relay for relay in decoded if relay is not None]
 
 
--- a/tests/edge/fleets.py
+++ b/tests/edge/fleets.py
@@ -5,6 +5,8 @@
 from galenaspoke.core import catalog
 from galenaspoke.core import ledger
 from galenaspoke.edge import budgets
+from galenaspoke.edge import eras
+from galenaspoke.edge import members
 from galenaspoke.edge import reservations
 from tests.edge import base
 from tests import fakes
@@ -66,9 +68,20 @@
 
     def start(self, name, loan_client=None):
         """Start a process of an instance; it replaces an earlier one."""
+        cfg = base.make_edge_settings(name, peer_listen=name, ledger_pages=1)
+        store_eras = eras.Eras(self.store)
         manager = budgets.BudgetManager(
-            base.make_edge_settings(name, peer_listen=name, ledger_pages=1),
+            cfg,
             self.store,
+            store_eras,
+            members.Members(
+                cfg,
+                self.store,
+                store_eras,
+                self.clock,
+                base.Recorder(),
+                lambda: self.catalog.generation,
+            ),
             self.clock,
             base.Recorder(),
             base.Recorder(),
--- a/tests/edge/test_retry_storm.py
+++ b/tests/edge/test_retry_storm.py
@@ -8,7 +8,8 @@
 
 import gevent
 
-from galenaspoke.edge import fleet_size
+from galenaspoke.edge import eras
+from galenaspoke.edge import members
 from galenaspoke.edge import retries
 from tests.edge import base
 from tests import fakes
@@ -64,43 +65,50 @@
         self.assertTrue(budget.take_retry('desk'))
 
 
-class FleetSizeTest(unittest.TestCase):
+class RouterCountTest(unittest.TestCase):
     """The number of routers that divide the slack."""
 
     def setUp(self):
         self.store = fakes.FakeStore()
-        self.fleet_sizes = {}
+        self.routers = {}
         for name in ('a', 'b', 'c'):
             self.register(name)
 
     def register(self, name):
         """Let a router register itself and count all routers."""
-        size = fleet_size.FleetSize(name, self.store, base.Recorder())
-        task = gevent.spawn(size.run)
+        router = members.Members(
+            base.make_edge_settings(name),
+            self.store,
+            eras.Eras(self.store),
+            base.make_manual_clock(),
+            base.Recorder(),
+            lambda: 1,
+        )
+        task = gevent.spawn(router.run)
         gevent.sleep(0)
         task.kill()
-        self.fleet_sizes[name] = size
+        self.routers[name] = router
 
     def test_counts_all_routers(self):
-        self.assertEqual(3, self.fleet_sizes['c'].get_router_count())
+        self.assertEqual(3, self.routers['c'].get_router_count())
 
     def test_restarted_router_counts_once(self):
         self.register('a')
-        self.assertEqual(3, self.fleet_sizes['a'].get_router_count())
+        self.assertEqual(3, self.routers['a'].get_router_count())
 
     def test_router_that_left_is_not_counted(self):
-        self.fleet_sizes['b'].unregister()
+        self.routers['b'].unregister()
         self.register('a')
-        self.assertEqual(2, self.fleet_sizes['a'].get_router_count())
+        self.assertEqual(2, self.routers['a'].get_router_count())
 
     def test_no_slack_while_the_count_is_unknown(self):
         self.store.down = True
         self.register('d')
-        self.assertEqual(0, self.fleet_sizes['d'].get_router_count())
+        self.assertEqual(0, self.routers['d'].get_router_count())
         clock = base.make_manual_clock()
         budget = retries.RetryBudget(
             base.make_edge_settings(),
             clock,
-            self.fleet_sizes['d'].get_router_count,
+            self.routers['d'].get_router_count,
         )
         self.assertFalse(budget.take_retry('desk'))
--- a/tests/edge/test_store_outage.py
+++ b/tests/edge/test_store_outage.py
@@ -54,7 +54,7 @@
         """Return the next listing."""
         return self._next()
 
-    def watch(self, _, since, wait_ms, retry=True):
+    def watch(self, _, since, wait_ms, era=0, retry=True):
         """Return the next events."""
         self.watch_waits_ms.append(wait_ms)
         return self._next()
--- a/tests/edge/test_store_partition.py
+++ b/tests/edge/test_store_partition.py
@@ -30,7 +30,7 @@
         self.calls += 1
         if isinstance(self.result, Exception):
             raise self.result
-        return types.SimpleNamespace(status=self.result, body=b'')
+        return types.SimpleNamespace(status=self.result, body=b'', headers=[])
 
 
 class PathsTest(unittest.TestCase):
@@ -120,7 +120,7 @@
             'REQUEST_METHOD': 'PUT',
             'wsgi.input': types.SimpleNamespace(read=lambda: b'{}'),
         }
-        paths.make_relay_app(direct)(
+        paths.make_relay_app(direct, ())(
             environ, lambda status, _: statuses.append(status)
         )
         return statuses[0].split()[0]
@@ -142,7 +142,9 @@
         relays.register(store, relay)
         relays.register(store, relay)
         self.assertEqual(1, store.writes)
-        self.assertIn(relays.slot_key('side-a-1'), store.objects)
+        self.assertIn(
+            f'{relays.KIND}/{relays.slot_name("side-a-1")}', store.objects
+        )
 
     def test_order_of_preference(self):
         known_relays = [
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -13,9 +13,13 @@
     effect, its response is lost), 'late' (the write takes effect just before
     the next write) or 'down' (the store is unavailable).  `late` holds the
     write that was delayed by the fault of that name.  While `down` is true,
-    every operation except `delete` fails.
+    every operation except `delete` fails.  It does not state its era.
     """
 
+    era = 0
+    has_eras = False
+    confirmed_at = None
+
     def __init__(self):
         self.objects = {}
         self.revision = 0
@@ -24,6 +28,13 @@
         self.down = False
         self.late = None
 
+    def scope(self, kind, era=None):
+        """Return a kind's name, which is the same in all eras."""
+        return kind
+
+    def add_era_listener(self, listener):
+        """Ignore a listener: the era never changes."""
+
     def get(self, key):
         """Return the Item at `key`, with version 0 if there is none."""
         if self.down:
--- a/tests/spec/test_specs.py
+++ b/tests/spec/test_specs.py
@@ -4,13 +4,14 @@
 
 import minicheck
 
+from spec import eras
 from spec import grants
 from spec import joining
 from spec import restarts
 from spec import topups
 from spec import vouching
 
-MODULES = (joining, grants, restarts, topups, vouching)
+MODULES = (joining, eras, grants, restarts, topups, vouching)
 
 
 def _evaluate_invariants(protocol):
