Engines' own word, bytes without end, connections of a stopping router

Cause: nothing read an engine's word that it leaves; its Retry-After went to one caller and the next requests went to the engine all the same. Nothing bounded a head, a body, a trailer or an event of a peer, and read timeouts began anew with each byte, so a peer that never stopped filled the memory, and a stream that sent comments never ended. A stream slower than the read timeout was cut though no other target could be tried. A late refusal without an id, on a connection in use again, was believed. Connections in the backlog of a router that ended were reset.

What is done: the word counts at once, for that incarnation, over changes of the store. A target that asks for a pause gets nothing until its end; if all do, the caller is told at once with the soonest time, spread. Limits for heads, bodies, events; timeouts that only a whole head, bytes of a body or a whole event extend; the wait goes on where no other target may be tried.

Ruled out: giving each engine that pauses two requests all the same, as the rule would allow: nothing is gained by them.

--- a/galenaspoke/edge/attempts.py
+++ b/galenaspoke/edge/attempts.py
@@ -13,13 +13,19 @@
 # with one of them that lacks the target's own statement (`not_run`) is not
 # relayed: its outcome is unknown.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# With this status a target turns requests away; it may say for how long.
+UNAVAILABLE_STATUS = 503
+# The longest event of a stream.
+MAX_EVENT_BYTES = 1_048_576
 
 
 class Attempt:
     """One attempt to have a target serve a request.
 
     `context` is the RequestContext, which holds the state that outlives the
-    attempt.  `header_codec` translates the platform's headers.
+    attempt.  `header_codec` translates the platform's headers.  `on_leaving`
+    is called with the target if any response says that it leaves, and
+    `may_retry` returns whether another target may be tried after this one.
     """
 
     __slots__ = (
@@ -28,22 +34,39 @@
         '_caller',
         '_header_codec',
         '_clock',
+        '_on_leaving',
+        '_may_retry',
+        '_timeout_s',
         '_metadata',
     )
 
-    def __init__(self, context, target, caller, header_codec, clock):
+    def __init__(
+        self,
+        context,
+        target,
+        caller,
+        header_codec,
+        clock,
+        on_leaving,
+        may_retry,
+    ):
         self._context = context
         self._target = target
         self._caller = caller
         self._header_codec = header_codec
         self._clock = clock
+        self._on_leaving = on_leaving
+        self._may_retry = may_retry
+        self._timeout_s = None
         self._metadata = None
 
     def run(self, timeout_ms):
         """Run the attempt; return an instance of a class in `outcomes`.
 
-        A target that sends nothing for `timeout_ms` is abandoned.
+        A target that does not get on with its response for `timeout_ms` is
+        abandoned, unless no other may be tried: then the wait goes on.
         """
+        self._timeout_s = timeout_ms / 1000
         try:
             conn = self._target.acquire_connection(self._clock.now())
         except connections.NotSent as exc:
@@ -56,8 +79,9 @@
             conn.send(self._encode_request())
             self._context.sent_count += 1
             self._context.sent_at = self._clock.now()
-            conn.set_read_timeout(timeout_ms / 1000)
-            response = conn.read_head(self._is_for_this_request)
+            response = self._wait(
+                conn, lambda: conn.read_head(self._is_for_this_request)
+            )
             outcome = self._handle_response(conn, response)
             reusable = conn.is_reusable(response)
             return outcome
@@ -76,6 +100,19 @@
                 # This also makes the target cancel work that is under way.
                 conn.close()
 
+    def _wait(self, conn, read):
+        """Return what `read` returns; begin the read timeout anew before it.
+
+        Reads again after the timeout while no other target may be tried.
+        """
+        while True:
+            conn.set_read_timeout(self._timeout_s)
+            try:
+                return read()
+            except connections.ReadTimeout:
+                if self._may_retry():
+                    raise
+
     def _encode_request(self):
         context = self._context
         req = context.req
@@ -99,14 +136,23 @@
         ties it to another request.
         """
         metadata = self._header_codec.parse_response(response)
+        # Responses to other requests tell it as well.  A misdirected request
+        # was answered by another target.
+        if metadata.is_leaving and not metadata.misdirected:
+            self._on_leaving(self._target)
         return metadata.request_id == self._context.metadata.request_id or (
             not metadata.request_id and not metadata.has_stamp
         )
 
     def _handle_response(self, conn, response):
         self._metadata = metadata = self._header_codec.parse_response(response)
+        if response.status == UNAVAILABLE_STATUS and metadata.retry_after_ms:
+            self._target.pause(self._clock.now() + metadata.retry_after_ms)
+        if metadata.not_run and not metadata.request_id and conn.was_used:
+            # It may be a second response to the request before.
+            return outcomes.Unknown(f'status {response.status}, without an id')
         if metadata.not_run:
-            conn.read_body(response)
+            conn.read_body(response, self._timeout_s)
             if metadata.misdirected:
                 # The request reached a target other than the intended one, so
                 # it doesn't count as one of the route's attempts.
@@ -114,7 +160,6 @@
             return outcomes.NotRun(
                 f'status {response.status}',
                 misdirected=metadata.misdirected,
-                retry_after_ms=metadata.retry_after_ms,
             )
         if metadata.has_content_encoding or not metadata.has_stamp:
             return outcomes.Unknown(
@@ -123,7 +168,9 @@
         content_type = response.header(b'content-type')
         if response.status == 200 and content_type.startswith(EVENT_STREAM):
             return self._relay_stream(conn, response)
-        body = conn.read_body(response)
+        body = self._wait(
+            conn, lambda: conn.read_body(response, self._timeout_s)
+        )
         if response.status in NOT_RUN_STATUSES:
             return outcomes.Unknown(
                 f'status {response.status}, without proof it did not run'
@@ -143,22 +190,37 @@
         """Relay events as they arrive, each only once it is complete."""
         splitter = sse.EventSplitter()
         while True:
-            undelivered = self._filter_undelivered(
-                splitter.feed(response.take_body())
-            )
+            events = splitter.feed(response.take_body())
+            undelivered = self._filter_undelivered(events)
             if undelivered:
                 self._relay_events(response, undelivered)
             if response.is_complete:
                 break
-            if not conn.receive() and not response.is_complete:
-                raise connections.ResponseLost(
-                    'connection closed in the middle of a stream'
-                )
+            if len(splitter.remainder()) > MAX_EVENT_BYTES:
+                raise connections.ResponseLost('an event is too long')
+            if events:
+                # Only whole events show that the stream gets on.
+                conn.set_read_timeout(self._timeout_s)
+            self._receive_more(conn, response)
         if splitter.remainder():
             raise connections.ResponseLost('the last event is incomplete')
         self._send_body(response, messages.LAST_CHUNK)
         return outcomes.Served(response.status)
 
+    def _receive_more(self, conn, response):
+        """Read more of a stream; wait on if no other target may be tried."""
+        try:
+            is_open = conn.receive()
+        except connections.ReadTimeout:
+            if self._may_retry():
+                raise
+            conn.set_read_timeout(self._timeout_s)
+            return
+        if not is_open and not response.is_complete:
+            raise connections.ResponseLost(
+                'connection closed in the middle of a stream'
+            )
+
     def _filter_undelivered(self, events):
         """Return the events that the caller does not have yet.
 
--- a/galenaspoke/edge/loan_protocol.py
+++ b/galenaspoke/edge/loan_protocol.py
@@ -24,6 +24,8 @@
 # Longer than `budgets.LEND_TIMEOUT_MS`, the time that a lender waits for the
 # ledger.
 RESPONSE_TIMEOUT_S = 0.35
+# The longest response.
+MAX_RESPONSE_BYTES = 65_536
 # Idle connections kept for each address.
 MAX_IDLE_CONNECTIONS = 4
 
@@ -110,7 +112,9 @@
         )
         conn = self._take_idle(address)
         try:
-            conn = conn or connections.connect(host, port, CONNECT_TIMEOUT_S)
+            conn = conn or connections.connect(
+                host, port, CONNECT_TIMEOUT_S, MAX_RESPONSE_BYTES
+            )
             conn.set_read_timeout(RESPONSE_TIMEOUT_S)
             conn.send(head + body)
             response = conn.read_response()
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -8,8 +8,6 @@
 import gevent
 from gevent import event
 from gevent import pywsgi
-from gevent import server as gevent_server
-from gevent import socket
 
 from galenaspoke.core import clock as clocks
 from galenaspoke.edge import admission
@@ -17,6 +15,7 @@
 from galenaspoke.edge import caller_connections
 from galenaspoke.edge import eras as edge_eras
 from galenaspoke.edge import journal as journals
+from galenaspoke.edge import listening
 from galenaspoke.edge import loan_protocol
 from galenaspoke.edge import members as edge_members
 from galenaspoke.edge import metrics as edge_metrics
@@ -39,7 +38,6 @@
 from galenaspoke.utils import state
 
 EXIT_OK = 0
-BACKLOG = 1024
 # Idle connections stay open this long after the start of the shutdown: a load
 # balancer needs the time to notice that the router isn't ready any more.
 BALANCER_DELAY_MS = 2_500
@@ -161,11 +159,7 @@
         self.budget_manager.start()
         gevent.spawn(self._members.run)
         host, port = edge_settings.split_address(self.cfg.listen)
-        listener = _create_listener(host, port)
-        self._server = gevent_server.StreamServer(
-            listener, self._handle_connection
-        )
-        self._server.start()
+        self._server = listening.serve(host, port, self._handle_connection)
         _start_wsgi_server(self.cfg.ready_listen, self._status_app)
         if self._metrics_port:
             _start_wsgi_server(
@@ -267,7 +261,9 @@
         for caller in list(self._connections):
             caller.shutdown_if_idle()
         self._wait_until(deadline, lambda: not self._connections)
-        self._server.stop_accepting()
+        listening.finish_accepting(self._server)
+        gevent.sleep(0)
+        self._wait_until(deadline, lambda: not self._connections)
         self.budget_manager.close()
         self._members.unregister()
         self.journal.note(
@@ -336,14 +332,6 @@
     pywsgi.WSGIServer((host, port), application, log=None).start()
 
 
-def _create_listener(host, port):
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
-    listener.listen(BACKLOG)
-    return listener
-
-
 @click.command()
 @click.option('--settings', default=None, help='The settings file.')
 @click.option(
--- a/galenaspoke/edge/metadata.py
+++ b/galenaspoke/edge/metadata.py
@@ -53,7 +53,8 @@
     `has_stamp` is True if the response carries a target's stamp.
     `retry_after_ms` is how long to wait before a retry, `idle_timeout_ms` how
     long the target keeps an idle connection open; both are None if the
-    response doesn't say.
+    response doesn't say.  `is_leaving` is True if the target that responded
+    says that it leaves.
     """
 
     request_id: str
@@ -63,3 +64,4 @@
     has_content_encoding: bool
     retry_after_ms: int | None
     idle_timeout_ms: int | None
+    is_leaving: bool
--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -56,14 +56,12 @@
     """The target provably did not run the request.
 
     `reached` is false if nothing was sent to the target.  `misdirected` is
-    true if another target has the address now.  `retry_after_ms` is how long
-    the target asks to wait before a retry, None if it doesn't say.
+    true if another target has the address now.
     """
 
     why: str
     reached: bool = True
     misdirected: bool = False
-    retry_after_ms: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/galenaspoke/edge/placement.py
+++ b/galenaspoke/edge/placement.py
@@ -23,15 +23,26 @@
 
 
 def filter_usable(targets, now):
-    """Return the available targets, or all if none is available."""
+    """Return the available targets, or all if none is available.
+
+    Targets that asked for a pause are left out in any case.
+    """
+    willing = [target for target in targets if now >= target.paused_until]
     available = [
-        target for target in targets if target.health.is_available(now)
+        target for target in willing if target.health.is_available(now)
     ]
-    return available or list(targets)
+    return available or willing
+
+
+def compute_pause_ms(targets, now):
+    """Return how long all targets want no requests; 0 if one wants some."""
+    return max(
+        0, min((target.paused_until for target in targets), default=0) - now
+    )
 
 
 def choose_target(metadata, targets, now, domain, isolation):
-    """Return the target for a request, or None if there are no targets.
+    """Return the target for a request, or None if none may get it.
 
     `domain` is the router's failure domain, and `isolation` the service's
     LongPromptIsolation.
--- a/galenaspoke/edge/refusals.py
+++ b/galenaspoke/edge/refusals.py
@@ -15,6 +15,9 @@
 # for one that needs an operator.
 BUDGET_RETRY_AFTER_MS = (800, 1_600)
 OPERATOR_RETRY_AFTER_MS = (30_000, 60_000)
+# The callers that are told when the targets want requests again are spread out
+# over this share of the wait, in addition to `admission.RETRY_AFTER_MS`.
+PAUSE_SPREAD_SHARE = 0.25
 
 
 def from_reservation_failure(failure):
@@ -39,11 +42,13 @@
     )
 
 
-def from_last_outcome(context, outcome):
+def from_last_outcome(context, outcome, pause_ms):
     """Return what to send when no further target may be tried.
 
-    `outcome` is that of the last attempt, or None if there was none.  Returns
-    a Refusal, or the Failure that carries the target's response.
+    `outcome` is that of the last attempt, or None if there was none.
+    `pause_ms` is how long all targets of the service want no more requests, 0
+    if any wants some.  Returns a Refusal, or the Failure that carries the
+    target's response.
     """
     if isinstance(outcome, outcomes.Failure):
         return outcome
@@ -55,18 +60,22 @@
         )
     if context.may_have_run:
         return outcomes.Refusal(502, outcomes.Reason.TARGET_FAILED)
-    if outcome is None:
+    retry_after_ms = pause_ms + outcomes.random_delay_ms(
+        admission.RETRY_AFTER_MS
+    )
+    if pause_ms:
+        retry_after_ms += outcomes.random_delay_ms(
+            (0, PAUSE_SPREAD_SHARE * pause_ms)
+        )
+    if outcome is None and not pause_ms:
         return outcomes.Refusal(
-            503,
-            outcomes.Reason.NO_TARGET,
-            retry_after_ms=outcomes.random_delay_ms(admission.RETRY_AFTER_MS),
+            503, outcomes.Reason.NO_TARGET, retry_after_ms=retry_after_ms
         )
     return outcomes.Refusal(
         503,
         outcomes.Reason.OVERLOAD,
-        outcome.why,
-        outcome.retry_after_ms
-        or outcomes.random_delay_ms(admission.RETRY_AFTER_MS),
+        outcome.why if outcome else 'all targets asked for a pause',
+        retry_after_ms,
     )
 
 
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -188,22 +188,32 @@
             outcome = self._run_attempt(context, target, caller)
             if isinstance(outcome, outcomes.Served):
                 return outcome
-        return refusals.from_last_outcome(context, outcome)
+        pause_ms = placement.compute_pause_ms(
+            self._target_view.directory.list_accepting(context.service),
+            self._clock.now(),
+        )
+        return refusals.from_last_outcome(context, outcome, pause_ms)
 
     def _choose_target(self, context):
         now = self._clock.now()
         if context.remaining_ms(now) < MIN_REMAINING_MS:
             return None
+        return placement.choose_target(
+            context.metadata,
+            self._list_untried(context),
+            now,
+            self._cfg.domain,
+            self._isolations[context.service],
+        )
+
+    def _list_untried(self, context):
+        """Return the accepting targets that were not tried yet."""
         accepting = self._target_view.directory.list_accepting(context.service)
-        untried = [
+        return [
             target
             for target in accepting
             if target.entry.id not in context.tried_ids
         ]
-        isolation = self._isolations[context.service]
-        return placement.choose_target(
-            context.metadata, untried, now, self._cfg.domain, isolation
-        )
 
     def _take_retry(self, context, outcome):
         """Return whether another target may be tried after `outcome`.
@@ -236,7 +246,13 @@
                 context, started_at, context.metadata
             )
         attempt = attempts.Attempt(
-            context, target, caller, self._header_codec, self._clock
+            context,
+            target,
+            caller,
+            self._header_codec,
+            self._clock,
+            self._target_view.mark_leaving,
+            lambda: self._may_retry(context),
         )
         try:
             # That this attempt did not run says nothing about earlier ones.
@@ -252,6 +268,19 @@
         )
         return outcome
 
+    def _may_retry(self, context):
+        """Return whether a request may be sent to one more target now."""
+        return (
+            context.is_repeatable()
+            and context.sent_count < context.route.max_attempts
+            and self._retry_budget.has_retry(context.service)
+            and bool(
+                placement.filter_usable(
+                    self._list_untried(context), self._clock.now()
+                )
+            )
+        )
+
     def _read_timeout_ms(self, context):
         """Return how long an attempt waits for data from its target, in ms."""
         remaining_ms = context.remaining_ms(self._clock.now())
--- a/galenaspoke/edge/retries.py
+++ b/galenaspoke/edge/retries.py
@@ -52,6 +52,13 @@
 
     def take_retry(self, service):
         """Count a retry; return False if none is allowed now."""
+        if not self.has_retry(service):
+            return False
+        self._current_window(service).retries[-1] += 1
+        return True
+
+    def has_retry(self, service):
+        """Return whether a retry is allowed now."""
         window = self._current_window(service)
         router_count = self._get_router_count()
         slack = (
@@ -60,10 +67,7 @@
             else 0
         )
         allowed = self._cfg.retry_ratio * sum(window.requests) + slack
-        if sum(window.retries) + 1 > allowed:
-            return False
-        window.retries[-1] += 1
-        return True
+        return sum(window.retries) + 1 <= allowed
 
     def _current_window(self, service):
         """Return a service's window, moved on to the current time."""
--- a/galenaspoke/edge/targets.py
+++ b/galenaspoke/edge/targets.py
@@ -24,6 +24,7 @@
         'wait_estimator',
         'in_flight',
         'is_removed',
+        'paused_until',
         '_idle',
     )
 
@@ -34,8 +35,14 @@
         self.in_flight = 0
         # Whether it left or was replaced by another incarnation.
         self.is_removed = False
+        # Until when the target asked for no more requests.
+        self.paused_until = 0
         self._idle = []
 
+    def pause(self, until):
+        """Send no requests until a time, as the target asked."""
+        self.paused_until = max(self.paused_until, until)
+
     def acquire_connection(self, now):
         """Return an idle or a new connection; raise NotSent on failure."""
         while self._idle:
@@ -57,6 +64,7 @@
         `idle_timeout_ms` is the target's idle timeout, None if not stated.
         """
         conn.idle_since = now
+        conn.was_used = True
         conn.idle_timeout_ms = (
             DEFAULT_IDLE_TIMEOUT_MS
             if idle_timeout_ms is None
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -9,6 +9,7 @@
 
 import contextlib
 import socket as std_socket
+import time
 
 import gevent
 from gevent import socket
@@ -16,6 +17,8 @@
 from galenaspoke.http import messages
 
 RECEIVE_BYTES = 65_536
+# A peer that sends without a pause lets other greenlets run after this much.
+YIELD_BYTES = 1_048_576
 # The connection fails if the peer doesn't acknowledge sent data for this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 KEEPALIVE_IDLE_S = 1
@@ -36,28 +39,43 @@
 
 
 class Connection:
-    """A connection to a peer."""
+    """A connection to a peer.
+
+    At most `max_body_bytes` of a response's body are held at a time.
+    """
 
     __slots__ = (
         'parser',
         'idle_since',
         'idle_timeout_ms',
+        'was_used',
         '_sock',
+        '_read_until',
+        '_unyielded_bytes',
         '_send_task',
     )
 
-    def __init__(self, sock):
-        self.parser = messages.ResponseParser()
+    def __init__(self, sock, max_body_bytes=messages.MAX_BODY_BYTES):
+        self.parser = messages.ResponseParser(max_body_bytes)
+        # Whether an earlier request got its response here.
+        self.was_used = False
         self.idle_since = 0
         # How long the peer keeps the connection open while it is idle.
         self.idle_timeout_ms = 0
         self._sock = sock
+        # When reads time out, on the monotonic clock in s; None for never.
+        self._read_until = None
+        # Received since other greenlets could last run.
+        self._unyielded_bytes = 0
         # Sends what the socket buffer did not take at once.
         self._send_task = None
 
     def set_read_timeout(self, timeout_s):
-        """Make reads raise ReadTimeout if nothing arrives in `timeout_s`."""
-        self._sock.settimeout(timeout_s)
+        """Make reads raise ReadTimeout once `timeout_s` from now has passed.
+
+        Bytes that arrive meanwhile don't extend the time.
+        """
+        self._read_until = time.monotonic() + timeout_s
 
     def send(self, data):
         """Send a request without waiting for a peer that reads slowly.
@@ -87,19 +105,28 @@
 
     def receive(self):
         """Read and parse more; return False if the peer closed cleanly."""
+        if self._read_until is not None:
+            left_s = self._read_until - time.monotonic()
+            if left_s <= 0:
+                raise ReadTimeout('the peer did not respond in time')
+            self._sock.settimeout(left_s)
         try:
             data = self._sock.recv(RECEIVE_BYTES)
         except TimeoutError as exc:
             # gevent's own read timeout has no errno; ETIMEDOUT, which
             # keepalive or TCP_USER_TIMEOUT cause, has one.
             if exc.errno is None:
-                raise ReadTimeout('the peer sent nothing in time') from None
+                raise ReadTimeout('the peer did not respond in time') from None
             raise ResponseLost(f'receive: {exc}') from exc
         except OSError as exc:
             raise ResponseLost(f'receive: {exc}') from exc
         if not data:
             self.parser.feed_eof()
             return False
+        self._unyielded_bytes += len(data)
+        if self._unyielded_bytes >= YIELD_BYTES:
+            self._unyielded_bytes = 0
+            gevent.sleep(0)
         try:
             self.parser.feed(data)
         except messages.BadResponse as exc:
@@ -125,9 +152,15 @@
                     continue
                 raise ResponseLost('connection closed before the response')
 
-    def read_body(self, response):
-        """Read a response to its end; return its body."""
+    def read_body(self, response, pause_timeout_s=None):
+        """Read a response to its end; return its body.
+
+        `pause_timeout_s` limits each pause between bytes, in place of the read
+        timeout.
+        """
         while not response.is_complete:
+            if pause_timeout_s is not None:
+                self.set_read_timeout(pause_timeout_s)
             if not self.receive() and not response.is_complete:
                 raise ResponseLost(
                     'connection closed in the middle of the response'
@@ -162,7 +195,7 @@
         self._sock.close()
 
 
-def connect(host, port, timeout_s):
+def connect(host, port, timeout_s, max_body_bytes=messages.MAX_BODY_BYTES):
     """Return a new Connection; raise NotSent if that fails."""
     try:
         sock = socket.create_connection((host, port), timeout_s)
@@ -170,7 +203,7 @@
         raise NotSent(f'connect: {exc}') from exc
     sock.settimeout(None)
     configure_socket(sock)
-    return Connection(sock)
+    return Connection(sock, max_body_bytes)
 
 
 def peek(sock):
--- a/galenaspoke/http/messages.py
+++ b/galenaspoke/http/messages.py
@@ -31,6 +31,11 @@
         b'content-length',
     )
 )
+# The longest head of a response, and the longest sequence of bytes that adds
+# nothing to its body.
+MAX_HEAD_BYTES = 65_536
+# The longest body that is held in memory until it is complete.
+MAX_BODY_BYTES = 4_194_304
 _MIN_FINAL_STATUS = 200
 _BODILESS_STATUSES = (204, 304)
 _PHRASES = {
@@ -91,7 +96,8 @@
         # When its first byte was read, in ms, or, if that came together with
         # an earlier request, when the connection turned to it; 0 until then.
         self.arrived_at = 0
-        # The approximate size of the request line and headers received so far.
+        # The approximate size of the request line and headers received so far,
+        # or of what came after the latest piece of the body.
         self.head_bytes = 0
 
     @property
@@ -125,6 +131,9 @@
 
     def feed(self, data):
         """Parse bytes; raise BadRequest if they violate HTTP or a limit."""
+        before = self.current
+        if before is not None:
+            before.head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
@@ -138,9 +147,11 @@
         except httptools.HttpParserError as exc:
             raise BadRequest(400, str(exc)) from exc
         req = self.current
-        if req is not None and not req.is_head_complete:
+        if req is None:
+            return
+        if req is not before and not req.is_head_complete:
             req.head_bytes += len(data)
-            self._check_head_size(req)
+        self._check_head_size(req)
 
     def _check_head_size(self, req):
         if req.head_bytes > self.limits.header_bytes:
@@ -194,6 +205,7 @@
 
     def on_body(self, data):
         req = self.current
+        req.head_bytes = 0
         req.body += data
         if len(req.body) > self.limits.body_bytes:
             raise BadRequest(413, 'request body too large')
@@ -250,24 +262,40 @@
     """Parses the bytes of one connection to a peer.
 
     `responses` holds all responses that have begun and were not taken yet.
-    Interim responses (1xx) are dropped.
+    Interim responses (1xx) are dropped.  At most `max_body_bytes` of a body
+    are held at a time.
     """
 
-    __slots__ = ('responses', '_current', '_parser')
+    __slots__ = (
+        'responses',
+        '_max_body_bytes',
+        '_overhead_bytes',
+        '_current',
+        '_parser',
+    )
 
-    def __init__(self):
+    def __init__(self, max_body_bytes=MAX_BODY_BYTES):
         self.responses = collections.deque()
+        self._max_body_bytes = max_body_bytes
+        # The bytes since the last head, piece of a body or end of a response.
+        self._overhead_bytes = 0
         self._current = None
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data):
-        """Parse bytes; raise BadResponse if they violate HTTP."""
+        """Parse bytes; raise BadResponse if they violate HTTP or a limit."""
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
             raise BadResponse('unexpected protocol upgrade') from exc
         except httptools.HttpParserError as exc:
             raise BadResponse(str(exc)) from exc
+        if self._overhead_bytes > MAX_HEAD_BYTES:
+            raise BadResponse('the head or the trailer is too long')
+        body = self._current.body if self._current else b''
+        if len(body) > self._max_body_bytes:
+            raise BadResponse('the body is too long')
 
     def feed_eof(self):
         """Handle a clean close, which ends a response without a length."""
@@ -287,6 +315,7 @@
             self._current.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
+        self._overhead_bytes = 0
         response = self._current
         response.status = self._parser.get_status_code()
         response.keep_alive = self._parser.should_keep_alive()
@@ -299,9 +328,11 @@
         )
 
     def on_body(self, data):
+        self._overhead_bytes = 0
         self._current.body += data
 
     def on_message_complete(self):
+        self._overhead_bytes = 0
         response = self._current
         self._current = None
         if response.status < _MIN_FINAL_STATUS:
--- a/galenaspoke/platform/headers.py
+++ b/galenaspoke/platform/headers.py
@@ -114,6 +114,7 @@
         != b'identity',
         retry_after_ms=_parse_seconds_as_ms(fields.get(b'retry-after', b'')),
         idle_timeout_ms=_parse_idle_timeout_ms(fields.get(b'keep-alive', b'')),
+        is_leaving=fields.get(b'server-leaving', b'').strip() == b'1',
     )
 
 
--- a/galenaspoke/store/paths.py
+++ b/galenaspoke/store/paths.py
@@ -24,6 +24,8 @@
 MAX_BACKOFF_MS = 2_000
 # Paths that one call tries at most.
 MAX_ATTEMPTS = 3
+# The longest response: a page of a list, of about a megabyte.
+MAX_RESPONSE_BYTES = 8_388_608
 # Interval between probes of a direct path that has failed.
 PROBE_INTERVAL_S = 0.7
 PROBE_TIMEOUT_S = 0.5
@@ -75,13 +77,16 @@
         )
         conn = self._take_idle_connection()
         if conn is None:
-            conn = connections.connect(host, int(port), CONNECT_TIMEOUT_S)
+            conn = connections.connect(
+                host, int(port), CONNECT_TIMEOUT_S, MAX_RESPONSE_BYTES
+            )
         reusable = False
         self._busy_connections.add(conn)
         try:
             with gevent.Timeout(
                 timeout_s, connections.ResponseLost('no response in time')
             ):
+                conn.set_read_timeout(timeout_s)
                 conn.send(head + body)
                 response = conn.read_response()
             reusable = (
--- /dev/null
+++ b/tests/edge/handlers.py
@@ -0,0 +1,219 @@
+"""A request handler with scripted engines, all in this process.
+
+An engine is a function that takes the socket at its end of a connection and
+the number of the request that it gets there.
+
+Example::
+
+    desk = Desk(engines={'i-1': lambda remote, _: remote.sendall(OK)})
+    desk.request().status     # 200
+"""
+
+import collections
+
+import gevent
+
+from galenaspoke.core import catalog
+from galenaspoke.core import clock as clocks
+from galenaspoke.edge import admission
+from galenaspoke.edge import poison
+from galenaspoke.edge import request_handler
+from galenaspoke.edge import retries
+from galenaspoke.edge import targets
+from galenaspoke.edge import views
+from galenaspoke.http import messages
+from galenaspoke.platform import headers
+from galenaspoke.platform import target_entries
+from tests.edge import base
+
+REQUEST_ID = b'9c41'
+
+
+def encode_response(status=200, body=b'ok', extra=b'', request_id=REQUEST_ID):
+    """Return the bytes of a whole response of an engine."""
+    return (
+        b'HTTP/1.1 %d -\r\nX-Request-Id: %s\r\nX-Response-Stamp: s\r\n'
+        b'%sContent-Length: %d\r\n\r\n%s'
+        % (status, request_id, extra, len(body), body)
+    )
+
+
+def encode_busy(extra=b''):
+    """Return the bytes of a response that turns a request away."""
+    return encode_response(503, b'', b'X-Not-Run: 1\r\n' + extra)
+
+
+class ScriptedTarget(targets.Target):
+    """A target whose connections end at a scripted engine."""
+
+    __slots__ = ('engine', 'requests', 'tasks')
+
+    def __init__(self, entry, engine):
+        super().__init__(entry)
+        self.engine = engine
+        # How many requests have reached it.
+        self.requests = 0
+        self.tasks = []
+
+    def acquire_connection(self, now):
+        """Return a connection to the engine."""
+        self.close_expired_connections(now)
+        if self._idle:
+            return super().acquire_connection(now)
+        conn, remote = base.make_connection_pair()
+        self.tasks.append(gevent.spawn(self._run_engine, remote))
+        return conn
+
+    def _run_engine(self, remote):
+        try:
+            while remote.recv(65_536):
+                self.requests += 1
+                self.engine(remote, self.requests)
+        except OSError:
+            pass
+        finally:
+            remote.close()
+
+
+class FakeConfigView:
+    """A configuration that is always in force."""
+
+    def __init__(self, catalog_):
+        self.catalog = catalog_
+
+    def has_config(self):
+        """Return True."""
+        return True
+
+    def confirm(self):
+        """Return True."""
+        return True
+
+
+class Caller:
+    """Records what a caller receives."""
+
+    def __init__(self):
+        self.keep_alive = True
+        self.response_started = False
+        self.has_active_request = False
+        self.status = None
+        self.headers = {}
+        self.body = b''
+
+    def cancel_on_disconnect(self):
+        """Return a context manager that never cancels."""
+        return gevent.Timeout(None)
+
+    def send_response(self, status, pairs, body):
+        """Record a whole response."""
+        self.response_started = True
+        self.status, self.headers, self.body = status, dict(pairs), body
+
+    def start_chunked_response(self, status, pairs):
+        """Record the head of a stream."""
+        self.response_started = True
+        self.status, self.headers = status, dict(pairs)
+        return b''
+
+    def send(self, data):
+        """Record bytes of a stream."""
+        self.body += data
+
+    def retry_after_ms(self):
+        """Return when the caller should retry, None if that isn't said."""
+        value = self.headers.get(b'Retry-After')
+        return value and 1000 * float(value)
+
+
+class Desk:
+    """One service with scripted engines, and a router's handler before it."""
+
+    def __init__(
+        self,
+        engines,
+        kind=catalog.RequestKind.IDEMPOTENT,
+        timeout_ms=600,
+        clock=None,
+        **route_options,
+    ):
+        self.clock = clock or clocks.Clock()
+        self.journal = base.Recorder()
+        cfg = base.make_edge_settings(retry_slack=50)
+        options = {
+            'max_attempts': 2,
+            'priority': 0,
+            'public': False,
+            'resumable': kind is catalog.RequestKind.STREAM,
+            'gap_target_ms': 400,
+            'latency_target_ms': 100,
+            **route_options,
+        }
+        route = catalog.Route(
+            'r',
+            'desk',
+            '/a/',
+            kind,
+            (('pool', 1.0),),
+            timeout_ms=timeout_ms,
+            **options,
+        )
+        services = [catalog.Service('pool', '/health', 100)]
+        config_view = FakeConfigView(
+            catalog.Catalog(1, [route], services, [], {}, catalog.Limits())
+        )
+        detector = poison.PoisonDetector(self.clock)
+        self.target_view = views.TargetView(
+            None,
+            self.clock,
+            self.journal,
+            target_entries,
+            lambda: config_view.catalog.services,
+            Exception,
+            detector.record_target_down,
+        )
+        self.targets = collections.OrderedDict()
+        for name, engine in engines.items():
+            self.add_target(name, engine)
+        self.admission = admission.Admission(config_view, detector, headers)
+        self.handler = request_handler.RequestHandler(
+            cfg,
+            self.admission,
+            config_view,
+            self.target_view,
+            None,
+            retries.RetryBudget(cfg, self.clock, lambda: 1),
+            detector,
+            headers,
+            self.clock,
+            self.journal,
+            self.journal,
+        )
+
+    def add_target(self, name, engine):
+        """Add a target to the directory."""
+        entry = base.make_target_entry(name)
+        self.target_view.directory.put(entry, self.clock.now())
+        target = ScriptedTarget(entry, engine)
+        self.target_view.directory._targets[name] = target
+        self.targets[name] = target
+
+    def request(self, caller=None):
+        """Handle one request; return the Caller that got the response."""
+        req = messages.Request()
+        req.method = b'POST'
+        req.url = b'/a/x'
+        req.headers = [(b'host', b'desk'), (b'x-request-id', REQUEST_ID)]
+        req.arrived_at = self.clock.now()
+        caller = caller or Caller()
+        self.handler.handle(req, caller)
+        return caller
+
+    def count_requests(self):
+        """Return how many requests have reached each target."""
+        return [target.requests for target in self.targets.values()]
+
+    def close(self):
+        """End the engines."""
+        for target in self.targets.values():
+            gevent.killall(target.tasks)
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -124,7 +124,13 @@
         conn, remote = base.make_connection_pair()
         self.target = FakeTarget(conn)
         attempt = attempts.Attempt(
-            self.context, self.target, self.caller, headers, self.clock
+            self.context,
+            self.target,
+            self.caller,
+            headers,
+            self.clock,
+            lambda _: None,
+            lambda: True,
         )
         task = gevent.spawn(attempt.run, 50)
         gevent.sleep(0)
@@ -224,7 +230,13 @@
                 gevent.sleep(60)
 
         attempt = attempts.Attempt(
-            self.context, Connecting(None), self.caller, headers, self.clock
+            self.context,
+            Connecting(None),
+            self.caller,
+            headers,
+            self.clock,
+            lambda _: None,
+            lambda: True,
         )
         with self.assertRaises(gevent.Timeout):
             with gevent.Timeout(0.01):
--- a/tests/edge/test_store_from_copy.py
+++ b/tests/edge/test_store_from_copy.py
@@ -217,6 +217,17 @@
         self.assertIn('i-new', self.accepting_ids(target_view))
         self.assertLess(self.store.revision, 154)
 
+    def test_rise_is_noticed_while_a_watch_hangs(self):
+        self.put_config(1)
+        config_view, _ = self.make_views()
+        self.path.is_silent = True
+        gevent.sleep(PAUSE_S)
+        self.store.restore(0)
+        self.put_config(2)
+        self.client.list('relays')
+        self.advance(10)
+        self.assertEqual(2, config_view.catalog.generation)
+
     def test_configuration_does_not_go_back(self):
         self.put_config(1)
         config_view, _ = self.make_views()
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -144,6 +144,8 @@
     def __init__(self, store):
         self.store = store
         self.is_cut = False
+        # Whether waiting calls hang, as on a connection that has gone silent.
+        self.is_silent = False
         self.faults = []
 
     def call(self, method, url_path, body, timeout_s, retry=True):
@@ -173,6 +175,8 @@
         """Wait for an event as a watch does, in real time."""
         waits_left = int(timeout_s / POLL_INTERVAL_S)
         while True:
+            while self.is_silent:
+                gevent.sleep(POLL_INTERVAL_S)
             status, content = self.store.handle(method, url_path, b'')
             if status != 200 or content['events'] or not waits_left:
                 return status, content
