Known faults of what the users run: ctl, reload, draws, reports

A second is within every bound of the configuration.

Ruled out, by reading: streams that reserve their output in parts.

--- a/galenaspoke/core/catalog.py
+++ b/galenaspoke/core/catalog.py
@@ -38,7 +38,7 @@
     derived from `latency_target_ms`, the desired latency.  Requests of a
     `public` route need no API key.  A stream of a `resumable` route can be
     continued by another attempt after the last event delivered.
-    `gap_target_ms`, the desired time between events, is not used.
+    `gap_target_ms` is the desired time between events.
     """
 
     name: str
--- a/galenaspoke/ctl/main.py
+++ b/galenaspoke/ctl/main.py
@@ -62,12 +62,15 @@
         except (publishing.PublishConflict, ledger.LedgerError) as exc:
             click.echo(str(exc), err=True)
             sys.exit(EXIT_REFUSED)
+        except (
+            store_client.WriteUnresolved,
+            store_client.OutcomeUnknown,
+        ) as exc:
+            click.echo(f'the outcome is unknown: {exc}', err=True)
+            sys.exit(EXIT_UNKNOWN)
         except store_client.StoreError as exc:
             click.echo(f'the store call failed: {exc}', err=True)
             sys.exit(EXIT_UNAVAILABLE)
-        except store_client.OutcomeUnknown as exc:
-            click.echo(f'the outcome is unknown: {exc}', err=True)
-            sys.exit(EXIT_UNKNOWN)
 
 
 @click.group(cls=Group)
--- a/galenaspoke/ctl/publishing.py
+++ b/galenaspoke/ctl/publishing.py
@@ -11,16 +11,20 @@
 
 
 class PublishConflict(Exception):
-    """Another operator published a configuration first."""
+    """Another operator published a configuration first.
 
-    def __init__(self, head, differing_names):
+    `differing_names` are the objects in which it differs from `base`, which
+    says what it was compared with.
+    """
+
+    def __init__(self, head, base, differing_names):
         self.head = head
         self.differing_names = differing_names
         differing = ', '.join(differing_names) or 'none'
         super().__init__(
             f'generation {head.generation} was published by {head.publisher}'
-            f' meanwhile; objects that differ: {differing}; review it, then'
-            ' publish again'
+            f' meanwhile; objects in which it differs from {base}:'
+            f' {differing}; review it, then publish again'
         )
 
 
@@ -38,14 +42,14 @@
     `expected` is the generation that the change is based on, by default the
     one in force.  Raises DocumentInvalid, PublishConflict or StoreError.
     Raises OutcomeUnknown if the write conflicted or its response was lost, and
-    a later generation hides whether the write took effect.  StoreError may
-    also mean that the store could not be read after such a write, which may
-    have taken effect.
+    either the store can't be read then or a later generation hides whether the
+    write took effect.
     """
     schema.parse(raw)
     item, head = read_head(store)
     if expected is not None and head.generation != expected:
-        raise _make_conflict(head, raw)
+        # What the change was based on is gone, so its own changes show too.
+        raise _make_conflict(head, 'your document', raw)
     new_head = schema.Head(
         head.generation + 1,
         uuid.uuid4().hex,
@@ -64,7 +68,12 @@
 
 def _verify_published(store, new_head, previous_head):
     """Raise unless `new_head` took effect although its write failed."""
-    _, stored_head = read_head(store)
+    try:
+        _, stored_head = read_head(store)
+    except store_client.StoreError as exc:
+        raise store_client.OutcomeUnknown(
+            f'the store could not be read after the write: {exc}'
+        ) from exc
     if stored_head.publication == new_head.publication:
         return
     if stored_head.generation > new_head.generation:
@@ -76,16 +85,22 @@
         )
     if stored_head.generation == previous_head.generation:
         raise store_client.StoreUnavailable('the write did not take effect')
-    raise _make_conflict(stored_head, previous_head.document)
+    raise _make_conflict(
+        stored_head,
+        f'generation {previous_head.generation}',
+        previous_head.document,
+    )
 
 
-def _make_conflict(head, compared_document):
+def _make_conflict(head, base, compared_document):
     """Return a PublishConflict.
 
-    It names the objects in which `head` differs from `compared_document`.
+    It names the objects in which `head` differs from `compared_document`,
+    which is called `base`.
     """
     return PublishConflict(
         head,
+        base,
         schema.list_changes(bytes(compared_document), bytes(head.document)),
     )
 
--- a/galenaspoke/edge/budgets.py
+++ b/galenaspoke/edge/budgets.py
@@ -472,6 +472,8 @@
             self._ledger_client.return_unreserved(budget, surplus)
         elif deficit > REFILL_SHARE * desired and not self._is_scarce(balance):
             self._fetches[budget] = gevent.spawn(self._fetch_as_owner, budget)
+        else:
+            self._ledger_client.report_if_due(budget)
 
     def close(self):
         """Return all unspent tokens; reserved ones count as spent."""
--- a/galenaspoke/edge/journal.py
+++ b/galenaspoke/edge/journal.py
@@ -19,7 +19,6 @@
 # router mainly logs decisions and changes of state.  The burst is lower by
 # this number, the rate by half of it: 300 lines, and 150 lines per second.
 SUCCESS_LIMIT_REDUCTION = 300
-PENDING_BYTES = 262_144
 
 
 class Journal:
--- a/galenaspoke/edge/ledger_client.py
+++ b/galenaspoke/edge/ledger_client.py
@@ -45,6 +45,12 @@
 JOIN_SPREAD_S = 0.5
 # How often a router checks whether anything is unseen still.
 CHECK_INTERVAL_MS = 1_000
+# An owner reports what it has spent once this share of the limit is not
+# reported, even if it draws nothing.
+REPORT_SHARE = 0.04
+# Result of a draw that found that enough tokens are held already.
+NOTHING_WANTED = 'nothing wanted'
+_UNCHANGED_NOTHING_WANTED = page_writer.Unchanged(NOTHING_WANTED)
 # What a call to the ledger may raise.  A ledger.LedgerError is not raised; it
 # is the result of a Change.
 LEDGER_CALL_ERRORS = (
@@ -208,7 +214,7 @@
     def _record_draw(self, budget, outcome, counter):
         """Record the outcome of a draw; return whether it granted tokens."""
         self.is_unreachable = False
-        if outcome == reservations.MOVED:
+        if outcome in (reservations.MOVED, NOTHING_WANTED):
             return False
         if isinstance(outcome, ledger.LedgerError) or not outcome:
             self._book.get_balance(budget).last_shortage_at = self._clock.now()
@@ -222,14 +228,17 @@
         """Draw tokens in a page and report what was spent.
 
         Draws up to the larger of `desired` and what requests wait for, less
-        what is available; returns the tokens granted.  `must_write` says that
-        the page has changed and must be written even if none are granted.
+        what is available; returns the tokens granted, or NOTHING_WANTED.
+        `must_write` says that the page has changed and must be written even if
+        none are granted.
         """
         balance = self._book.get_balance(budget)
         self._report_spending(page)
         if budget not in page.entries or not self._members.may_draw():
             return page_writer.Unchanged(0)
         missing = max(desired, balance.waiting_tokens) - balance.available()
+        if missing <= 0:
+            return NOTHING_WANTED if must_write else _UNCHANGED_NOTHING_WANTED
         if self._store.has_eras:
             room = durability.get_volatile_room(page.entries[budget])
             missing = min(missing, room)
@@ -336,7 +345,10 @@
         return page.owner == self.holder_name
 
     def _report_spending(self, page):
-        """Update the spent tokens in this holder's grants on a page."""
+        """Update the spent tokens in this holder's grants on a page.
+
+        Returns True, so that it can be submitted as a change.
+        """
         for budget, entry in page.entries.items():
             grant = entry.grants.get(self.holder_name)
             if grant is not None:
@@ -346,6 +358,22 @@
                 entry.closed_volatile -= self._draws.count_durable_closed(
                     budget, entry.closed_volatile
                 )
+        return True
+
+    def report_if_due(self, budget):
+        """Report what was spent if much of it is not in the ledger yet.
+
+        Draws report it as well, but a budget that is granted whole has none.
+        """
+        page = self.get_cached_page(budget)
+        entry = page.entries.get(budget) if page else None
+        grant = entry.grants.get(self.holder_name) if entry else None
+        if grant is None:
+            return
+        spent = self._book.get_balance(budget).spent_from_grant()
+        if spent - grant.spent > REPORT_SHARE * entry.limit:
+            self._submit(budget, self._report_spending)
+            self._metrics.count('grants.reported')
 
     def diagnose_shortage(self, budget, amount, lent):
         """Return the ReservationFailure of a draw that granted too little.
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -30,7 +30,6 @@
 from galenaspoke.http import messages
 from galenaspoke.platform import configuration
 from galenaspoke.platform import headers
-from galenaspoke.platform import settings as platform_settings
 from galenaspoke.platform import store as platform_store
 from galenaspoke.platform import target_entries
 from galenaspoke.store import feeds
@@ -53,8 +52,10 @@
 class EdgeRouter:
     """One edge router and all its components."""
 
-    def __init__(self, cfg, metrics_port):
+    def __init__(self, cfg, metrics_port, settings_path=None):
         self.cfg = cfg
+        # Where the settings were read, None for the platform's default.
+        self._settings_path = settings_path
         self.clock = clocks.Clock()
         self.metrics = edge_metrics.Metrics()
         self.journal = journals.Journal(self.clock)
@@ -296,17 +297,7 @@
         return self.stop()
 
     def _reload(self):
-        """Check the settings file and log whether it has changed.
-
-        Changes take effect when the process is restarted.
-        """
-        try:
-            cfg = platform_settings.load()
-        except platform_settings.SettingsInvalid as exc:
-            self.journal.note('reload.refused', why=str(exc))
-            return
-        changed = cfg != self.cfg
-        self.journal.note('reload', changed=changed)
+        startup.check_settings(self._settings_path, self.cfg, self.journal)
 
     def _gauges(self):
         return {
@@ -351,7 +342,7 @@
 def main(settings, metrics_port):
     """Run the edge router."""
     cfg = startup.load_settings_or_exit(settings)
-    sys.exit(EdgeRouter(cfg, metrics_port).run())
+    sys.exit(EdgeRouter(cfg, metrics_port, settings).run())
 
 
 if __name__ == '__main__':
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -35,8 +35,10 @@
 READ_TIMEOUT_SHARE = 0.4
 READ_TIMEOUT_LATENCY_FACTOR = 2.5
 # The read timeout of an attempt at a resumable stream that another one may
-# follow.
+# follow: this long, or this many times the route's desired time between
+# events, whichever is longer.
 STREAM_READ_TIMEOUT_MS = 1_500
+STREAM_READ_TIMEOUT_GAPS = 4
 
 
 class _DeadlineExceeded(Exception):
@@ -288,7 +290,11 @@
         if is_last or not context.is_repeatable():
             return max(1, remaining_ms)
         if context.route.kind is catalog.RequestKind.STREAM:
-            return min(STREAM_READ_TIMEOUT_MS, remaining_ms)
+            timeout_ms = max(
+                STREAM_READ_TIMEOUT_MS,
+                STREAM_READ_TIMEOUT_GAPS * context.route.gap_target_ms,
+            )
+            return min(timeout_ms, remaining_ms)
         timeout_ms = (
             READ_TIMEOUT_LATENCY_FACTOR * context.route.latency_target_ms
         )
--- a/galenaspoke/edge/startup.py
+++ b/galenaspoke/edge/startup.py
@@ -1,4 +1,4 @@
-"""Start-up steps that the programs of this package share."""
+"""Reading the settings, at the start of a program and while it runs."""
 
 import gc
 import sys
@@ -20,3 +20,17 @@
         sys.exit(EXIT_INVALID_SETTINGS)
     gc.freeze()
     return cfg
+
+
+def check_settings(path, cfg, journal):
+    """Log whether the settings file at `path` differs from `cfg`.
+
+    `path` is None for the platform's default.  Changes take effect when the
+    process is restarted.
+    """
+    try:
+        new_cfg = platform_settings.load(path)
+    except platform_settings.SettingsInvalid as exc:
+        journal.note('reload.refused', why=str(exc))
+        return
+    journal.note('reload', changed=new_cfg != cfg)
--- a/galenaspoke/edge/views.py
+++ b/galenaspoke/edge/views.py
@@ -9,7 +9,7 @@
 from galenaspoke.store import base as store_base
 
 # A configuration that was confirmed within this time counts as current.
-CONFIRMATION_TTL_MS = 250
+CONFIRMATION_TTL_MS = 1_000
 # How long a request waits for the configuration to be confirmed.
 CONFIRM_TIMEOUT_S = 0.4
 # Targets whose entries expired during a store outage have written them again
--- a/galenaspoke/store/base.py
+++ b/galenaspoke/store/base.py
@@ -20,6 +20,13 @@
     """The store can't be reached, is failing or is overloaded."""
 
 
+class WriteUnresolved(StoreUnavailable):
+    """The store failed before it could tell whether a write took effect.
+
+    An earlier write of the same change may stand.
+    """
+
+
 class Conflict(StoreError):
     """The object is no longer at the expected version.
 
@@ -84,13 +91,19 @@
 
     Return (result, object as it now is in the store).  Raises StoreError if
     the store can't be read or refuses the write for another reason than a
-    conflict; an earlier write whose response was lost may have taken effect
-    all the same.
+    conflict, and its subclass WriteUnresolved if an earlier write whose
+    response was lost may have taken effect all the same.
     """
     is_retry = False
+    is_unresolved = False
     result = None
     while True:
-        item = client.get(key() if callable(key) else key)
+        try:
+            item = client.get(key() if callable(key) else key)
+        except StoreError as exc:
+            if is_unresolved:
+                raise WriteUnresolved(str(exc)) from exc
+            raise
         obj = decode(item, struct_type)
         if is_retry and is_applied and is_applied(obj):
             return result, obj
@@ -103,7 +116,9 @@
         except EraChanged:
             if not callable(key):
                 raise
-        except (Conflict, OutcomeUnknown):
+        except OutcomeUnknown:
+            is_retry = is_unresolved = True
+        except Conflict:
             is_retry = True
 
 
--- a/galenaspoke/store/client.py
+++ b/galenaspoke/store/client.py
@@ -25,6 +25,7 @@
 # Re-exported for callers of this client.
 StoreError = base.StoreError
 StoreUnavailable = base.StoreUnavailable
+WriteUnresolved = base.WriteUnresolved
 Conflict = base.Conflict
 TooLarge = base.TooLarge
 OutcomeUnknown = base.OutcomeUnknown
--- a/galenaspoke/store/feeds.py
+++ b/galenaspoke/store/feeds.py
@@ -13,7 +13,7 @@
 
     feeds = Feeds('front-a-1', clock, lambda: 27)
     feeds.set_feeders(['10.1.0.42:7340', '10.1.0.43:7340'])
-    feeds.call('/objects/servers?Watch=17&WaitMs=1000')   # None: ask yourself
+    feeds.call('/objects/targets?since=17')   # None: ask the store itself
 """
 
 import hashlib
--- a/tests/ctl/test_publishing.py
+++ b/tests/ctl/test_publishing.py
@@ -70,6 +70,29 @@
         with self.assertRaises(store_client.StoreUnavailable):
             publishing.publish(self.store, make_document('a'), 'ana')
 
+    def test_store_that_fails_after_a_lost_response(self):
+        """The publication stands, so "nothing changed" would be false."""
+        original = self.store.put
+
+        def put(*args):
+            self.store.faults = ['lost']
+            try:
+                original(*args)
+            finally:
+                self.store.down = True
+
+        self.store.put = put
+        with self.assertRaises(store_client.OutcomeUnknown):
+            publishing.publish(self.store, make_document('a'), 'ana')
+
+    def test_conflict_says_what_was_compared(self):
+        publishing.publish(self.store, make_document('a'), 'ana')
+        with self.assertRaises(publishing.PublishConflict) as caught:
+            publishing.publish(
+                self.store, make_document('mine'), 'bruno', expected=0
+            )
+        self.assertIn('differs from your document', str(caught.exception))
+
     def test_invalid_document_writes_nothing(self):
         with self.assertRaises(schema.DocumentInvalid):
             publishing.publish(self.store, make_document('A!'), 'ana')
@@ -105,6 +128,20 @@
         self.top_up('2')
         self.assertEqual(200, budget_admin.list_entries(self.store)['b'].limit)
 
+    def test_store_that_fails_after_a_lost_response(self):
+        original = self.store.put
+
+        def put(*args):
+            self.store.faults = ['lost']
+            try:
+                original(*args)
+            finally:
+                self.store.down = True
+
+        self.store.put = put
+        with self.assertRaises(store_client.WriteUnresolved):
+            self.top_up('1')
+
     def test_doubt_is_settled_once(self):
         self.top_up('1')
 
--- a/tests/edge/test_prepaid_restarts.py
+++ b/tests/edge/test_prepaid_restarts.py
@@ -135,6 +135,46 @@
         self.assertEqual([True] * 4, results)
 
 
+class ReportTest(unittest.TestCase):
+    """A budget that is granted whole, so that nothing more is drawn."""
+
+    def setUp(self):
+        self.fleet = fleets.Fleet(1000)
+        self.manager = self.fleet.start('a')
+        self.assertTrue(self.fleet.serve('a', 1000, 0))
+
+    def reported(self):
+        """Return the tokens that the ledger knows as spent."""
+        (grant,) = self.fleet.page().entries[fleets.BUDGET].grants.values()
+        return grant.spent
+
+    def test_owner_reports_what_it_spent(self):
+        self.fleet.serve('a', 600, 600)
+        self.assertEqual(0, self.reported())
+        self.manager._rebalance(fleets.BUDGET)
+        gevent.sleep(0.01)
+        self.assertEqual(600, self.reported())
+
+    def test_little_is_not_reported(self):
+        self.fleet.serve('a', 30, 30)
+        writes = self.fleet.store.writes
+        self.manager._rebalance(fleets.BUDGET)
+        gevent.sleep(0.01)
+        self.assertEqual(writes, self.fleet.store.writes)
+
+
+class NothingWantedTest(unittest.TestCase):
+    """A draw that finds that enough is held, as a probe after an outage."""
+
+    def test_next_request_is_not_refused(self):
+        fleet = fleets.Fleet(100_000)
+        manager = fleet.start('a')
+        self.assertTrue(fleet.serve('a', 1_000, 0))
+        change = manager._ledger_client.draw(fleets.BUDGET)
+        self.assertEqual('nothing wanted', change.result.get())
+        self.assertTrue(fleet.serve('a', 50_000, 10))
+
+
 class LoanTest(unittest.TestCase):
     """Loans between routers while the ledger has no free tokens."""
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,7 +4,9 @@
 import tempfile
 import unittest
 
+from galenaspoke.edge import startup
 from galenaspoke.platform import settings
+from tests.edge import base
 
 VALID = """
 Node: "front-a-1"
@@ -27,6 +29,32 @@
         return settings.load(path, **options)
 
 
+class ReloadTest(unittest.TestCase):
+    """The settings file that a program was started with is checked again."""
+
+    def check(self, text):
+        """Return the log line about a file that contains `text`."""
+        journal = base.Recorder()
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, 'other.yaml')
+            with open(path, 'w', encoding='utf-8') as settings_file:
+                settings_file.write(text)
+            startup.check_settings(path, load(VALID), journal)
+        return journal.lines
+
+    def test_unchanged(self):
+        self.assertEqual([('reload', {'changed': False})], self.check(VALID))
+
+    def test_changed(self):
+        text = VALID.replace('GraceS: 8', 'GraceS: 9')
+        self.assertEqual([('reload', {'changed': True})], self.check(text))
+
+    def test_invalid(self):
+        ((event, fields),) = self.check('Node: 7')
+        self.assertEqual('reload.refused', event)
+        self.assertIn('other.yaml', fields['why'])
+
+
 class SettingsTest(unittest.TestCase):
     """Settings are accepted completely or refused with all problems."""
 
