--- a/galenaspoke/edge/ledger_client.py
+++ b/galenaspoke/edge/ledger_client.py
@@ -19,7 +19,6 @@
     change.result.get()      # 12000 tokens, 0 or MOVED
 """
 
-import collections
 import random
 
 import gevent
@@ -27,6 +26,7 @@
 from galenaspoke.core import durability
 from galenaspoke.core import ledger
 from galenaspoke.edge import ledger_pages
+from galenaspoke.edge import page_changes
 from galenaspoke.edge import reservations
 from galenaspoke.edge import statements
 from galenaspoke.edge import volatile_draws
@@ -72,22 +72,18 @@
     __slots__ = (
         'holder_name',
         'is_unreachable',
-        '_cfg',
         '_store',
         '_pages',
         '_members',
         '_statements',
         '_draws',
-        '_returning',
+        '_changes',
         '_checked_at',
         '_metrics',
         '_journal',
-        '_get_catalog',
         '_book',
         '_clock',
         '_writers',
-        '_accounts_by_page',
-        '_grouped_catalog',
     )
 
     def __init__(
@@ -107,7 +103,6 @@
         # A call to the ledger failed, and no draw has been answered since.
         # Meanwhile requests draw nothing; they may borrow.
         self.is_unreachable = False
-        self._cfg = cfg
         self._store = store
         self._pages = ledger_pages.LedgerPages(store, eras)
         self._members = members
@@ -115,21 +110,17 @@
             cfg, self.holder_name, store, eras, journal
         )
         self._draws = volatile_draws.VolatileDraws(clock, store)
-        # Tokens that are being returned, by budget: no longer part of the
-        # holder's grant here, but still in the ledger.
-        self._returning = collections.Counter()
+        self._changes = page_changes.PageChanges(
+            self.holder_name, cfg, journal, get_catalog, book, self._draws
+        )
         # When it was last checked whether anything is unseen, by page.
         self._checked_at = {}
         self._clock = clock
         self._metrics = metrics
         self._journal = journal
-        self._get_catalog = get_catalog
         self._book = book
         # PageWriters by page name, all of the store's present era.
         self._writers = {}
-        # Prepaid accounts by page name, and the catalog they were taken from.
-        self._accounts_by_page = {}
-        self._grouped_catalog = None
         # After that of `members`, which it relies on.
         store.add_era_listener(self._begin_era)
 
@@ -152,7 +143,9 @@
         """
 
         def update(page):
-            return self._end_predecessors(page) or page_writer.Unchanged(None)
+            return self._changes.end_predecessors(
+                page
+            ) or page_writer.Unchanged(None)
 
         if force_read or self.get_cached_page(budget) is None:
             self._submit(budget, update).result.get()
@@ -160,7 +153,7 @@
 
     def owns_page(self, page):
         """Return whether an incarnation of this instance owns a page."""
-        return page.owner.startswith(self._instance_prefix())
+        return self._changes.owns_page(page)
 
     def owns_budget(self, budget):
         """Return whether this instance owns a budget's cached page."""
@@ -177,11 +170,11 @@
         """
 
         def update(page):
-            must_write = self._prepare_page(page, budget)
+            must_write = self._changes.prepare(page, self._page_name(budget))
             if not self._members.may_draw():
                 return page_writer.Unchanged(0)
             previous_owner = page.owner
-            if not self._claim_ownership(page, displaced):
+            if not self._changes.claim_ownership(page, displaced):
                 return page_writer.Unchanged(reservations.MOVED)
             must_write = must_write or page.owner != previous_owner
             desired = self._compute_desired_tokens(page, budget)
@@ -203,7 +196,7 @@
         """
 
         def update(page):
-            must_write = self._prepare_page(page, budget)
+            must_write = self._changes.prepare(page, self._page_name(budget))
             return self._grant(page, budget, 0, must_write)
 
         def on_done(outcome):
@@ -233,7 +226,7 @@
         none are granted.
         """
         balance = self._book.get_balance(budget)
-        self._report_spending(page)
+        self._changes.report_spending(page)
         if budget not in page.entries or not self._members.may_draw():
             return page_writer.Unchanged(0)
         missing = max(desired, balance.waiting_tokens) - balance.available()
@@ -267,99 +260,6 @@
         demand = self._book.forecast_demand(budget, DEMAND_HORIZON_MS)
         return min(demand, int(MAX_HELD_SHARE * entry.unspent_tokens()))
 
-    def _prepare_page(self, page, budget):
-        """Apply the catalog's limits and this router's address to a page.
-
-        Also ends the grants of a predecessor, and joins a page that was taken
-        over from a copy; returns whether there was anything to end or join.
-        """
-        had_predecessor = self._end_predecessors(page)
-        if self._cfg.peer_listen:
-            page.contacts[self.holder_name] = self._cfg.peer_listen
-        catalog = self._get_catalog()
-        if self._grouped_catalog is not catalog:
-            self._grouped_catalog = catalog
-            self._accounts_by_page = collections.defaultdict(list)
-            for account in catalog.accounts.values():
-                if account.prepaid is not None:
-                    self._accounts_by_page[
-                        self._page_name(account.name)
-                    ].append(account)
-        page_name = self._page_name(budget)
-        for account in self._accounts_by_page[page_name]:
-            ledger.set_limit(
-                page, account.name, account.prepaid, catalog.generation
-            )
-        has_joined = self._join(page, page_name)
-        return had_predecessor or has_joined
-
-    def _join(self, page, page_name):
-        """State this holder's grants on a page that was taken over.
-
-        Returns whether it had not done so before.
-        """
-        if not page.lost_eras:
-            return False
-        granted = {
-            budget: self._book.get_balance(budget).granted
-            + self._returning[budget]
-            for budget in self._book.budgets()
-            if self._page_name(budget) == page_name
-        }
-        is_new = any(
-            self.holder_name not in entry.joined
-            for entry in page.entries.values()
-        )
-        self._join_as(page, self.holder_name, granted)
-        return is_new
-
-    def _join_as(self, page, holder, granted_by_budget):
-        for budget in durability.join(page, holder, granted_by_budget):
-            # The store came back from an older copy than it ever should.
-            self._journal.note(
-                'money.copy_too_old', budget=budget, holder=holder
-            )
-
-    def _end_predecessors(self, page):
-        """End the grants of predecessors; return whether there were any."""
-        predecessors = [
-            holder
-            for holder in page.writers
-            if holder.startswith(self._instance_prefix())
-            and holder != self.holder_name
-        ]
-        for holder in predecessors:
-            ledger.close_holder(page, holder, 'restarted')
-            self._journal.note(
-                'money.replaced', holder=holder, by=self.holder_name
-            )
-        return bool(predecessors)
-
-    def _claim_ownership(self, page, displaced):
-        """Claim a page that no other router owns, or that `displaced` owns.
-
-        Returns whether this router owns the page now.
-        """
-        if page.owner in ('', displaced) or self.owns_page(page):
-            page.owner = self.holder_name
-        return page.owner == self.holder_name
-
-    def _report_spending(self, page):
-        """Update the spent tokens in this holder's grants on a page.
-
-        Returns True, so that it can be submitted as a change.
-        """
-        for budget, entry in page.entries.items():
-            grant = entry.grants.get(self.holder_name)
-            if grant is not None:
-                grant.spent = self._book.get_balance(budget).spent_from_grant()
-                grant.volatile = self._draws.get_volatile(budget)
-            if page.owner == self.holder_name:
-                entry.closed_volatile -= self._draws.count_durable_closed(
-                    budget, entry.closed_volatile
-                )
-        return True
-
     def report_if_due(self, budget):
         """Report what was spent if much of it is not in the ledger yet.
 
@@ -372,7 +272,7 @@
             return
         spent = self._book.get_balance(budget).spent_from_grant()
         if spent - grant.spent > REPORT_SHARE * entry.limit:
-            self._submit(budget, self._report_spending)
+            self._submit(budget, self._changes.report_spending)
             self._metrics.count('grants.reported')
 
     def diagnose_shortage(self, budget, amount, lent):
@@ -394,10 +294,10 @@
         balance = self._book.get_balance(budget)
         # Deducted before the write, so that no request can spend them.
         balance.granted -= tokens
-        self._returning[budget] += tokens
+        self._changes.returning[budget] += tokens
 
         def update(page):
-            self._prepare_page(page, budget)
+            self._changes.prepare(page, self._page_name(budget))
             has_shrunk = ledger.shrink_grant(
                 page,
                 budget,
@@ -412,11 +312,11 @@
             if isinstance(outcome, ledger.LedgerError):
                 on_failed(outcome)
                 return
-            self._returning[budget] -= tokens
+            self._changes.returning[budget] -= tokens
             self._draws.record_return(budget, tokens)
 
         def on_failed(_):
-            self._returning[budget] -= tokens
+            self._changes.returning[budget] -= tokens
             balance.granted += tokens
 
         self._submit(budget, update, on_done, on_failed)
@@ -432,22 +332,9 @@
             page = writer.get_last_page()
             if page is not None and self.holder_name in page.writers:
                 writer.retire()
-                changes.append(writer.submit(self._close_grants))
+                changes.append(writer.submit(self._changes.close_grants))
         return changes
 
-    def _close_grants(self, page):
-        """Settle this holder's grants on a page and give up the page."""
-        for budget in page.entries:
-            balance = self._book.get_balance(budget)
-            spent = min(
-                balance.granted, balance.spent_from_grant() + balance.reserved
-            )
-            ledger.close_grant(page, budget, self.holder_name, spent, 0)
-        page.contacts.pop(self.holder_name, None)
-        if page.owner == self.holder_name:
-            page.owner = ''
-        return True
-
     # Eras of the store.
 
     def _begin_era(self):
@@ -459,7 +346,7 @@
         self._writers.clear()
         for writer in writers:
             writer.abort(store_base.EraChanged('the era of the store rose'))
-        self._returning.clear()
+        self._changes.returning.clear()
         self._checked_at.clear()
         self._draws.begin_era()
         granted = {
@@ -481,8 +368,8 @@
         """Join the page of a budget that this holder has tokens of."""
 
         def update(page):
-            must_write = self._prepare_page(page, budget)
-            self._report_spending(page)
+            must_write = self._changes.prepare(page, self._page_name(budget))
+            self._changes.report_spending(page)
             return must_write or page_writer.Unchanged(None)
 
         self._submit(budget, update)
@@ -509,9 +396,9 @@
             return
 
         def update(page):
-            self._prepare_page(page, budget)
+            self._changes.prepare(page, self._page_name(budget))
             for statement in stated:
-                self._join_as(
+                self._changes.join_as(
                     page,
                     statement.holder,
                     self._select(statement.granted, page_name),
@@ -553,7 +440,4 @@
         return writer
 
     def _page_name(self, budget):
-        return ledger.page_name(budget, self._cfg.ledger_pages)
-
-    def _instance_prefix(self):
-        return f'{self._cfg.name}#'
+        return self._changes.get_page_name(budget)
