--- a/galenaspoke/edge/loans.py
+++ b/galenaspoke/edge/loans.py
@@ -20,8 +20,11 @@
 MAX_LENDERS = 3
 # A lender that did not answer is not asked again within this time.
 UNRESPONSIVE_BACKOFF_MS = 1_500
-# On top of its need, a borrower asks for its expected demand over this time.
+# On top of its need, a borrower asks for its expected demand over this time,
+# if that is several times the need.  Otherwise the next request comes too late
+# to use it.
 BORROW_AHEAD_MS = 1_000
+MIN_NEEDS_AHEAD = 3
 # Loans, and grants on another owner's page, are returned when they have not
 # been used for this time.
 UNUSED_RETURN_MS = 1_500
@@ -73,10 +76,12 @@
         Returns the LoanResponse, or None if the lender did not answer.
         """
         balance = self._book.get_balance(budget)
+        need = max(1, balance.waiting_tokens - balance.available())
+        ahead = self._book.forecast_demand(budget, BORROW_AHEAD_MS)
         request = loan_protocol.LoanRequest(
             budget,
-            max(1, balance.waiting_tokens - balance.available()),
-            self._book.forecast_demand(budget, BORROW_AHEAD_MS),
+            need,
+            ahead if ahead >= MIN_NEEDS_AHEAD * need else 0,
             self._cfg.name,
             max(0, balance.borrowed - balance.spent),
         )
--- a/tests/edge/test_many_routers_one_budget.py
+++ b/tests/edge/test_many_routers_one_budget.py
@@ -63,6 +63,13 @@
             [self.fleet.managers['a'].holder_name], list(entry.grants)
         )
 
+    def test_rare_requests_borrow_nothing_ahead(self):
+        # What lies idle at a borrower is lost if it dies.
+        self.fleet.clock.advance(60_000)
+        self.assertTrue(self.fleet.serve('b', 1000, 1000))
+        balance = self.fleet.managers['b'].dump()['budgets'][BUDGET]
+        self.assertEqual(0, balance['available'])
+
     def test_unresponsive_owner_is_replaced(self):
         self.fleet.serve('b', 1000, 900)
         self.loan_client.unresponsive.add('a')
