Placement: a slow engine keeps its share until it has clearly changed

What is done: two classes with a gap between becoming and ceasing to be slow; estimates still use the measured ratio.

--- a/galenaspoke/edge/pace.py
+++ b/galenaspoke/edge/pace.py
@@ -15,10 +15,13 @@
 HALF_LIFE_INTERVALS = 32
 # Intervals that are needed to judge a target.
 MIN_INTERVALS = 16
-# A target is slow if its intervals are this many times the median.
-SLOW_RATIO = 1.2
-# By how much slow targets get less than their share: the power of the ratio.
-WEIGHT_EXPONENT = 3
+# A target becomes slow once its intervals are this many times the median, and
+# is slow until they are fewer times.  Each change moves prompts to other
+# targets, which read them again.
+SLOW_RATIO = 1.35
+RECOVERED_RATIO = 1.2
+# What a slow target gets of its share.
+SLOW_WEIGHT = 0.3
 
 _DECAY = 0.5 ** (1 / HALF_LIFE_INTERVALS)
 
@@ -29,9 +32,11 @@
     `interval_ms` is a decaying average, None until MIN_INTERVALS are known.
     """
 
-    __slots__ = ('_average_ms', '_count')
+    __slots__ = ('is_slow', '_average_ms', '_count')
 
     def __init__(self):
+        # What `compute_slowness` found last.
+        self.is_slow = False
         self._average_ms = 0.0
         self._count = 0
 
@@ -52,19 +57,25 @@
 
     It is 1.0 for a target that isn't slow, or isn't known well enough.
     """
-    intervals = {target: target.pace.interval_ms for target in targets}
-    known = [ms for ms in intervals.values() if ms is not None]
-    if not known:
-        return dict.fromkeys(targets, 1.0)
-    limit = SLOW_RATIO * max(1.0, statistics.median(known))
-    return {
-        target: (
-            SLOW_RATIO * ms / limit if ms is not None and ms > limit else 1.0
-        )
-        for target, ms in intervals.items()
-    }
+    known = [
+        target.pace.interval_ms
+        for target in targets
+        if target.pace.interval_ms is not None
+    ]
+    median_ms = max(1.0, statistics.median(known)) if known else None
+    return {target: _update(target.pace, median_ms) for target in targets}
+
+
+def _update(pace, median_ms):
+    """Decide whether a target is slow; return its slowness."""
+    if pace.interval_ms is None:
+        return 1.0
+    ratio = pace.interval_ms / median_ms
+    limit = RECOVERED_RATIO if pace.is_slow else SLOW_RATIO
+    pace.is_slow = ratio > limit
+    return ratio if pace.is_slow else 1.0
 
 
 def compute_weight(slowness):
     """Return the share of requests for a target, 1.0 if it isn't slow."""
-    return slowness**-WEIGHT_EXPONENT
+    return SLOW_WEIGHT if slowness > 1 else 1.0
