List of routers: a new router's process may have drawn before it is marked

Cause: found in reading. A new router may draw 8 s after it registered, but its record is marked as durable only when it reads the list next, up to 18 s later. If it died in between, its successor took the instance for new and vouched for the era; with a registration that landed after the rise, what the dead process had drawn was released.

Ruled out: marking at once, which leaves the same gap, only shorter.

Before: test_new_router_that_drew_before_it_was_marked overspends. After: it passes; a router vouches without a durable registration only if the list knew no earlier process of its instance in that era.

Conclusion: only stores that state their era are concerned.

--- a/galenaspoke/edge/members.py
+++ b/galenaspoke/edge/members.py
@@ -95,6 +95,7 @@
         '_registered_era',
         '_registered_at',
         '_vouched_eras',
+        '_has_predecessor',
         '_is_known',
         '_is_marked',
         '_stopped_since',
@@ -130,6 +131,9 @@
         # The earlier eras of which it is certain that no process of this
         # instance drew tokens unknown to this one.
         self._vouched_eras = []
+        # Whether an earlier process of the instance may have drawn tokens in
+        # the present era.
+        self._has_predecessor = False
         # Whether the instance's record was durable already, and whether it is
         # marked as durable.
         self._is_known = False
@@ -170,13 +174,13 @@
     def _begin_era(self):
         """Vouch for the era that has ended, if possible; register again."""
         if self._registered_era is not None:
-            is_new = not self._is_known
-            was_running = bool(self._vouched_eras)
             is_durable = self._is_durable_since(
                 self._registered_at, self._store.confirmed_before
             )
-            if is_new or was_running or is_durable:
+            if is_durable or not self._has_predecessor:
                 self._vouched_eras.append(self._registered_era)
+        # Whoever came before was dead when this era began.
+        self._has_predecessor = False
         self._wake.set()
 
     def _is_registered(self):
@@ -229,34 +233,40 @@
 
     def _register(self):
         """Add this router to the list of the present era."""
-        was_durable = (
-            self._is_known or self._is_marked or self._was_durable_before()
-        )
-        _, shard = self._update_shard(
-            lambda shard: self._add(shard, was_durable)
-        )
+        earlier = self._find_earlier_record()
+        _, shard = self._update_shard(lambda shard: self._add(shard, earlier))
         self._registered_era = self._store.era
         self._registered_at = self._clock.now()
         self._is_known = shard.members[self._name].is_durable
         self._is_marked = self._is_known
 
-    def _was_durable_before(self):
-        """Return whether an earlier era's list has this instance."""
+    def _find_earlier_record(self):
+        """Return this instance's Member of the latest earlier era, or None."""
         if not self._store.has_eras:
-            return False
+            return None
         for era in self._eras.list_earlier()[:MAX_ERAS_SEARCHED]:
             key = f'{self._store.scope(KIND, era)}/{self._shard_name()}'
             shard = base.decode(self._store.get(key), Shard)
             member = shard.members.get(self._name)
             if member is not None:
-                return member.is_durable
-        return False
+                return member
+        return None
 
-    def _add(self, shard, was_durable):
-        """Add this router; return UNCHANGED if it is in the shard already."""
+    def _add(self, shard, earlier):
+        """Add this router; return UNCHANGED if it is in the shard already.
+
+        `earlier` is this instance's record in an earlier era, or None.
+        """
         member = shard.members.get(self._name)
         if member is not None and not self._store.has_eras:
             return base.UNCHANGED
+        if member is not None and member.holder != self.holder_name:
+            self._has_predecessor = True
+        if earlier is not None and earlier.holder != self.holder_name:
+            self._has_predecessor = True
+        was_durable = self._is_known or self._is_marked
+        if earlier is not None:
+            was_durable = was_durable or earlier.is_durable
         is_durable = (member is not None and member.is_durable) or (
             was_durable and not shard.is_complete()
         )
--- a/tests/edge/test_ledger_from_copy.py
+++ b/tests/edge/test_ledger_from_copy.py
@@ -37,6 +37,16 @@
         self.fleet.stop()
         self.assertLessEqual(self.fleet.spent, LIMIT)
 
+    def restart_with_late_registration(self, name):
+        """Restart a router; its registration lands after the era has risen."""
+        self.fleet.routers[name].stop_tasks()
+        restarted = era_fleets.Router(self.fleet, name)
+        restarted.path.faults.append('late')
+        self.fleet.routers[name] = restarted
+        gevent.sleep(0.02)
+        self.fleet.store.restore(500)
+        self.assertEqual([200], self.fleet.store.land_late_writes())
+
     def spend_all(self, *names, amount=10_000):
         """Let routers serve requests until they refuse them all for long."""
         refused = 0
@@ -117,13 +127,7 @@
         self.fleet.serve('a', 10_000, 10_000)
         self.fleet.pass_time(1000)
         self.fleet.serve('a', 300_000, 300_000)
-        self.fleet.routers['a'].stop_tasks()
-        restarted = era_fleets.Router(self.fleet, 'a')
-        restarted.path.faults.append('late')
-        self.fleet.routers['a'] = restarted
-        gevent.sleep(0.02)
-        self.fleet.store.restore(500)
-        self.assertEqual([200], self.fleet.store.land_late_writes())
+        self.restart_with_late_registration('a')
         self.fleet.pass_time(5000)
         self.spend_all('a', 'b', 'c')
         self.assertGreater(self.fleet.entry().unseen, 0)
@@ -298,6 +302,22 @@
         self.fleet.pass_time(3000)
         self.spend_all('a', 'b', 'c')
 
+    def test_new_router_that_drew_before_it_was_marked(self):
+        self.fleet.serve('a', 10_000, 10_000)
+        self.fleet.start('d')
+        # It may draw by now, but the list doesn't say so yet.
+        for _ in range(9):
+            self.fleet.clock.advance(1000)
+            self.fleet.routers['d'].client.list('config')
+        self.assertTrue(self.fleet.routers['d'].members.may_draw())
+        self.fleet.frozen.add('a')
+        self.assertTrue(self.fleet.serve('d', 300_000, 300_000))
+        self.fleet.frozen.discard('a')
+        self.restart_with_late_registration('d')
+        self.fleet.pass_time(4000)
+        self.spend_all('a', 'b', 'c', 'd')
+        self.assertGreater(self.fleet.entry().unseen, 0)
+
     def test_stopped_router_is_removed_once_that_is_durable(self):
         self.fleet.routers['c'].manager.close()
         self.fleet.routers['c'].members.unregister()
