--- a/tests/edge/base.py
+++ b/tests/edge/base.py
@@ -2,6 +2,7 @@
 
 import socket as std_socket
 
+import gevent
 from gevent import socket
 
 from galenaspoke.core import clock
@@ -87,6 +88,19 @@
     return connections.Connection(local), remote
 
 
+def settle(rounds=40):
+    """Let all tasks run until they wait for time or for the network."""
+    for _ in range(rounds):
+        gevent.sleep(0)
+
+
+def wait_until(is_true, timeout_s=30):
+    """Wait until `is_true()`; fail after `timeout_s`."""
+    with gevent.Timeout(timeout_s):
+        while not is_true():
+            gevent.sleep(0.002)
+
+
 def make_manual_clock():
     """Return a clock that moves only when a test advances it."""
     return clock.ManualClock(1_000_000)
