Revert: slow engines get less than their share

Cause of the try: pauses on engines that generate slowly.

Conclusion: no gain that callers feel on every site; taken back.

--- a/galenaspoke/edge/attempts.py
+++ b/galenaspoke/edge/attempts.py
@@ -37,7 +37,6 @@
         '_on_leaving',
         '_may_retry',
         '_timeout_s',
-        '_has_relayed',
         '_metadata',
     )
 
@@ -59,8 +58,6 @@
         self._on_leaving = on_leaving
         self._may_retry = may_retry
         self._timeout_s = None
-        # Whether this target has sent events that the caller got.
-        self._has_relayed = False
         self._metadata = None
 
     def run(self, timeout_ms):
@@ -243,12 +240,6 @@
         self._target.wait_estimator.record_first_event(self._context, now)
         if not self._caller.response_started:
             self._context.record_first_byte(now)
-        elif self._has_relayed:
-            interval_ms = (now - self._context.last_event_at) / len(
-                undelivered
-            )
-            self._target.pace.record_interval(interval_ms)
-        self._has_relayed = True
         self._context.record_events(undelivered, now)
         data = messages.encode_chunk(
             b''.join(event.raw for event in undelivered)
--- a/galenaspoke/edge/long_prompts.py
+++ b/galenaspoke/edge/long_prompts.py
@@ -34,11 +34,10 @@
     def __init__(self):
         self._last_long_at = None
 
-    def select_targets(self, metadata, targets, now, weights=None):
+    def select_targets(self, metadata, targets, now):
         """Return the targets that may serve a request.
 
-        Records the time of the request if its prompt is long.  Targets of a
-        low weight are seldom among those for long prompts.
+        Records the time of the request if its prompt is long.
         """
         is_long = is_long_prompt(metadata)
         if is_long:
@@ -48,7 +47,7 @@
         if now - self._last_long_at > ISOLATION_TTL_MS:
             return targets
         count = round(ISOLATED_SHARE * len(targets))
-        ranked = rendezvous.rank_targets(_RANKING_KEY, targets, weights)
+        ranked = rendezvous.rank_targets(_RANKING_KEY, targets)
         return ranked[:count] if is_long else ranked[count:]
 
 
--- a/galenaspoke/edge/placement.py
+++ b/galenaspoke/edge/placement.py
@@ -2,17 +2,16 @@
 
 Requests that share a prompt prefix prefer the same target, so that the prefix
 is read once and not once on each target.  All routers rank the targets alike,
-by the prefix, the target ids and how slow the targets are.  If the request
-would wait too long at the preferred target, another one is chosen, provided
-that it saves more time than reading the prefix again costs.  A long prompt
-goes to the target that would send the first event soonest, and a request
-without a prompt to the least loaded target.
+by the prefix and the target ids alone.  If the request would wait too long at
+the preferred target, another one is chosen, provided that it saves more time
+than reading the prefix again costs.  A long prompt goes to the target that
+would send the first event soonest, and a request without a prompt to the least
+loaded target.
 """
 
 import random
 
 from galenaspoke.edge import long_prompts
-from galenaspoke.edge import pace
 from galenaspoke.edge import rendezvous
 from galenaspoke.edge import wait_estimates
 
@@ -53,38 +52,30 @@
         return None
     if not metadata.affinity_key():
         return choose_least_loaded(candidates, domain)
-    slowness = pace.compute_slowness(candidates)
-    weights = {
-        target: pace.compute_weight(ratio)
-        for target, ratio in slowness.items()
-    }
-    candidates = isolation.select_targets(metadata, candidates, now, weights)
-    ranked = rendezvous.rank_targets(
-        metadata.affinity_key(), candidates, weights
-    )
+    candidates = isolation.select_targets(metadata, candidates, now)
     if long_prompts.is_long_prompt(metadata):
-        return choose_soonest(metadata, ranked, now, slowness)
-    return choose_by_affinity(metadata, ranked, now, slowness)
+        return choose_soonest(metadata, candidates, now)
+    return choose_by_affinity(metadata, candidates, now)
 
 
-def choose_soonest(metadata, ranked, now, slowness):
+def choose_soonest(metadata, targets, now):
     """Return the target that would send the first event soonest."""
+    ranked = rendezvous.rank_targets(metadata.affinity_key(), targets)
     return min(
         ranked,
-        key=lambda target: estimate_first_event_ms(
-            target, metadata, now, slowness[target]
-        ),
+        key=lambda target: estimate_first_event_ms(target, metadata, now),
     )
 
 
-def choose_by_affinity(metadata, ranked, now, slowness):
+def choose_by_affinity(metadata, targets, now):
     """Return the target that the prompt prefers, or one that is much sooner.
 
-    `ranked` are the targets in the order of preference, `slowness` says how
-    slow each is.  The preferred target is left only if its wait is too long
-    and another target would send the first event clearly sooner.
+    The preferred target is left only if its wait is too long and another
+    target would send the first event clearly sooner.
     """
-    preferred, *others = ranked
+    preferred, *others = rendezvous.rank_targets(
+        metadata.affinity_key(), targets
+    )
     if not others:
         return preferred
     wait_ms = preferred.wait_estimator.estimate_wait_ms(now)
@@ -96,31 +87,24 @@
         metadata.prompt_parts[-1][1] if metadata.prompt_parts else 0
     )
     preferred_ms = (
-        wait_ms
-        + slowness[preferred]
-        * last_part_tokens
-        / wait_estimates.PREFILL_TOKENS_PER_MS
+        wait_ms + last_part_tokens / wait_estimates.PREFILL_TOKENS_PER_MS
     )
     estimates = [
-        (
-            estimate_first_event_ms(other, metadata, now, slowness[other]),
-            other,
-        )
+        (estimate_first_event_ms(other, metadata, now), other)
         for other in others
     ]
     best_ms, best = min(estimates, key=lambda pair: pair[0])
     return best if preferred_ms - best_ms > MIN_GAIN_MS else preferred
 
 
-def estimate_first_event_ms(target, metadata, now, slowness):
+def estimate_first_event_ms(target, metadata, now):
     """Return how long a target would take to read the prompt, in ms.
 
-    This includes the wait.  The time from there to the first event is about
-    the same at all targets.
+    This includes the wait.  The time from there to the first event is the
+    same at all targets.
     """
     prefill_ms = (
-        slowness
-        * target.wait_estimator.count_uncached_tokens(metadata, now)
+        target.wait_estimator.count_uncached_tokens(metadata, now)
         / wait_estimates.PREFILL_TOKENS_PER_MS
     )
     return target.wait_estimator.estimate_wait_ms(now) + prefill_ms
--- a/galenaspoke/edge/rendezvous.py
+++ b/galenaspoke/edge/rendezvous.py
@@ -1,31 +1,17 @@
 """Rendezvous hashing: rankings on which all routers agree."""
 
 import hashlib
-import math
 
-_DIGEST_BYTES = 8
 
-
-def rank_targets(key, targets, weights=None):
+def rank_targets(key, targets):
     """Return targets in the order in which `key` prefers them.
 
-    The order depends on the key, the target ids and the weights only, so
-    routers need not communicate.  Adding or removing a target moves only the
-    keys that prefer that target.  `weights` maps targets to their share of the
-    keys relative to the others; without it all are equal.
+    The order depends on the key and the target ids only, so routers need not
+    communicate.  Adding or removing a target moves only the keys that prefer
+    that target.
     """
     raw_key = key.encode()
-    if weights is None:
-        return sorted(
-            targets, key=lambda target: _weigh(raw_key, target.entry.id)
-        )
-
-    def score(target):
-        digest = _weigh(raw_key, target.entry.id)
-        point = int.from_bytes(digest) / 256**_DIGEST_BYTES
-        return -math.log1p(-point) / weights[target]
-
-    return sorted(targets, key=score)
+    return sorted(targets, key=lambda target: _weigh(raw_key, target.entry.id))
 
 
 def choose_name(key, names):
@@ -35,6 +21,4 @@
 
 
 def _weigh(raw_key, name):
-    return hashlib.blake2b(
-        raw_key + name.encode(), digest_size=_DIGEST_BYTES
-    ).digest()
+    return hashlib.blake2b(raw_key + name.encode(), digest_size=8).digest()
--- a/galenaspoke/edge/targets.py
+++ b/galenaspoke/edge/targets.py
@@ -1,7 +1,6 @@
 """The targets that this router knows, and its idle connections to them."""
 
 from galenaspoke.edge import health
-from galenaspoke.edge import pace
 from galenaspoke.edge import wait_estimates
 from galenaspoke.http import connections
 
@@ -23,7 +22,6 @@
         'entry',
         'health',
         'wait_estimator',
-        'pace',
         'in_flight',
         'is_removed',
         'paused_until',
@@ -34,7 +32,6 @@
         self.entry = entry
         self.health = health.Health()
         self.wait_estimator = wait_estimates.WaitEstimator()
-        self.pace = pace.Pace()
         self.in_flight = 0
         # Whether it left or was replaced by another incarnation.
         self.is_removed = False
