One test of durability, one hash for agreed choices

Cause: reading the whole change once more. Whether a write is in every copy was tested in members and in volatile_draws in the same words; a feeder was chosen by a hash of its own beside edge/rendezvous; the feed's timeout was computed twice.

Ruled out: a change of behaviour; the hashed bytes and bounds are the same.

After: 291 tests of edge, http, platform and store, linter and formatter pass.

Conclusion: core.durability.is_durable, utils.rendezvous.weigh.

--- a/galenaspoke/core/durability.py
+++ b/galenaspoke/core/durability.py
@@ -25,6 +25,17 @@
 COPY_AGE_MS = 8_000
 
 
+def is_durable(written_at, confirmed_at):
+    """Return whether every copy includes what was written at a time.
+
+    `confirmed_at` is when the latest call was sent that the store answered in
+    the same era, None if there was none.  Both are in ms of one clock.
+    """
+    return (
+        confirmed_at is not None and confirmed_at >= written_at + COPY_AGE_MS
+    )
+
+
 def get_volatile_room(entry):
     """Return how many tokens may be granted without exceeding the limit."""
     volatile = entry.closed_volatile + sum(
--- a/galenaspoke/edge/eras.py
+++ b/galenaspoke/edge/eras.py
@@ -38,7 +38,8 @@
                 self._add(era)
             self._known |= listed | {era}
             self._listed_era = era
-        return sorted((known for known in self._known if known < era))[::-1]
+        earlier = [known for known in self._known if known < era]
+        return sorted(earlier, reverse=True)
 
     def _add(self, era):
         try:
--- a/galenaspoke/edge/members.py
+++ b/galenaspoke/edge/members.py
@@ -174,7 +174,7 @@
     def _begin_era(self):
         """Vouch for the era that has ended, if possible; register again."""
         if self._registered_era is not None:
-            is_durable = self._is_durable_since(
+            is_durable = durability.is_durable(
                 self._registered_at, self._store.confirmed_before
             )
             if is_durable or not self._has_predecessor:
@@ -221,16 +221,10 @@
 
     def _is_durable(self):
         """Return whether every copy includes this router's record."""
-        return self._store.has_eras and self._is_durable_since(
+        return self._store.has_eras and durability.is_durable(
             self._registered_at, self._store.confirmed_at
         )
 
-    def _is_durable_since(self, at, confirmed_at):
-        return (
-            confirmed_at is not None
-            and confirmed_at >= at + durability.COPY_AGE_MS
-        )
-
     def _register(self):
         """Add this router to the list of the present era."""
         earlier = self._find_earlier_record()
@@ -337,7 +331,7 @@
             for name in stopped
         }
         for name, holder in stopped.items():
-            if self._is_durable_since(
+            if durability.is_durable(
                 self._stopped_since[name], self._store.confirmed_at
             ):
                 self._update_shard(
--- a/galenaspoke/edge/rendezvous.py
+++ b/galenaspoke/edge/rendezvous.py
@@ -1,6 +1,6 @@
-"""Rendezvous hashing: rankings on which all routers agree."""
+"""Rankings of targets and routers on which all routers agree."""
 
-import hashlib
+from galenaspoke.utils import rendezvous
 
 
 def rank_targets(key, targets):
@@ -10,15 +10,11 @@
     communicate.  Adding or removing a target moves only the keys that prefer
     that target.
     """
-    raw_key = key.encode()
-    return sorted(targets, key=lambda target: _weigh(raw_key, target.entry.id))
+    return sorted(
+        targets, key=lambda target: rendezvous.weigh(key, target.entry.id)
+    )
 
 
 def choose_name(key, names):
     """Return the name that `key` prefers."""
-    raw_key = key.encode()
-    return min(names, key=lambda name: _weigh(raw_key, name))
-
-
-def _weigh(raw_key, name):
-    return hashlib.blake2b(raw_key + name.encode(), digest_size=8).digest()
+    return min(names, key=lambda name: rendezvous.weigh(key, name))
--- a/galenaspoke/edge/volatile_draws.py
+++ b/galenaspoke/edge/volatile_draws.py
@@ -88,9 +88,4 @@
         return min(tokens, closed)
 
     def _is_durable(self, at):
-        """Return whether every copy includes what was written at a time."""
-        confirmed_at = self._store.confirmed_at
-        return (
-            confirmed_at is not None
-            and confirmed_at >= at + durability.COPY_AGE_MS
-        )
+        return durability.is_durable(at, self._store.confirmed_at)
--- a/galenaspoke/store/feeds.py
+++ b/galenaspoke/store/feeds.py
@@ -16,7 +16,6 @@
     feeds.call('/objects/targets?since=17')   # None: ask the store itself
 """
 
-import hashlib
 import time
 import zlib
 
@@ -25,6 +24,7 @@
 
 from galenaspoke.http import connections
 from galenaspoke.store import paths
+from galenaspoke.utils import rendezvous
 
 # URL prefix under which a process shares watches.
 FEED_PREFIX = '/feed'
@@ -41,7 +41,12 @@
 # How old the state may be that a response tells of.
 MAX_RESPONSE_AGE_MS = 2 * (FEED_WAIT_MS + FEED_SLACK_MS)
 
-_FAILED_STATUSES = (404, *paths.NOT_APPLIED_STATUSES, 504)
+_TIMEOUT_S = (FEED_WAIT_MS + FEED_SLACK_MS) / 1000
+_FAILED_STATUSES = (
+    404,
+    *paths.NOT_APPLIED_STATUSES,
+    paths.OUTCOME_UNKNOWN_STATUS,
+)
 
 
 class Feeds:
@@ -75,9 +80,8 @@
         path = self._choose_path()
         if path is None:
             return None
-        timeout_s = (FEED_WAIT_MS + FEED_SLACK_MS) / 1000
         try:
-            response = path.call('GET', url_path, b'', timeout_s)
+            response = path.call('GET', url_path, b'', _TIMEOUT_S)
         except (
             connections.NotSent,
             connections.ResponseLost,
@@ -97,12 +101,12 @@
         group_count = -(-self._get_router_count() // ROUTERS_PER_FEEDER) or 1
         group = zlib.crc32(self._name.encode()) % group_count
 
-        def weight(address):
-            key = f'{group}/{address}'.encode()
-            return hashlib.blake2b(key, digest_size=8).digest()
-
+        ranked = sorted(
+            self._paths,
+            key=lambda address: rendezvous.weigh(f'{group}/', address),
+        )
         now = self._clock.now()
-        for address in sorted(self._paths, key=weight)[:MAX_FEEDERS]:
+        for address in ranked[:MAX_FEEDERS]:
             if self._paths[address].backoff_until <= now:
                 return self._paths[address]
         return None
@@ -136,11 +140,10 @@
 
     def _run(self, url_path, shared):
         started_at = self._read_clock()
-        timeout_s = (FEED_WAIT_MS + FEED_SLACK_MS) / 1000
         result = None
         try:
-            result = self._call_direct('GET', url_path, b'', timeout_s)
-            if self._read_clock() - started_at > timeout_s:
+            result = self._call_direct('GET', url_path, b'', _TIMEOUT_S)
+            if self._read_clock() - started_at > _TIMEOUT_S:
                 raise connections.ResponseLost('this process was paused')
         except (
             connections.NotSent,
