Logs: why a caller's connection ended, when idle ones are closed

No logic changes: `caller.gone` gets `why`, `stop.idle_closed` counts the connections that were closed and those that carry a request.

After: 259 tests of edge pass.

--- a/galenaspoke/edge/caller_connections.py
+++ b/galenaspoke/edge/caller_connections.py
@@ -25,6 +25,7 @@
         'response_started',
         'has_active_request',
         'parser',
+        '_is_shut_down',
         '_sock',
         '_clock',
     )
@@ -40,6 +41,8 @@
         self.response_started = False
         # Whether a request of this connection is being handled.
         self.has_active_request = False
+        # Whether this end has shut down receiving.
+        self._is_shut_down = False
 
     def is_idle(self):
         """Return whether no request is arriving, queued or being handled."""
@@ -100,7 +103,7 @@
         finally:
             self._sock.settimeout(None)
         if not data:
-            raise CallerDisconnected('closed')
+            raise CallerDisconnected(self._close_cause())
         self.parser.feed(data)
         return True
 
@@ -122,7 +125,7 @@
             # can't be detected.
             watcher.stop()
             if is_closed:
-                task.kill(CallerDisconnected('closed'), block=False)
+                task.kill(CallerDisconnected(self._close_cause()), block=False)
 
         watcher.start(check)
         try:
@@ -131,6 +134,11 @@
             watcher.stop()
             watcher.close()
 
+    def _close_cause(self):
+        if self._is_shut_down:
+            return 'shut down by the router'
+        return 'closed by the caller'
+
     def send_response(self, status, headers, body):
         """Send a complete response."""
         self.response_started = True
@@ -169,11 +177,14 @@
     def shutdown_if_idle(self):
         """Shut down receiving, unless there is a request or unread bytes.
 
-        After the shutdown `next_request` sees the end of the stream.
+        After the shutdown `next_request` sees the end of the stream.  Returns
+        whether the connection was shut down.
         """
         if self.is_idle() and connections.is_open_and_empty(self._sock):
+            self._is_shut_down = True
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RD)
+        return self._is_shut_down
 
     def close(self):
         """Close the connection."""
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -268,8 +268,7 @@
         deadline = started_at + self.cfg.grace_ms - GRACE_MARGIN_MS
         self.admission.begin_shutdown(started_at + ACCEPT_ALL_MS, deadline)
         self._wait_until(started_at + BALANCER_DELAY_MS, lambda: False)
-        for caller in list(self._connections):
-            caller.shutdown_if_idle()
+        self._close_idle_connections()
         self._wait_until(deadline, lambda: not self._connections)
         listening.finish_accepting(self._server)
         gevent.sleep(0)
@@ -283,6 +282,13 @@
         )
         return EXIT_OK
 
+    def _close_idle_connections(self):
+        callers = list(self._connections)
+        closed = sum(caller.shutdown_if_idle() for caller in callers)
+        self.journal.note(
+            'stop.idle_closed', closed=closed, busy=len(callers) - closed
+        )
+
     def _wait_until(self, deadline, is_done):
         while self.clock.now() < deadline and not is_done():
             gevent.sleep(STOP_POLL_INTERVAL_S)
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -126,8 +126,8 @@
             result = outcomes.Refusal(
                 exc.status, outcomes.Reason.BAD_REQUEST, str(exc)
             )
-        except caller_connections.CallerDisconnected:
-            self._responder.log_disconnect(req, context)
+        except caller_connections.CallerDisconnected as exc:
+            self._responder.log_disconnect(req, context, str(exc))
             raise
         if self._admission.is_stopping:
             caller.keep_alive = False
--- a/galenaspoke/edge/responses.py
+++ b/galenaspoke/edge/responses.py
@@ -99,8 +99,11 @@
             fields['retry_after_ms'] = result.retry_after_ms
         self._journal.note('refused', **fields)
 
-    def log_disconnect(self, req, context):
-        """Log a request whose caller has disconnected."""
+    def log_disconnect(self, req, context, why):
+        """Log a request whose caller can't be answered any more.
+
+        `why` says what was seen on the connection.
+        """
         self._metrics.count('callers.gone')
         self._journal.note(
             'caller.gone',
@@ -111,4 +114,5 @@
                 context.account.name if context and context.account else None
             ),
             ms=self._clock.now() - req.arrived_at,
+            why=why,
         )
