Stop: idle connections are closed in one step

Cause: the router shut down receiving on idle connections and left it to their readers to see the end of the stream. Under load the readers of 200 to 250 connections ran in several rounds of the event loop; one that was woken by the poll first read a request that had arrived since, sent it on, and took its own router's shutdown for a caller that had left. The class of fault: a connection whose state is decided in one task and acted on in another.

Now: the router closes the socket itself, in the step that finds it idle. A reader can't read from a closed socket, so a later request is never accepted; its caller sees the connection close unread, and may repeat it.

Ruled out: keeping idle connections to the end of the grace period, which would make each stop up to 3 s longer while the others carry its load.

--- a/galenaspoke/edge/caller_connections.py
+++ b/galenaspoke/edge/caller_connections.py
@@ -3,7 +3,6 @@
 import contextlib
 
 import gevent
-from gevent import socket
 
 from galenaspoke.http import connections
 from galenaspoke.http import messages
@@ -25,7 +24,7 @@
         'response_started',
         'has_active_request',
         'parser',
-        '_is_shut_down',
+        '_is_closed',
         '_sock',
         '_clock',
     )
@@ -41,8 +40,8 @@
         self.response_started = False
         # Whether a request of this connection is being handled.
         self.has_active_request = False
-        # Whether this end has shut down receiving.
-        self._is_shut_down = False
+        # Whether this end has closed the connection.
+        self._is_closed = False
 
     def is_idle(self):
         """Return whether no request is arriving, queued or being handled."""
@@ -99,11 +98,13 @@
         except TimeoutError:
             return False
         except OSError as exc:
+            if self._is_closed:
+                raise CallerDisconnected('closed by the router') from exc
             raise CallerDisconnected(str(exc)) from exc
         finally:
             self._sock.settimeout(None)
         if not data:
-            raise CallerDisconnected(self._close_cause())
+            raise CallerDisconnected('closed by the caller')
         self.parser.feed(data)
         return True
 
@@ -125,7 +126,9 @@
             # can't be detected.
             watcher.stop()
             if is_closed:
-                task.kill(CallerDisconnected(self._close_cause()), block=False)
+                task.kill(
+                    CallerDisconnected('closed by the caller'), block=False
+                )
 
         watcher.start(check)
         try:
@@ -134,11 +137,6 @@
             watcher.stop()
             watcher.close()
 
-    def _close_cause(self):
-        if self._is_shut_down:
-            return 'shut down by the router'
-        return 'closed by the caller'
-
     def send_response(self, status, headers, body):
         """Send a complete response."""
         self.response_started = True
@@ -174,18 +172,18 @@
         except OSError as exc:
             raise CallerDisconnected(f'send: {exc}') from exc
 
-    def shutdown_if_idle(self):
-        """Shut down receiving, unless there is a request or unread bytes.
+    def close_if_idle(self):
+        """Close the connection, unless there is a request or unread bytes.
 
-        After the shutdown `next_request` sees the end of the stream.  Returns
-        whether the connection was shut down.
+        `next_request` then raises CallerDisconnected, and no request is
+        accepted that arrives from now on.  Returns whether the connection was
+        closed.
         """
         if self.is_idle() and connections.is_open_and_empty(self._sock):
-            self._is_shut_down = True
-            with contextlib.suppress(OSError):
-                self._sock.shutdown(socket.SHUT_RD)
-        return self._is_shut_down
+            self.close()
+        return self._is_closed
 
     def close(self):
         """Close the connection."""
+        self._is_closed = True
         self._sock.close()
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -284,7 +284,7 @@
 
     def _close_idle_connections(self):
         callers = list(self._connections)
-        closed = sum(caller.shutdown_if_idle() for caller in callers)
+        closed = sum(caller.close_if_idle() for caller in callers)
         self.journal.note(
             'stop.idle_closed', closed=closed, busy=len(callers) - closed
         )
--- a/tests/edge/test_rolling_restart.py
+++ b/tests/edge/test_rolling_restart.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 import gevent
+from gevent import event
 from gevent import socket
 
 from galenaspoke.core import catalog
@@ -75,8 +76,8 @@
         self.caller.parser.feed(b'GET / HTTP/1.1\r\nHo')
         self.assertFalse(self.caller.is_idle())
 
-    def test_idle_connection_is_shut_down(self):
-        self.caller.shutdown_if_idle()
+    def test_idle_connection_is_closed(self):
+        self.caller.close_if_idle()
         with self.assertRaises(caller_connections.CallerDisconnected):
             self.caller.next_request(self.limits)
 
@@ -94,14 +95,14 @@
 
         task = gevent.spawn(serve)
         gevent.sleep(0)
-        self.caller.shutdown_if_idle()
+        self.caller.close_if_idle()
         self.remote.sendall(RAW_REQUEST)
         self.assertIn(task.get(), ('not accepted', 'served'))
 
-    def test_connection_with_unread_request_is_not_shut_down(self):
+    def test_connection_with_unread_request_is_not_closed(self):
         self.remote.sendall(RAW_REQUEST)
         gevent.sleep(0.01)
-        self.caller.shutdown_if_idle()
+        self.caller.close_if_idle()
         self.caller.next_request(self.limits)
         with self.caller.cancel_on_disconnect():
             gevent.sleep(0.01)
@@ -134,7 +135,8 @@
 class StopUnderLoadTest(unittest.TestCase):
     """A router that stops while callers send on kept connections."""
 
-    CALLER_COUNT = 200
+    IDLE_COUNT = 200
+    BUSY_COUNT = 20
 
     def setUp(self):
         # The event loop polls for bytes after each batch of greenlets, as it
@@ -143,10 +145,10 @@
         gevent.setswitchinterval(1e-9)
         self.addCleanup(gevent.setswitchinterval, switch_interval_s)
         self.started = []
-        self.desk = handlers.Desk({'i-1': self.run_engine}, timeout_ms=5_000)
-        self.desk.targets['i-1'].entry = base.make_target_entry('i-1')
+        self.may_finish = event.Event()
+        self.desk = handlers.Desk({'i-1': self.run_engine}, timeout_ms=30_000)
         self.router = main.EdgeRouter(
-            base.make_edge_settings(grace_ms=main.GRACE_MARGIN_MS + 2_000), 0
+            base.make_edge_settings(grace_ms=main.GRACE_MARGIN_MS + 30_000), 0
         )
         self.router.admission = self.desk.admission
         self.router.request_handler = self.desk.handler
@@ -162,32 +164,35 @@
         self.desk.close()
 
     def run_engine(self, remote, _):
-        """Answer after a moment, like an engine that works on a request."""
+        """Answer once `may_finish` is set."""
         self.started.append(remote)
-        gevent.sleep(0.02)
+        self.may_finish.wait()
         remote.sendall(handlers.encode_response())
 
-    def connect(self):
-        """Return a kept connection that has carried a request."""
-        remote = socket.create_connection(
-            ('127.0.0.1', self.router._server.server_port)
-        )
-        self.assertTrue(self.ask(remote))
-        return remote
-
-    def ask(self, remote):
-        """Send a request; return whether it got a whole response."""
-        self.send(remote)
-        return self.receive(remote)
-
-    def send(self, remote):
-        """Send a request."""
-        remote.sendall(
-            b'POST /a/x HTTP/1.1\r\nHost: desk\r\nX-Request-Id: %s\r\n'
-            b'Content-Length: 0\r\n\r\n' % handlers.REQUEST_ID
-        )
+    def connect(self, count):
+        """Return connections that have carried a request and are kept."""
+        address = ('127.0.0.1', self.router._server.server_port)
+        remotes = [socket.create_connection(address) for _ in range(count)]
+        self.send(remotes)
+        self.may_finish.set()
+        self.assertEqual(count, self.count_answers(remotes))
+        self.may_finish.clear()
+        del self.started[:]
+        return remotes
+
+    def send(self, remotes):
+        """Send a request on each connection."""
+        for remote in remotes:
+            remote.sendall(
+                b'POST /a/x HTTP/1.1\r\nHost: desk\r\nX-Request-Id: %s\r\n'
+                b'Content-Length: 0\r\n\r\n' % handlers.REQUEST_ID
+            )
 
-    def receive(self, remote):
+    def count_answers(self, remotes):
+        """Return how many connections carry a whole response."""
+        return sum(self.is_answered(remote) for remote in remotes)
+
+    def is_answered(self, remote):
         """Return whether a whole response arrives before the close."""
         try:
             return remote.recv(65_536).endswith(b'\r\n\r\nok')
@@ -198,19 +203,22 @@
     # response because they arrive while the stopping router closes its idle
     # connections.
     def test_every_request_that_was_sent_on_is_answered(self):
-        remotes = [self.connect() for _ in range(self.CALLER_COUNT)]
-        del self.started[:]
+        remotes = self.connect(self.IDLE_COUNT + self.BUSY_COUNT)
+        idle, busy = remotes[self.BUSY_COUNT :], remotes[: self.BUSY_COUNT]
+        self.send(busy)
+        base.wait_until(lambda: len(self.started) == self.BUSY_COUNT)
 
-        def note(event, **_):
-            if event == 'stop.idle_closed':
-                for remote in remotes:
-                    self.send(remote)
+        def note(name, **_):
+            if name == 'stop.idle_closed':
+                self.send(idle)
+                self.may_finish.set()
 
         self.router.journal = mock.Mock(note=note)
-        with mock.patch.object(main, 'BALANCER_DELAY_MS', 20):
+        with mock.patch.object(main, 'BALANCER_DELAY_MS', 0):
             stop = gevent.spawn(self.router.stop)
-            answered = sum(self.receive(remote) for remote in remotes)
-            for remote in remotes:
-                remote.close()
+            answered = self.count_answers(remotes)
             self.assertEqual(main.EXIT_OK, stop.get())
-        self.assertEqual(len(self.started), answered)
+        for remote in remotes:
+            remote.close()
+        self.assertEqual(self.BUSY_COUNT, answered)
+        self.assertEqual(self.BUSY_COUNT, len(self.started))
