Logs: which requests a crash of a target makes suspects

No logic changes: `attempt.failed` gets `parts` and `events`; `target.crashed` says how many requests became suspects.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -61,7 +61,7 @@
         self.journal = journals.Journal(self.clock)
         self._metrics_port = metrics_port
         self._stopping = event.Event()
-        self.poison_detector = poison.PoisonDetector(self.clock)
+        self.poison_detector = poison.PoisonDetector(self.clock, self.journal)
         self._connections = set()
         self._paths = store_paths.StorePaths(
             cfg.store,
--- a/galenaspoke/edge/metadata.py
+++ b/galenaspoke/edge/metadata.py
@@ -28,6 +28,14 @@
         """Return the most tokens that the request can consume."""
         return self.input_tokens + self.output_tokens
 
+    def shared_part_ids(self):
+        """Return the ids of the parts that other requests may share.
+
+        That is all but the last, which belongs to the request itself or to
+        its session.
+        """
+        return tuple(part_id for part_id, _ in self.prompt_parts[:-1])
+
     def affinity_key(self):
         """Return a key that requests with a common prompt prefix share.
 
--- a/galenaspoke/edge/poison.py
+++ b/galenaspoke/edge/poison.py
@@ -7,7 +7,7 @@
 
 Example::
 
-    detector = PoisonDetector(clock)
+    detector = PoisonDetector(clock, journal)
     detector.record_cut_off('3f9a', ('i-7f', 1))
     detector.record_target_down(('i-7f', 1))     # {'3f9a'}: new suspects
     detector.is_poison('3f9a')                   # False: one crash only
@@ -63,12 +63,13 @@
     incarnation.
     """
 
-    __slots__ = ('unpublished', '_clock', '_cut_off', '_crashes')
+    __slots__ = ('unpublished', '_clock', '_journal', '_cut_off', '_crashes')
 
-    def __init__(self, clock):
+    def __init__(self, clock, journal):
         # Suspects that this router found and has not yet published.
         self.unpublished = collections.deque(maxlen=MAX_PUBLISHED)
         self._clock = clock
+        self._journal = journal
         # Target to the fingerprints of the requests that it cut off, each with
         # the time.
         self._cut_off = collections.defaultdict(dict)
@@ -92,6 +93,13 @@
         for fingerprint in suspects:
             self._crashes[fingerprint][identity] = now
             self.unpublished.append(Suspect(fingerprint, identity))
+        if suspects:
+            self._journal.note(
+                'target.crashed',
+                target=identity[0],
+                born=identity[1],
+                suspects=len(suspects),
+            )
         return suspects
 
     def add_published(self, suspect):
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -247,6 +247,7 @@
         context.tried_ids.append(target.entry.id)
         target.in_flight += 1
         started_at = self._clock.now()
+        events_before = context.event_count
         if context.metadata.prompt_parts:
             target.wait_estimator.record_sent(
                 context, started_at, context.metadata
@@ -270,7 +271,11 @@
             target.in_flight -= 1
             target.wait_estimator.record_end(context)
         self._record_outcome(
-            context, target, outcome, self._clock.now() - started_at
+            context,
+            target,
+            outcome,
+            self._clock.now() - started_at,
+            context.event_count - events_before,
         )
         return outcome
 
@@ -304,8 +309,11 @@
         )
         return max(1, min(timeout_ms, READ_TIMEOUT_SHARE * remaining_ms))
 
-    def _record_outcome(self, context, target, outcome, took_ms):
-        """Record how an attempt ended, for health and poison detection."""
+    def _record_outcome(self, context, target, outcome, took_ms, events):
+        """Record how an attempt ended, for health and poison detection.
+
+        `events` is how many events of a stream the target had sent.
+        """
         now = self._clock.now()
         is_ejected = False
         if isinstance(outcome, outcomes.Served):
@@ -341,6 +349,8 @@
             outcome=type(outcome).__name__,
             why=why,
             ms=took_ms,
+            events=events,
+            parts=context.metadata.shared_part_ids(),
             in_flight=target.in_flight,
             rests=is_ejected,
         )
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -162,7 +162,7 @@
         self.config_view = config_view = FakeConfigView(
             catalog.Catalog(1, [route], services, [], {}, catalog.Limits())
         )
-        detector = poison.PoisonDetector(self.clock)
+        detector = poison.PoisonDetector(self.clock, self.journal)
         self.target_view = views.TargetView(
             None,
             self.clock,
--- a/tests/edge/test_admission.py
+++ b/tests/edge/test_admission.py
@@ -69,7 +69,9 @@
         req.headers = [(b'host', b'Desk:80'), (b'api-key', key.encode())]
         req.arrived_at = self.clock.now()
         admission_ = admission.Admission(
-            self.config_view, poison.PoisonDetector(self.clock), headers
+            self.config_view,
+            poison.PoisonDetector(self.clock, base.Recorder()),
+            headers,
         )
         if shutdown:
             admission_.begin_shutdown(*shutdown)
--- a/tests/edge/test_poison.py
+++ b/tests/edge/test_poison.py
@@ -24,7 +24,7 @@
 
     def setUp(self):
         self.clock = base.make_manual_clock()
-        self.detector = poison.PoisonDetector(self.clock)
+        self.detector = poison.PoisonDetector(self.clock, base.Recorder())
 
     def crash(self, identity, *fingerprints):
         """Let a target cut off some requests and go down."""
@@ -72,7 +72,7 @@
 
     def test_suspects_of_another_router(self):
         self.crash(FIRST_TARGET, FINGERPRINT)
-        other = poison.PoisonDetector(self.clock)
+        other = poison.PoisonDetector(self.clock, base.Recorder())
         raw = msgspec.json.encode(list(self.detector.unpublished))
         poison.merge_suspects(
             other, store_base.Item('suspects/a', 1, msgspec.Raw(raw))
--- a/tests/edge/test_store_from_copy.py
+++ b/tests/edge/test_store_from_copy.py
@@ -354,7 +354,7 @@
         )
 
     def test_suspects_are_published_again(self):
-        detector = poison.PoisonDetector(self.clock)
+        detector = poison.PoisonDetector(self.clock, base.Recorder())
         self.client.list('config')
         self.spawn(
             poison.run_publisher, 'a', self.client, detector, self.journal
