--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -162,7 +162,7 @@
         self.config_view = config_view = FakeConfigView(
             catalog.Catalog(1, [route], services, [], {}, catalog.Limits())
         )
-        detector = poison.PoisonDetector(self.clock, self.journal)
+        self.detector = poison.PoisonDetector(self.clock, self.journal)
         self.target_view = views.TargetView(
             None,
             self.clock,
@@ -170,12 +170,14 @@
             target_entries,
             lambda: config_view.catalog.services,
             Exception,
-            detector.record_target_down,
+            self.detector.record_target_down,
         )
         self.targets = collections.OrderedDict()
         for name, engine in engines.items():
             self.add_target(name, engine)
-        self.admission = admission.Admission(config_view, detector, headers)
+        self.admission = admission.Admission(
+            config_view, self.detector, headers
+        )
         self.handler = request_handler.RequestHandler(
             cfg,
             self.admission,
@@ -183,7 +185,7 @@
             self.target_view,
             None,
             retries.RetryBudget(cfg, self.clock, lambda: 1),
-            detector,
+            self.detector,
             headers,
             self.clock,
             self.journal,
@@ -198,12 +200,17 @@
         self.target_view.directory._targets[name] = target
         self.targets[name] = target
 
-    def request(self, caller=None):
-        """Handle one request; return the Caller that got the response."""
+    def request(self, caller=None, pairs=(), body=b''):
+        """Handle one request; return the Caller that got the response.
+
+        `pairs` are headers beside those that every request has.
+        """
         req = messages.Request()
         req.method = b'POST'
         req.url = b'/a/x'
         req.headers = [(b'host', b'desk'), (b'x-request-id', REQUEST_ID)]
+        req.headers.extend(pairs)
+        req.body += body
         req.arrived_at = self.clock.now()
         caller = caller or Caller()
         self.handler.handle(req, caller)
