Streams without a length: one that ends before any event is broken off

What callers saw: nothing yet. A target that closes the connection after the head of such a stream, as one does that crashes when it begins to write, gave the caller a complete response of 200 without any event.

Cause: without a length or chunks the end of the connection ends the response; only an event that had begun was taken for a sign that it was broken off.

Evidence: test_unframed_stream_that_ends_too_early fails without the change (Served in place of Unknown, for the stream without events).

Now such a stream is broken off, and an attempt's outcome says whether the target's end closed the connection, which a timeout or an invalid response isn't: PeerClosed, and Refused for an address at which nothing listens.

Left: a stream without a length that is cut between two events looks complete.

--- a/galenaspoke/edge/attempts.py
+++ b/galenaspoke/edge/attempts.py
@@ -70,7 +70,11 @@
         try:
             conn = self._target.acquire_connection(self._clock.now())
         except connections.NotSent as exc:
-            return outcomes.NotRun(str(exc), reached=False)
+            return outcomes.NotRun(
+                str(exc),
+                reached=False,
+                refused=isinstance(exc, connections.Refused),
+            )
         response = None
         reusable = False
         # Assume that it runs until the target proves otherwise.
@@ -86,7 +90,9 @@
             reusable = conn.is_reusable(response)
             return outcome
         except connections.ResponseLost as exc:
-            return outcomes.Unknown(str(exc))
+            return outcomes.Unknown(
+                str(exc), cut_off=isinstance(exc, connections.PeerClosed)
+            )
         except connections.ReadTimeout:
             return outcomes.Unknown(
                 'no data within the read timeout', timed_out=True
@@ -189,8 +195,10 @@
     def _relay_stream(self, conn, response):
         """Relay events as they arrive, each only once it is complete."""
         splitter = sse.EventSplitter()
+        has_events = False
         while True:
             events = splitter.feed(response.take_body())
+            has_events = has_events or bool(events)
             undelivered = self._filter_undelivered(events)
             if undelivered:
                 self._relay_events(response, undelivered)
@@ -202,8 +210,15 @@
                 # Only whole events show that the stream gets on.
                 conn.set_read_timeout(self._timeout_s)
             self._receive_more(conn, response)
+        if not response.is_framed and not has_events:
+            raise connections.PeerClosed('connection closed before any event')
         if splitter.remainder():
-            raise connections.ResponseLost('the last event is incomplete')
+            error = (
+                connections.ResponseLost
+                if response.is_framed
+                else connections.PeerClosed
+            )
+            raise error('the last event is incomplete')
         self._send_body(response, messages.LAST_CHUNK)
         return outcomes.Served(response.status)
 
@@ -217,7 +232,7 @@
             conn.set_read_timeout(self._timeout_s)
             return
         if not is_open and not response.is_complete:
-            raise connections.ResponseLost(
+            raise connections.PeerClosed(
                 'connection closed in the middle of a stream'
             )
 
--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -55,13 +55,15 @@
 class NotRun:
     """The target provably did not run the request.
 
-    `reached` is false if nothing was sent to the target.  `misdirected` is
-    true if another target has the address now.
+    `reached` is false if nothing was sent to the target; `refused` is true if
+    that is because nothing listens at its address.  `misdirected` is true if
+    another target has the address now.
     """
 
     why: str
     reached: bool = True
     misdirected: bool = False
+    refused: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -75,11 +77,13 @@
 class Unknown:
     """The request was sent but got no valid response: it may have run.
 
-    `timed_out` is true if the target was silent for too long.
+    `timed_out` is true if the target was silent for too long, `cut_off` if
+    its end closed or reset the connection.
     """
 
     why: str
     timed_out: bool = False
+    cut_off: bool = False
 
 
 def random_delay_ms(bounds_ms):
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -30,10 +30,18 @@
     """No connection could be made, so nothing has reached the peer."""
 
 
+class Refused(NotSent):
+    """Nothing listens at the peer's address."""
+
+
 class ResponseLost(Exception):
     """The request may have been sent, but no valid response was received."""
 
 
+class PeerClosed(ResponseLost):
+    """The peer closed or reset the connection before the response ended."""
+
+
 class ReadTimeout(Exception):
     """The peer sent nothing within the read timeout."""
 
@@ -87,6 +95,8 @@
             sent = self._sock._sock.send(data)
         except BlockingIOError:
             sent = 0
+        except ConnectionError as exc:
+            raise PeerClosed(f'send: {exc}') from exc
         except OSError as exc:
             raise ResponseLost(f'send: {exc}') from exc
         if sent < len(data):
@@ -118,6 +128,8 @@
             if exc.errno is None:
                 raise ReadTimeout('the peer did not respond in time') from None
             raise ResponseLost(f'receive: {exc}') from exc
+        except ConnectionError as exc:
+            raise PeerClosed(f'receive: {exc}') from exc
         except OSError as exc:
             raise ResponseLost(f'receive: {exc}') from exc
         if not data:
@@ -150,7 +162,7 @@
             if not self.receive():
                 if responses and responses[0].is_complete:
                     continue
-                raise ResponseLost('connection closed before the response')
+                raise PeerClosed('connection closed before the response')
 
     def read_body(self, response, pause_timeout_s=None):
         """Read a response to its end; return its body.
@@ -162,7 +174,7 @@
             if pause_timeout_s is not None:
                 self.set_read_timeout(pause_timeout_s)
             if not self.receive() and not response.is_complete:
-                raise ResponseLost(
+                raise PeerClosed(
                     'connection closed in the middle of the response'
                 )
         return response.take_body()
@@ -199,6 +211,8 @@
     """Return a new Connection; raise NotSent if that fails."""
     try:
         sock = socket.create_connection((host, port), timeout_s)
+    except ConnectionRefusedError as exc:
+        raise Refused(f'connect: {exc}') from exc
     except OSError as exc:
         raise NotSent(f'connect: {exc}') from exc
     sock.settimeout(None)
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -25,6 +25,8 @@
     b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
 )
 
+UNFRAMED_HEAD = HEAD.replace(b'Transfer-Encoding: chunked\r\n', b'')
+
 
 def encode_event(event_id):
     """Return the bytes of the event with an id."""
@@ -116,10 +118,11 @@
             req, base.make_request_metadata(), route, None
         )
 
-    def run_attempt(self, *pieces, close=True):
+    def run_attempt(self, *pieces, close=True, read_request=False):
         """Return the outcome of an attempt whose target sends `pieces`.
 
-        With `close` the target then closes the connection.
+        With `close` the target then closes the connection; that resets it
+        unless it has read the request before.
         """
         conn, remote = base.make_connection_pair()
         self.target = FakeTarget(conn)
@@ -134,6 +137,8 @@
         )
         task = gevent.spawn(attempt.run, 50)
         gevent.sleep(0)
+        if read_request:
+            remote.recv(65_536)
         for piece in pieces:
             remote.sendall(piece)
         if close:
@@ -169,6 +174,25 @@
         outcome = self.run_attempt(HEAD, partial, messages.LAST_CHUNK)
         self.assertIsInstance(outcome, outcomes.Unknown)
 
+    def test_unframed_stream_ends_with_its_connection(self):
+        outcome = self.run_attempt(
+            UNFRAMED_HEAD, encode_event(1), encode_event(2), read_request=True
+        )
+        self.assertEqual(outcomes.Served(200), outcome)
+        self.assertTrue(self.caller.data.endswith(messages.LAST_CHUNK))
+        self.assertEqual([], self.target.released)
+
+    # Guards against a stream that a target breaks off by closing the
+    # connection, which reaches the caller as a complete one.
+    def test_unframed_stream_that_ends_too_early(self):
+        for pieces in ((), (encode_event(1), encode_event(2)[:5])):
+            outcome = self.run_attempt(
+                UNFRAMED_HEAD, *pieces, read_request=True
+            )
+            self.assertIsInstance(outcome, outcomes.Unknown)
+            self.assertTrue(outcome.cut_off)
+            self.assertNotIn(messages.LAST_CHUNK, self.caller.data)
+
     def test_resumes_without_gap_or_repetition(self):
         self.run_attempt(HEAD, self.encode_chunk(1, 2))
         other = HEAD.replace(b's1', b's2')
