Poison: parts of prompts are suspects of crashes, too

Cause: a request was recognised by its route, account and body alone, so none of these was a suspect of two crashes. The class of fault: a key for what must be counted together that is finer than the cause.

Now the parts of a prompt but the last are suspects beside the request. A part is a culprit of three crashes, a request of two as before, unless a request with it was served since. Each crash has one culprit, the key that explains most crashes, so sound requests that were cut beside it are cleared. Crashes within 250 ms count as one unless one request ran at both targets. A home router tries a culprit after a minute, then ever more rarely.

Same cause looked for elsewhere, each with a test that fails without it: a cleared suspect came back when its router published again; a restarted router ignored what its predecessor had published; a request that was cut after its target was found down was never counted; a partitioned router took all targets for crashed.

--- a/galenaspoke/edge/admission.py
+++ b/galenaspoke/edge/admission.py
@@ -77,26 +77,26 @@
                 outcomes.Reason.LEAVING,
                 retry_after_ms=outcomes.random_delay_ms(RETRY_AFTER_MS),
             )
-        if self._is_poison(context):
+        culprit = self.find_poison(context)
+        if culprit is not None:
             return outcomes.Refusal(
                 503,
                 outcomes.Reason.POISON,
-                'targets went down while they ran this request',
+                f'targets went down while they ran {culprit}',
                 outcomes.random_delay_ms(POISON_RETRY_AFTER_MS),
             )
         context.service = route.choose_service(_split_point(metadata))
         return context
 
-    def _is_poison(self, context):
-        """Return whether a request is suspected of too many crashes.
+    def find_poison(self, context):
+        """Return what makes a request crash targets, None if nothing does.
 
-        Computing a fingerprint reads the whole body, so that is skipped while
-        there are no suspects.
+        Making its keys reads the whole body, so that is skipped while nothing
+        is known to crash targets.
         """
-        poison_detector = self._poison_detector
-        return poison_detector.has_suspects() and poison_detector.is_poison(
-            context.compute_fingerprint()
-        )
+        if not self._poison_detector.has_culprits():
+            return None
+        return self._poison_detector.find_poison(context.crash_keys())
 
     def _find_route(self, req):
         """Return the Route of a request, or a Refusal."""
--- /dev/null
+++ b/galenaspoke/edge/crash_suspects.py
@@ -0,0 +1,220 @@
+"""Which requests, and which parts of prompts, crash the targets that run them.
+
+A crash has suspects: the keys of the requests that the target had begun to run
+when it went down.  A key stands for one request, however often it is sent, or
+for one part of prompts, whatever else these hold.  A key becomes a culprit
+once it is a suspect of several crashes and no request with it was served in
+between.  A crash has one culprit: keys that are only suspects of crashes that
+a culprit explains already are not suspected for these.
+
+Example::
+
+    suspects = CrashSuspects()
+    part = Key('part:5c1e', rank=1)
+    for number in range(3):
+        suspects.add(part, (f'i-{number}', 1), at=1_000 * number)
+    suspects.find_culprit([part.name])    # 'part:5c1e'
+"""
+
+import bisect
+import collections
+import dataclasses
+import itertools
+
+# How many crashes make a request and a part a culprit.  A part takes more,
+# because sound requests share it.
+REQUEST_THRESHOLD = 2
+PART_THRESHOLD = 3
+# The crashes of a culprit lie within this time.
+CRASH_WINDOW_MS = 60_000
+# Crashes closer together count as one, since a common cause is more likely,
+# unless one request ran at both targets, one after the other.
+SIMULTANEOUS_MS = 250
+# A culprit that causes no further crash is forgotten after this time.
+CULPRIT_TTL_MS = 1_800_000
+# The rank of requests, above those of parts.
+REQUEST_RANK = 1_000
+
+_REQUEST_PREFIX = 'request:'
+_PART_PREFIX = 'part:'
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Key:
+    """What a request has in common with others that may crash targets.
+
+    Of several keys that explain the same crashes, the one of the highest
+    `rank` is the culprit, since fewer requests have it: a whole request before
+    a part, and a part before those that precede it in the prompt.
+    """
+
+    name: str
+    rank: int
+
+
+def make_keys(fingerprint, shared_part_ids):
+    """Return the Keys of a request."""
+    return [
+        Key(_REQUEST_PREFIX + fingerprint, REQUEST_RANK),
+        *(
+            Key(_PART_PREFIX + part_id, rank)
+            for rank, part_id in enumerate(shared_part_ids)
+        ),
+    ]
+
+
+class CrashSuspects:
+    """The suspects of recent crashes, and the culprits among them.
+
+    A crash is named by the identity of the target's incarnation.  Times are in
+    ms of the process's monotonic clock.
+    """
+
+    __slots__ = ('_crashes', '_cleared', '_ranks', '_culprits')
+
+    def __init__(self):
+        # Name of a key to the crashes of which it is a suspect, each with the
+        # time.
+        self._crashes = collections.defaultdict(dict)
+        # Name of a key to the crashes of which it was cleared.
+        self._cleared = collections.defaultdict(dict)
+        self._ranks = {}
+        # The names of the culprits, None if they have to be found again.
+        self._culprits = None
+
+    def __bool__(self):
+        return bool(self._crashes)
+
+    def add(self, key, identity, at):
+        """Add a suspect, unless it was cleared of that crash."""
+        if identity in self._cleared.get(key.name, ()):
+            return
+        crashes = self._crashes[key.name]
+        if crashes.get(identity, at + 1) <= at:
+            return
+        crashes[identity] = at
+        self._ranks[key.name] = key.rank
+        self._culprits = None
+
+    def clear(self, name):
+        """Clear a key of all its crashes; return whether there were any.
+
+        A request with it was served.
+        """
+        crashes = self._crashes.pop(name, None)
+        if not crashes:
+            return False
+        self._cleared[name].update(crashes)
+        self._culprits = None
+        return True
+
+    def list_cleared(self, name):
+        """Return the crashes of which a key was cleared."""
+        return list(self._cleared.get(name, ()))
+
+    def clear_crash(self, name, identity, at):
+        """Clear a key of one crash."""
+        self._cleared[name][identity] = at
+        crashes = self._crashes.get(name, {})
+        if crashes.pop(identity, None) is None:
+            return
+        if not crashes:
+            del self._crashes[name]
+        self._culprits = None
+
+    def find_culprit(self, names):
+        """Return the first of the keys with these names that is a culprit.
+
+        Returns None if there is none.
+        """
+        culprits = self.list_culprits()
+        return next((name for name in names if name in culprits), None)
+
+    def list_culprits(self):
+        """Return the culprits' names, each with the time of its last crash."""
+        if self._culprits is None:
+            self._culprits = self._find_culprits()
+        return self._culprits
+
+    def _find_culprits(self):
+        """Choose the key that explains most crashes, until none is left."""
+        culprits = {}
+        repeated = self._find_repeated_crashes()
+        unexplained = {
+            name: dict(crashes)
+            for name, crashes in self._crashes.items()
+            if len(crashes) >= _threshold(name)
+        }
+        while True:
+            counts = {
+                name: _count_crashes(crashes, repeated)
+                for name, crashes in unexplained.items()
+            }
+            candidates = [
+                name
+                for name, count in counts.items()
+                if count >= _threshold(name)
+            ]
+            if not candidates:
+                return culprits
+            culprit = max(
+                candidates,
+                key=lambda name: (counts[name], self._ranks[name], name),
+            )
+            explained = unexplained.pop(culprit)
+            culprits[culprit] = max(explained.values())
+            for crashes in unexplained.values():
+                for identity in explained:
+                    crashes.pop(identity, None)
+
+    def _find_repeated_crashes(self):
+        """Return the pairs of crashes of which one request is a suspect."""
+        return {
+            pair
+            for name, crashes in self._crashes.items()
+            if name.startswith(_REQUEST_PREFIX)
+            for pair in itertools.permutations(crashes, 2)
+        }
+
+    def remove_expired(self, now):
+        """Remove crashes that are too long ago to count."""
+        culprits = self.list_culprits()
+        for name, crashes in list(self._crashes.items()):
+            ttl_ms = CULPRIT_TTL_MS if name in culprits else CRASH_WINDOW_MS
+            if now - max(crashes.values()) >= ttl_ms:
+                del self._crashes[name]
+                self._culprits = None
+        for name, crashes in list(self._cleared.items()):
+            if now - max(crashes.values()) >= CULPRIT_TTL_MS:
+                del self._cleared[name]
+        self._ranks = {name: self._ranks[name] for name in self._crashes}
+
+
+def _threshold(name):
+    if name.startswith(_PART_PREFIX):
+        return PART_THRESHOLD
+    return REQUEST_THRESHOLD
+
+
+def _count_crashes(crashes, repeated):
+    """Return the most separate crashes within CRASH_WINDOW_MS.
+
+    `crashes` gives the time of each, `repeated` the pairs that are separate
+    however close together they are.
+    """
+    separate = []
+    for identity, at in sorted(crashes.items(), key=lambda pair: pair[1]):
+        if separate:
+            last_identity, last_at = separate[-1]
+            is_repeated = (last_identity, identity) in repeated
+            if at - last_at < SIMULTANEOUS_MS and not is_repeated:
+                continue
+        separate.append((identity, at))
+    times = [at for _, at in separate]
+    return max(
+        (
+            bisect.bisect_left(times, at + CRASH_WINDOW_MS) - index
+            for index, at in enumerate(times)
+        ),
+        default=0,
+    )
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -25,6 +25,7 @@
 from galenaspoke.edge import retries
 from galenaspoke.edge import settings as edge_settings
 from galenaspoke.edge import startup
+from galenaspoke.edge import suspect_sharing
 from galenaspoke.edge import views
 from galenaspoke.edge import watchers
 from galenaspoke.http import messages
@@ -94,7 +95,7 @@
             self.poison_detector.record_target_down,
         )
         self._suspect_watcher = watchers.Watcher(
-            lambda: store.scope(poison.KIND),
+            lambda: store.scope(suspect_sharing.KIND),
             store,
             self.clock,
             self.journal,
@@ -112,6 +113,7 @@
             lambda: self.config_view.catalog.generation,
             self.config_view.set_required_generation,
         )
+        self.poison_detector.is_home = self._members.is_home
         self.budget_manager = edge_budgets.BudgetManager(
             cfg,
             store,
@@ -158,11 +160,12 @@
         self.config_view.add_listener(self.budget_manager.apply_new_limits)
         gevent.spawn(self.target_view.sweep)
         gevent.spawn(
-            poison.run_publisher,
+            suspect_sharing.run_publisher,
             self.cfg.name,
             self._store,
             self.poison_detector,
             self.journal,
+            self.clock,
         )
         gevent.spawn(poison.run_expiry, self.poison_detector)
         self.budget_manager.start()
@@ -179,8 +182,7 @@
         self.journal.note('start', name=self.cfg.name, listen=self.cfg.listen)
 
     def _merge_suspects(self, item):
-        if not item.key.endswith(f'/{self.cfg.name}'):
-            poison.merge_suspects(self.poison_detector, item)
+        suspect_sharing.merge_suspects(self.poison_detector, item)
 
     def _serve_peers(self):
         relay_app = store_paths.make_relay_app(
@@ -226,7 +228,9 @@
     def is_ready(self):
         """Return whether load balancers may send callers to this router."""
         is_initialized = (
-            self.config_view.has_config() and self.target_view.watcher.revision
+            self.config_view.has_config()
+            and self.target_view.watcher.revision
+            and self._suspect_watcher.revision
         )
         return bool(is_initialized and not self._stopping.is_set())
 
@@ -329,6 +333,7 @@
             'name': self.cfg.name,
             **self._gauges(),
             'money': self.budget_manager.dump(),
+            'poison': self.poison_detector.dump(),
             'targets': targets,
         }
 
--- a/galenaspoke/edge/members.py
+++ b/galenaspoke/edge/members.py
@@ -157,6 +157,13 @@
         home = rendezvous.choose_name(key, names)
         return '' if home == self._name else self._addresses[home]
 
+    def is_home(self, key):
+        """Return whether this is the one router that `key` prefers.
+
+        False while the list of routers isn't known.
+        """
+        return self._router_count > 0 and not self.get_home(key)
+
     def may_draw(self):
         """Return whether this router may draw tokens from the ledger."""
         if not self._store.has_eras:
--- a/galenaspoke/edge/poison.py
+++ b/galenaspoke/edge/poison.py
@@ -1,50 +1,57 @@
 """Detection of poison requests, which crash the targets that run them.
 
 Every request that was cut off when a target went down is a suspect of that
-crash.  A request that is a suspect of several crashes, and never ran to its
-end in between, is refused from then on.  Routers share their suspects through
-the store: each router publishes one object, replaced with every crash.
+crash, and so is each part of its prompt that other requests share, unless the
+target had got on with the response.  Requests with a culprit of several
+crashes, see `crash_suspects`, are refused from then on, but for a rare trial,
+which shows whether the culprit still crashes targets.
 
 Example::
 
     detector = PoisonDetector(clock, journal)
-    detector.record_cut_off('3f9a', ('i-7f', 1))
-    detector.record_target_down(('i-7f', 1))     # {'3f9a'}: new suspects
-    detector.is_poison('3f9a')                   # False: one crash only
+    detector.record_cut_off(keys, ('i-7f', 1))
+    detector.record_target_down(('i-7f', 1))
+    detector.find_poison(keys)               # None: one crash only
 """
 
 import collections
 import hashlib
-import random
 
 import gevent
 import msgspec
 
-from galenaspoke.store import base
+from galenaspoke.edge import crash_suspects
 
-# The kind of the store objects in which routers publish their suspects.
-KIND = 'suspects'
-# A request that is a suspect of this many crashes is refused.
-CRASH_THRESHOLD = 2
 # A request is a suspect only if its target is found down within this time
 # after the request was cut off.
 DOWN_WINDOW_MS = 6_000
-# A crash no longer counts after this time.
-CRASH_TTL_MS = 60_000
+# A target that had sent more events than this of a stream isn't crashed by it:
+# what crashes targets does so when they begin to write.
+MAX_SUSPECT_EVENTS = 1
+# How long after its last crash one request with a culprit is let through, and
+# the longest time between two of them; the time doubles with each.
+MIN_TRIAL_INTERVAL_MS = 60_000
+MAX_TRIAL_INTERVAL_MS = 900_000
 # A router publishes at most this many suspects, the latest.
-MAX_PUBLISHED = 200
-PUBLISH_INTERVAL_S = 0.05
+MAX_PUBLISHED = 600
+# A key is published as cleared once it was cleared of this many crashes.
+MIN_PUBLISHED_CLEARED = 2
 EXPIRE_INTERVAL_S = 10
 
 
-class Suspect(msgspec.Struct, frozen=True):
-    """A request that was cut off by one crash of a target.
+class Suspect(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A key that is a suspect of one crash of a target.
 
-    `request` is its fingerprint, `target` the target's id and incarnation.
+    `request` is the name of a Key and `rank` its rank, `target` the target's
+    id and incarnation.  `at_ms` is the time of the crash in ms since 1970.  If
+    `is_cleared`, a request with the key was served after it.
     """
 
     request: str
     target: tuple[str, int]
+    at_ms: int = 0
+    rank: int = crash_suspects.REQUEST_RANK
+    is_cleared: bool = False
 
 
 def compute_fingerprint(req, account):
@@ -59,113 +66,169 @@
 class PoisonDetector:
     """Records the crashes of targets and the suspects of each crash.
 
-    `fingerprint` identifies a request, `identity` a target by its id and
-    incarnation.
+    Requests are identified by their Keys, a target by its id and incarnation.
+    `is_home` is called with a culprit's name and returns whether this router
+    is the one that tries it, on which all routers agree.
     """
 
-    __slots__ = ('unpublished', '_clock', '_journal', '_cut_off', '_crashes')
-
-    def __init__(self, clock, journal):
-        # Suspects that this router found and has not yet published.
+    __slots__ = (
+        'unpublished',
+        'is_home',
+        '_clock',
+        '_journal',
+        '_cut_off',
+        '_down',
+        '_suspects',
+        '_trials',
+    )
+
+    def __init__(self, clock, journal, is_home=lambda _: False):
+        # What this router found out and has not yet published.
         self.unpublished = collections.deque(maxlen=MAX_PUBLISHED)
+        self.is_home = is_home
         self._clock = clock
         self._journal = journal
-        # Target to the fingerprints of the requests that it cut off, each with
-        # the time.
+        # Target to the Keys of the requests that it cut off, each with the
+        # time.
         self._cut_off = collections.defaultdict(dict)
-        # Fingerprint to the targets that the request may have crashed, each
-        # with the time.
-        self._crashes = collections.defaultdict(dict)
+        # Targets that went down lately, each with the time.
+        self._down = {}
+        self._suspects = crash_suspects.CrashSuspects()
+        # Culprit to the time of the last trial and the interval after it.
+        self._trials = {}
 
-    def record_cut_off(self, fingerprint, identity):
+    def record_cut_off(self, keys, identity):
         """Record that a target broke off a request."""
-        self._cut_off[identity][fingerprint] = self._clock.now()
+        now = self._clock.now()
+        for key in keys:
+            self._cut_off[identity].setdefault(key, now)
+        if identity in self._down:
+            self._add_suspects(identity)
 
     def record_target_down(self, identity):
-        """Record that a target went down; return the new suspects."""
+        """Record that a target went down."""
+        self._down.setdefault(identity, self._clock.now())
+        self._add_suspects(identity)
+
+    def _add_suspects(self, identity):
+        """Make the requests that a target cut off suspects of its crash."""
         now = self._clock.now()
         cut_off = self._cut_off.pop(identity, {})
         suspects = {
-            fingerprint
-            for fingerprint, at in cut_off.items()
-            if now - at < DOWN_WINDOW_MS
+            key: at for key, at in cut_off.items() if now - at < DOWN_WINDOW_MS
         }
-        for fingerprint in suspects:
-            self._crashes[fingerprint][identity] = now
-            self.unpublished.append(Suspect(fingerprint, identity))
+        for key, at in suspects.items():
+            self._suspects.add(key, identity, at)
+            self._publish(key, identity, at)
         if suspects:
             self._journal.note(
                 'target.crashed',
                 target=identity[0],
                 born=identity[1],
                 suspects=len(suspects),
+                culprits=list(self._suspects.list_culprits()),
             )
-        return suspects
+
+    def _publish(self, key, identity, at, is_cleared=False):
+        at_ms = self._clock.wall() - (self._clock.now() - at)
+        self.unpublished.append(
+            Suspect(key.name, identity, at_ms, key.rank, is_cleared)
+        )
 
     def add_published(self, suspect):
-        """Add a suspect that another router published."""
-        now = self._clock.now()
-        self._crashes[suspect.request][tuple(suspect.target)] = now
+        """Add what another router, or an earlier process, published."""
+        age_ms = max(0, self._clock.wall() - suspect.at_ms)
+        if age_ms >= crash_suspects.CULPRIT_TTL_MS:
+            return
+        at = self._clock.now() - age_ms
+        identity = tuple(suspect.target)
+        key = crash_suspects.Key(suspect.request, suspect.rank)
+        if suspect.is_cleared:
+            self._suspects.clear_crash(key.name, identity, at)
+        else:
+            self._suspects.add(key, identity, at)
 
     def has_suspects(self):
         """Return whether any request is a suspect.
 
-        If not, a request's fingerprint need not be computed.
+        If not, a request's keys need not be made.
         """
-        return bool(self._crashes)
+        return bool(self._suspects)
+
+    def has_culprits(self):
+        """Return whether any request may be refused."""
+        return bool(self._suspects.list_culprits())
 
-    def record_completed(self, fingerprint):
-        """Clear a request that ran to its end: it is no suspect."""
-        self._crashes.pop(fingerprint, None)
+    def record_completed(self, keys):
+        """Clear a request that ran to its end of all crashes so far.
 
-    def is_poison(self, fingerprint):
-        """Return whether a request must not be sent to any more targets."""
-        crashes = self._crashes.get(fingerprint)
-        if crashes is None:
+        Other routers are told once that matters: before a key has been a
+        suspect of as many crashes as make it a culprit.
+        """
+        now = self._clock.now()
+        for key in keys:
+            if not self._suspects.clear(key.name):
+                continue
+            cleared = self._suspects.list_cleared(key.name)
+            if len(cleared) < MIN_PUBLISHED_CLEARED:
+                continue
+            for identity in cleared:
+                self._publish(key, identity, now, is_cleared=True)
+
+    def find_poison(self, keys):
+        """Return the culprit because of which a request must not be sent.
+
+        Returns None if it may be sent.
+        """
+        culprit = self._suspects.find_culprit([key.name for key in keys])
+        if culprit is None or self._begin_trial(culprit):
+            return None
+        return culprit
+
+    def _begin_trial(self, culprit):
+        """Return whether one request with a culprit is let through now."""
+        if not self.is_home(culprit):
             return False
         now = self._clock.now()
-        recent = sum(now - at < CRASH_TTL_MS for at in crashes.values())
-        return recent >= CRASH_THRESHOLD
+        crashed_at = self._suspects.list_culprits()[culprit]
+        tried_at, interval_ms = self._trials.get(
+            culprit, (0, MIN_TRIAL_INTERVAL_MS)
+        )
+        if now - max(crashed_at, tried_at) < interval_ms:
+            return False
+        self._trials[culprit] = (
+            now,
+            min(MAX_TRIAL_INTERVAL_MS, 2 * interval_ms),
+        )
+        self._journal.note('poison.trial', culprit=culprit)
+        return True
 
     def remove_expired(self):
         """Remove entries that are too old to count."""
         now = self._clock.now()
-        for entries, ttl_ms in (
-            (self._cut_off, DOWN_WINDOW_MS),
-            (self._crashes, CRASH_TTL_MS),
-        ):
-            for key in list(entries):
-                if all(now - at >= ttl_ms for at in entries[key].values()):
-                    del entries[key]
-
-
-def run_publisher(name, store, poison_detector, journal):
-    """Publish new suspects in this router's store object; never returns.
+        for identity, cut_off in list(self._cut_off.items()):
+            if all(now - at >= DOWN_WINDOW_MS for at in cut_off.values()):
+                del self._cut_off[identity]
+        self._down = {
+            identity: at
+            for identity, at in self._down.items()
+            if now - at < DOWN_WINDOW_MS
+        }
+        self._suspects.remove_expired(now)
+        culprits = self._suspects.list_culprits()
+        self._trials = {
+            culprit: trial
+            for culprit, trial in self._trials.items()
+            if culprit in culprits
+        }
 
-    `name` is the router's name; `store` holds the object, which is written
-    again in each era of the store.
-    """
-    recent = collections.deque(maxlen=MAX_PUBLISHED)
-    # The era in which all of `recent` was published, None if it was not.
-    published_era = store.era
-    while True:
-        gevent.sleep(PUBLISH_INTERVAL_S)
-        if poison_detector.unpublished:
-            recent.extend(poison_detector.unpublished)
-            poison_detector.unpublished.clear()
-            published_era = None
-        if not recent or published_era == store.era:
-            continue
-        era = store.era
-        try:
-            item = store.get(f'{store.scope(KIND)}/{name}')
-            store.put(
-                item.key, item.version, msgspec.json.encode(list(recent))
-            )
-            published_era = era
-        except (base.StoreError, base.OutcomeUnknown) as exc:
-            journal.note('suspects.unpublished', why=str(exc))
-            gevent.sleep(random.uniform(0.5, 1.0))
+    def dump(self):
+        """Return the culprits and how long ago each last crashed a target."""
+        now = self._clock.now()
+        return {
+            culprit: {'crashed_ms_ago': now - crashed_at}
+            for culprit, crashed_at in self._suspects.list_culprits().items()
+        }
 
 
 def run_expiry(poison_detector):
@@ -173,16 +236,3 @@
     while True:
         gevent.sleep(EXPIRE_INTERVAL_S)
         poison_detector.remove_expired()
-
-
-def merge_suspects(poison_detector, item):
-    """Add the suspects that another router published in `item`.
-
-    An item that can't be decoded is ignored.
-    """
-    try:
-        suspects = msgspec.json.decode(item.value, type=list[Suspect])
-    except msgspec.DecodeError:
-        return
-    for suspect in suspects:
-        poison_detector.add_published(suspect)
--- a/galenaspoke/edge/request_context.py
+++ b/galenaspoke/edge/request_context.py
@@ -1,6 +1,7 @@
 """The state that is kept about one request while it is handled."""
 
 from galenaspoke.core import catalog
+from galenaspoke.edge import crash_suspects
 from galenaspoke.edge import poison
 
 
@@ -29,7 +30,7 @@
         'sent_at',
         'tried_ids',
         'charged_tokens',
-        '_fingerprint',
+        '_crash_keys',
     )
 
     def __init__(self, req, metadata, route, account):
@@ -63,17 +64,20 @@
         self.tried_ids = []
         # What the account's budget was charged in the end, in tokens.
         self.charged_tokens = 0
-        self._fingerprint = None
+        self._crash_keys = None
 
-    def compute_fingerprint(self):
-        """Return a digest that is the same when a caller repeats the request.
+    def crash_keys(self):
+        """Return the Keys by which it may be found to crash targets.
 
-        It covers the whole body, so it is computed only on first use.
+        One of them covers the whole body, so they are made on first use.
         """
-        if self._fingerprint is None:
+        if self._crash_keys is None:
             account = self.account.name if self.account else ''
-            self._fingerprint = poison.compute_fingerprint(self.req, account)
-        return self._fingerprint
+            self._crash_keys = crash_suspects.make_keys(
+                poison.compute_fingerprint(self.req, account),
+                self.metadata.shared_part_ids(),
+            )
+        return self._crash_keys
 
     def remaining_ms(self, now):
         """Return the time until the deadline, negative once it has passed."""
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -13,9 +13,11 @@
 from galenaspoke.core import catalog
 from galenaspoke.edge import attempts
 from galenaspoke.edge import caller_connections
+from galenaspoke.edge import crash_checks
 from galenaspoke.edge import long_prompts
 from galenaspoke.edge import outcomes
 from galenaspoke.edge import placement
+from galenaspoke.edge import poison
 from galenaspoke.edge import refusals
 from galenaspoke.edge import request_context
 from galenaspoke.edge import reservations
@@ -41,6 +43,9 @@
 STREAM_READ_TIMEOUT_GAPS = 4
 
 
+HTTP_OK = 200
+
+
 class _DeadlineExceeded(Exception):
     """The request's deadline has passed."""
 
@@ -62,6 +67,7 @@
         '_metrics',
         '_journal',
         '_responder',
+        '_crash_checker',
         '_isolations',
     )
 
@@ -95,6 +101,9 @@
         self._responder = responses.Responder(
             config_view, header_codec, clock, metrics, journal
         )
+        self._crash_checker = crash_checks.CrashChecker(
+            clock, self._handle_target_down
+        )
         # The isolation of long prompts, by service name.
         self._isolations = collections.defaultdict(
             long_prompts.LongPromptIsolation
@@ -221,6 +230,17 @@
             if target.entry.id not in context.tried_ids
         ]
 
+    def _handle_target_down(self, target):
+        """Send nothing for a while to a target that went down."""
+        target.health.record_failure(self._clock.now(), True)
+        self._poison_detector.record_target_down(target.entry.identity())
+
+    def _record_served(self, context, outcome):
+        """Clear a request of the crashes that it is suspected of."""
+        is_complete = outcome.status == HTTP_OK
+        if is_complete and self._poison_detector.has_suspects():
+            self._poison_detector.record_completed(context.crash_keys())
+
     def _take_retry(self, context, outcome):
         """Return whether another target may be tried after `outcome`.
 
@@ -236,6 +256,9 @@
             return False
         if context.sent_count >= context.route.max_attempts:
             return False
+        if self._admission.find_poison(context) is not None:
+            self._metrics.count('retries.poison')
+            return False
         if not self._retry_budget.take_retry(context.service):
             self._metrics.count('retries.refused')
             return False
@@ -318,27 +341,26 @@
         is_ejected = False
         if isinstance(outcome, outcomes.Served):
             target.health.record_success()
-            if self._poison_detector.has_suspects():
-                self._poison_detector.record_completed(
-                    context.compute_fingerprint()
-                )
+            self._record_served(context, outcome)
             return
         if isinstance(outcome, outcomes.NotRun):
             if outcome.misdirected:
                 self._target_view.remove_misdirected(target)
             elif not outcome.reached:
                 is_ejected = target.health.record_failure(now, True)
-                self._poison_detector.record_target_down(
-                    target.entry.identity()
-                )
+                if outcome.refused:
+                    self._poison_detector.record_target_down(
+                        target.entry.identity()
+                    )
             why = outcome.why
         elif isinstance(outcome, outcomes.Unknown):
             is_ejected = target.health.record_failure(now)
             why = outcome.why
-            if not outcome.timed_out:
+            if outcome.cut_off and events <= poison.MAX_SUSPECT_EVENTS:
                 self._poison_detector.record_cut_off(
-                    context.compute_fingerprint(), target.entry.identity()
+                    context.crash_keys(), target.entry.identity()
                 )
+                self._crash_checker.check(target)
         else:
             target.health.record_success()
             why = f'status {outcome.response.status}'
--- /dev/null
+++ b/galenaspoke/edge/suspect_sharing.py
@@ -0,0 +1,100 @@
+"""Routers share the suspects of crashes through the store.
+
+Each router has one object, which it writes anew after each crash.  A process
+takes over what the object of its instance says, so a restart of all routers
+loses nothing.
+
+Example::
+
+    gevent.spawn(run_publisher, 'front-a-1', store, detector, journal, clock)
+    merge_suspects(detector, item)
+"""
+
+import random
+
+import gevent
+import msgspec
+
+from galenaspoke.edge import crash_suspects
+from galenaspoke.edge import poison
+from galenaspoke.store import base
+
+# The kind of the store objects in which routers publish their suspects.
+KIND = 'suspects'
+PUBLISH_INTERVAL_S = 0.05
+# After a failed write.
+RETRY_INTERVAL_S = (0.5, 1.0)
+
+
+def run_publisher(name, store, poison_detector, journal, clock):
+    """Publish new suspects in this router's store object; never returns.
+
+    `name` is the router's name; `store` holds the object, which is written
+    again in each era of the store.
+    """
+    # By key and crash, the latest last.
+    published = {}
+    # The era in which all of `published` was published, None if it was not.
+    published_era = store.era
+    while True:
+        gevent.sleep(PUBLISH_INTERVAL_S)
+        if poison_detector.unpublished:
+            _add(published, poison_detector.unpublished)
+            poison_detector.unpublished.clear()
+            published_era = None
+        if not published or published_era == store.era:
+            continue
+        era = store.era
+        try:
+            _publish(f'{store.scope(KIND)}/{name}', store, published, clock)
+            published_era = era
+        except (base.StoreError, base.OutcomeUnknown) as exc:
+            journal.note('suspects.unpublished', why=str(exc))
+            gevent.sleep(random.uniform(*RETRY_INTERVAL_S))
+
+
+def _publish(key, store, published, clock):
+    """Write the object, with what it says already and `published`.
+
+    `published` then holds all of that.
+    """
+    item = store.get(key)
+    added = dict(published)
+    published.clear()
+    _add(published, _decode(item))
+    _add(published, added.values())
+    _remove_oldest(published, clock.wall())
+    value = msgspec.json.encode(list(published.values()))
+    store.put(item.key, item.version, value)
+
+
+def _add(published, suspects):
+    for suspect in suspects:
+        published.pop((suspect.request, suspect.target), None)
+        published[suspect.request, suspect.target] = suspect
+
+
+def _remove_oldest(published, wall_ms):
+    excess = len(published) - poison.MAX_PUBLISHED
+    for position, (key, suspect) in enumerate(list(published.items())):
+        is_expired = wall_ms - suspect.at_ms >= crash_suspects.CULPRIT_TTL_MS
+        if position < excess or is_expired:
+            del published[key]
+
+
+def merge_suspects(poison_detector, item):
+    """Add the suspects that a router published in `item`.
+
+    An item that can't be decoded is ignored.
+    """
+    for suspect in _decode(item):
+        poison_detector.add_published(suspect)
+
+
+def _decode(item):
+    if not item.value:
+        return []
+    try:
+        return msgspec.json.decode(item.value, type=list[poison.Suspect])
+    except msgspec.DecodeError:
+        return []
--- a/galenaspoke/edge/targets.py
+++ b/galenaspoke/edge/targets.py
@@ -54,17 +54,25 @@
             ):
                 return conn
             conn.close()
+        return self.connect()
+
+    def connect(self):
+        """Return a new connection; raise NotSent on failure."""
         return connections.connect(
             self.entry.host, self.entry.port, CONNECT_TIMEOUT_S
         )
 
     def release_connection(self, conn, now, idle_timeout_ms):
-        """Keep a connection for another request, or close it.
+        """Keep a used connection for another request, or close it.
 
         `idle_timeout_ms` is the target's idle timeout, None if not stated.
         """
-        conn.idle_since = now
         conn.was_used = True
+        self.keep_connection(conn, now, idle_timeout_ms)
+
+    def keep_connection(self, conn, now, idle_timeout_ms):
+        """Keep an idle connection, or close it."""
+        conn.idle_since = now
         conn.idle_timeout_ms = (
             DEFAULT_IDLE_TIMEOUT_MS
             if idle_timeout_ms is None
--- a/tests/edge/crash_fleets.py
+++ b/tests/edge/crash_fleets.py
@@ -21,7 +21,8 @@
 from gevent import event
 
 from galenaspoke.core import catalog
-from galenaspoke.edge import poison
+from galenaspoke.edge import caller_connections
+from galenaspoke.edge import suspect_sharing
 from galenaspoke.http import connections
 from galenaspoke.http import messages
 from tests.edge import base
@@ -76,10 +77,10 @@
 
     __slots__ = ()
 
-    def acquire_connection(self, now):
-        """Return a new connection; raise NotSent while the engine is down."""
+    def connect(self):
+        """Return a new connection; raise Refused while the engine is down."""
         if self.engine.is_down:
-            raise connections.NotSent('connect: refused')
+            raise connections.Refused('connect: refused')
         conn, remote = base.make_connection_pair()
         self.tasks.append(gevent.spawn(self._serve, remote))
         return conn
@@ -133,11 +134,12 @@
         for engine in self._engines:
             add_engine(desk, engine)
         self._publishers[number] = gevent.spawn(
-            poison.run_publisher,
+            suspect_sharing.run_publisher,
             f'router-{number}',
             self.store,
             desk.detector,
             desk.journal,
+            self.clock,
         )
         self.share()
 
@@ -154,7 +156,7 @@
         parts = ','.join(f'{part}:100' for part in (*shared_parts, own_part))
         pairs = [(b'x-prompt-prefix', parts.encode())]
         body = own_part.encode()
-        return gevent.spawn(self.desks[number].request, None, pairs, body)
+        return gevent.spawn(request, self.desks[number], pairs, body)
 
     def ask(self, number, shared_parts):
         """Send a request alone; return the status that its caller gets."""
@@ -175,11 +177,12 @@
         tasks = [self.send(choose(len(self.desks)), parts) for parts in sound]
         base.settle()
         if crashing:
-            self.send(choose(len(self.desks)), crashing)
+            task = self.send(choose(len(self.desks)), crashing)
             base.settle()
         self.may_finish.set()
-        served = sum(task.get().status == 200 for task in tasks)
-        base.settle()
+        served = sum(sent.get().status == 200 for sent in tasks)
+        if crashing:
+            task.get()
         self.may_finish.clear()
         self.end_round()
         return served
@@ -203,6 +206,10 @@
             desk.target_view.directory.remove(engine.name, self.clock.now())
             add_engine(desk, replacement)
 
+    def crash_one(self):
+        """Crash a random engine."""
+        self.random.choice(self._engines).crash()
+
     def crash_all(self):
         """Crash all engines at the same moment."""
         for engine in self._engines:
@@ -214,9 +221,9 @@
             if desk:
                 base.wait_until(lambda: not desk.detector.unpublished)
         base.settle()
-        for item in self.store.list(poison.KIND).items:
+        for item in self.store.list(suspect_sharing.KIND).items:
             for desk in filter(None, self.desks):
-                poison.merge_suspects(desk.detector, item)
+                suspect_sharing.merge_suspects(desk.detector, item)
 
     def count_arrivals(self, part):
         """Return how many requests with a part have reached engines."""
@@ -226,6 +233,16 @@
         return counts[part]
 
 
+def request(desk, pairs, body):
+    """Make a request; return the Caller, without a status if it was cut."""
+    caller = handlers.Caller()
+    try:
+        return desk.request(caller, pairs, body)
+    except caller_connections.CallerDisconnected:
+        caller.status = None
+        return caller
+
+
 def add_engine(desk, engine):
     """Make an engine a target of a router."""
     entry = base.make_target_entry(engine.name)
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -55,11 +55,8 @@
         self.requests = 0
         self.tasks = []
 
-    def acquire_connection(self, now):
+    def connect(self):
         """Return a connection to the engine."""
-        self.close_expired_connections(now)
-        if self._idle:
-            return super().acquire_connection(now)
         conn, remote = base.make_connection_pair()
         self.tasks.append(gevent.spawn(self._run_engine, remote))
         return conn
--- /dev/null
+++ b/tests/edge/test_crash_checks.py
@@ -0,0 +1,116 @@
+"""A target that cut off a request is checked at once.
+
+Guards against crashes that are noticed only when the target's entry has
+disappeared, while requests crash other targets.
+"""
+
+import unittest
+from unittest import mock
+
+import gevent
+from gevent import socket
+
+from galenaspoke.edge import crash_checks
+from galenaspoke.edge import outcomes
+from galenaspoke.edge import targets
+from galenaspoke.http import connections
+from tests.edge import base
+from tests.edge import handlers
+
+
+class CrashCheckerTest(unittest.TestCase):
+    """What a check of a target concludes."""
+
+    def setUp(self):
+        self.listener = socket.socket()
+        self.listener.bind(('127.0.0.1', 0))
+        self.addCleanup(self.listener.close)
+        port = self.listener.getsockname()[1]
+        self.target = targets.Target(base.make_target_entry('i-1', port))
+        self.clock = base.make_manual_clock()
+        self.down = []
+        self.checker = crash_checks.CrashChecker(self.clock, self.down.append)
+
+    def check(self):
+        """Check the target and wait for the result."""
+        self.checker.check(self.target)
+        gevent.wait([task for _, task in self.checker._checks.values()])
+
+    def test_target_that_refuses_connections_is_down(self):
+        self.check()
+        self.assertEqual([self.target], self.down)
+
+    def test_target_that_accepts_connections_is_up(self):
+        self.listener.listen(1)
+        self.check()
+        self.assertEqual([], self.down)
+        conn = self.target.acquire_connection(self.clock.now())
+        self.assertFalse(conn.was_used)
+        conn.close()
+
+    # Guards against a partitioned router that takes all targets for crashed.
+    def test_target_that_is_not_reached_is_not_down(self):
+        def connect():
+            raise connections.NotSent('connect: timed out')
+
+        self.target = mock.Mock(entry=self.target.entry, connect=connect)
+        self.check()
+        self.assertEqual([], self.down)
+
+    def test_requests_that_are_cut_together_share_a_check(self):
+        for _ in range(5):
+            self.check()
+        self.assertEqual(1, len(self.down))
+        self.clock.advance(crash_checks.MIN_INTERVAL_MS)
+        self.check()
+        self.assertEqual(2, len(self.down))
+
+
+class CutOffTest(unittest.TestCase):
+    """Which failures say that the target ended the connection."""
+
+    def run_attempt(self, engine):
+        """Return the outcome of a request to an engine."""
+        found = []
+        desk = handlers.Desk({'i-1': engine}, max_attempts=1)
+        self.addCleanup(desk.close)
+        record = desk.handler._record_outcome
+
+        def record_outcome(context, target, outcome, *args):
+            found.append(outcome)
+            record(context, target, outcome, *args)
+
+        with mock.patch.object(
+            handlers.request_handler.RequestHandler,
+            '_record_outcome',
+            lambda _, *args: record_outcome(*args),
+        ):
+            desk.request()
+        return found[0]
+
+    def test_closed_connection(self):
+        outcome = self.run_attempt(lambda remote, _: remote.shutdown(2))
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        self.assertTrue(outcome.cut_off)
+
+    def test_invalid_response(self):
+        outcome = self.run_attempt(lambda remote, _: remote.sendall(b'?\r\n'))
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        self.assertFalse(outcome.cut_off)
+
+    def test_silent_connection_that_the_kernel_gives_up(self):
+        conn, remote = base.make_connection_pair()
+        self.addCleanup(remote.close)
+        conn._sock = mock.Mock()
+        conn._sock.recv.side_effect = TimeoutError(110, 'timed out')
+        with self.assertRaises(connections.ResponseLost) as caught:
+            conn.receive()
+        self.assertNotIsInstance(caught.exception, connections.PeerClosed)
+
+    def test_reset_connection(self):
+        conn, remote = base.make_connection_pair()
+        self.addCleanup(remote.close)
+        conn._sock = mock.Mock()
+        conn._sock.recv.side_effect = ConnectionResetError(104, 'reset')
+        with self.assertRaises(connections.PeerClosed):
+            conn.receive()
--- a/tests/edge/test_poison.py
+++ b/tests/edge/test_poison.py
@@ -4,17 +4,24 @@
 """
 
 import unittest
+from unittest import mock
 
+import gevent
 import msgspec
 
+from galenaspoke.edge import crash_suspects
 from galenaspoke.edge import poison
+from galenaspoke.edge import suspect_sharing
 from galenaspoke.http import messages
 from galenaspoke.store import base as store_base
 from tests.edge import base
+from tests import fakes
 
-# The fingerprint of the request that crashes its targets, and the identities
-# of two of them.
-FINGERPRINT = 'bad'
+# The request that crashes its targets, two others, and the identities of two
+# targets.
+BAD = crash_suspects.Key('request:bad', crash_suspects.REQUEST_RANK)
+OTHER = crash_suspects.Key('request:other', crash_suspects.REQUEST_RANK)
+THIRD = crash_suspects.Key('request:third', crash_suspects.REQUEST_RANK)
 FIRST_TARGET = ('i-1', 1)
 SECOND_TARGET = ('i-2', 1)
 
@@ -26,65 +33,221 @@
         self.clock = base.make_manual_clock()
         self.detector = poison.PoisonDetector(self.clock, base.Recorder())
 
-    def crash(self, identity, *fingerprints):
+    def crash(self, identity, *keys):
         """Let a target cut off some requests and go down."""
-        for fingerprint in fingerprints:
-            self.detector.record_cut_off(fingerprint, identity)
+        for key in keys:
+            self.detector.record_cut_off([key], identity)
         self.detector.record_target_down(identity)
+        self.clock.advance(1_000)
+
+    def is_poison(self, key, detector=None):
+        """Return whether a request must not be sent."""
+        return bool((detector or self.detector).find_poison([key]))
 
     def test_poison_after_two_crashes(self):
-        self.crash(FIRST_TARGET, FINGERPRINT, 'other')
-        self.assertFalse(self.detector.is_poison(FINGERPRINT))
-        self.crash(SECOND_TARGET, FINGERPRINT, 'third')
-        self.assertTrue(self.detector.is_poison(FINGERPRINT))
-        self.assertFalse(self.detector.is_poison('other'))
+        self.crash(FIRST_TARGET, BAD, OTHER)
+        self.assertFalse(self.is_poison(BAD))
+        self.crash(SECOND_TARGET, BAD, THIRD)
+        self.assertTrue(self.is_poison(BAD))
+        self.assertFalse(self.is_poison(OTHER))
 
     def test_one_crash_counts_once(self):
-        self.crash(FIRST_TARGET, FINGERPRINT)
-        self.crash(FIRST_TARGET, FINGERPRINT)
-        self.assertFalse(self.detector.is_poison(FINGERPRINT))
+        self.crash(FIRST_TARGET, BAD)
+        self.crash(FIRST_TARGET, BAD)
+        self.assertFalse(self.is_poison(BAD))
 
     def test_broken_connection_is_not_a_crash(self):
         for identity in (FIRST_TARGET, SECOND_TARGET):
-            self.detector.record_cut_off(FINGERPRINT, identity)
-        self.assertFalse(self.detector.is_poison(FINGERPRINT))
+            self.detector.record_cut_off([BAD], identity)
+        self.assertFalse(self.is_poison(BAD))
 
     def test_completion_clears_a_suspect(self):
-        self.crash(FIRST_TARGET, FINGERPRINT)
-        self.detector.record_completed(FINGERPRINT)
-        self.crash(SECOND_TARGET, FINGERPRINT)
-        self.assertFalse(self.detector.is_poison(FINGERPRINT))
+        self.crash(FIRST_TARGET, BAD)
+        self.detector.record_completed([BAD])
+        self.crash(SECOND_TARGET, BAD)
+        self.assertFalse(self.is_poison(BAD))
 
     def test_target_that_went_down_too_late(self):
-        self.crash(FIRST_TARGET, FINGERPRINT)
-        self.detector.record_cut_off(FINGERPRINT, SECOND_TARGET)
+        self.crash(FIRST_TARGET, BAD)
+        self.detector.record_cut_off([BAD], SECOND_TARGET)
         self.clock.advance(poison.DOWN_WINDOW_MS)
         self.detector.record_target_down(SECOND_TARGET)
-        self.assertFalse(self.detector.is_poison(FINGERPRINT))
+        self.assertFalse(self.is_poison(BAD))
 
     def test_crashes_expire(self):
-        self.crash(FIRST_TARGET, FINGERPRINT)
-        self.crash(SECOND_TARGET, FINGERPRINT)
-        self.clock.advance(poison.CRASH_TTL_MS)
-        self.assertFalse(self.detector.is_poison(FINGERPRINT))
+        self.crash(FIRST_TARGET, BAD)
+        self.crash(SECOND_TARGET, BAD)
+        self.assertTrue(self.is_poison(BAD))
+        self.clock.advance(crash_suspects.CULPRIT_TTL_MS)
+        self.detector.remove_expired()
+        self.assertFalse(self.is_poison(BAD))
+        self.assertFalse(self.detector.has_suspects())
+
+    def test_single_crash_expires_sooner(self):
+        self.crash(FIRST_TARGET, BAD)
+        self.clock.advance(crash_suspects.CRASH_WINDOW_MS)
+        self.crash(SECOND_TARGET, BAD)
+        self.assertFalse(self.is_poison(BAD))
         self.detector.remove_expired()
-        self.assertEqual({}, dict(self.detector._crashes))
+        self.assertTrue(self.detector.has_suspects())
+        self.clock.advance(crash_suspects.CRASH_WINDOW_MS)
+        self.detector.remove_expired()
+        self.assertFalse(self.detector.has_suspects())
+
+    # Guards against a crash that is not counted because the router learns that
+    # the target is down before it handles the last of the cut requests.
+    def test_request_that_is_cut_off_after_its_target_was_found_down(self):
+        self.crash(FIRST_TARGET, OTHER)
+        self.detector.record_cut_off([BAD], FIRST_TARGET)
+        self.crash(SECOND_TARGET, BAD)
+        self.assertTrue(self.is_poison(BAD))
 
     def test_suspects_of_another_router(self):
-        self.crash(FIRST_TARGET, FINGERPRINT)
+        self.crash(FIRST_TARGET, BAD)
         other = poison.PoisonDetector(self.clock, base.Recorder())
-        raw = msgspec.json.encode(list(self.detector.unpublished))
-        poison.merge_suspects(
-            other, store_base.Item('suspects/a', 1, msgspec.Raw(raw))
-        )
-        other.record_cut_off(FINGERPRINT, SECOND_TARGET)
+        merge(other, self.detector.unpublished)
+        other.record_cut_off([BAD], SECOND_TARGET)
         other.record_target_down(SECOND_TARGET)
-        self.assertTrue(other.is_poison(FINGERPRINT))
+        self.assertTrue(self.is_poison(BAD, other))
+
+    # Guards against a request that is refused for crashes of which it has been
+    # cleared, because a router publishes them once more.
+    def test_cleared_suspect_stays_cleared(self):
+        self.crash(FIRST_TARGET, BAD)
+        self.crash(SECOND_TARGET, BAD)
+        published = list(self.detector.unpublished)
+        self.detector.record_completed([BAD])
+        merge(self.detector, published)
+        self.assertFalse(self.is_poison(BAD))
+
+    def test_suspect_that_another_router_cleared(self):
+        self.crash(FIRST_TARGET, BAD)
+        self.crash(SECOND_TARGET, BAD)
+        other = poison.PoisonDetector(self.clock, base.Recorder())
+        merge(other, self.detector.unpublished)
+        self.assertTrue(self.is_poison(BAD, other))
+        other.record_completed([BAD])
+        merge(self.detector, other.unpublished)
+        self.assertFalse(self.is_poison(BAD))
+
+    def test_old_suspects_are_ignored(self):
+        self.crash(FIRST_TARGET, BAD)
+        self.crash(SECOND_TARGET, BAD)
+        self.clock.advance(crash_suspects.CULPRIT_TTL_MS)
+        other = poison.PoisonDetector(self.clock, base.Recorder())
+        merge(other, self.detector.unpublished)
+        self.assertFalse(other.has_suspects())
 
     def test_malformed_item_is_ignored(self):
         item = store_base.Item('suspects/a', 1, msgspec.Raw(b'{"a":1}'))
-        poison.merge_suspects(self.detector, item)
-        self.assertFalse(self.detector.is_poison(FINGERPRINT))
+        suspect_sharing.merge_suspects(self.detector, item)
+        self.assertFalse(self.is_poison(BAD))
+
+
+def merge(detector, suspects):
+    """Merge what a router has published into a detector."""
+    raw = msgspec.json.encode(list(suspects))
+    suspect_sharing.merge_suspects(
+        detector, store_base.Item('suspects/a', 1, msgspec.Raw(raw))
+    )
+
+
+class TrialTest(unittest.TestCase):
+    """One request with a culprit is let through now and then."""
+
+    def setUp(self):
+        self.clock = base.make_manual_clock()
+        self.detector = poison.PoisonDetector(
+            self.clock, base.Recorder(), lambda _: True
+        )
+        for identity in (FIRST_TARGET, SECOND_TARGET):
+            self.crash(identity)
+
+    def crash(self, identity):
+        """Let a target go down under the request."""
+        self.detector.record_cut_off([BAD], identity)
+        self.detector.record_target_down(identity)
+        self.clock.advance(1_000)
+
+    def count_trials(self, minutes):
+        """Return how many requests are let through, of one a second."""
+        count = 0
+        for _ in range(60 * minutes):
+            self.clock.advance(1_000)
+            count += self.detector.find_poison([BAD]) is None
+        return count
+
+    def test_only_the_home_router_tries(self):
+        self.detector.is_home = lambda _: False
+        self.assertEqual(0, self.count_trials(10))
+
+    def test_trials_become_rarer(self):
+        self.assertEqual(
+            [1, 1, 0, 1],
+            [self.count_trials(1)]
+            + [
+                self.count_trials(2),
+                self.count_trials(2),
+                self.count_trials(3),
+            ],
+        )
+
+    def test_success_ends_the_refusals(self):
+        self.assertEqual(1, self.count_trials(1))
+        self.detector.record_completed([BAD])
+        self.assertEqual(60, self.count_trials(1))
+
+    def test_crash_of_a_trial_counts(self):
+        self.assertEqual(1, self.count_trials(1))
+        self.crash(('i-3', 1))
+        self.assertEqual(0, self.count_trials(1))
+
+
+class PublisherTest(unittest.TestCase):
+    """What a router writes into its object in the store."""
+
+    def setUp(self):
+        self.clock = base.make_manual_clock()
+        self.store = fakes.FakeStore()
+        patch = mock.patch.object(suspect_sharing, 'PUBLISH_INTERVAL_S', 0.001)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def run_process(self, *crashes):
+        """Run a process that sees crashes of BAD; return its detector."""
+        detector = poison.PoisonDetector(self.clock, base.Recorder())
+        for item in self.store.list(suspect_sharing.KIND).items:
+            suspect_sharing.merge_suspects(detector, item)
+        for identity in crashes:
+            detector.record_cut_off([BAD], identity)
+            detector.record_target_down(identity)
+            self.clock.advance(1_000)
+        task = gevent.spawn(
+            suspect_sharing.run_publisher,
+            'a',
+            self.store,
+            detector,
+            base.Recorder(),
+            self.clock,
+        )
+        base.wait_until(lambda: not detector.unpublished)
+        base.settle()
+        task.kill()
+        return detector
+
+    # Guards against crashes that are forgotten when their router is killed.
+    def test_later_process_takes_over_what_is_published(self):
+        self.run_process(FIRST_TARGET)
+        self.run_process(SECOND_TARGET)
+        detector = self.run_process()
+        self.assertTrue(detector.find_poison([BAD]))
+
+    def test_old_suspects_are_dropped(self):
+        self.run_process(FIRST_TARGET)
+        self.clock.advance(crash_suspects.CULPRIT_TTL_MS)
+        self.run_process(SECOND_TARGET)
+        item = self.store.get(f'{suspect_sharing.KIND}/a')
+        self.assertEqual(1, len(msgspec.json.decode(item.value)))
 
 
 class FingerprintTest(unittest.TestCase):
--- a/tests/edge/test_store_from_copy.py
+++ b/tests/edge/test_store_from_copy.py
@@ -10,10 +10,12 @@
 
 import gevent
 
+from galenaspoke.edge import crash_suspects
 from galenaspoke.edge import eras
 from galenaspoke.edge import members
 from galenaspoke.edge import poison
 from galenaspoke.edge import relay_discovery
+from galenaspoke.edge import suspect_sharing
 from galenaspoke.edge import views
 from galenaspoke.platform import configuration
 from galenaspoke.platform import store as platform_store
@@ -357,9 +359,15 @@
         detector = poison.PoisonDetector(self.clock, base.Recorder())
         self.client.list('config')
         self.spawn(
-            poison.run_publisher, 'a', self.client, detector, self.journal
+            suspect_sharing.run_publisher,
+            'a',
+            self.client,
+            detector,
+            self.journal,
+            self.clock,
         )
-        detector.record_cut_off('3f9a', ('i-7f', 1))
+        keys = crash_suspects.make_keys('3f9a', ())
+        detector.record_cut_off(keys, ('i-7f', 1))
         detector.record_target_down(('i-7f', 1))
         base.wait_until(lambda: self.store.get('suspects1', 'a'))
         self.assertEqual(1, len(self.store.get('suspects1', 'a')))
