Peers, recovery: an unreadable object no longer hides those after it

Behind a holder record that can't be decoded, grants of dead routers stayed stuck, so requests that needed their tokens were refused as if the budget were spent; behind an unreadable registry, agents got no requests.

Cause: PeerDirectory caught the error around the whole listing, after it had emptied its table of holders. Recovery of any holder then read all records once more, for the list of live holders, and ended at the same error.

Ruled out: to keep the last readable version of a record, since a record that became unreadable can't be sealed either; to skip unreadable records in registries.list_holders, since forgetting an agent must know every holder. A live holder that recovery leaves out only makes agents report more.

Conclusion: each object is decoded by itself; the unreadable one is counted and logged by its key.

--- a/galenaspoke/router/peers.py
+++ b/galenaspoke/router/peers.py
@@ -122,30 +122,32 @@
                 gevent.sleep(WATCH_RETRY_S)
                 continue
             if listing.revision != since:
-                self._deliver(prefix, on_items, listing.items)
+                on_items(listing.items)
             since = listing.revision
 
-    def _deliver(self, prefix, on_items, items):
-        """Call `on_items`.
+    def _use_each(self, items, use_item):
+        """Call `use_item` with each item.
 
-        At an item that can't be decoded, logs the error and skips the
-        remaining items.
+        An item that can't be decoded is logged and skipped; it must not hide
+        the others.
         """
-        try:
-            on_items(items)
-        except msgspec.DecodeError as exc:
-            self._metrics.count('store.unreadable')
-            logging.error(
-                'skipped an update of %s: unreadable object: %s', prefix, exc
-            )
+        for item in items:
+            try:
+                use_item(item)
+            except msgspec.DecodeError as exc:
+                self._metrics.count('store.unreadable')
+                logging.error(
+                    'skipped unreadable object %s: %s', item.key, exc
+                )
 
     def _on_config(self, items):
-        for item in items:
-            self._config_manager.update_from_store(item)
+        self._use_each(items, self._config_manager.update_from_store)
 
     def _on_registries(self, items):
-        for item in items:
-            self.update_registry(store_client.decode(item, registry.Registry))
+        self._use_each(items, self._use_registry)
+
+    def _use_registry(self, item):
+        self.update_registry(store_client.decode(item, registry.Registry))
 
     def update_registry(self, reg):
         """Install a registry if it is newer than the known one."""
@@ -250,10 +252,12 @@
 
     def _on_holders(self, items):
         self.holder_records = {}
-        for item in items:
-            record = store_client.decode(item, registry.HolderRecord)
-            self.holder_records[record.holder] = record
-            self._add_router(record.address)
+        self._use_each(items, self._use_holder_record)
+
+    def _use_holder_record(self, item):
+        record = store_client.decode(item, registry.HolderRecord)
+        self.holder_records[record.holder] = record
+        self._add_router(record.address)
 
     def _poll_roster(self):
         while True:
--- a/galenaspoke/router/recovery.py
+++ b/galenaspoke/router/recovery.py
@@ -11,6 +11,7 @@
 
 from absl import logging
 import gevent
+import msgspec
 
 from galenaspoke.core import ledger
 from galenaspoke.core import registry
@@ -257,11 +258,7 @@
         # Read after the record was marked: an agent that is not listed yet
         # will see the mark when it looks the holder up.
         listing = self._store.list(registry.REGISTRY_PREFIX)
-        live_holders = [
-            other.holder
-            for other in registries.list_holders(self._store)
-            if not other.sealed_by
-        ]
+        live_holders = self._list_live_holders()
         usage = {}
         lost_agents = []
         sent = {}
@@ -292,6 +289,30 @@
                     _add_usage(usage, entry.usage.get(record.holder, {}))
         return usage, lost_agents, sent, services_with_unknown_keys
 
+    def _list_live_holders(self):
+        """Return the names of the holders that are not sealed.
+
+        Leaves out a holder whose record can't be decoded.  This is safe:
+        agents then also report what that holder sent.
+        """
+        live_holders = []
+        for item in self._store.list(registry.HOLDER_PREFIX).items:
+            try:
+                record = store_client.decode(item, registry.HolderRecord)
+            except msgspec.DecodeError as exc:
+                self._metrics.count('store.unreadable')
+                logging.log_every_n_seconds(
+                    logging.ERROR,
+                    'skipped unreadable object %s: %s',
+                    10,
+                    item.key,
+                    exc,
+                )
+                continue
+            if not record.sealed_by:
+                live_holders.append(record.holder)
+        return live_holders
+
     def _seal_at_agent(self, entry, record, live_holders):
         """Seal a holder at one agent; return the reply, or None."""
         peer = self._peers.agents.get((entry.name, entry.incarnation))
--- /dev/null
+++ b/tests/router/test_recovery.py
@@ -0,0 +1,67 @@
+"""Recovery of the grants of holders whose router is gone."""
+
+import unittest
+
+import msgspec
+
+from galenaspoke.core import clock
+from galenaspoke.core import registry
+from galenaspoke.fleet import config_manager
+from galenaspoke.router import holders
+from galenaspoke.router import peers
+from galenaspoke.router import recovery
+from galenaspoke.router import vouching
+from galenaspoke.utils import metrics
+from tests import fakes
+from tests.router import test_grant_manager
+
+GONE = 'gone.a'
+
+
+class RecoveryTest(unittest.TestCase):
+    """One router, one holder whose router is gone, and no agents."""
+
+    def setUp(self):
+        cfg = test_grant_manager.make_settings()
+        self.clock = clock.ManualClock()
+        self.store = fakes.FakeStore()
+        counters = metrics.Metrics(cfg.metrics, 'r1')
+        own_holders = holders.HolderManager(
+            cfg, self.store, self.clock, counters
+        )
+        own_holders.open()
+        directory = peers.PeerDirectory(
+            cfg.router,
+            self.store,
+            self.clock,
+            config_manager.ConfigManager(counters),
+            counters,
+        )
+        self.recovery = recovery.GrantRecovery(
+            cfg,
+            self.store,
+            self.clock,
+            directory,
+            own_holders,
+            vouching.Vouching(
+                vouching.SentKeys(self.clock),
+                self.store,
+                directory,
+                own_holders,
+            ),
+            counters,
+        )
+        record = registry.HolderRecord(GONE, '127.0.0.1:4')
+        self.store.put(
+            registry.holder_key(GONE), 0, msgspec.json.encode(record)
+        )
+
+    def test_beside_an_unreadable_record(self):
+        """Another holder's record that can't be decoded stops no recovery.
+
+        The recovery read the records of all holders and failed at the
+        unreadable one, so no tokens were freed.
+        """
+        self.store.put(registry.holder_key('r9.a'), 0, b'{"births": "a text"}')
+        self.assertTrue(self.recovery.recover_on_demand(GONE))
+        self.assertEqual(0, self.store.get(registry.holder_key(GONE)).version)
