Hand-over: records without a home count as not handed over

If the only agent of a service was lost, a router vouched for it while no agent had the keys that it had sent. Once all had vouched the lost agent was forgotten, and a request that had run there ran again, sent once more, at the next agent that joined.

Cause: hand_over skipped records that no agent could take and returned True.

Ruled out: to refuse whenever no agent serves; a router that sent the lost agent nothing may vouch at once, which a test now says.

A stopping router whose keys can't be handed over is recorded as not vouched, which was the case before for every other failure.

--- a/galenaspoke/fleet/registries.py
+++ b/galenaspoke/fleet/registries.py
@@ -16,17 +16,29 @@
     """Hand records over to their homes in `reg`.
 
     `leaving_agent_id` is the id of the agent that hands over its own records
-    and runs, or empty.  Returns True unless a record was rejected or an agent
-    could not be reached.  Records without a home, because no other agent
-    serves, are skipped.
+    and runs, or empty.  Returns True unless a record was rejected, an agent
+    could not be reached, or records have no home because no other agent
+    serves.
     """
     rest = registry.exclude_agents(reg, {leaving_agent_id})
     batches = {}
+    unplaced = 0
     for record in records:
-        for entry in registry.rank_agents(rest, record.place)[:1]:
-            key = (entry.address, entry.incarnation)
-            batches.setdefault(key, []).append(record)
-    taken = True
+        ranked = registry.rank_agents(rest, record.place)
+        if not ranked:
+            unplaced += 1
+            continue
+        key = (ranked[0].address, ranked[0].incarnation)
+        batches.setdefault(key, []).append(record)
+    if unplaced:
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            'could not hand over %d records: no other agent of %s serves',
+            10,
+            unplaced,
+            reg.service,
+        )
+    taken = not unplaced
     for (address, incarnation), batch in batches.items():
         channel = transport.Channel(address)
         try:
--- a/tests/router/test_vouching.py
+++ b/tests/router/test_vouching.py
@@ -1,10 +1,17 @@
 """Tests for the record that a router keeps of the keys that it sent."""
 
+import types
 import unittest
 
+import gevent
+import msgspec
+
 from galenaspoke.core import clock
+from galenaspoke.core import registry
 from galenaspoke.router import vouching
 from galenaspoke.rpc import messages
+from galenaspoke.store import client as store_client
+from tests import fakes
 
 
 def make_record(key):
@@ -48,3 +55,59 @@
             [record.key for record in self.sent_keys.records_for('a.1')],
         )
         self.assertEqual(1, len(self.sent_keys))
+
+
+class LastAgentLostTest(unittest.TestCase):
+    """The only agent of a service is lost."""
+
+    def setUp(self):
+        self.store = fakes.FakeStore()
+        self.sent_keys = vouching.SentKeys(clock.ManualClock())
+        self.reg = registry.Registry('pool', 1)
+        self.reg.entries.append(
+            registry.AgentEntry(
+                'pool', 'a', '1', 'x', 'd', registry.Phase.ACTIVE
+            )
+        )
+        registry.declare_lost(self.reg, 'a', '1')
+        self.key = registry.registry_key('pool')
+        self.store.put(self.key, 0, msgspec.json.encode(self.reg))
+        self.put_holder('r1.a')
+        # Another router, which keeps the agent from being forgotten.
+        self.put_holder('r2.a')
+        self.vouching = vouching.Vouching(
+            self.sent_keys,
+            self.store,
+            types.SimpleNamespace(registries={'pool': self.reg}),
+            types.SimpleNamespace(get_holder_names=lambda: ['r1.a']),
+        )
+
+    def put_holder(self, name):
+        """Store the record of a holder."""
+        record = registry.HolderRecord(name)
+        self.store.put(
+            registry.holder_key(name), 0, msgspec.json.encode(record)
+        )
+
+    def read_vouched(self):
+        """Return the holders that have vouched for the lost agent."""
+        reg = store_client.decode(self.store.get(self.key), registry.Registry)
+        return reg.find('a', '1').vouched
+
+    def test_router_that_sent_keys_does_not_vouch(self):
+        """A router vouches only once some agent has the keys that it sent.
+
+        It vouched while none served.  The agent was then forgotten, and a key
+        that had run there ran again at the next agent that joined.
+        """
+        self.sent_keys.add('a.1', make_record('k'))
+        self.vouching.on_registry_change(self.reg)
+        gevent.idle()
+        self.assertEqual([], self.read_vouched())
+        self.assertFalse(self.vouching.is_idle())
+
+    def test_router_that_sent_nothing_vouches(self):
+        self.vouching.on_registry_change(self.reg)
+        gevent.idle()
+        self.assertEqual(['r1.a'], self.read_vouched())
+        self.assertTrue(self.vouching.is_idle())
