Orders: asked whether the agent was replaced last, after all waits

What callers saw: the operators' story "around a hand-over between two processes, both acted for a moment, and orders went out twice". An agent that had been replaced could give its target an order up to 1 s after its successor had begun to give orders, and the target then ran what the replaced one sent.

Cause, four of them, found by reading: - the store was asked before the wait of up to 1 s that spreads model loads; - the same call then removed obsolete entries, several more calls to the store, before it returned what it had read at first; - the first order, which has no such wait, was made before the store was read, so a slow read made it stale; - for a target that checks fencing nothing was asked, and such a target takes an equal fence: an agent that knew of its replacement and was stopping still gave the order that its successor gave.

Ruled out: a lapse by time, as for a lease. A target that doesn't check fencing can't tell a delayed order from a new one, whatever the agents agree on.

Conclusion: wait, then the registry as known, then the store, then the order of the configuration now in force, with nothing in between. What remains without fencing is one answer of the store and one call to the target.

--- a/galenaspoke/agent/main.py
+++ b/galenaspoke/agent/main.py
@@ -113,8 +113,7 @@
                 gevent.sleep(1)
 
     def _check_membership(self):
-        entry = self.membership.get_own_entry()
-        is_replaced = entry is None or not entry.is_serving()
+        is_replaced = self.membership.is_replaced()
         if is_replaced and not self.service.is_stopping():
             self.was_replaced = True
             self.service.begin_stop()
--- a/galenaspoke/agent/membership.py
+++ b/galenaspoke/agent/membership.py
@@ -147,30 +147,43 @@
         """Return this incarnation's entry as last read, or None."""
         return self.registry.find(self._cfg.name, self.incarnation)
 
+    def is_replaced(self):
+        """Return whether this incarnation was replaced, as last read.
+
+        That is the case if its entry is missing or no longer serving.
+        """
+        entry = self.get_own_entry()
+        return entry is None or not entry.is_serving()
+
     def get_registry_version(self):
         """Return the version of the known registry, 0 if there is none."""
         return self.registry.version if self.registry else 0
 
     def refresh(self):
-        """Read the registry again; on failure the next periodic call does."""
+        """Read the registry again, and remove obsolete entries from it.
+
+        On failure the next periodic call does.
+        """
         try:
-            self.is_replaced_in_store()
+            self._clean_up(self._read_registry())
         except store_client.StoreError:
             pass
 
     def is_replaced_in_store(self):
         """Read the registry; return whether this incarnation was replaced.
 
-        That is the case if its entry is missing or no longer serving.  Also
-        accepts a newer registry and removes obsolete entries from the store.
-        Raises StoreError.
+        Does nothing else, so that the result is as new as it can be.  Raises
+        StoreError.
         """
+        self._read_registry()
+        return self.is_replaced()
+
+    def _read_registry(self):
+        """Read the registry, accept it if it is newer, and return it."""
         item = self._store.get(registry.registry_key(self._cfg.service))
         reg = store_client.decode(item, registry.Registry)
         self.accept_registry(reg)
-        self._clean_up(reg)
-        entry = reg.find(self._cfg.name, self.incarnation)
-        return entry is None or not entry.is_serving()
+        return reg
 
     def _clean_up(self, reg):
         """Remove obsolete entries from the registry.
@@ -224,8 +237,7 @@
         `usage` maps each holder to its usage here by budget.  Raises
         StoreError.
         """
-        item = self._store.get(registry.registry_key(self._cfg.service))
-        reg = store_client.decode(item, registry.Registry)
+        reg = self._read_registry()
         registries.hand_over(
             reg,
             self.agent_id,
--- a/galenaspoke/agent/orders.py
+++ b/galenaspoke/agent/orders.py
@@ -2,9 +2,9 @@
 
 The configuration's generation is the fencing token of an order, so an order
 from an older configuration has a lower one.  Engines that check the token
-refuse a stale order.  Other engines are protected by this agent alone: before
-it sends, it checks in the store that it has not been replaced, and if it then
-waits to spread model loads, it reads the configuration in force again.
+refuse a stale order.  Other engines are protected by this agent alone: it
+checks in the store that it has not been replaced, after all waits, and then
+sends the order of the configuration in force at once.
 """
 
 import random
@@ -51,9 +51,22 @@
             config.generation, target.model, target.adapter, target.role
         )
 
+    def _get_changed_order(self):
+        """Return the order unless the target has accepted it, else None."""
+        desired_order = self._get_desired_order()
+        if desired_order is None or _has_same_content(
+            desired_order, self.accepted_order
+        ):
+            return None
+        return desired_order
+
     def _may_send(self):
         """Return whether this agent may send orders to its target."""
-        target = self._config_manager.config.targets[self._cfg.name]
+        if self._membership.is_replaced():
+            return False
+        target = self._config_manager.config.targets.get(self._cfg.name)
+        if target is None:
+            return False
         if target.checks_fencing:
             return True
         try:
@@ -63,19 +76,17 @@
 
     def send_if_changed(self):
         """Send the target its order unless it has accepted it already."""
-        desired_order = self._get_desired_order()
-        if desired_order is None or _has_same_content(
-            desired_order, self.accepted_order
-        ):
-            return
-        if not self._may_send():
+        if self._get_changed_order() is None:
             return
         if self.accepted_order is not None:
             gevent.sleep(random.uniform(0, MAX_JITTER_S))
-            # A newer configuration may have been published meanwhile.
-            desired_order = self._get_desired_order()
-            if desired_order is None:
-                return
+        # After the wait: this agent may have been replaced meanwhile.
+        if not self._may_send():
+            return
+        # A newer configuration may have been published meanwhile.
+        desired_order = self._get_changed_order()
+        if desired_order is None:
+            return
         try:
             engine.send_order(self._cfg.target, desired_order)
         except http.TargetFailed as exc:
--- /dev/null
+++ b/tests/agent/test_membership.py
@@ -0,0 +1,61 @@
+"""An agent's membership in the registry."""
+
+import types
+import unittest
+
+import msgspec
+
+from galenaspoke.agent import membership
+from galenaspoke.core import clock
+from galenaspoke.core import registry
+from galenaspoke.store import client as store_client
+from tests import fakes
+
+
+class ReplacingStore(fakes.FakeStore):
+    """A store in which the agent is replaced at the first list of holders."""
+
+    def list(self, prefix):
+        def change(reg):
+            entry = registry.AgentEntry(
+                'pool', 'pool-0', 'b', 'x', 'd', registry.Phase.JOINING
+            )
+            registry.join(reg, entry)
+
+        store_client.update(
+            self, registry.registry_key('pool'), registry.Registry, change
+        )
+        return super().list(prefix)
+
+
+class ReplacedInStoreTest(unittest.TestCase):
+    """The check whether the agent was replaced, as the store has it now."""
+
+    def test_nothing_delays_the_result(self):
+        """The result is that of the latest read.
+
+        After the read, obsolete entries were removed, which takes more calls
+        to the store.  An agent that was replaced meanwhile still counted as
+        the only one, and sent its target an order beside its successor.
+        """
+        store = ReplacingStore()
+        reg = registry.Registry('pool')
+        for name in ('pool-0', 'pool-1'):
+            registry.join(
+                reg,
+                registry.AgentEntry(
+                    'pool', name, 'a', 'x', 'd', registry.Phase.ACTIVE
+                ),
+            )
+        registry.declare_lost(reg, 'pool-1', 'a')
+        key = registry.registry_key('pool')
+        store.put(key, 0, msgspec.json.encode(reg))
+        cfg = types.SimpleNamespace(
+            name='pool-0', service='pool', record_ttl_ms=1000
+        )
+        own = membership.Membership(cfg, 'a', store, clock.ManualClock())
+        is_replaced = own.is_replaced_in_store()
+        stored = store_client.decode(store.get(key), registry.Registry)
+        serving = [entry.agent_id() for entry in stored.serving_entries()]
+        self.assertEqual(is_replaced, 'pool-0.a' not in serving)
+        self.assertEqual(is_replaced, own.is_replaced())
