Recovery: the pause after a failed recovery on demand runs from its end

While an agent didn't answer (a seal waits up to 2 s), each request that lacked tokens began the recovery of a silent holder again, without the pause of 500 ms: a call to every agent and several to the store, for as long as the agent was silent.

Cause: the failure was dated when the recovery began, so that a recovery of over 500 ms was followed by no pause.

Ruled out: a pause that grows; the silence of an agent ends by its being declared lost, within seconds.

The test sets the clock by hand.

Conclusion: dated at the end, and forgotten after a success.

--- a/galenaspoke/router/recovery.py
+++ b/galenaspoke/router/recovery.py
@@ -27,7 +27,7 @@
 # the maximum.
 STAGGER_MS = 500
 MAX_STAGGER_MS = 10_000
-# Minimum time from the start of a failed recovery on demand to the next one.
+# Minimum time from the end of a failed recovery on demand to the next one.
 RETRY_PAUSE_MS = 500
 
 
@@ -130,10 +130,13 @@
         """Recover a holder whose tokens are needed; return True on success.
 
         Concurrent callers wait for the same recovery.  After a failure it is
-        not tried again until RETRY_PAUSE_MS after the start of that attempt.
+        not tried again until RETRY_PAUSE_MS after the end of that attempt.
         """
-        now = self._clock.now()
-        if now - self._failed_at.get(name, -RETRY_PAUSE_MS) < RETRY_PAUSE_MS:
+        failed_at = self._failed_at.get(name)
+        if (
+            failed_at is not None
+            and self._clock.now() - failed_at < RETRY_PAUSE_MS
+        ):
             return False
         task = self._recovering.get(name)
         if task is None:
@@ -142,9 +145,11 @@
             )
             task.link(lambda _: self._recovering.pop(name, None))
         task.join()
-        if not task.value:
-            self._failed_at[name] = now
-        return bool(task.value)
+        if task.value:
+            self._failed_at.pop(name, None)
+            return True
+        self._failed_at[name] = self._clock.now()
+        return False
 
     def _try_recover(self, name):
         """Recover a holder; return True on success."""
--- a/tests/router/test_recovery.py
+++ b/tests/router/test_recovery.py
@@ -11,6 +11,7 @@
 from galenaspoke.router import peers
 from galenaspoke.router import recovery
 from galenaspoke.router import vouching
+from galenaspoke.store import client as store_client
 from galenaspoke.utils import metrics
 from tests import fakes
 from tests.router import test_grant_manager
@@ -18,13 +19,34 @@
 GONE = 'gone.a'
 
 
+class SlowStore(fakes.FakeStore):
+    """A store whose lists may fail after a while.
+
+    `list_attempts` counts the lists, and `list_ms`, unless it is None, is how
+    long each takes until it fails.
+    """
+
+    def __init__(self, manual_clock):
+        super().__init__()
+        self.list_attempts = 0
+        self.list_ms = None
+        self._clock = manual_clock
+
+    def list(self, prefix):
+        self.list_attempts += 1
+        if self.list_ms is None:
+            return super().list(prefix)
+        self._clock.advance(self.list_ms)
+        raise store_client.StoreUnavailable('no response in time')
+
+
 class RecoveryTest(unittest.TestCase):
     """One router, one holder whose router is gone, and no agents."""
 
     def setUp(self):
         cfg = test_grant_manager.make_settings()
         self.clock = clock.ManualClock()
-        self.store = fakes.FakeStore()
+        self.store = SlowStore(self.clock)
         counters = metrics.Metrics(cfg.metrics, 'r1')
         own_holders = holders.HolderManager(
             cfg, self.store, self.clock, counters
@@ -65,3 +87,22 @@
         self.store.put(registry.holder_key('r9.a'), 0, b'{"births": "a text"}')
         self.assertTrue(self.recovery.recover_on_demand(GONE))
         self.assertEqual(0, self.store.get(registry.holder_key(GONE)).version)
+
+    def test_pause_after_a_failure(self):
+        """A failed recovery on demand is followed by a pause.
+
+        The pause was counted from its start, so that none followed one that
+        took over 500 ms, as with agents that don't answer: each request that
+        lacked tokens tried again, and sealed and read everything once more.
+        """
+        for took_ms in (0, recovery.RETRY_PAUSE_MS, 2000):
+            self.store.list_ms = took_ms
+            self.store.list_attempts = 0
+            self.assertFalse(self.recovery.recover_on_demand(GONE))
+            self.assertEqual(1, self.store.list_attempts)
+            self.clock.advance(recovery.RETRY_PAUSE_MS - 1)
+            self.assertFalse(self.recovery.recover_on_demand(GONE))
+            self.assertEqual(1, self.store.list_attempts)
+            self.clock.advance(1)
+        self.store.list_ms = None
+        self.assertTrue(self.recovery.recover_on_demand(GONE))
