Stand-in of the store: a watch ends at a deletion

A router learnt that a holder had closed, or that a configuration was gone, only at the next write under the prefix or when its watch ran out.

Cause: the watch compared the newest version of the objects that exist, which a deletion doesn't raise.

Ruled out: to end watches at any change of the store, since every claim that expires would then wake all watches.

Evidence: before, tests/standins test_deletion and test_deletion_before_the_ watch failed (the watch went on); after, 4 tests pass.

Conclusion: the table keeps the revision of each deletion until the key is written again.

--- a/standins/store.py
+++ b/standins/store.py
@@ -22,11 +22,16 @@
 
 
 class ObjectTable:
-    """All objects by key, with a revision that counts the writes."""
+    """All objects by key, with a revision that counts the writes.
+
+    `deletions` has the revision of each deletion, by key, of the objects that
+    do not exist now.
+    """
 
     def __init__(self):
         self.revision = 0
         self.items = {}
+        self.deletions = {}
         self.change_event = event.Event()
 
     def write(self, key, expected, value):
@@ -41,7 +46,9 @@
         self.revision += 1
         if value is None:
             self.items.pop(key, None)
+            self.deletions[key] = self.revision
         else:
+            self.deletions.pop(key, None)
             self.items[key] = (self.revision, value)
         change_event, self.change_event = self.change_event, event.Event()
         change_event.set()
@@ -57,17 +64,22 @@
         listing = {'revision': self.revision, 'items': items}
         return msgspec.json.encode(listing)
 
-    def get_newest_version(self, prefix):
-        """Return the newest version under a prefix, or 0 if it is empty.
+    def get_last_change(self, prefix):
+        """Return the revision of the last change under a prefix, or 0.
 
-        A deletion does not raise it, so a watch does not notice deletions.
+        A change is a write or a deletion.
         """
         versions = [
             version
             for key, (version, _) in self.items.items()
             if key.startswith(prefix)
         ]
-        return max(versions, default=0)
+        deletions = [
+            revision
+            for key, revision in self.deletions.items()
+            if key.startswith(prefix)
+        ]
+        return max(versions + deletions, default=0)
 
 
 class Store:
@@ -128,7 +140,7 @@
 
     def _wait_for_change(self, prefix, since, wait_ms):
         deadline = self._clock.now() + wait_ms
-        while self._objects.get_newest_version(prefix) <= since:
+        while self._objects.get_last_change(prefix) <= since:
             left_ms = deadline - self._clock.now()
             if left_ms <= 0 or self._faults['outage']:
                 return
