Runs: Run.cancelled is gone

Cause: nothing set or read it. A run that is cancelled at its deadline ends as FAILED, with the refusal saying that the deadline passed.

Ruled out: to set it at the deadline, which nobody would read.

Evidence: tests of core and agent pass. No test failed before: the attribute had no effect.

Conclusion: removed.

--- a/galenaspoke/core/runs.py
+++ b/galenaspoke/core/runs.py
@@ -57,7 +57,6 @@
         'crash',
         'suspect',
         'ended_at',
-        'cancelled',
         '_pieces',
         '_encoded_pieces',
         '_changed',
@@ -82,7 +81,6 @@
         self.crash = ''
         self.suspect = False
         self.ended_at = 0
-        self.cancelled = False
         self._pieces = []
         self._encoded_pieces = b''
         self._changed = event.Event()
