Stand-in engine, checker: a cancelled run isn't whole

What callers saw: nothing; found by reading. The fault was in our evidence: the checker took the tokens of a run that was cancelled at its deadline for the cost of a whole response, so as many tokens could be billed twice, or for a response that nobody got, without a finding.

Cause: the engine logged whole=true for a cancelled run.

Ruled out: to leave cancelled runs out of the overspend as well; that would be a weaker check, so they count there as before, by a field of their own.

How runs of the soak and of the measurements count now wasn't looked at: tokens of cancelled runs become `wasted`.

Conclusion: the log says whole and cancelled apart; billing is checked against whole runs only.

--- a/bench/checker.py
+++ b/bench/checker.py
@@ -115,11 +115,14 @@
 
     The longest complete run of each key is counted from the engines' logs, not
     from the ledger, so that runs that nobody was charged for count as well.
-    A cancelled run counts as complete, with the tokens generated until then.
+    A cancelled run counts as complete here, with the tokens generated until
+    then.
     """
     spent = collections.Counter()
     for lines in collect_runs(cluster).values():
-        complete = [line for line in lines if line['whole']]
+        complete = [
+            line for line in lines if line['whole'] or line['cancelled']
+        ]
         if complete:
             spent[complete[0]['budget']] += max(
                 run['made'] for run in complete
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -88,7 +88,7 @@
 
     def _generate(self, req):
         crash_count = self._crash_count
-        has_ended_normally = False
+        is_whole = is_cancelled = False
         self._log.write(what='start', **req)
         self._waiting += 1
         self._batch_slots.acquire()
@@ -105,12 +105,12 @@
                 gevent.sleep(self._token_s)
                 if crash_count != self._crash_count:
                     raise EngineCrashed
-                if req['id'] in self._cancelled:
+                is_cancelled = req['id'] in self._cancelled
+                if is_cancelled:
                     break
                 position += 1
                 yield msgspec.json.encode({'piece': token}) + b'\n'
-            # Also True for a cancelled request.
-            has_ended_normally = True
+            is_whole = not is_cancelled
             yield msgspec.json.encode({'done': position}) + b'\n'
         finally:
             self._running -= 1
@@ -123,7 +123,8 @@
                 budget=req.get('budget'),
                 tokens=position - len(req['resume']),
                 made=position,
-                whole=has_ended_normally,
+                whole=is_whole,
+                cancelled=is_cancelled,
             )
 
     def _add_to_cache(self, prompt):
