HolderSealed: the error says what happened

Cause: the name was the whole text of the error, and the edge router passes the text on as the detail of the refusal. The router of the fleet handles the error itself and refuses in words of its own.

Ruled out: a text at each place that raises it; there are three, all with the name alone.

Conclusion: the error makes its text from the name.

--- a/galenaspoke/router/page_writer.py
+++ b/galenaspoke/router/page_writer.py
@@ -16,7 +16,16 @@
 
 
 class HolderSealed(Exception):
-    """The holder on whose behalf a page was written has been sealed."""
+    """The holder on whose behalf a page was written has been sealed.
+
+    The text may reach callers, as the reason of a refusal.
+    """
+
+    def __init__(self, holder_name):
+        super().__init__(
+            f'the holder {holder_name} is sealed and can no longer draw or'
+            ' return tokens'
+        )
 
 
 class WritePending(Exception):
--- a/tests/edge/test_prepaid_restarts.py
+++ b/tests/edge/test_prepaid_restarts.py
@@ -16,6 +16,9 @@
 from galenaspoke.edge import reservations
 from tests.edge import fleets
 
+# Longer than any wait on a busy machine: it must not decide the outcome.
+LONG_WAIT_MS = 60_000
+
 
 class RestartTest(unittest.TestCase):
     """A process that starts on an instance ends its predecessor's grants."""
@@ -50,6 +53,24 @@
         self.assertNotIn(old_holder, entry.grants)
         self.assertGreater(entry.in_doubt_tokens(), 0)
 
+    def test_replaced_process_says_why_it_refuses(self):
+        """The refusal says that the holder is sealed.
+
+        Callers of a process that its successor had replaced got the name of
+        its holder as the only reason.
+        """
+        old = self.fleet.start('a')
+        self.fleet.serve('a', 600, 500)
+        self.fleet.start('a')
+        self.fleet.serve('a', 1, 0)
+        failure = old.reserve(fleets.BUDGET, 5000, LONG_WAIT_MS)
+        self.assertIs(reservations.Shortage.UNREACHABLE, failure.shortage)
+        self.assertEqual(
+            f'the holder {old.holder_name} is sealed and can no longer draw'
+            ' or return tokens',
+            failure.detail,
+        )
+
     def test_grants_of_other_instances_stay(self):
         self.fleet.start('a')
         self.fleet.serve('a', 600, 500)
