Orders: an order whose answer was lost may be the one that the target runs

A target could go on with a model that had been taken back: an order for it whose answer was lost counted as not accepted, and the order before it, published again, was not sent because it was the last accepted one.

Cause: only the accepted order was compared.

Ruled out: to forget the accepted order instead, since the next order would then be sent without the wait that spreads model loads.

Conclusion: after a lost answer the order in force is sent until one is accepted.

--- a/galenaspoke/agent/orders.py
+++ b/galenaspoke/agent/orders.py
@@ -27,6 +27,7 @@
 
     __slots__ = (
         'accepted_order',
+        '_is_answer_lost',
         '_cfg',
         '_config_manager',
         '_metrics',
@@ -39,6 +40,8 @@
         self._config_manager = config_manager
         self._metrics = metrics
         self.accepted_order = None
+        # Whether the target may run a later order than the accepted one.
+        self._is_answer_lost = False
 
     def _get_desired_order(self):
         config = self._config_manager.config
@@ -54,9 +57,9 @@
     def _get_changed_order(self):
         """Return the order unless the target has accepted it, else None."""
         desired_order = self._get_desired_order()
-        if desired_order is None or _has_same_content(
-            desired_order, self.accepted_order
-        ):
+        if desired_order is None or self._is_answer_lost:
+            return desired_order
+        if _has_same_content(desired_order, self.accepted_order):
             return None
         return desired_order
 
@@ -90,6 +93,7 @@
         try:
             engine.send_order(self._cfg.target, desired_order)
         except http.TargetFailed as exc:
+            self._is_answer_lost = self._is_answer_lost or exc.sent
             self._metrics.count('orders.refused')
             logging.log_every_n_seconds(
                 logging.WARNING,
@@ -99,6 +103,7 @@
             )
             return
         self.accepted_order = desired_order
+        self._is_answer_lost = False
         self._metrics.count('orders.given')
         logging.info(
             'target accepted an order: model %s, adapter %s',
--- a/tests/agent/test_orders.py
+++ b/tests/agent/test_orders.py
@@ -9,6 +9,7 @@
 from galenaspoke.conf import definitions
 from galenaspoke.fleet import config_manager
 from galenaspoke.store import client as store_client
+from galenaspoke.utils import http
 from galenaspoke.utils import metrics
 
 
@@ -59,11 +60,8 @@
             self.membership,
         )
         self.sent = []
-        self.patch(
-            orders.engine,
-            'send_order',
-            lambda url, order: self.sent.append(order),
-        )
+        self.failure = None
+        self.patch(orders.engine, 'send_order', self.accept_order)
         self.on_wait = lambda: None
         self.patch(orders.gevent, 'sleep', lambda seconds: self.on_wait())
 
@@ -73,6 +71,12 @@
         patcher.start()
         self.addCleanup(patcher.stop)
 
+    def accept_order(self, url, order):
+        """Take the place of the target, whose answer may be lost."""
+        self.sent.append(order)
+        if self.failure:
+            raise self.failure
+
     def publish(self, generation, model, **fields):
         """Install a configuration in which the target runs `model`."""
         raw = make_document(model, **fields)
@@ -149,3 +153,30 @@
         self.assertEqual([], self.send())
         self.publish(2, 'second', checks_fencing=True)
         self.assertEqual(['second'], self.send())
+
+    def test_lost_answer(self):
+        """An order whose answer was lost may be the one that the target runs.
+
+        It counted as not accepted.  If the order before it was published
+        again, none was sent, and the target went on with the lost one.
+        """
+        self.publish(1, 'first')
+        self.send()
+        self.publish(2, 'second')
+        self.failure = http.TargetFailed('connection reset', True)
+        self.send()
+        self.failure = None
+        self.publish(3, 'first')
+        self.assertEqual(['first', 'second', 'first'], self.send())
+        self.assertEqual(['first', 'second', 'first'], self.send())
+
+    def test_refused_order(self):
+        """An order that certainly had no effect needs none to undo it."""
+        self.publish(1, 'first')
+        self.send()
+        self.publish(2, 'second')
+        self.failure = http.TargetFailed('connection refused', False)
+        self.send()
+        self.failure = None
+        self.publish(3, 'first')
+        self.assertEqual(['first', 'second'], self.send())
