Holders: an unreadable record no longer ends vouching or keeps orphaned grants

After it the router's vouching counted as going on for good, so no holder that it replaced was closed and its tokens stayed with it; grants without a record were not recovered; agents logged a failed task every 10 s.

Cause: registries.list_holders raised an error of decoding, which no caller expects.

Ruled out: to leave the record out. Which agents may be forgotten can be told only from the records of all holders.

Conclusion: list_holders raises HolderUnreadable, a StoreError. Nothing is forgotten until the record is repaired, which is logged; vouching ends, and orphaned grants are told by the keys of the records.

--- a/galenaspoke/agent/membership.py
+++ b/galenaspoke/agent/membership.py
@@ -166,6 +166,10 @@
         """
         try:
             self._clean_up(self._read_registry())
+        except registries.HolderUnreadable as exc:
+            logging.log_every_n_seconds(
+                logging.WARNING, 'no agent can be forgotten: %s', 60, exc
+            )
         except store_client.StoreError:
             pass
 
--- a/galenaspoke/fleet/registries.py
+++ b/galenaspoke/fleet/registries.py
@@ -1,6 +1,7 @@
 """Registry operations that routers and agents share."""
 
 from absl import logging
+import msgspec
 
 from galenaspoke.core import registry
 from galenaspoke.rpc import messages
@@ -12,6 +13,10 @@
 HAND_OVER_BATCH = 200
 
 
+class HolderUnreadable(store_client.StoreError):
+    """A holder's record can't be decoded, so not all holders are known."""
+
+
 def hand_over(reg, leaving_agent_id, records):
     """Hand records over to their homes in `reg`.
 
@@ -72,17 +77,32 @@
 
 
 def list_holders(store):
-    """Return the HolderRecords of all holders."""
+    """Return the HolderRecords of all holders; raises HolderUnreadable."""
     return [
-        store_client.decode(item, registry.HolderRecord)
+        _decode_holder(item)
         for item in store.list(registry.HOLDER_PREFIX).items
     ]
 
 
+def _decode_holder(item):
+    try:
+        return store_client.decode(item, registry.HolderRecord)
+    except msgspec.DecodeError as exc:
+        raise HolderUnreadable(f'{item.key} is unreadable: {exc}') from exc
+
+
+def list_holder_names(store):
+    """Return the names of all holders that have a record."""
+    return {
+        item.key.removeprefix(registry.HOLDER_PREFIX)
+        for item in store.list(registry.HOLDER_PREFIX).items
+    }
+
+
 def forget_vouched(store, reg):
     """Forget the lost agents for which all holders have vouched.
 
-    Returns the resulting registry.
+    Returns the resulting registry.  Raises HolderUnreadable.
     """
     lost = [e for e in reg.entries if e.phase is registry.Phase.LOST]
     if not lost:
--- a/galenaspoke/router/recovery.py
+++ b/galenaspoke/router/recovery.py
@@ -199,7 +199,7 @@
                     holder_names.update(entry.grants)
             # Read after the pages: a record is written before any grant, so
             # it can't just be missing yet.
-            known = {r.holder for r in registries.list_holders(self._store)}
+            known = registries.list_holder_names(self._store)
             for name in holder_names - known:
                 self._book_all_pages(registry.HolderRecord(name))
                 logging.info(
--- a/galenaspoke/router/vouching.py
+++ b/galenaspoke/router/vouching.py
@@ -145,7 +145,11 @@
             return None
 
         _, latest = registries.update(self._store, service, change)
-        registries.forget_vouched(self._store, latest)
+        try:
+            registries.forget_vouched(self._store, latest)
+        except registries.HolderUnreadable as exc:
+            # Agents try again periodically.
+            logging.warning('no lost agent can be forgotten: %s', exc)
         logging.info('vouched for lost agent %s', entry.agent_id())
         return True
 
--- a/tests/agent/test_membership.py
+++ b/tests/agent/test_membership.py
@@ -12,15 +12,27 @@
 from tests import fakes
 
 
+def make_entry(name, incarnation='a'):
+    """Return the registry entry of an agent."""
+    return registry.AgentEntry(
+        'pool', name, incarnation, 'x', 'd', registry.Phase.ACTIVE
+    )
+
+
+def make_membership(store):
+    """Return the membership of pool-0.a."""
+    cfg = types.SimpleNamespace(
+        name='pool-0', service='pool', record_ttl_ms=1000
+    )
+    return membership.Membership(cfg, 'a', store, clock.ManualClock())
+
+
 class ReplacingStore(fakes.FakeStore):
     """A store in which the agent is replaced at the first list of holders."""
 
     def list(self, prefix):
         def change(reg):
-            entry = registry.AgentEntry(
-                'pool', 'pool-0', 'b', 'x', 'd', registry.Phase.JOINING
-            )
-            registry.join(reg, entry)
+            registry.join(reg, make_entry('pool-0', 'b'))
 
         store_client.update(
             self, registry.registry_key('pool'), registry.Registry, change
@@ -41,21 +53,37 @@
         store = ReplacingStore()
         reg = registry.Registry('pool')
         for name in ('pool-0', 'pool-1'):
-            registry.join(
-                reg,
-                registry.AgentEntry(
-                    'pool', name, 'a', 'x', 'd', registry.Phase.ACTIVE
-                ),
-            )
+            registry.join(reg, make_entry(name))
         registry.declare_lost(reg, 'pool-1', 'a')
         key = registry.registry_key('pool')
         store.put(key, 0, msgspec.json.encode(reg))
-        cfg = types.SimpleNamespace(
-            name='pool-0', service='pool', record_ttl_ms=1000
-        )
-        own = membership.Membership(cfg, 'a', store, clock.ManualClock())
+        own = make_membership(store)
         is_replaced = own.is_replaced_in_store()
         stored = store_client.decode(store.get(key), registry.Registry)
         serving = [entry.agent_id() for entry in stored.serving_entries()]
         self.assertEqual(is_replaced, 'pool-0.a' not in serving)
         self.assertEqual(is_replaced, own.is_replaced())
+
+
+class UnreadableHolderTest(unittest.TestCase):
+    """A holder's record can't be decoded."""
+
+    def test_refresh(self):
+        """The agent reads its registry and forgets no agent.
+
+        The periodic call ended in an error of decoding.  Which agents may be
+        forgotten can be told only from all records.
+        """
+        store = fakes.FakeStore()
+        reg = registry.Registry('pool')
+        for name in ('pool-0', 'pool-1'):
+            registry.join(reg, make_entry(name))
+        registry.declare_lost(reg, 'pool-1', 'a')
+        key = registry.registry_key('pool')
+        store.put(key, 0, msgspec.json.encode(reg))
+        store.put(registry.holder_key('r9.a'), 0, b'{"births": "a text"}')
+        own = make_membership(store)
+        own.refresh()
+        self.assertEqual(reg.version, own.get_registry_version())
+        stored = store_client.decode(store.get(key), registry.Registry)
+        self.assertIsNotNone(stored.find('pool-1', 'a'))
--- a/tests/router/test_recovery.py
+++ b/tests/router/test_recovery.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from galenaspoke.core import clock
+from galenaspoke.core import ledger
 from galenaspoke.core import registry
 from galenaspoke.fleet import config_manager
 from galenaspoke.router import holders
@@ -17,6 +18,7 @@
 from tests.router import test_grant_manager
 
 GONE = 'gone.a'
+BUDGET = 'voucher-desk'
 
 
 class SlowStore(fakes.FakeStore):
@@ -106,3 +108,20 @@
             self.clock.advance(1)
         self.store.list_ms = None
         self.assertTrue(self.recovery.recover_on_demand(GONE))
+
+    def test_orphaned_grants_beside_an_unreadable_record(self):
+        """Grants without a record are recovered, those under it are kept.
+
+        The list of all holders failed at the unreadable record, so grants
+        without a record stayed for good.
+        """
+        page = ledger.Page()
+        ledger.top_up(page, BUDGET, ledger.TopUp('1', 1000))
+        for name in ('orphan.a', 'r9.a'):
+            ledger.draw(page, BUDGET, name, 100, 100)
+        key = f'{ledger.PAGE_PREFIX}0000'
+        self.store.put(key, 0, msgspec.json.encode(page))
+        self.store.put(registry.holder_key('r9.a'), 0, b'{"births": "a text"}')
+        self.recovery.recover_orphaned_grants()
+        page = store_client.decode(self.store.get(key), ledger.Page)
+        self.assertEqual(['r9.a'], list(page.entries[BUDGET].grants))
--- a/tests/router/test_vouching.py
+++ b/tests/router/test_vouching.py
@@ -111,3 +111,16 @@
         gevent.idle()
         self.assertEqual(['r1.a'], self.read_vouched())
         self.assertTrue(self.vouching.is_idle())
+
+    def test_unreadable_holder_record(self):
+        """Vouching ends although a holder's record can't be decoded.
+
+        The greenlet ended at the error, after the router had vouched, and
+        vouching counted as going on for good: no holder that the router
+        replaced was closed any more.
+        """
+        self.store.put(registry.holder_key('r9.a'), 0, b'{"births": "a text"}')
+        self.vouching.on_registry_change(self.reg)
+        gevent.idle()
+        self.assertEqual(['r1.a'], self.read_vouched())
+        self.assertTrue(self.vouching.is_idle())
