--- a/galenaspoke/fleet/registries.py
+++ b/galenaspoke/fleet/registries.py
@@ -1,6 +1,7 @@
 """Registry operations that routers and agents share."""
 
 from absl import logging
+import msgspec
 
 from galenaspoke.core import registry
 from galenaspoke.rpc import messages
@@ -12,21 +13,37 @@
 HAND_OVER_BATCH = 200
 
 
+class HolderUnreadable(store_client.StoreError):
+    """A holder's record can't be decoded, so not all holders are known."""
+
+
 def hand_over(reg, leaving_agent_id, records):
     """Hand records over to their homes in `reg`.
 
     `leaving_agent_id` is the id of the agent that hands over its own records
-    and runs, or empty.  Returns True unless a record was rejected or an agent
-    could not be reached.  Records without a home, because no other agent
-    serves, are skipped.
+    and runs, or empty.  Returns True unless a record was rejected, an agent
+    could not be reached, or records have no home because no other agent
+    serves.
     """
     rest = registry.exclude_agents(reg, {leaving_agent_id})
     batches = {}
+    unplaced = 0
     for record in records:
-        for entry in registry.rank_agents(rest, record.place)[:1]:
-            key = (entry.address, entry.incarnation)
-            batches.setdefault(key, []).append(record)
-    taken = True
+        ranked = registry.rank_agents(rest, record.place)
+        if not ranked:
+            unplaced += 1
+            continue
+        key = (ranked[0].address, ranked[0].incarnation)
+        batches.setdefault(key, []).append(record)
+    if unplaced:
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            'could not hand over %d records: no other agent of %s serves',
+            10,
+            unplaced,
+            reg.service,
+        )
+    taken = not unplaced
     for (address, incarnation), batch in batches.items():
         channel = transport.Channel(address)
         try:
@@ -60,17 +77,32 @@
 
 
 def list_holders(store):
-    """Return the HolderRecords of all holders."""
+    """Return the HolderRecords of all holders; raises HolderUnreadable."""
     return [
-        store_client.decode(item, registry.HolderRecord)
+        _decode_holder(item)
         for item in store.list(registry.HOLDER_PREFIX).items
     ]
 
 
+def _decode_holder(item):
+    try:
+        return store_client.decode(item, registry.HolderRecord)
+    except msgspec.DecodeError as exc:
+        raise HolderUnreadable(f'{item.key} is unreadable: {exc}') from exc
+
+
+def list_holder_names(store):
+    """Return the names of all holders that have a record."""
+    return {
+        item.key.removeprefix(registry.HOLDER_PREFIX)
+        for item in store.list(registry.HOLDER_PREFIX).items
+    }
+
+
 def forget_vouched(store, reg):
     """Forget the lost agents for which all holders have vouched.
 
-    Returns the resulting registry.
+    Returns the resulting registry.  Raises HolderUnreadable.
     """
     lost = [e for e in reg.entries if e.phase is registry.Phase.LOST]
     if not lost:
--- a/galenaspoke/router/recovery.py
+++ b/galenaspoke/router/recovery.py
@@ -11,6 +11,7 @@
 
 from absl import logging
 import gevent
+import msgspec
 
 from galenaspoke.core import ledger
 from galenaspoke.core import registry
@@ -26,7 +27,7 @@
 # the maximum.
 STAGGER_MS = 500
 MAX_STAGGER_MS = 10_000
-# Minimum time from the start of a failed recovery on demand to the next one.
+# Minimum time from the end of a failed recovery on demand to the next one.
 RETRY_PAUSE_MS = 500
 
 
@@ -129,10 +130,13 @@
         """Recover a holder whose tokens are needed; return True on success.
 
         Concurrent callers wait for the same recovery.  After a failure it is
-        not tried again until RETRY_PAUSE_MS after the start of that attempt.
+        not tried again until RETRY_PAUSE_MS after the end of that attempt.
         """
-        now = self._clock.now()
-        if now - self._failed_at.get(name, -RETRY_PAUSE_MS) < RETRY_PAUSE_MS:
+        failed_at = self._failed_at.get(name)
+        if (
+            failed_at is not None
+            and self._clock.now() - failed_at < RETRY_PAUSE_MS
+        ):
             return False
         task = self._recovering.get(name)
         if task is None:
@@ -141,9 +145,11 @@
             )
             task.link(lambda _: self._recovering.pop(name, None))
         task.join()
-        if not task.value:
-            self._failed_at[name] = now
-        return bool(task.value)
+        if task.value:
+            self._failed_at.pop(name, None)
+            return True
+        self._failed_at[name] = self._clock.now()
+        return False
 
     def _try_recover(self, name):
         """Recover a holder; return True on success."""
@@ -193,7 +199,7 @@
                     holder_names.update(entry.grants)
             # Read after the pages: a record is written before any grant, so
             # it can't just be missing yet.
-            known = {r.holder for r in registries.list_holders(self._store)}
+            known = registries.list_holder_names(self._store)
             for name in holder_names - known:
                 self._book_all_pages(registry.HolderRecord(name))
                 logging.info(
@@ -257,11 +263,7 @@
         # Read after the record was marked: an agent that is not listed yet
         # will see the mark when it looks the holder up.
         listing = self._store.list(registry.REGISTRY_PREFIX)
-        live_holders = [
-            other.holder
-            for other in registries.list_holders(self._store)
-            if not other.sealed_by
-        ]
+        live_holders = self._list_live_holders()
         usage = {}
         lost_agents = []
         sent = {}
@@ -292,6 +294,30 @@
                     _add_usage(usage, entry.usage.get(record.holder, {}))
         return usage, lost_agents, sent, services_with_unknown_keys
 
+    def _list_live_holders(self):
+        """Return the names of the holders that are not sealed.
+
+        Leaves out a holder whose record can't be decoded.  This is safe:
+        agents then also report what that holder sent.
+        """
+        live_holders = []
+        for item in self._store.list(registry.HOLDER_PREFIX).items:
+            try:
+                record = store_client.decode(item, registry.HolderRecord)
+            except msgspec.DecodeError as exc:
+                self._metrics.count('store.unreadable')
+                logging.log_every_n_seconds(
+                    logging.ERROR,
+                    'skipped unreadable object %s: %s',
+                    10,
+                    item.key,
+                    exc,
+                )
+                continue
+            if not record.sealed_by:
+                live_holders.append(record.holder)
+        return live_holders
+
     def _seal_at_agent(self, entry, record, live_holders):
         """Seal a holder at one agent; return the reply, or None."""
         peer = self._peers.agents.get((entry.name, entry.incarnation))
