Stop: requests read together with an earlier one are answered

What callers saw: nothing yet, found by reading; a caller that sends its next request before the response has come gets the first response with `Connection: close`, and the second request, which the router has read whole, ends with a closed connection.

Cause: a stopping router closed each connection after the current request, without a look at those that its parser had read with it.

Evidence: test_requests_that_were_read_together_are_answered failed before (1 response in place of 2).

Now: the connection closes with the response to the last request that was read.

Not covered: bytes that are still unread at the close, which cross it.

--- a/galenaspoke/edge/admission.py
+++ b/galenaspoke/edge/admission.py
@@ -41,7 +41,8 @@
     )
 
     def __init__(self, config_view, poison_detector, header_codec):
-        # Set during shutdown: each connection closes after its request.
+        # Set during shutdown: each connection closes after the requests that
+        # were read from it.
         self.is_stopping = False
         self._config_view = config_view
         self._poison_detector = poison_detector
--- a/galenaspoke/edge/caller_connections.py
+++ b/galenaspoke/edge/caller_connections.py
@@ -48,6 +48,10 @@
         has_request = self.parser.current or self.parser.requests
         return not (self.has_active_request or has_request)
 
+    def has_queued_request(self):
+        """Return whether another request has been read and waits."""
+        return bool(self.parser.requests)
+
     def next_request(self, limits):
         """Return the next complete Request.
 
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -107,7 +107,7 @@
         """
         self.open_request_count += 1
         caller.has_active_request = True
-        caller.keep_alive = req.keep_alive and not self._admission.is_stopping
+        caller.keep_alive = req.keep_alive and not self._must_close(caller)
         try:
             with caller.cancel_on_disconnect():
                 self._handle(req, caller)
@@ -129,10 +129,17 @@
         except caller_connections.CallerDisconnected as exc:
             self._responder.log_disconnect(req, context, str(exc))
             raise
-        if self._admission.is_stopping:
+        if self._must_close(caller):
             caller.keep_alive = False
         self._responder.finish(req, context, caller, result)
 
+    def _must_close(self, caller):
+        """Return whether the connection ends with the current response.
+
+        It stays open for requests that have been read already.
+        """
+        return self._admission.is_stopping and not caller.has_queued_request()
+
     # Budgets.
 
     def _reserve_and_run(self, context, caller):
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -101,6 +101,10 @@
         self.headers = {}
         self.body = b''
 
+    def has_queued_request(self):
+        """Return False: each test sends one request at a time."""
+        return False
+
     def cancel_on_disconnect(self):
         """Return a context manager that never cancels."""
         return gevent.Timeout(None)
--- a/tests/edge/test_rolling_restart.py
+++ b/tests/edge/test_rolling_restart.py
@@ -137,6 +137,10 @@
 
     IDLE_COUNT = 200
     BUSY_COUNT = 20
+    REQUEST = (
+        b'POST /a/x HTTP/1.1\r\nHost: desk\r\nX-Request-Id: %s\r\n'
+        b'Content-Length: 0\r\n\r\n' % handlers.REQUEST_ID
+    )
 
     def setUp(self):
         # The event loop polls for bytes after each batch of greenlets, as it
@@ -183,10 +187,7 @@
     def send(self, remotes):
         """Send a request on each connection."""
         for remote in remotes:
-            remote.sendall(
-                b'POST /a/x HTTP/1.1\r\nHost: desk\r\nX-Request-Id: %s\r\n'
-                b'Content-Length: 0\r\n\r\n' % handlers.REQUEST_ID
-            )
+            remote.sendall(self.REQUEST)
 
     def count_answers(self, remotes):
         """Return how many connections carry a whole response."""
@@ -222,3 +223,16 @@
             remote.close()
         self.assertEqual(self.BUSY_COUNT, answered)
         self.assertEqual(self.BUSY_COUNT, len(self.started))
+
+    # Guards against a request that has been read together with the one before
+    # it, and ends without a response since the connection closes after that.
+    def test_requests_that_were_read_together_are_answered(self):
+        (remote,) = self.connect(1)
+        self.router.admission.begin_shutdown(float('inf'), float('inf'))
+        self.may_finish.set()
+        remote.sendall(2 * self.REQUEST)
+        received = b''.join(iter(lambda: remote.recv(65_536), b''))
+        remote.close()
+        self.assertEqual(2, received.count(b'\r\n\r\nok'))
+        self.assertEqual(1, received.count(b'Connection: close'))
+        self.assertEqual(2, len(self.started))
