Stop: requests that are open at the end are answered, not cut off

A request that is still open GRACE_MARGIN_MS before the end of the grace period ended with a closed connection, whether it had been sent to a target or not; so did one that was whole only then, if its first byte had come early in the shutdown.

Cause: the process returned the unspent tokens and ended, while the tasks of open requests went on.

Evidence: three tests failed before: no byte of a response for requests with a silent target and for one that waits in admission, and a half-arrived request was sent to a target after the end of the grace period.

Now: the router interrupts the tasks whose result isn't known yet. Each sends 503 if nothing may have run, else 504; requests that are whole later get 503. A task is interrupted in the step of the event loop that finds it undecided, so no response under way is broken off. Streams that have begun are still cut, as there is no other way to say that they are incomplete.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -46,6 +46,8 @@
 ACCEPT_ALL_MS = 2_800
 # The process abandons open requests this long before its grace period ends.
 GRACE_MARGIN_MS = 700
+# How long callers get to read the responses to requests that are abandoned.
+ABANDON_TIMEOUT_MS = 200
 STOP_POLL_INTERVAL_S = 0.05
 
 
@@ -260,7 +262,8 @@
         """Shut down gracefully; return the exit code.
 
         Open requests get until GRACE_MARGIN_MS before the end of the grace
-        period; then unspent prepaid tokens are returned.
+        period.  Those left then are refused, and unspent prepaid tokens are
+        returned.
         """
         started_at = self.clock.now()
         self._stopping.set()
@@ -273,6 +276,7 @@
         listening.finish_accepting(self._server)
         gevent.sleep(0)
         self._wait_until(deadline, lambda: not self._connections)
+        self._abandon_open_requests()
         self.budget_manager.close()
         self._members.unregister()
         self.journal.note(
@@ -289,6 +293,17 @@
             'stop.idle_closed', closed=closed, busy=len(callers) - closed
         )
 
+    def _abandon_open_requests(self):
+        """Answer the requests that are still open; accept no more."""
+        self.admission.begin_shutdown(-math.inf, -math.inf)
+        self.request_handler.abandon_open_requests()
+        gevent.sleep(0)
+        # Callers that read slowly.
+        self._wait_until(
+            self.clock.now() + ABANDON_TIMEOUT_MS,
+            lambda: not self.request_handler.open_request_count,
+        )
+
     def _wait_until(self, deadline, is_done):
         while self.clock.now() < deadline and not is_done():
             gevent.sleep(STOP_POLL_INTERVAL_S)
--- a/galenaspoke/edge/refusals.py
+++ b/galenaspoke/edge/refusals.py
@@ -88,3 +88,17 @@
         outcomes.Reason.DEADLINE,
         retry_after_ms=outcomes.random_delay_ms(admission.RETRY_AFTER_MS),
     )
+
+
+def from_shutdown(context):
+    """Return the Refusal for a request that the process must abandon.
+
+    `context` is None if the request was not accepted yet.
+    """
+    if context is not None and context.may_have_run:
+        return outcomes.Refusal(504, outcomes.Reason.LEAVING)
+    return outcomes.Refusal(
+        503,
+        outcomes.Reason.LEAVING,
+        retry_after_ms=outcomes.random_delay_ms(admission.RETRY_AFTER_MS),
+    )
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -45,6 +45,10 @@
     """The request's deadline has passed."""
 
 
+class _Abandoned(Exception):
+    """The process is about to end."""
+
+
 class RequestHandler:
     """Handles the requests that one router receives."""
 
@@ -63,6 +67,7 @@
         '_journal',
         '_responder',
         '_isolations',
+        '_undecided_tasks',
     )
 
     def __init__(
@@ -99,6 +104,8 @@
         self._isolations = collections.defaultdict(
             long_prompts.LongPromptIsolation
         )
+        # The tasks of the requests whose result isn't known yet.
+        self._undecided_tasks = set()
 
     def handle(self, req, caller):
         """Handle one request until it is answered or abandoned.
@@ -117,11 +124,15 @@
 
     def _handle(self, req, caller):
         context = None
+        task = gevent.getcurrent()
+        self._undecided_tasks.add(task)
         try:
             result = self._admission.admit(req)
             if isinstance(result, request_context.RequestContext):
                 context = result
                 result = self._reserve_and_run(context, caller)
+        except _Abandoned:
+            result = refusals.from_shutdown(context)
         except messages.BadRequest as exc:
             result = outcomes.Refusal(
                 exc.status, outcomes.Reason.BAD_REQUEST, str(exc)
@@ -129,10 +140,24 @@
         except caller_connections.CallerDisconnected as exc:
             self._responder.log_disconnect(req, context, str(exc))
             raise
+        finally:
+            self._undecided_tasks.discard(task)
         if self._must_close(caller):
             caller.keep_alive = False
         self._responder.finish(req, context, caller, result)
 
+    def abandon_open_requests(self):
+        """Make all requests whose result isn't known yet end with a refusal.
+
+        Tasks can only be interrupted from the event loop, so that happens
+        once the calling task waits.
+        """
+        gevent.get_hub().loop.run_callback(self._interrupt_undecided)
+
+    def _interrupt_undecided(self):
+        for task in list(self._undecided_tasks):
+            task.throw(_Abandoned())
+
     def _must_close(self, caller):
         """Return whether the connection ends with the current response.
 
--- a/tests/edge/test_rolling_restart.py
+++ b/tests/edge/test_rolling_restart.py
@@ -224,6 +224,62 @@
         self.assertEqual(self.BUSY_COUNT, answered)
         self.assertEqual(self.BUSY_COUNT, len(self.started))
 
+    def stop_without_grace(self):
+        """Stop the router, which has no time left for its open requests."""
+        self.router.cfg = base.make_edge_settings(
+            grace_ms=main.GRACE_MARGIN_MS
+        )
+        with mock.patch.object(main, 'BALANCER_DELAY_MS', 0):
+            self.assertEqual(main.EXIT_OK, self.router.stop())
+
+    def take_sent(self, remote):
+        """Return what the router had sent when its process ended."""
+        received = remote._sock.recv(65_536)
+        remote.close()
+        return received
+
+    # Guards against requests that are cut off by the end of the process, since
+    # their target is silent until the grace period is over.
+    def test_open_requests_are_answered_before_the_process_ends(self):
+        remotes = self.connect(self.BUSY_COUNT)
+        self.send(remotes)
+        base.wait_until(lambda: len(self.started) == self.BUSY_COUNT)
+        self.stop_without_grace()
+        for remote in remotes:
+            response = self.take_sent(remote)
+            self.assertTrue(response.startswith(b'HTTP/1.1 504'), response)
+            self.assertIn(b'Connection: close', response)
+
+    # Guards against the same for requests that no target has seen.
+    def test_waiting_requests_are_refused_before_the_process_ends(self):
+        (remote,) = self.connect(1)
+        confirm = mock.Mock(side_effect=self.may_finish.wait)
+        self.desk.config_view.confirm = confirm
+        remote.sendall(self.REQUEST.replace(b'/a/', b'/unknown/'))
+        base.wait_until(lambda: confirm.called)
+        self.stop_without_grace()
+        response = self.take_sent(remote)
+        self.assertTrue(response.startswith(b'HTTP/1.1 503'), response)
+        self.assertIn(b'Retry-After', response)
+
+    # Guards against a request that began to arrive early in the shutdown, is
+    # whole only at its end, and is then sent to a target and cut off.
+    def test_no_request_is_sent_on_at_the_end_of_the_grace_period(self):
+        (remote,) = self.connect(1)
+        remote.sendall(self.REQUEST[:20])
+        (caller,) = self.router._connections
+        base.wait_until(lambda: not caller.is_idle())
+
+        def finish_request():
+            remote.sendall(self.REQUEST[20:])
+            base.wait_until(lambda: not self.router._connections)
+
+        self.router.budget_manager.close = finish_request
+        self.stop_without_grace()
+        response = self.take_sent(remote)
+        self.assertTrue(response.startswith(b'HTTP/1.1 503'), response)
+        self.assertEqual([], self.started)
+
     # Guards against a request that has been read together with the one before
     # it, and ends without a response since the connection closes after that.
     def test_requests_that_were_read_together_are_answered(self):
