Agent: no run starts after the stop began during its durable claim

What callers saw: nothing, found by reading; a non-repeatable request whose claim is slow to be stored starts on the target of an agent that has begun to stop, perhaps after it has handed its records over, and is cut off at its end.

Cause: whether the agent is leaving was checked before the store call, and the run was started after it.

Evidence: test_run_is_not_started_after_stop_began_during_durable_claim failed before (the request was claimed, and its run started).

Now: the check is repeated after the store call. The key is fenced and the stored claim deleted, so that the next home may run the request.

Ruled out: to release the claim for other refusals too. Without the fence a second submit of the key could rely on a claim that is being deleted.

--- a/galenaspoke/agent/service.py
+++ b/galenaspoke/agent/service.py
@@ -147,9 +147,7 @@
         policy = self._get_policy()
         refusal = self._check_new(submit, policy)
         if refusal is None and self._needs_durable_claim(submit, policy):
-            refusal = self._durable_claims.claim(req.key)
-            # The holder may have been sealed during the store call.
-            refusal = refusal or self._holders.check_admission(submit.holder)
+            refusal = self._claim_durably(submit, policy)
         if refusal:
             yield refusal
             return
@@ -179,6 +177,23 @@
         if run:
             yield from self._follow_run(run, submit)
 
+    def _claim_durably(self, submit, policy):
+        """Claim a new request in the store; return a Refusal or None.
+
+        During the store call the holder may have been sealed, and this agent
+        may have begun to stop.
+        """
+        key = submit.request.key
+        refusal = self._durable_claims.claim(key)
+        if refusal:
+            return refusal
+        if self.is_leaving and self._claims.find(key) is None:
+            refusal = self._refuse_as_leaving(key)
+            # The fence keeps the key from ever being run here.
+            self._durable_claims.expire([key])
+            return refusal
+        return self._holders.check_admission(submit.holder)
+
     def _needs_durable_claim(self, submit, policy):
         req = submit.request
         is_new = self._claims.find(req.key) is None
@@ -201,16 +216,20 @@
                 verdicts.Reason.UNKNOWN_KEY, 'no record of this request'
             )
         if self.is_leaving:
-            self._claims.find_or_fence(key)
-            return verdicts.not_run(
-                verdicts.Reason.LEAVING,
-                'the target is stopping or drained',
-                _LEAVING_RETRY_MS,
-            )
+            return self._refuse_as_leaving(key)
         if submit.propose == self._membership.agent_id:
             return self._runner.check_admission(submit.request, policy, False)
         return None
 
+    def _refuse_as_leaving(self, key):
+        """Fence a key; return the Refusal of its request."""
+        self._claims.find_or_fence(key)
+        return verdicts.not_run(
+            verdicts.Reason.LEAVING,
+            'the target is stopping or drained',
+            _LEAVING_RETRY_MS,
+        )
+
     def _is_home(self, submit):
         """Return whether this agent is the home according to its registry."""
         reg = registry.exclude_agents(
--- a/tests/agent/test_service.py
+++ b/tests/agent/test_service.py
@@ -2,6 +2,9 @@
 
 import types
 import unittest
+from unittest import mock
+
+import msgspec
 
 from galenaspoke.agent import service
 from galenaspoke.conf import definitions
@@ -9,6 +12,7 @@
 from galenaspoke.core import records
 from galenaspoke.core import registry
 from galenaspoke.core import runs as run_table
+from galenaspoke.core import schema
 from galenaspoke.core import verdicts
 from galenaspoke.fleet import config_manager
 from galenaspoke.rpc import messages
@@ -65,6 +69,22 @@
     return messages.Request(**{**defaults, **fields})
 
 
+class FakeDurableClaims:
+    """Fake DurableClaims; `on_claim` is called during the store call."""
+
+    def __init__(self, on_claim):
+        self._on_claim = on_claim
+        self.keys = []
+
+    def claim(self, key):
+        self._on_claim()
+        self.keys.append(key)
+
+    def expire(self, keys):
+        for key in keys:
+            self.keys.remove(key)
+
+
 class ServiceTest(unittest.TestCase):
     """One agent, which is the home of all requests."""
 
@@ -209,3 +229,22 @@
         self.assertIs(verdicts.Reason.LEAVING, event.reason)
         reply = self.service.ask(messages.Ask('abc', 'k'))
         self.assertFalse(reply.known)
+
+    def test_run_is_not_started_after_stop_began_during_durable_claim(self):
+        """A run must not start once the agent may have ended its last one.
+
+        The stop would cut it off.  The claim is deleted, so that the next home
+        may run the request.
+        """
+        claims = FakeDurableClaims(self.service.begin_stop)
+        self.service._durable_claims = claims
+        policy = msgspec.structs.replace(schema.DEFAULTS, durable_claims=True)
+        submit = self.make_submit(req=make_request(repeatable=False))
+        with mock.patch.object(
+            service.AgentService, '_get_policy', return_value=policy
+        ):
+            event = next(self.service.submit(submit))
+        self.assertIs(verdicts.Reason.LEAVING, event.reason)
+        self.assertIs(verdicts.Verdict.NOT_RUN, event.verdict)
+        self.assertEqual([], self.runs.running())
+        self.assertEqual([], claims.keys)
