Router: no request is sent to an agent once its last open one has ended

What callers saw: nothing, found by reading; a request on a kept connection that arrives while a stopping router hands over its keys and closes its grants is sent to an agent, and cut off when the process ends.

Cause: the stop waited until no request was open, and went on to calls of other routers and of the store, while the dispatcher still accepted requests.

Now: the step that finds no request open, or the timeout passed, also makes the dispatcher refuse later ones.

--- a/galenaspoke/router/dispatch.py
+++ b/galenaspoke/router/dispatch.py
@@ -18,6 +18,7 @@
 # Maximum number of attempts at one request, including those that don't count
 # against the setting `tries`.
 MAX_ATTEMPTS = 20
+DRAIN_POLL_INTERVAL_S = 0.05
 
 
 class Dispatcher:
@@ -30,6 +31,7 @@
     __slots__ = (
         'open_requests',
         'is_stopping',
+        '_is_drained',
         '_cfg',
         '_clock',
         '_config_manager',
@@ -68,6 +70,17 @@
         self._retry_budgets = {}
         self.open_requests = 0
         self.is_stopping = False
+        self._is_drained = False
+
+    def drain(self, timeout_ms):
+        """Wait until no request is open, then refuse all later ones.
+
+        Requests that are still open after `timeout_ms` go on.
+        """
+        deadline = self._clock.now() + timeout_ms
+        while self.open_requests and self._clock.now() < deadline:
+            gevent.sleep(DRAIN_POLL_INTERVAL_S)
+        self._is_drained = True
 
     def serve(self, req, offered=False):
         """Yield the events of one request: Pieces, then an End or a Refusal.
@@ -80,6 +93,11 @@
         state = request_state.RequestState(
             req, self._clock.now() + req.deadline_ms
         )
+        if self._is_drained:
+            yield state.make_refusal(
+                Reason.LEAVING, 'this router is about to end'
+            )
+            return
         self.open_requests += 1
         limit = None
         try:
--- a/galenaspoke/router/main.py
+++ b/galenaspoke/router/main.py
@@ -36,7 +36,6 @@
 EXPIRY_INTERVAL_MS = 5000
 RECOVERY_INTERVAL_MS = 1000
 ORPHAN_CHECK_INTERVAL_MS = 30_000
-STOP_POLL_INTERVAL_S = 0.05
 # How long a load balancer may take to notice that this router is not ready.
 UNREADY_WAIT_S = 0.5
 
@@ -208,9 +207,7 @@
         )
         gevent.sleep(UNREADY_WAIT_S)
         self.http_server.stop_accepting()
-        deadline = self.clock.now() + self.cfg.stop_ms
-        while self.dispatcher.open_requests and self.clock.now() < deadline:
-            gevent.sleep(STOP_POLL_INTERVAL_S)
+        self.dispatcher.drain(self.cfg.stop_ms)
         self.unsettled.settle()
         self._close_grants()
         self.http_server.stop(timeout=1)
