Relay: writes under way are answered before the process ends

What callers saw: nothing of their own, found by reading; a router whose write a stopping relay, or another stopping router, had passed on to the store got no response, and had to find out first what had become of it.

Cause: a relay's process ended at SIGTERM, in the middle of the calls that it relayed.

Evidence: RelayProcessTest failed before (the process had ended while the write was under way).

Now: a stopping relay refuses new calls (503, which says that they had no effect, so the router takes its next path), and waits for the writes, 0.8 s at most, as long as their senders wait. A router does the same last of all, 0.2 s at most. Reads and watches are cut: their senders repeat them.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -48,6 +48,8 @@
 GRACE_MARGIN_MS = 700
 # How long callers get to read the responses to requests that are abandoned.
 ABANDON_TIMEOUT_MS = 200
+# How long writes that are relayed for other routers get to be answered.
+RELAYED_CALLS_TIMEOUT_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
 
 
@@ -71,6 +73,7 @@
             self.clock,
             self.journal,
         )
+        self._relayed_calls = store_paths.RelayedCalls()
         self._feeds = feeds.Feeds(
             cfg.name, self.clock, lambda: self._members.get_router_count()
         )
@@ -186,7 +189,7 @@
 
     def _serve_peers(self):
         relay_app = store_paths.make_relay_app(
-            self._paths, (platform_store.ERA_HEADER,)
+            self._paths, (platform_store.ERA_HEADER,), self._relayed_calls
         )
         lending_app = loan_protocol.make_lending_app(self.budget_manager)
 
@@ -278,6 +281,7 @@
         self._abandon_open_requests()
         self.budget_manager.close()
         self._members.unregister()
+        self._relayed_calls.close(RELAYED_CALLS_TIMEOUT_S)
         self.journal.note(
             'stopped',
             open=self.request_handler.open_request_count,
--- a/galenaspoke/edge/relay_main.py
+++ b/galenaspoke/edge/relay_main.py
@@ -23,6 +23,9 @@
 from galenaspoke.store import paths as store_paths
 from galenaspoke.store import relays
 
+# How long a stop waits for writes, whose senders don't wait much longer.
+STOP_TIMEOUT_S = platform_store.CALL_TIMEOUT_S
+
 
 def serve(cfg):
     """Relay calls until a signal requests the shutdown."""
@@ -40,20 +43,23 @@
     # the process.
     gevent.signal_handler(signal.SIGHUP, journal.note, 'reload')
     address = edge_settings.split_address(cfg.peer_listen)
-    pywsgi.WSGIServer(address, _make_app(paths), log=None).start()
+    calls = store_paths.RelayedCalls()
+    application = _make_app(paths, calls)
+    pywsgi.WSGIServer(address, application, log=None).start()
     # This process is dedicated: it serves no callers.
     gevent.spawn(
         relay_discovery.run, cfg, store, paths, journal, is_dedicated=True
     )
     journal.note('start', name=cfg.name, listen=cfg.peer_listen)
     stopping.wait()
+    calls.close(STOP_TIMEOUT_S)
     journal.note('stopped')
 
 
-def _make_app(paths):
+def _make_app(paths, calls):
     """Return the application that relays calls and shares watches."""
     headers = (platform_store.ERA_HEADER,)
-    relay_app = store_paths.make_relay_app(paths, headers)
+    relay_app = store_paths.make_relay_app(paths, headers, calls)
     feed_app = feeds.make_feed_app(paths.call_direct, headers)
 
     def application(environ, start_response):
--- a/galenaspoke/store/paths.py
+++ b/galenaspoke/store/paths.py
@@ -38,6 +38,7 @@
 # Must exceed the longest call that is relayed, a watch of
 # `edge.watchers.WATCH_WAIT_MS`.
 RELAYED_CALL_TIMEOUT_S = 31.0
+STOP_POLL_INTERVAL_S = 0.02
 
 
 class StorePath:
@@ -246,19 +247,61 @@
         self._journal.note('store.path_regained', after_ms=after_ms)
 
 
-def make_relay_app(paths, relayed_headers):
+class RelayedCalls:
+    """The calls that a process relays for others, until it shuts down."""
+
+    __slots__ = ('_is_closed', '_write_count')
+
+    def __init__(self):
+        self._is_closed = False
+        # How many writes are under way.
+        self._write_count = 0
+
+    def run(self, call, method, url_path, body):
+        """Return what `call` returns for the other arguments.
+
+        Raises NotSent, in addition to the exceptions of `call`, if the process
+        shuts down.
+        """
+        if self._is_closed:
+            raise connections.NotSent('this relay is shutting down')
+        if method == 'GET':
+            return call(method, url_path, body)
+        self._write_count += 1
+        try:
+            return call(method, url_path, body)
+        finally:
+            self._write_count -= 1
+
+    def close(self, timeout_s):
+        """Refuse new calls, and wait until the writes are answered.
+
+        Reads are not waited for, as those who sent them repeat them.
+        """
+        self._is_closed = True
+        with gevent.Timeout(timeout_s, False):
+            while self._write_count:
+                gevent.sleep(STOP_POLL_INTERVAL_S)
+
+
+def make_relay_app(paths, relayed_headers, calls=None):
     """Return a WSGI application that relays calls to the store.
 
     It answers 503 to a call that certainly had no effect, and 504 to one that
     may have taken effect.  Of the store's response headers it passes on those
-    named in `relayed_headers`, in lower case.
+    named in `relayed_headers`, in lower case.  `calls` are the RelayedCalls
+    of the process.
     """
+    calls = calls or RelayedCalls()
 
-    def call(method, url_path, body):
+    def call_store(method, url_path, body):
         return paths.call_direct(
             method, url_path, body, RELAYED_CALL_TIMEOUT_S
         )
 
+    def call(method, url_path, body):
+        return calls.run(call_store, method, url_path, body)
+
     return make_call_app(RELAY_PREFIX, call, relayed_headers)
 
 
--- a/tests/edge/test_store_partition.py
+++ b/tests/edge/test_store_partition.py
@@ -4,9 +4,16 @@
 sent a second time.
 """
 
+import signal
 import types
 import unittest
+from unittest import mock
 
+import gevent
+from gevent import event
+from gevent import pywsgi
+
+from galenaspoke.edge import relay_main
 from galenaspoke.http import connections
 from galenaspoke.store import base as store_base
 from galenaspoke.store import paths
@@ -133,6 +140,129 @@
         )
 
 
+class RelayShutdownTest(unittest.TestCase):
+    """A relay that stops while it relays calls."""
+
+    def setUp(self):
+        self.may_finish = event.Event()
+        direct = types.SimpleNamespace(call_direct=self.call_store)
+        self.calls = paths.RelayedCalls()
+        self.app = paths.make_relay_app(direct, (), self.calls)
+        self.sent = []
+
+    def call_store(self, method, *_):
+        """Answer once `may_finish` is set."""
+        self.sent.append(method)
+        self.may_finish.wait()
+        return FakePath('s:1', 200).call(method, '', b'', 1)
+
+    def relay(self, method):
+        """Relay a call; return the status of the response."""
+        statuses = []
+        environ = {
+            'PATH_INFO': '/store/objects/ledger/0000',
+            'QUERY_STRING': '',
+            'REQUEST_METHOD': method,
+            'wsgi.input': types.SimpleNamespace(read=lambda: b'{}'),
+        }
+        self.app(environ, lambda status, _: statuses.append(status))
+        return statuses[0].split()[0]
+
+    # Guards against writes whose responses are lost, so that a router doesn't
+    # know its tokens, because the relay's process ends.
+    def test_writes_under_way_are_answered(self):
+        write = gevent.spawn(self.relay, 'PUT')
+        base.wait_until(lambda: self.sent)
+        shutdown = gevent.spawn(self.calls.close, timeout_s=30)
+        base.settle()
+        self.assertFalse(shutdown.ready())
+        self.may_finish.set()
+        shutdown.join()
+        self.assertTrue(write.ready())
+        self.assertEqual('200', write.get())
+
+    def test_reads_are_not_waited_for(self):
+        read = gevent.spawn(self.relay, 'GET')
+        base.wait_until(lambda: self.sent)
+        self.calls.close(timeout_s=30)
+        self.assertFalse(read.ready())
+        self.may_finish.set()
+        read.join()
+
+    # Guards against calls that are passed on after the last one was answered.
+    def test_later_calls_are_refused(self):
+        self.calls.close(timeout_s=0)
+        self.assertEqual('503', self.relay('PUT'))
+        self.assertEqual([], self.sent)
+
+
+class RelayProcessTest(unittest.TestCase):
+    """A relay's process, run as a task, and a store that is slow."""
+
+    def setUp(self):
+        self.may_finish = event.Event()
+        self.writes = []
+        self.store = pywsgi.WSGIServer(
+            ('127.0.0.1', 0), self.serve_store, log=None
+        )
+        self.store.start()
+        self.addCleanup(self.store.stop)
+        self.signal_handlers = {}
+        self.servers = []
+        self.patch(gevent, 'signal_handler', self.set_signal_handler)
+        self.patch(relay_main.pywsgi, 'WSGIServer', self.make_server)
+        self.patch(relay_main.relay_discovery, 'run', mock.Mock())
+
+    def patch(self, module, name, value):
+        """Replace a module's attribute until the end of the test."""
+        patcher = mock.patch.object(module, name, value)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def set_signal_handler(self, signal_number, handler, *_):
+        """Keep a signal's handler, for the test to call."""
+        self.signal_handlers[signal_number] = handler
+
+    def make_server(self, *args, make=pywsgi.WSGIServer, **options):
+        """Make the relay's server; keep it in `servers`."""
+        self.servers.append(make(*args, **options))
+        self.addCleanup(self.servers[-1].stop)
+        return self.servers[-1]
+
+    def serve_store(self, environ, start_response):
+        """Answer once `may_finish` is set."""
+        self.writes.append(environ['wsgi.input'].read())
+        self.may_finish.wait()
+        start_response('200 OK', [('Content-Length', '0')])
+        return [b'']
+
+    def run_relay(self):
+        """Return the task of a relay and a path to the store over it."""
+        cfg = base.make_edge_settings(
+            store=f'127.0.0.1:{self.store.server_port}',
+            peer_listen='127.0.0.1:0',
+        )
+        task = gevent.spawn(relay_main.serve, cfg)
+        base.wait_until(lambda: self.servers and self.servers[0].started)
+        address = f'127.0.0.1:{self.servers[0].server_port}'
+        return task, paths.StorePath(address, paths.RELAY_PREFIX)
+
+    # Guards against writes whose responses are lost, so that a router doesn't
+    # know what tokens it has, because a relay's process ends.
+    def test_writes_under_way_are_answered_before_the_process_ends(self):
+        process, path = self.run_relay()
+        write = gevent.spawn(path.call, 'PUT', '/objects/a/b', b'{}', 30)
+        base.wait_until(lambda: self.writes)
+        self.patch(relay_main, 'STOP_TIMEOUT_S', 30)
+        self.patch(relay_main, 'STOP_TIMEOUT_S', 30)
+        self.signal_handlers[signal.SIGTERM]()
+        base.settle()
+        self.assertFalse(process.ready())
+        self.may_finish.set()
+        process.join()
+        self.assertEqual(200, write.get().status)
+
+
 class RelayListTest(unittest.TestCase):
     """The list of relays in the store."""
 
