Relay: calls that come during its stop are not refused

Cause: a router takes a refused path for failed, and gives up all of its calls on it. So a read that the relay refused cut off the write of the same router that the relay was waiting for.

Evidence: with a read beside the write, RelayProcessTest failed before (the read got 503, and the write ended with OutcomeUnknown).

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -281,7 +281,7 @@
         self._abandon_open_requests()
         self.budget_manager.close()
         self._members.unregister()
-        self._relayed_calls.close(RELAYED_CALLS_TIMEOUT_S)
+        self._relayed_calls.wait_for_writes(RELAYED_CALLS_TIMEOUT_S)
         self.journal.note(
             'stopped',
             open=self.request_handler.open_request_count,
--- a/galenaspoke/edge/relay_main.py
+++ b/galenaspoke/edge/relay_main.py
@@ -52,7 +52,7 @@
     )
     journal.note('start', name=cfg.name, listen=cfg.peer_listen)
     stopping.wait()
-    calls.close(STOP_TIMEOUT_S)
+    calls.wait_for_writes(STOP_TIMEOUT_S)
     journal.note('stopped')
 
 
--- a/galenaspoke/store/paths.py
+++ b/galenaspoke/store/paths.py
@@ -248,23 +248,16 @@
 
 
 class RelayedCalls:
-    """The calls that a process relays for others, until it shuts down."""
+    """The calls that a process relays for others."""
 
-    __slots__ = ('_is_closed', '_write_count')
+    __slots__ = ('_write_count',)
 
     def __init__(self):
-        self._is_closed = False
         # How many writes are under way.
         self._write_count = 0
 
     def run(self, call, method, url_path, body):
-        """Return what `call` returns for the other arguments.
-
-        Raises NotSent, in addition to the exceptions of `call`, if the process
-        shuts down.
-        """
-        if self._is_closed:
-            raise connections.NotSent('this relay is shutting down')
+        """Return what `call` returns for the other arguments."""
         if method == 'GET':
             return call(method, url_path, body)
         self._write_count += 1
@@ -273,12 +266,13 @@
         finally:
             self._write_count -= 1
 
-    def close(self, timeout_s):
-        """Refuse new calls, and wait until the writes are answered.
+    def wait_for_writes(self, timeout_s):
+        """Wait until no write is under way, before the process ends.
 
-        Reads are not waited for, as those who sent them repeat them.
+        Reads are not waited for, as those who sent them repeat them.  Calls
+        that come meanwhile are not refused: a router would take the path for
+        failed, and give up its own writes on it.
         """
-        self._is_closed = True
         with gevent.Timeout(timeout_s, False):
             while self._write_count:
                 gevent.sleep(STOP_POLL_INTERVAL_S)
