Agent: a run that another agent cut off is not adopted as running

What callers saw: nothing, found by reading; if an agent stops with runs that outlast stop_ms, those who ask its successor for one wait for ever, and the successor counts it as load and waits for it in its own stop.

Cause: the record was handed over with the run's state of that moment. Nobody ended the run at its new home, and a running one never expires.

Evidence: test_run_that_its_agent_cut_off_is_not_adopted_as_running failed before (the adopted run was among the running ones).

Now: the new home takes it as ended with an unknown outcome, and says that it may have run.

--- a/galenaspoke/agent/service.py
+++ b/galenaspoke/agent/service.py
@@ -393,9 +393,7 @@
             )
             if handed.state is None:
                 continue
-            run = run_table.Run(handed.key, handed.attempt, handed.state)
-            run.add(handed.pieces)
-            run.refusal = handed.refusal
+            run = _make_handed_run(handed)
             run.finish(self._clock.now())
             self._runs.adopt(run)
         return messages.HandOverReply(rejected)
@@ -415,6 +413,24 @@
         return messages.Empty()
 
 
+def _make_handed_run(handed):
+    """Return the run of a record that another agent hands over.
+
+    A run that goes on is cut off by the end of that agent's process.
+    """
+    run = run_table.Run(handed.key, handed.attempt, handed.state)
+    run.add(handed.pieces)
+    run.refusal = handed.refusal
+    if run.state is run_table.RunState.RUNNING:
+        run.state = run_table.RunState.UNKNOWN
+        run.refusal = verdicts.may_have_run(
+            verdicts.Reason.LEAVING,
+            'the agent stopped before the end of the run',
+            _LEAVING_RETRY_MS,
+        )
+    return run
+
+
 def _make_final_event(run):
     """Return the event that ends the stream of a finished run."""
     if run.state is run_table.RunState.FENCED:
--- a/tests/agent/test_service.py
+++ b/tests/agent/test_service.py
@@ -248,3 +248,28 @@
         self.assertIs(verdicts.Verdict.NOT_RUN, event.verdict)
         self.assertEqual([], self.runs.running())
         self.assertEqual([], claims.keys)
+
+    def test_run_that_its_agent_cut_off_is_not_adopted_as_running(self):
+        """The run has ended, with an unknown outcome.
+
+        Else it would count as load of the new home, whose own stop would wait
+        for its end.
+        """
+        handed = messages.Handed(
+            'k',
+            'd',
+            'k',
+            1,
+            'pool-1.xyz',
+            True,
+            state=run_table.RunState.RUNNING,
+            pieces=['a'],
+        )
+        self.service.hand_over(
+            messages.HandOver('abc', 'pool-1.xyz', [handed])
+        )
+        self.assertEqual([], self.runs.running())
+        *_, end = self.service.submit(self.make_submit())
+        self.assertFalse(end.whole)
+        self.assertIs(verdicts.Reason.LEAVING, end.refusal.reason)
+        self.assertIs(verdicts.Verdict.MAY_HAVE_RUN, end.refusal.verdict)
