--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -15,7 +15,6 @@
 from galenaspoke.edge import caller_connections
 from galenaspoke.edge import eras as edge_eras
 from galenaspoke.edge import journal as journals
-from galenaspoke.edge import listening
 from galenaspoke.edge import loan_protocol
 from galenaspoke.edge import members as edge_members
 from galenaspoke.edge import metrics as edge_metrics
@@ -28,6 +27,7 @@
 from galenaspoke.edge import suspect_sharing
 from galenaspoke.edge import views
 from galenaspoke.edge import watchers
+from galenaspoke.http import listening
 from galenaspoke.http import messages
 from galenaspoke.platform import configuration
 from galenaspoke.platform import headers
@@ -47,6 +47,10 @@
 ACCEPT_ALL_MS = 2_800
 # The process abandons open requests this long before its grace period ends.
 GRACE_MARGIN_MS = 700
+# How long callers get to read the responses to requests that are abandoned.
+ABANDON_TIMEOUT_MS = 200
+# How long writes that are relayed for other routers get to be answered.
+RELAYED_CALLS_TIMEOUT_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
 
 
@@ -70,6 +74,7 @@
             self.clock,
             self.journal,
         )
+        self._relayed_calls = store_paths.RelayedCalls()
         self._feeds = feeds.Feeds(
             cfg.name, self.clock, lambda: self._members.get_router_count()
         )
@@ -186,7 +191,7 @@
 
     def _serve_peers(self):
         relay_app = store_paths.make_relay_app(
-            self._paths, (platform_store.ERA_HEADER,)
+            self._paths, (platform_store.ERA_HEADER,), self._relayed_calls
         )
         lending_app = loan_protocol.make_lending_app(self.budget_manager)
 
@@ -264,7 +269,8 @@
         """Shut down gracefully; return the exit code.
 
         Open requests get until GRACE_MARGIN_MS before the end of the grace
-        period; then unspent prepaid tokens are returned.
+        period.  Those left then are refused, and unspent prepaid tokens are
+        returned.
         """
         started_at = self.clock.now()
         self._stopping.set()
@@ -275,10 +281,11 @@
         self._close_idle_connections()
         self._wait_until(deadline, lambda: not self._connections)
         listening.finish_accepting(self._server)
-        gevent.sleep(0)
         self._wait_until(deadline, lambda: not self._connections)
+        self._abandon_open_requests()
         self.budget_manager.close()
         self._members.unregister()
+        self._relayed_calls.wait_for_writes(RELAYED_CALLS_TIMEOUT_S)
         self.journal.note(
             'stopped',
             open=self.request_handler.open_request_count,
@@ -293,6 +300,17 @@
             'stop.idle_closed', closed=closed, busy=len(callers) - closed
         )
 
+    def _abandon_open_requests(self):
+        """Answer the requests that are still open; accept no more."""
+        self.admission.begin_shutdown(-math.inf, -math.inf)
+        self.request_handler.abandon_open_requests()
+        gevent.sleep(0)
+        # Callers that read slowly.
+        self._wait_until(
+            self.clock.now() + ABANDON_TIMEOUT_MS,
+            lambda: not self.request_handler.open_request_count,
+        )
+
     def _wait_until(self, deadline, is_done):
         while self.clock.now() < deadline and not is_done():
             gevent.sleep(STOP_POLL_INTERVAL_S)
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -50,6 +50,10 @@
     """The request's deadline has passed."""
 
 
+class _Abandoned(Exception):
+    """The process is about to end."""
+
+
 class RequestHandler:
     """Handles the requests that one router receives."""
 
@@ -69,6 +73,7 @@
         '_responder',
         '_crash_checker',
         '_isolations',
+        '_undecided_tasks',
     )
 
     def __init__(
@@ -108,6 +113,8 @@
         self._isolations = collections.defaultdict(
             long_prompts.LongPromptIsolation
         )
+        # The tasks of the requests whose result isn't known yet.
+        self._undecided_tasks = set()
 
     def handle(self, req, caller):
         """Handle one request until it is answered or abandoned.
@@ -116,7 +123,7 @@
         """
         self.open_request_count += 1
         caller.has_active_request = True
-        caller.keep_alive = req.keep_alive and not self._admission.is_stopping
+        caller.keep_alive = req.keep_alive and not self._must_close(caller)
         try:
             with caller.cancel_on_disconnect():
                 self._handle(req, caller)
@@ -126,11 +133,15 @@
 
     def _handle(self, req, caller):
         context = None
+        task = gevent.getcurrent()
+        self._undecided_tasks.add(task)
         try:
             result = self._admission.admit(req)
             if isinstance(result, request_context.RequestContext):
                 context = result
                 result = self._reserve_and_run(context, caller)
+        except _Abandoned:
+            result = refusals.from_shutdown(context)
         except messages.BadRequest as exc:
             result = outcomes.Refusal(
                 exc.status, outcomes.Reason.BAD_REQUEST, str(exc)
@@ -138,10 +149,31 @@
         except caller_connections.CallerDisconnected as exc:
             self._responder.log_disconnect(req, context, str(exc))
             raise
-        if self._admission.is_stopping:
+        finally:
+            self._undecided_tasks.discard(task)
+        if self._must_close(caller):
             caller.keep_alive = False
         self._responder.finish(req, context, caller, result)
 
+    def abandon_open_requests(self):
+        """Make all requests whose result isn't known yet end with a refusal.
+
+        Tasks can only be interrupted from the event loop, so that happens
+        once the calling task waits.
+        """
+        gevent.get_hub().loop.run_callback(self._interrupt_undecided)
+
+    def _interrupt_undecided(self):
+        for task in list(self._undecided_tasks):
+            task.throw(_Abandoned())
+
+    def _must_close(self, caller):
+        """Return whether the connection ends with the current response.
+
+        It stays open for requests that have been read already.
+        """
+        return self._admission.is_stopping and not caller.has_queued_request()
+
     # Budgets.
 
     def _reserve_and_run(self, context, caller):
--- a/galenaspoke/router/main.py
+++ b/galenaspoke/router/main.py
@@ -14,6 +14,7 @@
 from galenaspoke.core import clock as clocks  # noqa: E402
 from galenaspoke.core import routing  # noqa: E402
 from galenaspoke.fleet import config_manager  # noqa: E402
+from galenaspoke.http import listening  # noqa: E402
 from galenaspoke.router import attempt_executor  # noqa: E402
 from galenaspoke.router import dispatch  # noqa: E402
 from galenaspoke.router import grant_manager as grant_managers  # noqa: E402
@@ -36,7 +37,6 @@
 EXPIRY_INTERVAL_MS = 5000
 RECOVERY_INTERVAL_MS = 1000
 ORPHAN_CHECK_INTERVAL_MS = 30_000
-STOP_POLL_INTERVAL_S = 0.05
 # How long a load balancer may take to notice that this router is not ready.
 UNREADY_WAIT_S = 0.5
 
@@ -207,13 +207,10 @@
             'stopping with %d open requests', self.dispatcher.open_requests
         )
         gevent.sleep(UNREADY_WAIT_S)
-        self.http_server.stop_accepting()
-        deadline = self.clock.now() + self.cfg.stop_ms
-        while self.dispatcher.open_requests and self.clock.now() < deadline:
-            gevent.sleep(STOP_POLL_INTERVAL_S)
+        listening.finish_accepting(self.http_server)
+        self.dispatcher.drain(self.cfg.stop_ms)
         self.unsettled.settle()
         self._close_grants()
-        self.http_server.stop(timeout=1)
         self.rpc_server.stop()
         logging.info('stopped')
         return daemon.EXIT_OK
--- a/tests/edge/test_rolling_restart.py
+++ b/tests/edge/test_rolling_restart.py
@@ -14,38 +14,14 @@
 from galenaspoke.core import catalog
 from galenaspoke.core import clock
 from galenaspoke.edge import caller_connections
-from galenaspoke.edge import listening
 from galenaspoke.edge import main
+from galenaspoke.http import listening
 from tests.edge import base
 from tests.edge import handlers
 
 RAW_REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 
 
-class BacklogTest(unittest.TestCase):
-    """Connections that were made but not accepted when the router stops."""
-
-    def test_their_requests_are_answered(self):
-        def handle(sock, _):
-            sock.recv(100)
-            sock.sendall(b'answer')
-
-        server = listening.serve('127.0.0.1', 0, handle)
-        server.stop_accepting()
-        remotes = [
-            socket.create_connection(('127.0.0.1', server.server_port))
-            for _ in range(3)
-        ]
-        for remote in remotes:
-            remote.sendall(b'request')
-        listening.finish_accepting(server)
-        for remote in remotes:
-            self.assertEqual(b'answer', remote.recv(100))
-            remote.close()
-        with self.assertRaises(OSError):
-            socket.create_connection(('127.0.0.1', server.server_port))
-
-
 class CallerConnectionTest(unittest.TestCase):
     """A caller's connection while the router shuts down."""
 
@@ -137,6 +113,10 @@
 
     IDLE_COUNT = 200
     BUSY_COUNT = 20
+    REQUEST = (
+        b'POST /a/x HTTP/1.1\r\nHost: desk\r\nX-Request-Id: %s\r\n'
+        b'Content-Length: 0\r\n\r\n' % handlers.REQUEST_ID
+    )
 
     def setUp(self):
         # The event loop polls for bytes after each batch of greenlets, as it
@@ -183,10 +163,7 @@
     def send(self, remotes):
         """Send a request on each connection."""
         for remote in remotes:
-            remote.sendall(
-                b'POST /a/x HTTP/1.1\r\nHost: desk\r\nX-Request-Id: %s\r\n'
-                b'Content-Length: 0\r\n\r\n' % handlers.REQUEST_ID
-            )
+            remote.sendall(self.REQUEST)
 
     def count_answers(self, remotes):
         """Return how many connections carry a whole response."""
@@ -222,3 +199,72 @@
             remote.close()
         self.assertEqual(self.BUSY_COUNT, answered)
         self.assertEqual(self.BUSY_COUNT, len(self.started))
+
+    def stop_without_grace(self):
+        """Stop the router, which has no time left for its open requests."""
+        self.router.cfg = base.make_edge_settings(
+            grace_ms=main.GRACE_MARGIN_MS
+        )
+        with mock.patch.object(main, 'BALANCER_DELAY_MS', 0):
+            self.assertEqual(main.EXIT_OK, self.router.stop())
+
+    def take_sent(self, remote):
+        """Return what the router had sent when its process ended."""
+        received = remote._sock.recv(65_536)
+        remote.close()
+        return received
+
+    # Guards against requests that are cut off by the end of the process, since
+    # their target is silent until the grace period is over.
+    def test_open_requests_are_answered_before_the_process_ends(self):
+        remotes = self.connect(self.BUSY_COUNT)
+        self.send(remotes)
+        base.wait_until(lambda: len(self.started) == self.BUSY_COUNT)
+        self.stop_without_grace()
+        for remote in remotes:
+            response = self.take_sent(remote)
+            self.assertTrue(response.startswith(b'HTTP/1.1 504'), response)
+            self.assertIn(b'Connection: close', response)
+
+    # Guards against the same for requests that no target has seen.
+    def test_waiting_requests_are_refused_before_the_process_ends(self):
+        (remote,) = self.connect(1)
+        confirm = mock.Mock(side_effect=self.may_finish.wait)
+        self.desk.config_view.confirm = confirm
+        remote.sendall(self.REQUEST.replace(b'/a/', b'/unknown/'))
+        base.wait_until(lambda: confirm.called)
+        self.stop_without_grace()
+        response = self.take_sent(remote)
+        self.assertTrue(response.startswith(b'HTTP/1.1 503'), response)
+        self.assertIn(b'Retry-After', response)
+
+    # Guards against a request that began to arrive early in the shutdown, is
+    # whole only at its end, and is then sent to a target and cut off.
+    def test_no_request_is_sent_on_at_the_end_of_the_grace_period(self):
+        (remote,) = self.connect(1)
+        remote.sendall(self.REQUEST[:20])
+        (caller,) = self.router._connections
+        base.wait_until(lambda: not caller.is_idle())
+
+        def finish_request():
+            remote.sendall(self.REQUEST[20:])
+            base.wait_until(lambda: not self.router._connections)
+
+        self.router.budget_manager.close = finish_request
+        self.stop_without_grace()
+        response = self.take_sent(remote)
+        self.assertTrue(response.startswith(b'HTTP/1.1 503'), response)
+        self.assertEqual([], self.started)
+
+    # Guards against a request that has been read together with the one before
+    # it, and ends without a response since the connection closes after that.
+    def test_requests_that_were_read_together_are_answered(self):
+        (remote,) = self.connect(1)
+        self.router.admission.begin_shutdown(float('inf'), float('inf'))
+        self.may_finish.set()
+        remote.sendall(2 * self.REQUEST)
+        received = b''.join(iter(lambda: remote.recv(65_536), b''))
+        remote.close()
+        self.assertEqual(2, received.count(b'\r\n\r\nok'))
+        self.assertEqual(1, received.count(b'Connection: close'))
+        self.assertEqual(2, len(self.started))
