Trial: refused callers return when the stopping router has been replaced

What callers saw: all routers get SIGTERM within 3 s. From 2.8 s after it each refuses requests whose deadline is after its end.

Cause: the caller retries once, after 150 to 450 ms, at another router that is stopping too. A request reaches a router so late only if the balancer has no better one, as idle connections are closed before.

Change: retry-after leads to the time when this router is back (end of its grace period, 1 s, spread over 1 s), at most 0.32 of the time that is left.

Telling the other routers: while all refuse nobody is left to be told.

--- /dev/null
+++ b/galenaspoke/edge/shutdown.py
@@ -0,0 +1,56 @@
+"""Which requests a router takes while it shuts down, and when others retry.
+
+Example::
+
+    shutdown_ = shutdown.Shutdown(accept_until=2_800, finish_by=7_300)
+    shutdown_.may_outlast(arrived_at=3_000, deadline=15_000)      # True
+    shutdown_.choose_retry_after_ms(now=3_000, deadline=15_000)   # 3_456 to
+                                                                  # 3_840
+"""
+
+from galenaspoke.edge import outcomes
+
+# From the end of the process until its successor gets callers again.
+RESTART_MS = 1_000
+# The callers that wait for the successor are spread out over this time.
+RETURN_SPREAD_MS = 1_000
+# A caller waits at most this share of its remaining time before it retries,
+# and those that wait that long are spread out over the last part of the wait.
+MAX_WAIT_SHARE = 0.32
+MIN_SHARE_OF_MAX_WAIT = 0.9
+
+
+class Shutdown:
+    """The times of one router's shutdown, in ms of the clock.
+
+    Every request that arrives by `accept_until` is accepted, and later ones
+    only if their deadline is no later than `finish_by`, the time at which
+    requests that are still open are abandoned.
+    """
+
+    __slots__ = ('_accept_until', '_finish_by')
+
+    def __init__(self, accept_until, finish_by):
+        self._accept_until = accept_until
+        self._finish_by = finish_by
+
+    def may_outlast(self, arrived_at, deadline):
+        """Return whether a request may still run after the process's end."""
+        return arrived_at > self._accept_until and deadline > self._finish_by
+
+    def choose_retry_after_ms(self, now, deadline):
+        """Return when the caller of a refused request should retry, in ms.
+
+        Load balancers have taken this router out by `accept_until`, so a
+        request that still gets here shows that most routers near the caller
+        are stopping too.  A retry at once would meet one of these.  The caller
+        is sent back when this router has been replaced at the latest, or as
+        late as it would wait.
+        """
+        until_replaced_ms = self._finish_by + RESTART_MS - now
+        max_wait_ms = MAX_WAIT_SHARE * (deadline - now)
+        earliest_ms = min(
+            until_replaced_ms, MIN_SHARE_OF_MAX_WAIT * max_wait_ms
+        )
+        latest_ms = min(until_replaced_ms + RETURN_SPREAD_MS, max_wait_ms)
+        return outcomes.random_delay_ms((earliest_ms, latest_ms))
