--- a/galenaspoke/edge/shutdown.py
+++ b/galenaspoke/edge/shutdown.py
@@ -13,11 +13,11 @@
 # From the end of the process until its successor gets callers again.
 RESTART_MS = 1_000
 # The callers that wait for the successor are spread out over this time.
-RETURN_SPREAD_MS = 1_000
+RETURN_SPREAD_MS = 3_000
 # A caller waits at most this share of its remaining time before it retries,
 # and those that wait that long are spread out over the last part of the wait.
 MAX_WAIT_SHARE = 0.32
-MIN_SHARE_OF_MAX_WAIT = 0.9
+MIN_SHARE_OF_MAX_WAIT = 0.6
 
 
 class Shutdown:
