--- a/galenaspoke/edge/shutdown.py
+++ b/galenaspoke/edge/shutdown.py
@@ -4,20 +4,15 @@
 
     shutdown_ = shutdown.Shutdown(accept_until=2_800, finish_by=7_300)
     shutdown_.may_outlast(arrived_at=3_000, deadline=15_000)      # True
-    shutdown_.choose_retry_after_ms(now=3_000, deadline=15_000)   # 3_456 to
+    shutdown_.choose_retry_after_ms(now=3_000, deadline=15_000)   # 150 to
                                                                   # 3_840
 """
 
 from galenaspoke.edge import outcomes
 
-# From the end of the process until its successor gets callers again.
-RESTART_MS = 1_000
-# The callers that wait for the successor are spread out over this time.
-RETURN_SPREAD_MS = 3_000
-# A caller waits at most this share of its remaining time before it retries,
-# and those that wait that long are spread out over the last part of the wait.
+MIN_WAIT_MS = 150
+# A caller waits at most this share of its remaining time before it retries.
 MAX_WAIT_SHARE = 0.32
-MIN_SHARE_OF_MAX_WAIT = 0.6
 
 
 class Shutdown:
@@ -43,14 +38,9 @@
 
         Load balancers have taken this router out by `accept_until`, so a
         request that still gets here shows that most routers near the caller
-        are stopping too.  A retry at once would meet one of these.  The caller
-        is sent back when this router has been replaced at the latest, or as
-        late as it would wait.
+        are stopping too.  Retries at once would meet one of these, and if all
+        came at one time later they would overload the first that is back, so
+        they are spread out over all the time that the caller would wait.
         """
-        until_replaced_ms = self._finish_by + RESTART_MS - now
-        max_wait_ms = MAX_WAIT_SHARE * (deadline - now)
-        earliest_ms = min(
-            until_replaced_ms, MIN_SHARE_OF_MAX_WAIT * max_wait_ms
-        )
-        latest_ms = min(until_replaced_ms + RETURN_SPREAD_MS, max_wait_ms)
-        return outcomes.random_delay_ms((earliest_ms, latest_ms))
+        latest_ms = max(MIN_WAIT_MS, MAX_WAIT_SHARE * (deadline - now))
+        return outcomes.random_delay_ms((MIN_WAIT_MS, latest_ms))
