Store: an update that ends after a lost response says it is unresolved

Callers saw: galenaspoke-ctl ended with 3 (nothing changed) although its first write, whose response was lost, could still take effect.

Cause: base.update kept WriteUnresolved for a failed read; a write that the store refused (429, 503) after an earlier one of unknown outcome raised a plain StoreUnavailable.

Ruled out, by reading: Conflict is followed by a read; EraChanged means that nothing that anyone reads has changed.

Evidence: test_refused_retry_after_late_write failed before with StoreUnavailable('down'); tests/store passes. WriteUnresolved is a StoreUnavailable, so callers that catch that are as before.

--- a/galenaspoke/store/base.py
+++ b/galenaspoke/store/base.py
@@ -120,6 +120,10 @@
             is_retry = is_unresolved = True
         except Conflict:
             is_retry = True
+        except StoreUnavailable as exc:
+            if is_unresolved:
+                raise WriteUnresolved(str(exc)) from exc
+            raise
 
 
 class _Unchanged:
--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -65,6 +65,18 @@
         self.add('a', lambda counter: counter.last == 'a')
         self.assertEqual(2, self.get_value())
 
+    def test_refused_retry_after_late_write(self):
+        """A write whose response is lost may take effect after a retry failed.
+
+        The update said that nothing had changed if the store refused its
+        second write.
+        """
+        self.store.faults = ['late', 'down']
+        with self.assertRaises(client.WriteUnresolved):
+            self.add('a', lambda counter: counter.last == 'a')
+        self.store.put('other', 0, b'{}')
+        self.assertEqual(1, self.get_value())
+
     def test_failed_or_unchanged_update_writes_nothing(self):
         def change(_):
             raise KeyError('no')
