ctl: a publication whose response is lost is written until it stands

Callers saw: 'the write did not take effect' (exit 3, nothing changed) for a publication that took effect a moment later.

Cause: after a lost response publish() read the head once. If the old one was still in force it said that nothing had changed, but a write that was given up may still be on its way.

Mend: the write is repeated at the same version, which takes effect at most once; the publication's id tells ours from another. If the repetition is refused or the store can't be read, the outcome is unknown (exit 4).

Ruled out: top-up, lower, settle, forget; store.update repeats their writes at the version just read.

Tests: test_late_write_is_not_reported_as_without_effect and test_refused_retry_after_late_write failed before, both with StoreUnavailable('the write did not take effect'). test_dropped_write_is_not_counted_as_published demanded that very answer to one dropped write; the publisher can't tell a dropped write from a late one, so the answer was wrong. It now demands OutcomeUnknown and an unchanged document when the repetition fails as well; test_dropped_write_is_repeated demands one publication when it does not. tests/ctl passes.

--- a/galenaspoke/ctl/publishing.py
+++ b/galenaspoke/ctl/publishing.py
@@ -42,8 +42,8 @@
     `expected` is the generation that the change is based on, by default the
     one in force.  Raises DocumentInvalid, PublishConflict or StoreError.
     Raises OutcomeUnknown if the write conflicted or its response was lost, and
-    either the store can't be read then or a later generation hides whether the
-    write took effect.
+    either the store fails then or a later generation hides whether the write
+    took effect.
     """
     schema.parse(raw)
     item, head = read_head(store)
@@ -57,17 +57,45 @@
         msgspec.Raw(msgspec.json.encode(msgspec.json.decode(raw))),
     )
     try:
-        store.put(schema.HEAD_KEY, item.version, msgspec.json.encode(new_head))
-    except (store_client.Conflict, store_client.OutcomeUnknown):
-        _verify_published(store, new_head, head)
+        _write_head(store, item, new_head, head)
     except store_client.TooLarge as exc:
         problem = schema.Problem('document', 'size', str(exc))
         raise schema.DocumentInvalid([problem]) from exc
     return new_head
 
 
-def _verify_published(store, new_head, previous_head):
-    """Raise unless `new_head` took effect although its write failed."""
+def _write_head(store, item, new_head, previous_head):
+    """Write `new_head` in place of `item`, until it is known to stand.
+
+    A write whose response was lost may still be on its way, so it is repeated
+    at the same version, which takes effect at most once.
+    """
+    raw = msgspec.json.encode(new_head)
+    is_unresolved = False
+    while True:
+        try:
+            store.put(schema.HEAD_KEY, item.version, raw)
+            return
+        except store_client.OutcomeUnknown:
+            is_unresolved = True
+        except store_client.Conflict:
+            pass
+        except store_client.StoreUnavailable as exc:
+            if is_unresolved:
+                raise store_client.OutcomeUnknown(
+                    f'the write could not be repeated: {exc}'
+                ) from exc
+            raise
+        if _is_published(store, new_head, previous_head):
+            return
+
+
+def _is_published(store, new_head, previous_head):
+    """Return True if `new_head` is in force, False if the previous one is.
+
+    Raises PublishConflict if another publication is, and OutcomeUnknown if
+    that can't be told.
+    """
     try:
         _, stored_head = read_head(store)
     except store_client.StoreError as exc:
@@ -75,7 +103,7 @@
             f'the store could not be read after the write: {exc}'
         ) from exc
     if stored_head.publication == new_head.publication:
-        return
+        return True
     if stored_head.generation > new_head.generation:
         # The later generation was published on top of ours, or of another
         # operator's publication that took effect instead of ours.
@@ -84,7 +112,7 @@
             f' whether generation {new_head.generation} was yours'
         )
     if stored_head.generation == previous_head.generation:
-        raise store_client.StoreUnavailable('the write did not take effect')
+        return False
     raise _make_conflict(
         stored_head,
         f'generation {previous_head.generation}',
--- a/tests/ctl/test_publishing.py
+++ b/tests/ctl/test_publishing.py
@@ -66,9 +66,34 @@
         self.assertEqual(['a'], self.get_policy_names())
 
     def test_dropped_write_is_not_counted_as_published(self):
+        self.store.faults = ['dropped', 'down']
+        with self.assertRaises(store_client.OutcomeUnknown):
+            publishing.publish(self.store, make_document('a'), 'ana')
+        self.assertEqual([], self.get_policy_names())
+
+    def test_dropped_write_is_repeated(self):
         self.store.faults = ['dropped']
-        with self.assertRaises(store_client.StoreUnavailable):
+        head = publishing.publish(self.store, make_document('a'), 'ana')
+        self.assertEqual((1, 1), (head.generation, self.store.writes))
+        self.assertEqual(['a'], self.get_policy_names())
+
+    def test_late_write_is_not_reported_as_without_effect(self):
+        """A write that takes effect after its publisher has looked counts.
+
+        "The write did not take effect" was said, and it did a moment later.
+        """
+        self.store.faults = ['late']
+        head = publishing.publish(self.store, make_document('a'), 'ana')
+        self.assertEqual((1, 1), (head.generation, self.store.writes))
+        self.assertEqual(['a'], self.get_policy_names())
+
+    def test_refused_retry_after_late_write(self):
+        """The first write may still take effect, so the outcome is unknown."""
+        self.store.faults = ['late', 'down']
+        with self.assertRaises(store_client.OutcomeUnknown):
             publishing.publish(self.store, make_document('a'), 'ana')
+        self.store.put('other', 0, b'{}')
+        self.assertEqual(['a'], self.get_policy_names())
 
     def test_store_that_fails_after_a_lost_response(self):
         """The publication stands, so "nothing changed" would be false."""
