bench: a port is held from its choice until its cluster has ended

Cause: a port was probed and let go; its process listened on it seconds later, and not at all while it was restarted. Only the ports of one run were kept apart.

Mend: a cluster keeps a socket bound to each of its ports. It doesn't listen, so connections are refused as before. SO_REUSEADDR, set after it was bound, lets the process listen there, but not a second harness choose the port. The settings are as they were. The kernel chooses the port: an outgoing connection never takes one that is bound.

Ruled out: port 0 in the settings, read back; routers and agents must know each other's addresses before they start.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -40,6 +40,7 @@
         self.services = {}
         self.store_address = ''
         self.roster_address = ''
+        self._ports = processes.ReservedPorts()
 
     def __enter__(self):
         return self
@@ -47,6 +48,10 @@
     def __exit__(self, *_):
         self.kill_all()
 
+    def reserve_address(self):
+        """Return an IP:PORT that no other process takes until `kill_all`."""
+        return self._ports.reserve_address()
+
     def _start_process(self, name, *argv):
         process = processes.Process(
             name, [sys.executable, *argv], self.directory
@@ -60,7 +65,7 @@
 
     def start_store(self, **options):
         """Start the stand-in for the platform's object API."""
-        self.store_address = processes.allocate_address()
+        self.store_address = self.reserve_address()
         argv = [
             '--listen',
             self.store_address,
@@ -74,7 +79,7 @@
 
     def start_roster(self, lag_ms=300):
         """Start the stand-in for the platform's list of instances."""
-        self.roster_address = processes.allocate_address()
+        self.roster_address = self.reserve_address()
         argv = ['--listen', self.roster_address, '--lag-ms', str(lag_ms)]
         self.start_standin('roster', 'roster', *argv)
         self._wait_for_listener(self.roster_address)
@@ -113,7 +118,7 @@
 
     def start_target(self, name, kind, **options):
         """Start an engine or an application; return its address."""
-        address = processes.allocate_address()
+        address = self.reserve_address()
         argv = [
             '--listen',
             address,
@@ -130,8 +135,8 @@
     def start_agent(self, name, service, kind, domain, link=False, **options):
         """Start the agent of a target; with `link`, behind a link process."""
         target = self.addresses[f'target-{name}']
-        listen = processes.allocate_address()
-        state_listen = processes.allocate_address()
+        listen = self.reserve_address()
+        state_listen = self.reserve_address()
         address = listen
         if link:
             link_process = processes.LinkProcess(self, name, listen)
@@ -169,8 +174,8 @@
             )
             self.addresses[f'store-link-{name}'] = link_process
             store['url'] = f'http://{link_process.listen}'
-        listen = processes.allocate_address()
-        peer_listen = processes.allocate_address()
+        listen = self.reserve_address()
+        peer_listen = self.reserve_address()
         section = {
             'name': name,
             'domain': domain,
@@ -324,9 +329,13 @@
             self.processes[name].popen.wait(processes.STOP_TIMEOUT_S)
 
     def kill_all(self):
-        """Kill every process of the cluster, also frozen ones."""
+        """Kill every process of the cluster, also frozen ones.
+
+        Releases their ports.
+        """
         for process in self.processes.values():
             process.thaw()
             process.signal(signal.SIGKILL)
         for process in self.processes.values():
             process.popen.wait()
+        self._ports.release()
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,44 +1,44 @@
-"""Local processes: free ports, signals, links that can be cut.
+"""Local processes: reserved ports, signals, links that can be cut.
 
 Only `bench` starts processes: this module starts those of a cluster, and
 `cluster` runs galenaspoke-ctl.  galenaspoke itself starts none.
 """
 
 import json
-import random
 import signal
 import socket
 import subprocess
 import urllib.request
 
 STOP_TIMEOUT_S = 30
-LISTEN_PORTS = (10_000, 32_000)
+LOOPBACK = '127.0.0.1'
 
-_random = random.SystemRandom()
-_allocated_ports = set()
 
+class ReservedPorts:
+    """Ports of the loopback address, each held from its choice to `release`.
 
-def allocate_port():
-    """Return a port of the loopback address that is free now.
-
-    It is below the range of ephemeral ports, so that no outgoing connection
-    takes it before the new process listens on it.  No port is returned twice.
+    A bound socket holds the port, so nobody else chooses it, neither before
+    its process listens on it nor while that is restarted.
     """
-    while True:
-        port = _random.randrange(*LISTEN_PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        if port not in _allocated_ports:
-            _allocated_ports.add(port)
-            return port
 
+    def __init__(self):
+        self._sockets = []
+
+    def reserve_address(self):
+        """Return an IP:PORT whose port was free and is now reserved."""
+        sock = socket.socket()
+        self._sockets.append(sock)
+        sock.bind((LOOPBACK, 0))
+        # Set only now: with it, two reservations could share a port.  It lets
+        # a process that sets it as well, as servers do, listen on the port.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return f'{LOOPBACK}:{sock.getsockname()[1]}'
 
-def allocate_address():
-    """Return an IP:PORT on the loopback address whose port is free."""
-    return f'127.0.0.1:{allocate_port()}'
+    def release(self):
+        """Give up all ports; call this once their processes have ended."""
+        for sock in self._sockets:
+            sock.close()
+        self._sockets.clear()
 
 
 def post_json(address, path, document):
@@ -112,8 +112,8 @@
     """
 
     def __init__(self, cluster, name, to):
-        self.listen = allocate_address()
-        self._control = allocate_address()
+        self.listen = cluster.reserve_address()
+        self._control = cluster.reserve_address()
         cluster.start_standin(
             f'link-{name}',
             'link',
