ctl: a command's own write is not taken for an older one

Callers saw, after a lost response: 'payment X had been applied before' for a payment just made, so an operator might pay again; 'not found, or settled before' for a doubt just settled; and from agents forget exit 1, 'nothing changed', for an agent just forgotten.

Cause: the update reads the object again, finds nothing left to change, and the commands took that for a first look.

Mend: galenaspoke.ctl.updates tells a change that was found done at the first look from one that was done after the command's first write. A payment id and a forgotten agent are the same whoever wrote them.

Ruled out: money counted twice; ids of payments and doubts prevent it, with or without this change.

--- a/galenaspoke/ctl/budget_admin.py
+++ b/galenaspoke/ctl/budget_admin.py
@@ -1,6 +1,7 @@
 """Operators' actions on the budgets in the ledger."""
 
 from galenaspoke.core import ledger
+from galenaspoke.ctl import updates
 from galenaspoke.store import client as store_client
 
 
@@ -8,45 +9,49 @@
     key = ledger.page_key(budget, cfg.ledger_pages)
 
     def change_and_check(page):
-        result = change(page)
+        has_changed = change(page)
         ledger.check_invariants(page)
-        return result
+        return has_changed
 
-    return store_client.update(store, key, ledger.Page, change_and_check)
+    return updates.update(store, key, ledger.Page, change_and_check)
 
 
 def top_up(store, cfg, budget, payment):
     """Apply a payment once; return (whether applied now, BudgetEntry)."""
-
-    def change(page):
-        return ledger.top_up(page, budget, payment) or store_client.UNCHANGED
-
-    result, page = _update_page(store, cfg, budget, change)
-    return result is True, page.entries[budget]
+    outcome, page = _update_page(
+        store, cfg, budget, lambda page: ledger.top_up(page, budget, payment)
+    )
+    return outcome is not updates.Outcome.UNCHANGED, page.entries[budget]
 
 
 def lower_limit(store, cfg, budget, limit):
     """Lower a budget's limit; return the BudgetEntry."""
-    _, page = _update_page(
-        store,
-        cfg,
-        budget,
-        lambda page: ledger.lower_limit(page, budget, limit),
-    )
+
+    def change(page):
+        ledger.lower_limit(page, budget, limit)
+        return True
+
+    _, page = _update_page(store, cfg, budget, change)
     return page.entries[budget]
 
 
 def settle_doubt(store, cfg, budget, doubt_id, spent):
-    """Settle a doubt; return (whether it was found, BudgetEntry)."""
+    """Settle a doubt; return (whether it was found, BudgetEntry).
 
-    def change(page):
-        return (
-            ledger.settle_doubt(page, budget, doubt_id, spent)
-            or store_client.UNCHANGED
+    Raises OutcomeUnknown if it was settled meanwhile: another operator may
+    have given another amount.
+    """
+    outcome, page = _update_page(
+        store,
+        cfg,
+        budget,
+        lambda page: ledger.settle_doubt(page, budget, doubt_id, spent),
+    )
+    if outcome is updates.Outcome.CHANGED_MEANWHILE:
+        raise store_client.OutcomeUnknown(
+            f'{doubt_id} was settled by this command or by another one'
         )
-
-    result, page = _update_page(store, cfg, budget, change)
-    return result is True, page.entries[budget]
+    return outcome is updates.Outcome.CHANGED, page.entries[budget]
 
 
 def get_entry(store, cfg, budget):
--- a/galenaspoke/ctl/main.py
+++ b/galenaspoke/ctl/main.py
@@ -21,6 +21,7 @@
 from galenaspoke.ctl import publishing  # noqa: E402
 from galenaspoke.ctl import retrying_store  # noqa: E402
 from galenaspoke.ctl import timelines  # noqa: E402
+from galenaspoke.ctl import updates  # noqa: E402
 from galenaspoke.store import client as store_client  # noqa: E402
 from galenaspoke.utils import metrics as utils_metrics  # noqa: E402
 
@@ -343,14 +344,13 @@
         for item in obj.store.list(registry.HOLDER_PREFIX).items
     ]
 
-    def change(reg):
-        done = registry.forget(reg, name, incarnation, holder_records)
-        return done or store_client.UNCHANGED
-
-    done, _ = store_client.update(
-        obj.store, registry.registry_key(service), registry.Registry, change
+    outcome, _ = updates.update(
+        obj.store,
+        registry.registry_key(service),
+        registry.Registry,
+        lambda reg: registry.forget(reg, name, incarnation, holder_records),
     )
-    done = done is True
+    done = outcome is not updates.Outcome.UNCHANGED
     text = (
         'forgotten'
         if done
--- a/tests/ctl/test_publishing.py
+++ b/tests/ctl/test_publishing.py
@@ -167,7 +167,16 @@
         with self.assertRaises(store_client.WriteUnresolved):
             self.top_up('1')
 
-    def test_doubt_is_settled_once(self):
+    def test_lost_response_is_not_reported_as_applied_before(self):
+        """Else the operator thinks it an older payment, and pays again."""
+        for fault in ('lost', 'late', 'dropped'):
+            self.store.faults = [fault]
+            applied, _ = self.top_up(fault)
+            self.assertTrue(applied, fault)
+        self.assertEqual(300, budget_admin.list_entries(self.store)['b'].limit)
+
+    def leave_doubt(self):
+        """Leave 20 tokens of the budget in doubt, as `r1`."""
         self.top_up('1')
 
         def leave_in_doubt(page):
@@ -176,6 +185,9 @@
 
         key = ledger.page_key('b', self.cfg.ledger_pages)
         store_client.update(self.store, key, ledger.Page, leave_in_doubt)
+
+    def test_doubt_is_settled_once(self):
+        self.leave_doubt()
         first, _ = budget_admin.settle_doubt(
             self.store, self.cfg, 'b', 'r1', 20
         )
@@ -184,3 +196,16 @@
         )
         self.assertEqual((True, False), (first, second))
         self.assertEqual((30, 0), (entry.settled, entry.in_doubt_tokens()))
+
+    def test_settled_doubt_with_lost_response(self):
+        """A command must not call its own write "settled before".
+
+        Another operator may have settled it with another amount, so neither
+        can be claimed.
+        """
+        self.leave_doubt()
+        self.store.faults = ['lost']
+        with self.assertRaises(store_client.OutcomeUnknown):
+            budget_admin.settle_doubt(self.store, self.cfg, 'b', 'r1', 20)
+        entry = budget_admin.list_entries(self.store)['b']
+        self.assertEqual((30, 0), (entry.settled, entry.in_doubt_tokens()))
