ctl: no thread is started to look up an IP address

Callers saw: 'the store call failed: no response in time' from galenaspoke-ctl top-up on a loaded machine.

Cause: the HTTP library passes the store's address to getaddrinfo, and gevent's default resolver starts a thread for it, although the settings allow IP addresses only. On a busy machine the process waited for that thread until the timeout of its first call, which the store never saw.

Mend: galenaspoke-ctl resolves in its own thread, where an IP address takes no look-up.

Ruled out: the store.

Not changed: agents and routers, whose settings also have IP addresses only and whose store client is the same; they try again by themselves.

--- a/galenaspoke/ctl/main.py
+++ b/galenaspoke/ctl/main.py
@@ -1,8 +1,12 @@
 """galenaspoke-ctl: the operators' command line."""
 
+import gevent
 from gevent import monkey
 
 monkey.patch_all()
+# The settings have IP addresses only.  The default resolver starts a thread
+# even for these, which can take longer than a call on a busy machine.
+gevent.config.resolver = 'block'
 
 import sys  # noqa: E402
 import uuid  # noqa: E402
