tests/system: chaos runs go on while a test waits, also when run alone

Seen, in tests/system alone beside 8 busy loops (load 13 to 27), 26 of 27 passed; test_in_memory_claims ended with 'waited 60 s for qld-east-router-0 to be ready: it can not use assistant-pool-1, assistant-pool-2, booking-desk-0'.

Cause: the callers, the faults and the supervisor of a chaos run are greenlets, and tests/system alone didn't patch the standard library. So time.sleep of a wait stopped the supervisor, and an agent that had been declared lost and had exited was never started again; callers and faults ran one after the other. In the whole suite another package's import patched the process, so the chaos tests were as intended there.

Ruled out: ports (the same test with a kept directory, old and new tree side by side in patched processes at load 15 to 23, passed in both); a slow start (trial: with one agent killed and the process not patched, the run waited out its time; patched, it settled).

Evidence: test_exited_agent_is_restarted_while_settling failed without the patch ('waited 30 s for the agent to be restarted') and passes with it. The supervisor was held to be the cause of the failure seen because these are its only effects; that run's logs are gone.

--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -9,6 +9,7 @@
 import time
 
 import gevent
+from gevent import monkey
 
 from bench import callers
 from bench import checker
@@ -52,12 +53,15 @@
 
     `limit` is the first top-up of two budgets in tokens; the third,
     `gift-chat`, gets an eighth of it.  With `durable`, the policy asks for
-    durable claims.
+    durable claims.  Its callers, faults and supervisor are greenlets: it needs
+    a process with `gevent.monkey.patch_all`.
     """
 
     def __init__(
         self, cluster, seed, faults=FAULTS, limit=4000, durable=False
     ):
+        if not monkey.is_module_patched('time'):
+            raise RuntimeError('a chaos run needs monkey.patch_all()')
         self.cluster = cluster
         self.rng = random.Random(seed)
         self.deployment = deployments.scale_down(
--- a/tests/system/test_history.py
+++ b/tests/system/test_history.py
@@ -46,3 +46,25 @@
             'freeze_router',
         )
         self.run_chaos(7, False, faults)
+
+    def test_exited_agent_is_restarted_while_settling(self):
+        """The supervisor must go on while the run waits for its routers.
+
+        With tests/system run alone, it stood still there, and an agent that
+        had exited stayed away: "waited 60 s" for a router to be ready.
+        """
+        agent = 'booking-desk-0'
+        with tempfile.TemporaryDirectory() as directory:
+            with clusters.Cluster(directory) as cluster:
+                run = chaos.ChaosRun(cluster, 1, ['lose_answers'])
+                run.start()
+                run.run_callers(1, 1)
+                first = cluster.processes[agent].popen
+                cluster.processes[agent].kill()
+                cluster.wait_until(
+                    'the agent to be restarted',
+                    lambda: cluster.processes[agent].popen is not first,
+                )
+                run.settle_and_stop()
+                findings = run.check()
+        self.assertTrue(findings.is_clean(), findings.notes)
