Poison: retries cut by a common cause don't make a part a culprit

After a power cut that took all engines down within moments, every request that shared a part with most others (such as the system prompt) was refused for a minute, until a trial.

Cause: crashes within 250 ms counted as one unless any one request was cut at both targets, and that held for every key. Retries that went to a target about to go down, too, thus made each crash count for the parts of all requests.

Now such crashes count each for that request only.

--- a/galenaspoke/edge/crash_suspects.py
+++ b/galenaspoke/edge/crash_suspects.py
@@ -19,7 +19,6 @@
 import bisect
 import collections
 import dataclasses
-import itertools
 
 # How many crashes make a request and a part a culprit.  A part takes more,
 # because sound requests share it.
@@ -27,8 +26,9 @@
 PART_THRESHOLD = 3
 # The crashes of a culprit lie within this time.
 CRASH_WINDOW_MS = 60_000
-# Crashes closer together count as one, since a common cause is more likely,
-# unless one request ran at both targets, one after the other.
+# Crashes of a part that are closer together count as one, since a common cause
+# is more likely.  Those of one request, which ran at one target after the
+# other, count each.
 SIMULTANEOUS_MS = 250
 # A culprit that causes no further crash is forgotten after this time.
 CULPRIT_TTL_MS = 1_800_000
@@ -139,7 +139,6 @@
     def _find_culprits(self):
         """Choose the key that explains most crashes, until none is left."""
         culprits = {}
-        repeated = self._find_repeated_crashes()
         unexplained = {
             name: dict(crashes)
             for name, crashes in self._crashes.items()
@@ -147,7 +146,7 @@
         }
         while True:
             counts = {
-                name: _count_crashes(crashes, repeated)
+                name: _count_crashes(name, crashes)
                 for name, crashes in unexplained.items()
             }
             candidates = [
@@ -167,15 +166,6 @@
                 for identity in explained:
                     crashes.pop(identity, None)
 
-    def _find_repeated_crashes(self):
-        """Return the pairs of crashes of which one request is a suspect."""
-        return {
-            pair
-            for name, crashes in self._crashes.items()
-            if name.startswith(_REQUEST_PREFIX)
-            for pair in itertools.permutations(crashes, 2)
-        }
-
     def remove_expired(self, now):
         """Remove crashes that are too long ago to count."""
         culprits = self.list_culprits()
@@ -196,21 +186,16 @@
     return REQUEST_THRESHOLD
 
 
-def _count_crashes(crashes, repeated):
-    """Return the most separate crashes within CRASH_WINDOW_MS.
+def _count_crashes(name, crashes):
+    """Return the most separate crashes of a key within CRASH_WINDOW_MS.
 
-    `crashes` gives the time of each, `repeated` the pairs that are separate
-    however close together they are.
+    `crashes` gives the time of each.
     """
-    separate = []
-    for identity, at in sorted(crashes.items(), key=lambda pair: pair[1]):
-        if separate:
-            last_identity, last_at = separate[-1]
-            is_repeated = (last_identity, identity) in repeated
-            if at - last_at < SIMULTANEOUS_MS and not is_repeated:
-                continue
-        separate.append((identity, at))
-    times = [at for _, at in separate]
+    min_gap_ms = SIMULTANEOUS_MS if name.startswith(_PART_PREFIX) else 0
+    times = []
+    for at in sorted(crashes.values()):
+        if not times or at - times[-1] >= min_gap_ms:
+            times.append(at)
     return max(
         (
             bisect.bisect_left(times, at + CRASH_WINDOW_MS) - index
--- a/tests/edge/crash_fleets.py
+++ b/tests/edge/crash_fleets.py
@@ -215,6 +215,18 @@
         for engine in self._engines:
             engine.crash()
 
+    def crash_one_after_another(self):
+        """Crash all engines within moments, each once retries have begun."""
+        for engine in self._engines:
+            engine.crash()
+            self._wait_until_idle(engine)
+
+    def _wait_until_idle(self, engine):
+        """Wait until routers have sent elsewhere what ran at an engine."""
+        targets = [desk.targets[engine.name] for desk in self.desks]
+        base.wait_until(lambda: not any(t.in_flight for t in targets))
+        base.settle()
+
     def share(self):
         """Publish all suspects and let all routers read them."""
         for desk in self.desks:
