Poison: check each attempt, not only admission and retries

A request that was admitted before its culprit was known was still sent to targets after it, however much later: after the wait for its budget, and after targets that could not be connected to, each of which takes up to 300 ms. It then crashed one more target.

Cause: only admission and retries after an answer or a loss were checked.

Evidence: test_request_that_no_target_got_before fails without the change (200 in place of 503).

Now each attempt is checked; a request that can't have run gets the refusal with its long Retry-After. A trial is begun at admission only, where a retry could use it up before, and may go on to another target until one has got it (test_trial_may_try_another_target).

After: tests of crash checks, poison, crashing parts, admission and retry storms pass.

--- a/galenaspoke/edge/admission.py
+++ b/galenaspoke/edge/admission.py
@@ -79,23 +79,22 @@
             )
         culprit = self.find_poison(context)
         if culprit is not None:
-            return outcomes.Refusal(
-                503,
-                outcomes.Reason.POISON,
-                f'targets went down while they ran {culprit}',
-                outcomes.random_delay_ms(POISON_RETRY_AFTER_MS),
-            )
+            if not self._poison_detector.begin_trial(culprit):
+                return refuse_poison(culprit)
+            context.is_trial = True
         context.service = route.choose_service(_split_point(metadata))
         return context
 
     def find_poison(self, context):
-        """Return what makes a request crash targets, None if nothing does.
+        """Return what makes a request crash targets, None if it may be sent.
 
         Making its keys reads the whole body, so that is skipped while nothing
         is known to crash targets.
         """
         if not self._poison_detector.has_culprits():
             return None
+        if context.is_trial and not context.sent_count:
+            return None
         return self._poison_detector.find_poison(context.crash_keys())
 
     def _find_route(self, req):
@@ -154,6 +153,16 @@
         )
 
 
+def refuse_poison(culprit):
+    """Return the Refusal of a request that would crash targets."""
+    return outcomes.Refusal(
+        503,
+        outcomes.Reason.POISON,
+        f'targets went down while they ran {culprit}',
+        outcomes.random_delay_ms(POISON_RETRY_AFTER_MS),
+    )
+
+
 def _split_point(metadata):
     """Return a number from 0 to 1 that picks the service of a split route.
 
--- a/galenaspoke/edge/poison.py
+++ b/galenaspoke/edge/poison.py
@@ -180,12 +180,9 @@
 
         Returns None if it may be sent.
         """
-        culprit = self._suspects.find_culprit([key.name for key in keys])
-        if culprit is None or self._begin_trial(culprit):
-            return None
-        return culprit
+        return self._suspects.find_culprit([key.name for key in keys])
 
-    def _begin_trial(self, culprit):
+    def begin_trial(self, culprit):
         """Return whether one request with a culprit is let through now."""
         if not self.is_home(culprit):
             return False
--- a/galenaspoke/edge/request_context.py
+++ b/galenaspoke/edge/request_context.py
@@ -29,6 +29,7 @@
         'longest_gap_ms',
         'sent_at',
         'tried_ids',
+        'is_trial',
         'charged_tokens',
         '_crash_keys',
     )
@@ -62,6 +63,8 @@
         self.sent_at = None
         # The ids of the targets that were tried, in order.
         self.tried_ids = []
+        # Whether it is sent once although a part of it crashes targets.
+        self.is_trial = False
         # What the account's budget was charged in the end, in tokens.
         self.charged_tokens = 0
         self._crash_keys = None
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -11,6 +11,7 @@
 import gevent
 
 from galenaspoke.core import catalog
+from galenaspoke.edge import admission
 from galenaspoke.edge import attempts
 from galenaspoke.edge import caller_connections
 from galenaspoke.edge import crash_checks
@@ -198,6 +199,13 @@
             target = self._choose_target(context)
             if target is None:
                 break
+            # It may be known to crash targets only since it was admitted.
+            culprit = self._admission.find_poison(context)
+            if culprit is not None:
+                self._metrics.count('attempts.poison')
+                if not context.may_have_run:
+                    return admission.refuse_poison(culprit)
+                break
             if outcome is not None and not self._take_retry(context, outcome):
                 break
             outcome = self._run_attempt(context, target, caller)
@@ -256,9 +264,6 @@
             return False
         if context.sent_count >= context.route.max_attempts:
             return False
-        if self._admission.find_poison(context) is not None:
-            self._metrics.count('retries.poison')
-            return False
         if not self._retry_budget.take_retry(context.service):
             self._metrics.count('retries.refused')
             return False
--- a/tests/edge/test_crash_checks.py
+++ b/tests/edge/test_crash_checks.py
@@ -124,6 +124,67 @@
             self.assertEqual(is_cleared, not desk.detector.has_suspects())
 
 
+class LateCulpritTest(unittest.TestCase):
+    """Requests that were admitted before they were known to crash targets."""
+
+    def setUp(self):
+        respond = handlers.encode_response()
+        engines = {
+            name: lambda remote, _: remote.sendall(respond)
+            for name in ('i-1', 'i-2')
+        }
+        self.desk = handlers.Desk(engines)
+        self.addCleanup(self.desk.close)
+        req = self.desk.make_request()
+        self.keys = crash_suspects.make_keys(
+            poison.compute_fingerprint(req, ''), ()
+        )
+
+    def crash_others(self):
+        """Let the request crash two other targets."""
+        for identity in (('i-8', 1), ('i-9', 1)):
+            self.desk.detector.record_cut_off(self.keys, identity)
+            self.desk.detector.record_target_down(identity)
+
+    def fail_first_connection(self):
+        """Let the first connection fail, while other targets crash."""
+        connect = handlers.ScriptedTarget.connect
+        attempts = []
+
+        def fail_once(target):
+            attempts.append(target)
+            if len(attempts) > 1:
+                return connect(target)
+            self.crash_others()
+            raise connections.NotSent('connect: timed out')
+
+        patch = mock.patch.object(
+            handlers.ScriptedTarget, 'connect', fail_once
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    # Guards against requests that crash targets long after they are known to,
+    # since they have waited for targets that could not be reached.
+    def test_request_that_no_target_got_before(self):
+        self.fail_first_connection()
+        caller = self.desk.request()
+        self.assertEqual(503, caller.status)
+        self.assertGreater(caller.retry_after_ms(), 10_000)
+        self.assertEqual([0, 0], self.desk.count_requests())
+
+    # Guards against a trial that never reaches a target.
+    def test_trial_may_try_another_target(self):
+        self.crash_others()
+        self.desk.detector.is_home = lambda _: True
+        patch = mock.patch.object(poison, 'MIN_TRIAL_INTERVAL_MS', 0)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.fail_first_connection()
+        self.assertEqual(200, self.desk.request().status)
+        self.assertEqual(1, sum(self.desk.count_requests()))
+
+
 class CutOffTest(unittest.TestCase):
     """Which failures say that the target ended the connection."""
 
--- a/tests/edge/test_poison.py
+++ b/tests/edge/test_poison.py
@@ -174,7 +174,8 @@
         count = 0
         for _ in range(60 * minutes):
             self.clock.advance(1_000)
-            count += self.detector.find_poison([BAD]) is None
+            culprit = self.detector.find_poison([BAD])
+            count += culprit is None or self.detector.begin_trial(culprit)
         return count
 
     def test_only_the_home_router_tries(self):
