Poison: search for culprits only if they may have changed

Cause: each suspect that was added or cleared led to a new search at the next request, through all suspects. After a crash of many targets with many requests each, almost all of these are suspects of one crash and can't be culprits.

Evidence: test_suspects_of_one_crash_need_no_search fails without the change. What remains is the search through the parts that many requests share.

test_random_changes_lead_to_the_same_culprits_as_a_new_search compares 50 random series of changes with a search from scratch.

After: the tests of crashing parts and poison pass.

--- a/galenaspoke/edge/crash_suspects.py
+++ b/galenaspoke/edge/crash_suspects.py
@@ -70,7 +70,7 @@
     ms of the process's monotonic clock.
     """
 
-    __slots__ = ('_crashes', '_cleared', '_ranks', '_culprits')
+    __slots__ = ('_crashes', '_cleared', '_ranks', '_candidates', '_culprits')
 
     def __init__(self):
         # Name of a key to the crashes of which it is a suspect, each with the
@@ -79,6 +79,9 @@
         # Name of a key to the crashes of which it was cleared.
         self._cleared = collections.defaultdict(dict)
         self._ranks = {}
+        # The names of the keys that are suspects of enough crashes.  All
+        # others, after a crash of many targets almost all, can't be culprits.
+        self._candidates = set()
         # The names of the culprits, None if they have to be found again.
         self._culprits = None
 
@@ -94,7 +97,9 @@
             return
         crashes[identity] = at
         self._ranks[key.name] = key.rank
-        self._culprits = None
+        if len(crashes) >= _threshold(key.name):
+            self._candidates.add(key.name)
+            self._culprits = None
 
     def clear(self, name):
         """Clear a key of all its crashes; return whether there were any.
@@ -105,7 +110,7 @@
         if not crashes:
             return False
         self._cleared[name].update(crashes)
-        self._culprits = None
+        self._drop_candidate(name)
         return True
 
     def list_cleared(self, name):
@@ -120,7 +125,15 @@
             return
         if not crashes:
             del self._crashes[name]
-        self._culprits = None
+        if name in self._candidates:
+            self._culprits = None
+        if len(crashes) < _threshold(name):
+            self._drop_candidate(name)
+
+    def _drop_candidate(self, name):
+        if name in self._candidates:
+            self._candidates.remove(name)
+            self._culprits = None
 
     def find_culprit(self, names):
         """Return the first of the keys with these names that is a culprit.
@@ -140,9 +153,7 @@
         """Choose the key that explains most crashes, until none is left."""
         culprits = {}
         unexplained = {
-            name: dict(crashes)
-            for name, crashes in self._crashes.items()
-            if len(crashes) >= _threshold(name)
+            name: dict(self._crashes[name]) for name in self._candidates
         }
         while True:
             counts = {
@@ -173,7 +184,7 @@
             ttl_ms = CULPRIT_TTL_MS if name in culprits else CRASH_WINDOW_MS
             if now - max(crashes.values()) >= ttl_ms:
                 del self._crashes[name]
-                self._culprits = None
+                self._drop_candidate(name)
         for name, crashes in list(self._cleared.items()):
             if now - max(crashes.values()) >= CULPRIT_TTL_MS:
                 del self._cleared[name]
--- a/tests/edge/test_crashing_parts.py
+++ b/tests/edge/test_crashing_parts.py
@@ -235,6 +235,63 @@
         """Return the names of the culprits."""
         return sorted(self.suspects.list_culprits())
 
+    # Guards against requests that wait for a search through all suspects,
+    # after a crash of many targets with many requests each.
+    def test_suspects_of_one_crash_need_no_search(self):
+        self.crash(*make_parts('a'))
+        self.culprits()
+        with mock.patch.object(
+            crash_suspects.CrashSuspects, '_find_culprits', return_value={}
+        ) as find_culprits:
+            for number in range(9):
+                self.crash(*crash_suspects.make_keys(f'f-{number}', ()))
+                self.culprits()
+                self.suspects.clear(f'request:f-{number}')
+                self.culprits()
+            self.assertEqual(0, find_culprits.call_count)
+            self.crash(*crash_suspects.make_keys('f', ()))
+            self.crash(*crash_suspects.make_keys('f', ()))
+            self.culprits()
+        self.assertEqual(1, find_culprits.call_count)
+
+    # Guards against culprits that are kept or missed since what changed was
+    # taken for irrelevant.
+    def test_random_changes_lead_to_the_same_culprits_as_a_new_search(self):
+        for seed in range(50):
+            self.suspects = crash_suspects.CrashSuspects()
+            choose = random.Random(seed)
+            for step in range(60):
+                key, *_ = choose.choice(
+                    (
+                        crash_suspects.make_keys(choose.choice('fgh'), ()),
+                        make_parts(choose.choice('abc')),
+                    )
+                )
+                identity = (f'i-{choose.randrange(8)}', 1)
+                at = 1_000 * step
+                change = choose.randrange(8)
+                if change == 0:
+                    self.suspects.clear(key.name)
+                elif change == 1:
+                    self.suspects.clear_crash(key.name, identity, at)
+                elif change == 2 and step % 20 == 0:
+                    self.suspects.remove_expired(
+                        at + crash_suspects.CRASH_WINDOW_MS - 5_000
+                    )
+                else:
+                    self.suspects.add(key, identity, at)
+                self.check_culprits(f'seed {seed}, step {step}')
+
+    def check_culprits(self, message):
+        """Compare the culprits with those found from all crashes."""
+        culprits = dict(self.suspects.list_culprits())
+        anew = crash_suspects.CrashSuspects()
+        for name, crashes in self.suspects._crashes.items():
+            key = crash_suspects.Key(name, self.suspects._ranks[name])
+            for identity, at in crashes.items():
+                anew.add(key, identity, at)
+        self.assertEqual(anew.list_culprits(), culprits, message)
+
     def test_part_is_a_culprit_of_three_crashes(self):
         (part,) = make_parts('a')
         for _ in range(2):
