Suspects: culprits are published before later suspects

A router publishes 600 suspects, the latest. A crash of many targets has more, and pushed out what was known of a request or part that crashes targets. Routers that ran went on refusing it; once all were restarted it crashed targets again.

Evidence: test_culprits_are_published_before_later_suspects fails without the change.

Now suspects of the culprits that the router knows stay, the others go first.

After: the tests of poison pass.

--- a/galenaspoke/edge/poison.py
+++ b/galenaspoke/edge/poison.py
@@ -32,7 +32,7 @@
 # the longest time between two of them; the time doubles with each.
 MIN_TRIAL_INTERVAL_MS = 60_000
 MAX_TRIAL_INTERVAL_MS = 900_000
-# A router publishes at most this many suspects, the latest.
+# A router publishes at most this many suspects, culprits and the latest.
 MAX_PUBLISHED = 600
 # A key is published as cleared once it was cleared of this many crashes.
 MIN_PUBLISHED_CLEARED = 2
@@ -155,6 +155,10 @@
         """
         return bool(self._suspects)
 
+    def list_culprits(self):
+        """Return the names of what crashes targets."""
+        return set(self._suspects.list_culprits())
+
     def has_culprits(self):
         """Return whether any request may be refused."""
         return bool(self._suspects.list_culprits())
--- a/galenaspoke/edge/suspect_sharing.py
+++ b/galenaspoke/edge/suspect_sharing.py
@@ -46,24 +46,28 @@
             continue
         era = store.era
         try:
-            _publish(f'{store.scope(KIND)}/{name}', store, published, clock)
+            key = f'{store.scope(KIND)}/{name}'
+            culprits = poison_detector.list_culprits()
+            _publish(key, store, published, culprits, clock)
             published_era = era
         except (base.StoreError, base.OutcomeUnknown) as exc:
             journal.note('suspects.unpublished', why=str(exc))
             gevent.sleep(random.uniform(*RETRY_INTERVAL_S))
 
 
-def _publish(key, store, published, clock):
+def _publish(key, store, published, culprits, clock):
     """Write the object, with what it says already and `published`.
 
-    `published` then holds all of that.
+    `published` then holds all of that.  Suspects that are among `culprits`
+    are kept longest.
     """
     item = store.get(key)
     added = dict(published)
     published.clear()
     _add(published, _decode(item))
     _add(published, added.values())
-    _remove_oldest(published, clock.wall())
+    _remove_expired(published, clock.wall())
+    _remove_excess(published, culprits)
     value = msgspec.json.encode(list(published.values()))
     store.put(item.key, item.version, value)
 
@@ -74,14 +78,20 @@
         published[suspect.request, suspect.target] = suspect
 
 
-def _remove_oldest(published, wall_ms):
-    excess = len(published) - poison.MAX_PUBLISHED
-    for position, (key, suspect) in enumerate(list(published.items())):
-        is_expired = wall_ms - suspect.at_ms >= crash_suspects.CULPRIT_TTL_MS
-        if position < excess or is_expired:
+def _remove_expired(published, wall_ms):
+    for key, suspect in list(published.items()):
+        if wall_ms - suspect.at_ms >= crash_suspects.CULPRIT_TTL_MS:
             del published[key]
 
 
+def _remove_excess(published, culprits):
+    excess = max(0, len(published) - poison.MAX_PUBLISHED)
+    # Sorting keeps the order of the others, the oldest first.
+    keys = sorted(published, key=lambda key: key[0] in culprits)
+    for key in keys[:excess]:
+        del published[key]
+
+
 def merge_suspects(poison_detector, item):
     """Add the suspects that a router published in `item`.
 
--- a/tests/edge/test_poison.py
+++ b/tests/edge/test_poison.py
@@ -214,13 +214,21 @@
         patch.start()
         self.addCleanup(patch.stop)
 
-    def run_process(self, *crashes):
-        """Run a process that sees crashes of BAD; return its detector."""
+    def run_process(self, *crashes, others=0):
+        """Run a process that sees crashes of BAD; return its detector.
+
+        After BAD each crash cuts off so many other requests.
+        """
         detector = poison.PoisonDetector(self.clock, base.Recorder())
         for item in self.store.list(suspect_sharing.KIND).items:
             suspect_sharing.merge_suspects(detector, item)
         for identity in crashes:
             detector.record_cut_off([BAD], identity)
+            for number in range(others):
+                name = f'request:{number}'
+                detector.record_cut_off(
+                    [crash_suspects.Key(name, BAD.rank)], identity
+                )
             detector.record_target_down(identity)
             self.clock.advance(1_000)
         task = gevent.spawn(
@@ -243,6 +251,17 @@
         detector = self.run_process()
         self.assertTrue(detector.find_poison([BAD]))
 
+    # Guards against a request that crashes targets again after all routers
+    # were restarted, since a crash of many targets had many other suspects.
+    def test_culprits_are_published_before_later_suspects(self):
+        self.run_process(FIRST_TARGET, SECOND_TARGET)
+        with mock.patch.object(poison, 'MAX_PUBLISHED', 5):
+            self.run_process(('i-3', 1), others=9)
+        detector = self.run_process()
+        self.assertTrue(detector.find_poison([BAD]))
+        item = self.store.get(f'{suspect_sharing.KIND}/a')
+        self.assertEqual(5, len(msgspec.json.decode(item.value)))
+
     def test_old_suspects_are_dropped(self):
         self.run_process(FIRST_TARGET)
         self.clock.advance(crash_suspects.CULPRIT_TTL_MS)
