Trials: only one router is a culprit's home

Several routers each let a request with a culprit through at the same moment, a minute after its last crash.

Cause: the home was chosen among the routers that have an address for loans. Without such addresses every router was the home. Routers that start together, or enter a new era of the store, read the list before all have registered, so each knew only those before it.

Evidence: the three tests of HomeTest fail without the change: 3 routers are home of each culprit or of some in place of 1, or of none while the list fills.

Now all running routers count, once the list was read after the registration.

After: the tests of poison, retry storms, store calls and the store from a copy pass.

--- a/galenaspoke/edge/members.py
+++ b/galenaspoke/edge/members.py
@@ -92,6 +92,8 @@
         '_on_generation',
         '_router_count',
         '_addresses',
+        '_names',
+        '_counted_era',
         '_registered_era',
         '_registered_at',
         '_vouched_eras',
@@ -125,6 +127,10 @@
         self._router_count = 0
         # The addresses of the routers that lend, by name.
         self._addresses = {}
+        # The names of the other routers, and the era of the store in which
+        # they were read after this router had registered.
+        self._names = set()
+        self._counted_era = None
         # The store's era in which this router registered, and when.
         self._registered_era = None
         self._registered_at = 0
@@ -160,9 +166,13 @@
     def is_home(self, key):
         """Return whether this is the one router that `key` prefers.
 
-        False while the list of routers isn't known.
+        False while the list of routers isn't known, which is until it was read
+        after this router registered: others register at the same time.
         """
-        return self._router_count > 0 and not self.get_home(key)
+        if self._counted_era is None or self._counted_era != self._store.era:
+            return False
+        names = [*self._names, self._name]
+        return rendezvous.choose_name(key, names) == self._name
 
     def may_draw(self):
         """Return whether this router may draw tokens from the ledger."""
@@ -318,6 +328,8 @@
             for name in running - {self._name}
             if members[name].address
         }
+        self._names = running - {self._name}
+        self._counted_era = self._store.era if self._is_registered() else None
         count = len(running | {self._name})
         # The list of a new era fills up again.
         self._router_count = count if stale else max(count, self._router_count)
--- a/tests/edge/test_poison.py
+++ b/tests/edge/test_poison.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from galenaspoke.edge import crash_suspects
+from galenaspoke.edge import eras
+from galenaspoke.edge import members
 from galenaspoke.edge import poison
 from galenaspoke.edge import suspect_sharing
 from galenaspoke.http import messages
@@ -204,6 +206,70 @@
         self.assertEqual(0, self.count_trials(1))
 
 
+class HomeTest(unittest.TestCase):
+    """Which router tries a culprit."""
+
+    def setUp(self):
+        self.store = fakes.FakeStore()
+        self.start_routers(has_addresses=True)
+
+    def start_routers(self, has_addresses):
+        """Make routers, which lend to each other only if they can."""
+        self.routers = [
+            members.Members(
+                base.make_edge_settings(
+                    name, peer_listen=name if has_addresses else ''
+                ),
+                self.store,
+                eras.Eras(self.store),
+                base.make_manual_clock(),
+                base.Recorder(),
+                lambda: 1,
+            )
+            for name in ('a', 'b', 'c')
+        ]
+
+    def read_list(self):
+        """Let each router register, or read the list if it has."""
+        for router in self.routers:
+            task = gevent.spawn(router.run)
+            gevent.sleep(0)
+            task.kill()
+
+    def count_homes(self):
+        """Return for each of some culprits how many routers try it."""
+        return [
+            sum(router.is_home(f'part:{number}') for router in self.routers)
+            for number in range(20)
+        ]
+
+    # Guards against a trial by each router of a deployment whose routers can't
+    # reach each other.
+    def test_routers_without_addresses(self):
+        self.start_routers(has_addresses=False)
+        self.read_list()
+        self.read_list()
+        self.assertEqual([1] * 20, self.count_homes())
+
+    # Guards against trials by several routers that have just started: each
+    # knows only those that registered before it.
+    def test_no_trial_before_all_routers_have_registered(self):
+        self.read_list()
+        self.assertEqual([0] * 20, self.count_homes())
+
+    # Guards against the same in a new era of the store, with an empty list.
+    def test_no_trial_in_a_new_era_before_routers_have_registered(self):
+        self.read_list()
+        self.read_list()
+        self.store.objects.clear()
+        self.store.era += 1
+        self.assertEqual([0] * 20, self.count_homes())
+        self.read_list()
+        self.assertEqual([0] * 20, self.count_homes())
+        self.read_list()
+        self.assertEqual([1] * 20, self.count_homes())
+
+
 class PublisherTest(unittest.TestCase):
     """What a router writes into its object in the store."""
 
