Trials: they stay rare if another router or process makes them

The time between trials doubled in the memory of one process only. After its restart, or once another router had become the home, requests with a culprit were let through a minute apart again.

Now the crashes of a culprit, which all routers share, tell of earlier trials.

--- a/galenaspoke/edge/crash_suspects.py
+++ b/galenaspoke/edge/crash_suspects.py
@@ -149,6 +149,17 @@
             self._culprits = self._find_culprits()
         return self._culprits
 
+    def count_pauses(self, name, min_ms):
+        """Return how many crashes of a key came `min_ms` after the one before.
+
+        Of a culprit each of them was a trial.
+        """
+        times = sorted(self._crashes[name].values())
+        return sum(
+            at - before >= min_ms
+            for before, at in zip(times, times[1:], strict=False)
+        )
+
     def _find_culprits(self):
         """Choose the key that explains most crashes, until none is left."""
         culprits = {}
--- a/galenaspoke/edge/poison.py
+++ b/galenaspoke/edge/poison.py
@@ -94,7 +94,7 @@
         # Targets that went down lately, each with the time.
         self._down = {}
         self._suspects = crash_suspects.CrashSuspects()
-        # Culprit to the time of the last trial and the interval after it.
+        # Culprit to the time of the last trial here, and how many there were.
         self._trials = {}
 
     def record_cut_off(self, keys, identity):
@@ -192,18 +192,25 @@
             return False
         now = self._clock.now()
         crashed_at = self._suspects.list_culprits()[culprit]
-        tried_at, interval_ms = self._trials.get(
-            culprit, (0, MIN_TRIAL_INTERVAL_MS)
-        )
+        tried_at, count = self._trials.get(culprit, (0, 0))
+        interval_ms = self._trial_interval_ms(culprit, count)
         if now - max(crashed_at, tried_at) < interval_ms:
             return False
-        self._trials[culprit] = (
-            now,
-            min(MAX_TRIAL_INTERVAL_MS, 2 * interval_ms),
-        )
+        self._trials[culprit] = (now, count + 1)
         self._journal.note('poison.trial', culprit=culprit)
         return True
 
+    def _trial_interval_ms(self, culprit, count):
+        """Return the time to the next trial, after `count` by this router.
+
+        The crashes tell of those by other routers, and by earlier processes.
+        """
+        crash_count = self._suspects.count_pauses(
+            culprit, MIN_TRIAL_INTERVAL_MS
+        )
+        doublings = max(count, crash_count)
+        return min(MAX_TRIAL_INTERVAL_MS, MIN_TRIAL_INTERVAL_MS * 2**doublings)
+
     def remove_expired(self):
         """Remove entries that are too old to count."""
         now = self._clock.now()
--- a/tests/edge/test_poison.py
+++ b/tests/edge/test_poison.py
@@ -205,6 +205,19 @@
         self.crash(('i-3', 1))
         self.assertEqual(0, self.count_trials(1))
 
+    # Guards against a trial a minute, if the home of a culprit is restarted or
+    # another router becomes its home.
+    def test_trials_stay_rare_at_another_router(self):
+        self.assertEqual(1, self.count_trials(1))
+        self.crash(('i-3', 1))
+        published = list(self.detector.unpublished)
+        self.detector = poison.PoisonDetector(
+            self.clock, base.Recorder(), lambda _: True
+        )
+        merge(self.detector, published)
+        self.assertEqual(0, self.count_trials(1))
+        self.assertEqual(1, self.count_trials(1))
+
 
 class HomeTest(unittest.TestCase):
     """Which router tries a culprit."""
