Trials: other routers have their turn if the first makes none

Sound requests whose part was taken for a culprit were refused for up to half an hour if the router that may try it was down (one that was killed stays in the list of routers), or got none of them.

Cause: a culprit had one home, and nobody else ever tried it.

Evidence: count_trials of a router that isn't the home was 0 in ten minutes, which test_only_the_home_router_tries demanded.

Ruled out: letting each router try from its turn on. After a long time without requests all would try at the same moment.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -113,7 +113,7 @@
             lambda: self.config_view.catalog.generation,
             self.config_view.set_required_generation,
         )
-        self.poison_detector.is_home = self._members.is_home
+        self.poison_detector.get_rank = self._members.get_rank
         self.budget_manager = edge_budgets.BudgetManager(
             cfg,
             store,
--- a/galenaspoke/edge/members.py
+++ b/galenaspoke/edge/members.py
@@ -163,16 +163,15 @@
         home = rendezvous.choose_name(key, names)
         return '' if home == self._name else self._addresses[home]
 
-    def is_home(self, key):
-        """Return whether this is the one router that `key` prefers.
+    def get_rank(self, key):
+        """Return how many routers `key` prefers to this one.
 
-        False while the list of routers isn't known, which is until it was read
+        None while the list of routers isn't known, which is until it was read
         after this router registered: others register at the same time.
         """
         if self._counted_era is None or self._counted_era != self._store.era:
-            return False
-        names = [*self._names, self._name]
-        return rendezvous.choose_name(key, names) == self._name
+            return None
+        return rendezvous.count_preferred(key, self._names, self._name)
 
     def may_draw(self):
         """Return whether this router may draw tokens from the ledger."""
--- a/galenaspoke/edge/poison.py
+++ b/galenaspoke/edge/poison.py
@@ -67,13 +67,13 @@
     """Records the crashes of targets and the suspects of each crash.
 
     Requests are identified by their Keys, a target by its id and incarnation.
-    `is_home` is called with a culprit's name and returns whether this router
-    is the one that tries it, on which all routers agree.
+    `get_rank` is called with a culprit's name and returns how many routers
+    have to try it before this one, None if that isn't known.
     """
 
     __slots__ = (
         'unpublished',
-        'is_home',
+        'get_rank',
         '_clock',
         '_journal',
         '_cut_off',
@@ -82,10 +82,10 @@
         '_trials',
     )
 
-    def __init__(self, clock, journal, is_home=lambda _: False):
+    def __init__(self, clock, journal, get_rank=lambda _: None):
         # What this router found out and has not yet published.
         self.unpublished = collections.deque(maxlen=MAX_PUBLISHED)
-        self.is_home = is_home
+        self.get_rank = get_rank
         self._clock = clock
         self._journal = journal
         # Target to the Keys of the requests that it cut off, each with the
@@ -187,14 +187,20 @@
         return self._suspects.find_culprit([key.name for key in keys])
 
     def begin_trial(self, culprit):
-        """Return whether one request with a culprit is let through now."""
-        if not self.is_home(culprit):
-            return False
+        """Return whether one request with a culprit is let through now.
+
+        If the first router makes no trial, because it is down or gets no such
+        requests, each of the others has its turn.  A crash lets all wait anew.
+        """
         now = self._clock.now()
         crashed_at = self._suspects.list_culprits()[culprit]
         tried_at, count = self._trials.get(culprit, (0, 0))
         interval_ms = self._trial_interval_ms(culprit, count)
-        if now - max(crashed_at, tried_at) < interval_ms:
+        turn = (now - max(crashed_at, tried_at)) // interval_ms - 1
+        if turn < 0:
+            return False
+        rank = self.get_rank(culprit)
+        if rank not in (0, turn):
             return False
         self._trials[culprit] = (now, count + 1)
         self._journal.note('poison.trial', culprit=culprit)
--- a/galenaspoke/edge/rendezvous.py
+++ b/galenaspoke/edge/rendezvous.py
@@ -15,6 +15,12 @@
     )
 
 
+def count_preferred(key, names, name):
+    """Return how many of `names` the key prefers to `name`."""
+    weight = rendezvous.weigh(key, name)
+    return sum(rendezvous.weigh(key, other) < weight for other in names)
+
+
 def choose_name(key, names):
     """Return the name that `key` prefers."""
     return min(names, key=lambda name: rendezvous.weigh(key, name))
