Poison: a response that may have been broken off clears no request

A target that crashed after the first event of a stream without a length or chunks looked as if it had served the request, so the request and the part that had crashed it were cleared of all crashes.

Evidence: test_stream_without_a_length_clears_only_if_it_got_on fails without the change. test_unframed_stream_ends_with_its_connection now demands, too, that the outcome says that only the end of the connection ended the response.

Left: such a stream, cut between two events, makes no suspect.

--- a/galenaspoke/edge/attempts.py
+++ b/galenaspoke/edge/attempts.py
@@ -190,7 +190,7 @@
             self._header_codec.build_caller_headers(response),
             body,
         )
-        return outcomes.Served(response.status)
+        return outcomes.Served(response.status, response.is_framed)
 
     def _relay_stream(self, conn, response):
         """Relay events as they arrive, each only once it is complete."""
@@ -220,7 +220,7 @@
             )
             raise error('the last event is incomplete')
         self._send_body(response, messages.LAST_CHUNK)
-        return outcomes.Served(response.status)
+        return outcomes.Served(response.status, response.is_framed)
 
     def _receive_more(self, conn, response):
         """Read more of a stream; wait on if no other target may be tried."""
--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -46,9 +46,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Served:
-    """The caller has received the target's complete response."""
+    """The caller has received the target's complete response.
+
+    `is_framed` is false if only the end of the connection ended it: a response
+    that was broken off may look the same.
+    """
 
     status: int
+    is_framed: bool = True
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -243,9 +243,10 @@
         target.health.record_failure(self._clock.now(), True)
         self._poison_detector.record_target_down(target.entry.identity())
 
-    def _record_served(self, context, outcome):
+    def _record_served(self, context, outcome, events):
         """Clear a request of the crashes that it is suspected of."""
-        is_complete = outcome.status == HTTP_OK
+        has_run = outcome.is_framed or events > poison.MAX_SUSPECT_EVENTS
+        is_complete = outcome.status == HTTP_OK and has_run
         if is_complete and self._poison_detector.has_suspects():
             self._poison_detector.record_completed(context.crash_keys())
 
@@ -346,7 +347,7 @@
         is_ejected = False
         if isinstance(outcome, outcomes.Served):
             target.health.record_success()
-            self._record_served(context, outcome)
+            self._record_served(context, outcome, events)
             return
         if isinstance(outcome, outcomes.NotRun):
             if outcome.misdirected:
--- a/tests/edge/test_crash_checks.py
+++ b/tests/edge/test_crash_checks.py
@@ -123,6 +123,40 @@
             self.assertEqual(status, desk.request().status)
             self.assertEqual(is_cleared, not desk.detector.has_suspects())
 
+    # Guards against a request that is cleared by the target that it crashes: a
+    # stream without a length that is cut between two events looks whole.
+    def test_stream_without_a_length_clears_only_if_it_got_on(self):
+        limit = poison.MAX_SUSPECT_EVENTS
+        self.assertFalse(self.is_cleared(self.HEAD, limit))
+        self.assertTrue(self.is_cleared(self.HEAD, limit + 1))
+
+    def test_stream_with_a_length_clears(self):
+        event = b'id: 0\ndata: a\n\n'
+        head = self.HEAD.replace(
+            b'\r\n\r\n', b'\r\nContent-Length: %d\r\n\r\n' % len(event)
+        )
+        self.assertTrue(self.is_cleared(head, 1))
+
+    def is_cleared(self, head, event_count):
+        """Return whether a stream with so many events clears its request."""
+
+        def run_engine(remote, _):
+            remote.sendall(head)
+            for number in range(event_count):
+                remote.sendall(b'id: %d\ndata: a\n\n' % number)
+            remote.shutdown(2)
+
+        desk = handlers.Desk(
+            {'i-1': run_engine}, kind=catalog.RequestKind.STREAM
+        )
+        self.addCleanup(desk.close)
+        fingerprint = poison.compute_fingerprint(desk.make_request(), '')
+        keys = crash_suspects.make_keys(fingerprint, ())
+        desk.detector.record_cut_off(keys, ('i-0', 1))
+        desk.detector.record_target_down(('i-0', 1))
+        self.assertEqual(200, desk.request().status)
+        return not desk.detector.has_suspects()
+
 
 class LateCulpritTest(unittest.TestCase):
     """Requests that were admitted before they were known to crash targets."""
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -178,7 +178,7 @@
         outcome = self.run_attempt(
             UNFRAMED_HEAD, encode_event(1), encode_event(2), read_request=True
         )
-        self.assertEqual(outcomes.Served(200), outcome)
+        self.assertEqual(outcomes.Served(200, is_framed=False), outcome)
         self.assertTrue(self.caller.data.endswith(messages.LAST_CHUNK))
         self.assertEqual([], self.target.released)
 
