Suspects: a restarted router takes over those of earlier eras

A request or part that crashes targets was known in the memory of routers and in their objects of one era of the store. If all were restarted when the store came back from a copy, as after a power cut, nobody knew of it any more.

Evidence: test_suspects_of_an_earlier_era_are_taken_over_after_a_restart ends with a timeout without the change: there is no culprit.

Now each process reads the object of its instance in the two eras before, and publishes what it says in the present one: one listing of the eras and at most two reads at the start of a process.

Left: what a router published that never came back in the new era is lost to processes that start later.

After: the tests of poison, the store from a copy, crashing parts and store calls pass.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -163,6 +163,7 @@
             suspect_sharing.run_publisher,
             self.cfg.name,
             self._store,
+            self._eras,
             self.poison_detector,
             self.journal,
             self.clock,
--- a/galenaspoke/edge/suspect_sharing.py
+++ b/galenaspoke/edge/suspect_sharing.py
@@ -6,7 +6,9 @@
 
 Example::
 
-    gevent.spawn(run_publisher, 'front-a-1', store, detector, journal, clock)
+    gevent.spawn(
+        run_publisher, 'front-a-1', store, eras, detector, journal, clock
+    )
     merge_suspects(detector, item)
 """
 
@@ -24,18 +26,20 @@
 PUBLISH_INTERVAL_S = 0.05
 # After a failed write.
 RETRY_INTERVAL_S = (0.5, 1.0)
+# In how many earlier eras a process looks for the object of its instance.
+MAX_ERAS_SEARCHED = 2
 
 
-def run_publisher(name, store, poison_detector, journal, clock):
+def run_publisher(name, store, eras, poison_detector, journal, clock):
     """Publish new suspects in this router's store object; never returns.
 
     `name` is the router's name; `store` holds the object, which is written
-    again in each era of the store.
+    again in each era of the store; `eras` are its Eras.
     """
     # By key and crash, the latest last.
-    published = {}
+    published = _take_over(name, store, eras, poison_detector, journal)
     # The era in which all of `published` was published, None if it was not.
-    published_era = store.era
+    published_era = None
     while True:
         gevent.sleep(PUBLISH_INTERVAL_S)
         if poison_detector.unpublished:
@@ -55,6 +59,36 @@
             gevent.sleep(random.uniform(*RETRY_INTERVAL_S))
 
 
+def _take_over(name, store, eras, poison_detector, journal):
+    """Return what the instance published in earlier eras, by key and crash.
+
+    The detector learns it, too.
+    """
+    while True:
+        try:
+            # The response tells the present era.
+            store.list(base.ERAS_KIND)
+            items = _read_earlier(name, store, eras) if store.has_eras else []
+            break
+        except (base.StoreError, base.OutcomeUnknown) as exc:
+            journal.note('suspects.unread', why=str(exc))
+            gevent.sleep(random.uniform(*RETRY_INTERVAL_S))
+    published = {}
+    for item in items:
+        merge_suspects(poison_detector, item)
+        _add(published, _decode(item))
+    return published
+
+
+def _read_earlier(name, store, eras):
+    """Return the instance's objects of earlier eras, the earliest first."""
+    earlier = eras.list_earlier()[:MAX_ERAS_SEARCHED]
+    return [
+        store.get(f'{store.scope(KIND, era)}/{name}')
+        for era in reversed(earlier)
+    ]
+
+
 def _publish(key, store, published, culprits, clock):
     """Write the object, with what it says already and `published`.
 
--- a/tests/edge/crash_fleets.py
+++ b/tests/edge/crash_fleets.py
@@ -22,6 +22,7 @@
 
 from galenaspoke.core import catalog
 from galenaspoke.edge import caller_connections
+from galenaspoke.edge import eras
 from galenaspoke.edge import suspect_sharing
 from galenaspoke.http import connections
 from galenaspoke.http import messages
@@ -143,6 +144,7 @@
             suspect_sharing.run_publisher,
             f'router-{number}',
             self.store,
+            eras.Eras(self.store),
             desk.detector,
             desk.journal,
             self.clock,
--- a/tests/edge/test_poison.py
+++ b/tests/edge/test_poison.py
@@ -340,6 +340,7 @@
             suspect_sharing.run_publisher,
             'a',
             self.store,
+            eras.Eras(self.store),
             detector,
             base.Recorder(),
             self.clock,
--- a/tests/edge/test_store_from_copy.py
+++ b/tests/edge/test_store_from_copy.py
@@ -356,26 +356,51 @@
         )
 
     def test_suspects_are_published_again(self):
-        detector = poison.PoisonDetector(self.clock, base.Recorder())
         self.client.list('config')
+        detector = self.start_publisher(self.client)
+        keys = crash_suspects.make_keys('3f9a', ())
+        detector.record_cut_off(keys, ('i-7f', 1))
+        detector.record_target_down(('i-7f', 1))
+        base.wait_until(lambda: self.store.get('suspects1', 'a'))
+        self.assertEqual(1, len(self.store.get('suspects1', 'a')))
+        self.advance(1000)
+        self.store.restore(1000)
+        self.client.list('config')
+        base.wait_until(lambda: self.store.get('suspects2', 'a'))
+        self.assertEqual(1, len(self.store.get('suspects2', 'a')))
+
+    def start_publisher(self, client):
+        """Start a process of the instance 'a'; return its PoisonDetector."""
+        detector = poison.PoisonDetector(self.clock, base.Recorder())
         self.spawn(
             suspect_sharing.run_publisher,
             'a',
-            self.client,
+            client,
+            eras.Eras(client),
             detector,
             self.journal,
             self.clock,
         )
+        return detector
+
+    # Guards against requests that crash targets again after a power cut from
+    # which the store comes back from a copy.
+    def test_suspects_of_an_earlier_era_are_taken_over_after_a_restart(self):
+        detector = self.start_publisher(self.client)
         keys = crash_suspects.make_keys('3f9a', ())
-        detector.record_cut_off(keys, ('i-7f', 1))
-        detector.record_target_down(('i-7f', 1))
+        for number in range(2):
+            detector.record_cut_off(keys, (f'i-{number}', 1))
+            detector.record_target_down((f'i-{number}', 1))
         base.wait_until(lambda: self.store.get('suspects1', 'a'))
-        self.assertEqual(1, len(self.store.get('suspects1', 'a')))
+        base.wait_until(lambda: not detector.unpublished)
+        gevent.killall(self.tasks)
         self.advance(1000)
-        self.store.restore(1000)
-        self.client.list('config')
+        self.store.restore(500)
+        restarted = self.start_publisher(self.make_client()[0])
+        base.wait_until(restarted.has_culprits)
+        self.assertEqual(keys[0].name, restarted.find_poison(keys))
         base.wait_until(lambda: self.store.get('suspects2', 'a'))
-        self.assertEqual(1, len(self.store.get('suspects2', 'a')))
+        self.assertEqual(2, len(self.store.get('suspects2', 'a')))
 
     def test_router_registers_again(self):
         router = members.Members(
