--- a/galenaspoke/edge/crash_suspects.py
+++ b/galenaspoke/edge/crash_suspects.py
@@ -19,7 +19,6 @@
 import bisect
 import collections
 import dataclasses
-import itertools
 
 # How many crashes make a request and a part a culprit.  A part takes more,
 # because sound requests share it.
@@ -27,9 +26,10 @@
 PART_THRESHOLD = 3
 # The crashes of a culprit lie within this time.
 CRASH_WINDOW_MS = 60_000
-# Crashes closer together count as one, since a common cause is more likely,
-# unless one request ran at both targets, one after the other.
-SIMULTANEOUS_MS = 250
+# Crashes of a part that are closer together count as one, since a common cause
+# is more likely.  Those of one request, which ran at one target after the
+# other, count each.
+SIMULTANEOUS_MS = 500
 # A culprit that causes no further crash is forgotten after this time.
 CULPRIT_TTL_MS = 1_800_000
 # The rank of requests, above those of parts.
@@ -70,7 +70,7 @@
     ms of the process's monotonic clock.
     """
 
-    __slots__ = ('_crashes', '_cleared', '_ranks', '_culprits')
+    __slots__ = ('_crashes', '_cleared', '_ranks', '_candidates', '_culprits')
 
     def __init__(self):
         # Name of a key to the crashes of which it is a suspect, each with the
@@ -79,6 +79,9 @@
         # Name of a key to the crashes of which it was cleared.
         self._cleared = collections.defaultdict(dict)
         self._ranks = {}
+        # The names of the keys that are suspects of enough crashes.  All
+        # others, after a crash of many targets almost all, can't be culprits.
+        self._candidates = set()
         # The names of the culprits, None if they have to be found again.
         self._culprits = None
 
@@ -94,7 +97,9 @@
             return
         crashes[identity] = at
         self._ranks[key.name] = key.rank
-        self._culprits = None
+        if len(crashes) >= _threshold(key.name):
+            self._candidates.add(key.name)
+            self._culprits = None
 
     def clear(self, name):
         """Clear a key of all its crashes; return whether there were any.
@@ -105,7 +110,7 @@
         if not crashes:
             return False
         self._cleared[name].update(crashes)
-        self._culprits = None
+        self._drop_candidate(name)
         return True
 
     def list_cleared(self, name):
@@ -120,7 +125,15 @@
             return
         if not crashes:
             del self._crashes[name]
-        self._culprits = None
+        if name in self._candidates:
+            self._culprits = None
+        if len(crashes) < _threshold(name):
+            self._drop_candidate(name)
+
+    def _drop_candidate(self, name):
+        if name in self._candidates:
+            self._candidates.remove(name)
+            self._culprits = None
 
     def find_culprit(self, names):
         """Return the first of the keys with these names that is a culprit.
@@ -136,18 +149,26 @@
             self._culprits = self._find_culprits()
         return self._culprits
 
+    def count_pauses(self, name, min_ms):
+        """Return how many crashes of a key came `min_ms` after the one before.
+
+        Of a culprit each of them was a trial.
+        """
+        times = sorted(self._crashes[name].values())
+        return sum(
+            at - before >= min_ms
+            for before, at in zip(times, times[1:], strict=False)
+        )
+
     def _find_culprits(self):
         """Choose the key that explains most crashes, until none is left."""
         culprits = {}
-        repeated = self._find_repeated_crashes()
         unexplained = {
-            name: dict(crashes)
-            for name, crashes in self._crashes.items()
-            if len(crashes) >= _threshold(name)
+            name: dict(self._crashes[name]) for name in self._candidates
         }
         while True:
             counts = {
-                name: _count_crashes(crashes, repeated)
+                name: _count_crashes(name, crashes)
                 for name, crashes in unexplained.items()
             }
             candidates = [
@@ -167,15 +188,6 @@
                 for identity in explained:
                     crashes.pop(identity, None)
 
-    def _find_repeated_crashes(self):
-        """Return the pairs of crashes of which one request is a suspect."""
-        return {
-            pair
-            for name, crashes in self._crashes.items()
-            if name.startswith(_REQUEST_PREFIX)
-            for pair in itertools.permutations(crashes, 2)
-        }
-
     def remove_expired(self, now):
         """Remove crashes that are too long ago to count."""
         culprits = self.list_culprits()
@@ -183,7 +195,7 @@
             ttl_ms = CULPRIT_TTL_MS if name in culprits else CRASH_WINDOW_MS
             if now - max(crashes.values()) >= ttl_ms:
                 del self._crashes[name]
-                self._culprits = None
+                self._drop_candidate(name)
         for name, crashes in list(self._cleared.items()):
             if now - max(crashes.values()) >= CULPRIT_TTL_MS:
                 del self._cleared[name]
@@ -196,21 +208,16 @@
     return REQUEST_THRESHOLD
 
 
-def _count_crashes(crashes, repeated):
-    """Return the most separate crashes within CRASH_WINDOW_MS.
+def _count_crashes(name, crashes):
+    """Return the most separate crashes of a key within CRASH_WINDOW_MS.
 
-    `crashes` gives the time of each, `repeated` the pairs that are separate
-    however close together they are.
+    `crashes` gives the time of each.
     """
-    separate = []
-    for identity, at in sorted(crashes.items(), key=lambda pair: pair[1]):
-        if separate:
-            last_identity, last_at = separate[-1]
-            is_repeated = (last_identity, identity) in repeated
-            if at - last_at < SIMULTANEOUS_MS and not is_repeated:
-                continue
-        separate.append((identity, at))
-    times = [at for _, at in separate]
+    min_gap_ms = SIMULTANEOUS_MS if name.startswith(_PART_PREFIX) else 0
+    times = []
+    for at in sorted(crashes.values()):
+        if not times or at - times[-1] >= min_gap_ms:
+            times.append(at)
     return max(
         (
             bisect.bisect_left(times, at + CRASH_WINDOW_MS) - index
--- a/galenaspoke/edge/poison.py
+++ b/galenaspoke/edge/poison.py
@@ -32,7 +32,7 @@
 # the longest time between two of them; the time doubles with each.
 MIN_TRIAL_INTERVAL_MS = 60_000
 MAX_TRIAL_INTERVAL_MS = 900_000
-# A router publishes at most this many suspects, the latest.
+# A router publishes at most this many suspects, culprits and the latest.
 MAX_PUBLISHED = 600
 # A key is published as cleared once it was cleared of this many crashes.
 MIN_PUBLISHED_CLEARED = 2
@@ -67,13 +67,13 @@
     """Records the crashes of targets and the suspects of each crash.
 
     Requests are identified by their Keys, a target by its id and incarnation.
-    `is_home` is called with a culprit's name and returns whether this router
-    is the one that tries it, on which all routers agree.
+    `get_rank` is called with a culprit's name and returns how many routers
+    have to try it before this one, None if that isn't known.
     """
 
     __slots__ = (
         'unpublished',
-        'is_home',
+        'get_rank',
         '_clock',
         '_journal',
         '_cut_off',
@@ -82,10 +82,10 @@
         '_trials',
     )
 
-    def __init__(self, clock, journal, is_home=lambda _: False):
+    def __init__(self, clock, journal, get_rank=lambda _: None):
         # What this router found out and has not yet published.
         self.unpublished = collections.deque(maxlen=MAX_PUBLISHED)
-        self.is_home = is_home
+        self.get_rank = get_rank
         self._clock = clock
         self._journal = journal
         # Target to the Keys of the requests that it cut off, each with the
@@ -94,7 +94,7 @@
         # Targets that went down lately, each with the time.
         self._down = {}
         self._suspects = crash_suspects.CrashSuspects()
-        # Culprit to the time of the last trial and the interval after it.
+        # Culprit to the time of the last trial here, and how many there were.
         self._trials = {}
 
     def record_cut_off(self, keys, identity):
@@ -155,6 +155,10 @@
         """
         return bool(self._suspects)
 
+    def list_culprits(self):
+        """Return the names of what crashes targets."""
+        return set(self._suspects.list_culprits())
+
     def has_culprits(self):
         """Return whether any request may be refused."""
         return bool(self._suspects.list_culprits())
@@ -180,29 +184,39 @@
 
         Returns None if it may be sent.
         """
-        culprit = self._suspects.find_culprit([key.name for key in keys])
-        if culprit is None or self._begin_trial(culprit):
-            return None
-        return culprit
-
-    def _begin_trial(self, culprit):
-        """Return whether one request with a culprit is let through now."""
-        if not self.is_home(culprit):
-            return False
+        return self._suspects.find_culprit([key.name for key in keys])
+
+    def begin_trial(self, culprit):
+        """Return whether one request with a culprit is let through now.
+
+        If the first router makes no trial, because it is down or gets no such
+        requests, each of the others has its turn.  A crash lets all wait anew.
+        """
         now = self._clock.now()
         crashed_at = self._suspects.list_culprits()[culprit]
-        tried_at, interval_ms = self._trials.get(
-            culprit, (0, MIN_TRIAL_INTERVAL_MS)
-        )
-        if now - max(crashed_at, tried_at) < interval_ms:
+        tried_at, count = self._trials.get(culprit, (0, 0))
+        interval_ms = self._trial_interval_ms(culprit, count)
+        turn = (now - max(crashed_at, tried_at)) // interval_ms - 1
+        if turn < 0:
             return False
-        self._trials[culprit] = (
-            now,
-            min(MAX_TRIAL_INTERVAL_MS, 2 * interval_ms),
-        )
+        rank = self.get_rank(culprit)
+        if rank not in (0, turn):
+            return False
+        self._trials[culprit] = (now, count + 1)
         self._journal.note('poison.trial', culprit=culprit)
         return True
 
+    def _trial_interval_ms(self, culprit, count):
+        """Return the time to the next trial, after `count` by this router.
+
+        The crashes tell of those by other routers, and by earlier processes.
+        """
+        crash_count = self._suspects.count_pauses(
+            culprit, MIN_TRIAL_INTERVAL_MS
+        )
+        doublings = max(count, crash_count)
+        return min(MAX_TRIAL_INTERVAL_MS, MIN_TRIAL_INTERVAL_MS * 2**doublings)
+
     def remove_expired(self):
         """Remove entries that are too old to count."""
         now = self._clock.now()
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -11,6 +11,7 @@
 import gevent
 
 from galenaspoke.core import catalog
+from galenaspoke.edge import admission
 from galenaspoke.edge import attempts
 from galenaspoke.edge import caller_connections
 from galenaspoke.edge import crash_checks
@@ -230,6 +231,13 @@
             target = self._choose_target(context)
             if target is None:
                 break
+            # It may be known to crash targets only since it was admitted.
+            culprit = self._admission.find_poison(context)
+            if culprit is not None:
+                self._metrics.count('attempts.poison')
+                if not context.may_have_run:
+                    return admission.refuse_poison(culprit)
+                break
             if outcome is not None and not self._take_retry(context, outcome):
                 break
             outcome = self._run_attempt(context, target, caller)
@@ -267,9 +275,10 @@
         target.health.record_failure(self._clock.now(), True)
         self._poison_detector.record_target_down(target.entry.identity())
 
-    def _record_served(self, context, outcome):
+    def _record_served(self, context, outcome, events):
         """Clear a request of the crashes that it is suspected of."""
-        is_complete = outcome.status == HTTP_OK
+        has_run = outcome.is_framed or events > poison.MAX_SUSPECT_EVENTS
+        is_complete = outcome.status == HTTP_OK and has_run
         if is_complete and self._poison_detector.has_suspects():
             self._poison_detector.record_completed(context.crash_keys())
 
@@ -288,9 +297,6 @@
             return False
         if context.sent_count >= context.route.max_attempts:
             return False
-        if self._admission.find_poison(context) is not None:
-            self._metrics.count('retries.poison')
-            return False
         if not self._retry_budget.take_retry(context.service):
             self._metrics.count('retries.refused')
             return False
@@ -373,7 +379,7 @@
         is_ejected = False
         if isinstance(outcome, outcomes.Served):
             target.health.record_success()
-            self._record_served(context, outcome)
+            self._record_served(context, outcome, events)
             return
         if isinstance(outcome, outcomes.NotRun):
             if outcome.misdirected:
--- a/galenaspoke/edge/suspect_sharing.py
+++ b/galenaspoke/edge/suspect_sharing.py
@@ -6,7 +6,9 @@
 
 Example::
 
-    gevent.spawn(run_publisher, 'front-a-1', store, detector, journal, clock)
+    gevent.spawn(
+        run_publisher, 'front-a-1', store, eras, detector, journal, clock
+    )
     merge_suspects(detector, item)
 """
 
@@ -24,18 +26,20 @@
 PUBLISH_INTERVAL_S = 0.05
 # After a failed write.
 RETRY_INTERVAL_S = (0.5, 1.0)
+# In how many earlier eras a process looks for the object of its instance.
+MAX_ERAS_SEARCHED = 2
 
 
-def run_publisher(name, store, poison_detector, journal, clock):
+def run_publisher(name, store, eras, poison_detector, journal, clock):
     """Publish new suspects in this router's store object; never returns.
 
     `name` is the router's name; `store` holds the object, which is written
-    again in each era of the store.
+    again in each era of the store; `eras` are its Eras.
     """
     # By key and crash, the latest last.
-    published = {}
+    published = _take_over(name, store, eras, poison_detector, journal)
     # The era in which all of `published` was published, None if it was not.
-    published_era = store.era
+    published_era = None
     while True:
         gevent.sleep(PUBLISH_INTERVAL_S)
         if poison_detector.unpublished:
@@ -46,24 +50,58 @@
             continue
         era = store.era
         try:
-            _publish(f'{store.scope(KIND)}/{name}', store, published, clock)
+            key = f'{store.scope(KIND)}/{name}'
+            culprits = poison_detector.list_culprits()
+            _publish(key, store, published, culprits, clock)
             published_era = era
         except (base.StoreError, base.OutcomeUnknown) as exc:
             journal.note('suspects.unpublished', why=str(exc))
             gevent.sleep(random.uniform(*RETRY_INTERVAL_S))
 
 
-def _publish(key, store, published, clock):
+def _take_over(name, store, eras, poison_detector, journal):
+    """Return what the instance published in earlier eras, by key and crash.
+
+    The detector learns it, too.
+    """
+    while True:
+        try:
+            # The response tells the present era.
+            store.list(base.ERAS_KIND)
+            items = _read_earlier(name, store, eras) if store.has_eras else []
+            break
+        except (base.StoreError, base.OutcomeUnknown) as exc:
+            journal.note('suspects.unread', why=str(exc))
+            gevent.sleep(random.uniform(*RETRY_INTERVAL_S))
+    published = {}
+    for item in items:
+        merge_suspects(poison_detector, item)
+        _add(published, _decode(item))
+    return published
+
+
+def _read_earlier(name, store, eras):
+    """Return the instance's objects of earlier eras, the earliest first."""
+    earlier = eras.list_earlier()[:MAX_ERAS_SEARCHED]
+    return [
+        store.get(f'{store.scope(KIND, era)}/{name}')
+        for era in reversed(earlier)
+    ]
+
+
+def _publish(key, store, published, culprits, clock):
     """Write the object, with what it says already and `published`.
 
-    `published` then holds all of that.
+    `published` then holds all of that.  Suspects that are among `culprits`
+    are kept longest.
     """
     item = store.get(key)
     added = dict(published)
     published.clear()
     _add(published, _decode(item))
     _add(published, added.values())
-    _remove_oldest(published, clock.wall())
+    _remove_expired(published, clock.wall())
+    _remove_excess(published, culprits)
     value = msgspec.json.encode(list(published.values()))
     store.put(item.key, item.version, value)
 
@@ -74,14 +112,20 @@
         published[suspect.request, suspect.target] = suspect
 
 
-def _remove_oldest(published, wall_ms):
-    excess = len(published) - poison.MAX_PUBLISHED
-    for position, (key, suspect) in enumerate(list(published.items())):
-        is_expired = wall_ms - suspect.at_ms >= crash_suspects.CULPRIT_TTL_MS
-        if position < excess or is_expired:
+def _remove_expired(published, wall_ms):
+    for key, suspect in list(published.items()):
+        if wall_ms - suspect.at_ms >= crash_suspects.CULPRIT_TTL_MS:
             del published[key]
 
 
+def _remove_excess(published, culprits):
+    excess = max(0, len(published) - poison.MAX_PUBLISHED)
+    # Sorting keeps the order of the others, the oldest first.
+    keys = sorted(published, key=lambda key: key[0] in culprits)
+    for key in keys[:excess]:
+        del published[key]
+
+
 def merge_suspects(poison_detector, item):
     """Add the suspects that a router published in `item`.
 
