--- /dev/null
+++ b/galenaspoke/edge/attempt_recorder.py
@@ -0,0 +1,104 @@
+"""Records how attempts ended: health, crashes of targets, log lines.
+
+Example::
+
+    recorder = AttemptRecorder(target_view, detector, clock, journal)
+    recorder.record(context, target, outcomes.Served(200), took_ms=90)
+"""
+
+from galenaspoke.edge import crash_checks
+from galenaspoke.edge import outcomes
+from galenaspoke.edge import poison
+
+HTTP_OK = 200
+
+
+class AttemptRecorder:
+    """Tells the rest of the router what an attempt says about its target.
+
+    `target_view` is the TargetView, `poison_detector` the PoisonDetector.
+    """
+
+    __slots__ = (
+        '_target_view',
+        '_poison_detector',
+        '_crash_checker',
+        '_clock',
+        '_journal',
+    )
+
+    def __init__(self, target_view, poison_detector, clock, journal):
+        self._target_view = target_view
+        self._poison_detector = poison_detector
+        self._crash_checker = crash_checks.CrashChecker(
+            clock, self._handle_target_down
+        )
+        self._clock = clock
+        self._journal = journal
+
+    def record(self, context, target, outcome, took_ms, events=0):
+        """Record the outcome of an attempt.
+
+        `events` is how many events of a stream the target had sent.  If it cut
+        off the request, this waits a moment for the check whether it is down.
+        """
+        is_ejected = False
+        if isinstance(outcome, outcomes.Served):
+            self._record_served(context, target, outcome, events)
+            return
+        if isinstance(outcome, outcomes.NotRun):
+            is_ejected = self._record_not_run(target, outcome)
+            why = outcome.why
+        elif isinstance(outcome, outcomes.Unknown):
+            is_ejected = self._record_unknown(context, target, outcome, events)
+            why = outcome.why
+        else:
+            target.health.record_success()
+            why = f'status {outcome.response.status}'
+        self._journal.note(
+            'attempt.failed',
+            id=context.metadata.request_id,
+            target=target.entry.id,
+            outcome=type(outcome).__name__,
+            why=why,
+            ms=took_ms,
+            events=events,
+            parts=context.metadata.shared_part_ids(),
+            in_flight=target.in_flight,
+            rests=is_ejected,
+        )
+
+    def _record_served(self, context, target, outcome, events):
+        """Clear a request of the crashes that it is suspected of."""
+        target.health.record_success()
+        has_run = outcome.is_framed or events > poison.MAX_SUSPECT_EVENTS
+        is_complete = outcome.status == HTTP_OK and has_run
+        if is_complete and self._poison_detector.has_suspects():
+            self._poison_detector.record_completed(context.crash_keys())
+
+    def _record_not_run(self, target, outcome):
+        """Return whether the target is ejected."""
+        if outcome.misdirected:
+            self._target_view.remove_misdirected(target)
+            return False
+        if outcome.reached:
+            return False
+        is_ejected = target.health.record_failure(self._clock.now(), True)
+        if outcome.refused:
+            self._poison_detector.record_target_down(target.entry.identity())
+        return is_ejected
+
+    def _record_unknown(self, context, target, outcome, events):
+        """Return whether the target is ejected."""
+        is_ejected = target.health.record_failure(self._clock.now())
+        if outcome.cut_off and events <= poison.MAX_SUSPECT_EVENTS:
+            self._poison_detector.record_cut_off(
+                context.crash_keys(), target.entry.identity()
+            )
+            self._crash_checker.check(target)
+        return is_ejected
+
+    def _handle_target_down(self, target):
+        """Send nothing for a while to a target that went down."""
+        target.health.record_failure(self._clock.now(), True)
+        self._poison_detector.record_target_down(target.entry.identity())
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -12,13 +12,12 @@
 
 from galenaspoke.core import catalog
 from galenaspoke.edge import admission
+from galenaspoke.edge import attempt_recorder
 from galenaspoke.edge import attempts
 from galenaspoke.edge import caller_connections
-from galenaspoke.edge import crash_checks
 from galenaspoke.edge import long_prompts
 from galenaspoke.edge import outcomes
 from galenaspoke.edge import placement
-from galenaspoke.edge import poison
 from galenaspoke.edge import refusals
 from galenaspoke.edge import request_context
 from galenaspoke.edge import reservations
@@ -44,9 +43,6 @@
 STREAM_READ_TIMEOUT_GAPS = 4
 
 
-HTTP_OK = 200
-
-
 class _DeadlineExceeded(Exception):
     """The request's deadline has passed."""
 
@@ -66,13 +62,12 @@
         '_target_view',
         '_budget_manager',
         '_retry_budget',
-        '_poison_detector',
         '_header_codec',
         '_clock',
         '_metrics',
         '_journal',
         '_responder',
-        '_crash_checker',
+        '_recorder',
         '_isolations',
         '_undecided_tasks',
     )
@@ -99,7 +94,6 @@
         self._target_view = target_view
         self._budget_manager = budget_manager
         self._retry_budget = retry_budget
-        self._poison_detector = poison_detector
         self._header_codec = header_codec
         self._clock = clock
         self._metrics = metrics
@@ -107,8 +101,8 @@
         self._responder = responses.Responder(
             config_view, header_codec, clock, metrics, journal
         )
-        self._crash_checker = crash_checks.CrashChecker(
-            clock, self._handle_target_down
+        self._recorder = attempt_recorder.AttemptRecorder(
+            target_view, poison_detector, clock, journal
         )
         # The isolation of long prompts, by service name.
         self._isolations = collections.defaultdict(
@@ -270,18 +264,6 @@
             if target.entry.id not in context.tried_ids
         ]
 
-    def _handle_target_down(self, target):
-        """Send nothing for a while to a target that went down."""
-        target.health.record_failure(self._clock.now(), True)
-        self._poison_detector.record_target_down(target.entry.identity())
-
-    def _record_served(self, context, outcome, events):
-        """Clear a request of the crashes that it is suspected of."""
-        has_run = outcome.is_framed or events > poison.MAX_SUSPECT_EVENTS
-        is_complete = outcome.status == HTTP_OK and has_run
-        if is_complete and self._poison_detector.has_suspects():
-            self._poison_detector.record_completed(context.crash_keys())
-
     def _take_retry(self, context, outcome):
         """Return whether another target may be tried after `outcome`.
 
@@ -331,7 +313,7 @@
         finally:
             target.in_flight -= 1
             target.wait_estimator.record_end(context)
-        self._record_outcome(
+        self._recorder.record(
             context,
             target,
             outcome,
@@ -369,48 +351,3 @@
             READ_TIMEOUT_LATENCY_FACTOR * context.route.latency_target_ms
         )
         return max(1, min(timeout_ms, READ_TIMEOUT_SHARE * remaining_ms))
-
-    def _record_outcome(self, context, target, outcome, took_ms, events):
-        """Record how an attempt ended, for health and poison detection.
-
-        `events` is how many events of a stream the target had sent.
-        """
-        now = self._clock.now()
-        is_ejected = False
-        if isinstance(outcome, outcomes.Served):
-            target.health.record_success()
-            self._record_served(context, outcome, events)
-            return
-        if isinstance(outcome, outcomes.NotRun):
-            if outcome.misdirected:
-                self._target_view.remove_misdirected(target)
-            elif not outcome.reached:
-                is_ejected = target.health.record_failure(now, True)
-                if outcome.refused:
-                    self._poison_detector.record_target_down(
-                        target.entry.identity()
-                    )
-            why = outcome.why
-        elif isinstance(outcome, outcomes.Unknown):
-            is_ejected = target.health.record_failure(now)
-            why = outcome.why
-            if outcome.cut_off and events <= poison.MAX_SUSPECT_EVENTS:
-                self._poison_detector.record_cut_off(
-                    context.crash_keys(), target.entry.identity()
-                )
-                self._crash_checker.check(target)
-        else:
-            target.health.record_success()
-            why = f'status {outcome.response.status}'
-        self._journal.note(
-            'attempt.failed',
-            id=context.metadata.request_id,
-            target=target.entry.id,
-            outcome=type(outcome).__name__,
-            why=why,
-            ms=took_ms,
-            events=events,
-            parts=context.metadata.shared_part_ids(),
-            in_flight=target.in_flight,
-            rests=is_ejected,
-        )
--- a/tests/edge/test_store_partition.py
+++ b/tests/edge/test_store_partition.py
@@ -207,6 +207,8 @@
         self.patch(gevent, 'signal_handler', self.set_signal_handler)
         self.patch(relay_main.pywsgi, 'WSGIServer', self.make_server)
         self.patch(relay_main.relay_discovery, 'run', mock.Mock())
+        # A journal would make the output of the run non-blocking.
+        self.patch(relay_main.journals, 'Journal', mock.Mock())
 
     def patch(self, module, name, value):
         """Replace a module's attribute until the end of the test."""
