Poison: a router's turn, not its rank

Cause: read as a newcomer would. Keys have a rank, and routers had another one; and why a router tries only in its turn wasn't said. No behaviour changes.

After: 77 tests of crashing parts, poison, crash checks and rolling restarts pass.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -118,7 +118,7 @@
             lambda: self.config_view.catalog.generation,
             self.config_view.set_required_generation,
         )
-        self.poison_detector.get_rank = self._members.get_rank
+        self.poison_detector.get_turn = self._members.get_turn
         self.budget_manager = edge_budgets.BudgetManager(
             cfg,
             store,
--- a/galenaspoke/edge/members.py
+++ b/galenaspoke/edge/members.py
@@ -163,8 +163,8 @@
         home = rendezvous.choose_name(key, names)
         return '' if home == self._name else self._addresses[home]
 
-    def get_rank(self, key):
-        """Return how many routers `key` prefers to this one.
+    def get_turn(self, key):
+        """Return how many routers come before this one to try `key`.
 
         None while the list of routers isn't known, which is until it was read
         after this router registered: others register at the same time.
--- a/galenaspoke/edge/poison.py
+++ b/galenaspoke/edge/poison.py
@@ -67,13 +67,13 @@
     """Records the crashes of targets and the suspects of each crash.
 
     Requests are identified by their Keys, a target by its id and incarnation.
-    `get_rank` is called with a culprit's name and returns how many routers
+    `get_turn` is called with a culprit's name and returns how many routers
     have to try it before this one, None if that isn't known.
     """
 
     __slots__ = (
         'unpublished',
-        'get_rank',
+        'get_turn',
         '_clock',
         '_journal',
         '_cut_off',
@@ -82,10 +82,10 @@
         '_trials',
     )
 
-    def __init__(self, clock, journal, get_rank=lambda _: None):
+    def __init__(self, clock, journal, get_turn=lambda _: None):
         # What this router found out and has not yet published.
         self.unpublished = collections.deque(maxlen=MAX_PUBLISHED)
-        self.get_rank = get_rank
+        self.get_turn = get_turn
         self._clock = clock
         self._journal = journal
         # Target to the Keys of the requests that it cut off, each with the
@@ -199,8 +199,9 @@
         turn = (now - max(crashed_at, tried_at)) // interval_ms - 1
         if turn < 0:
             return False
-        rank = self.get_rank(culprit)
-        if rank not in (0, turn):
+        # The first router tries whenever it is time, each other one only while
+        # it has its turn: else all would try after a long time without trials.
+        if self.get_turn(culprit) not in (0, turn):
             return False
         self._trials[culprit] = (now, count + 1)
         self._journal.note('poison.trial', culprit=culprit)
--- a/tests/edge/test_crash_checks.py
+++ b/tests/edge/test_crash_checks.py
@@ -212,7 +212,7 @@
     def test_trial_may_try_another_target(self):
         self.crash_others()
         self.desk.clock.advance(poison.MIN_TRIAL_INTERVAL_MS)
-        self.desk.detector.get_rank = lambda _: 0
+        self.desk.detector.get_turn = lambda _: 0
         self.fail_first_connection()
         self.assertEqual(200, self.desk.request().status)
         self.assertEqual(1, sum(self.desk.count_requests()))
--- a/tests/edge/test_crashing_parts.py
+++ b/tests/edge/test_crashing_parts.py
@@ -11,6 +11,7 @@
 
 from galenaspoke.edge import crash_suspects
 from galenaspoke.edge import suspect_sharing
+from tests.edge import base
 from tests.edge import crash_fleets
 
 # The crashes after which no target may crash any more, and how many requests
@@ -131,7 +132,7 @@
                         4 * make_sound(fleet, topic_count)
                     )
                 ]
-                crash_fleets.base.settle()
+                base.settle()
                 fleet.crash_all()
                 for task in tasks:
                     task.get()
@@ -158,7 +159,7 @@
                 fleet.send(number % 5, parts)
                 for number, parts in enumerate(4 * make_sound(fleet))
             ]
-            crash_fleets.base.settle()
+            base.settle()
             fleet.crash_one_after_another(pause_ms)
             for task in tasks:
                 task.get()
@@ -175,7 +176,7 @@
                     fleet.send(number % 5, parts)
                     for number, parts in enumerate(make_sound(fleet))
                 ]
-                crash_fleets.base.settle()
+                base.settle()
                 fleet.crash_one()
                 fleet.may_finish.set()
                 self.assertEqual(
@@ -190,7 +191,7 @@
         for _ in range(ROUNDS):
             fleet.run_round(make_sound(fleet), ('system', 'bad'))
         for desk in fleet.desks[:1]:
-            desk.detector.get_rank = lambda _: 0
+            desk.detector.get_turn = lambda _: 0
         self.assertEqual(503, fleet.ask(0, ('system', 'bad')))
         fleet.crashing_parts.clear()
         fleet.clock.advance(60_000)
--- a/tests/edge/test_poison.py
+++ b/tests/edge/test_poison.py
@@ -181,26 +181,26 @@
         return count
 
     def test_no_trial_while_the_routers_are_unknown(self):
-        self.detector.get_rank = lambda _: None
+        self.detector.get_turn = lambda _: None
         self.assertEqual(0, self.count_trials(10))
 
     # Guards against sound requests that are refused for long, since the one
     # router that may try them is down or gets none of them.
     def test_another_router_tries_if_the_first_does_not(self):
-        self.detector.get_rank = lambda _: 2
+        self.detector.get_turn = lambda _: 2
         self.assertEqual(0, self.count_trials(2))
         self.assertEqual(1, self.count_trials(1))
 
     # Guards against trials by all routers at once, if requests with a culprit
     # come again after a long time.
     def test_other_routers_try_in_their_turn_only(self):
-        self.detector.get_rank = lambda _: 2
+        self.detector.get_turn = lambda _: 2
         self.clock.advance(10 * poison.MIN_TRIAL_INTERVAL_MS)
         self.assertEqual(0, self.count_trials(10))
 
     # Guards against trials by several routers, one after the other.
     def test_other_routers_wait_after_a_trial_that_crashed(self):
-        self.detector.get_rank = lambda _: 1
+        self.detector.get_turn = lambda _: 1
         self.assertEqual(0, self.count_trials(1))
         # The first router's trial.
         self.crash(('i-3', 1))
@@ -276,7 +276,7 @@
         """Return for each of some culprits how many routers try it."""
         return [
             sum(
-                router.get_rank(f'part:{number}') == 0
+                router.get_turn(f'part:{number}') == 0
                 for router in self.routers
             )
             for number in range(20)
