--- a/tests/edge/test_store_partition.py
+++ b/tests/edge/test_store_partition.py
@@ -259,7 +259,6 @@
         )
         base.wait_until(lambda: self.writes)
         self.patch(relay_main, 'STOP_TIMEOUT_S', 30)
-        self.patch(relay_main, 'STOP_TIMEOUT_S', 30)
         self.signal_handlers[signal.SIGTERM]()
         base.settle()
         self.assertFalse(process.ready())
