Observe: targets that name a rate limit

The limit is read from each response and remembered, with the time at which it was last named: a response to a request that was sent before that can't raise or end it. Each change is logged ('target.limited'), and the state dump shows it. No decision uses it yet.

--- a/galenaspoke/edge/attempts.py
+++ b/galenaspoke/edge/attempts.py
@@ -23,9 +23,10 @@
     """One attempt to have a target serve a request.
 
     `context` is the RequestContext, which holds the state that outlives the
-    attempt.  `header_codec` translates the platform's headers.  `on_leaving`
-    is called with the target if any response says that it leaves, and
-    `may_retry` returns whether another target may be tried after this one.
+    attempt.  `header_codec` translates the platform's headers.  `on_word`
+    is called with the target, the ResponseMetadata of each of its responses,
+    and the time at which it was asked, 0 if that isn't known.  `may_retry`
+    returns whether another target may be tried after this one.
     """
 
     __slots__ = (
@@ -34,9 +35,10 @@
         '_caller',
         '_header_codec',
         '_clock',
-        '_on_leaving',
+        '_on_word',
         '_may_retry',
         '_timeout_s',
+        '_asked_at',
         '_metadata',
     )
 
@@ -47,7 +49,7 @@
         caller,
         header_codec,
         clock,
-        on_leaving,
+        on_word,
         may_retry,
     ):
         self._context = context
@@ -55,9 +57,11 @@
         self._caller = caller
         self._header_codec = header_codec
         self._clock = clock
-        self._on_leaving = on_leaving
+        self._on_word = on_word
         self._may_retry = may_retry
         self._timeout_s = None
+        # When the request was sent.
+        self._asked_at = 0
         self._metadata = None
 
     def run(self, timeout_ms):
@@ -80,6 +84,7 @@
         # Assume that it runs until the target proves otherwise.
         self._context.may_have_run = True
         try:
+            self._asked_at = self._clock.now()
             conn.send(self._encode_request())
             self._context.sent_count += 1
             self._context.sent_at = self._clock.now()
@@ -142,13 +147,14 @@
         ties it to another request.
         """
         metadata = self._header_codec.parse_response(response)
+        is_own = metadata.request_id == self._context.metadata.request_id
         # Responses to other requests tell it as well.  A misdirected request
         # was answered by another target.
-        if metadata.is_leaving and not metadata.misdirected:
-            self._on_leaving(self._target)
-        return metadata.request_id == self._context.metadata.request_id or (
-            not metadata.request_id and not metadata.has_stamp
-        )
+        if not metadata.misdirected:
+            self._on_word(
+                self._target, metadata, self._asked_at if is_own else 0
+            )
+        return is_own or (not metadata.request_id and not metadata.has_stamp)
 
     def _handle_response(self, conn, response):
         self._metadata = metadata = self._header_codec.parse_response(response)
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -347,6 +347,7 @@
                 'leaving': target.entry.leaving,
                 'in_flight': target.in_flight,
                 'failure_share': target.health.failure_share,
+                'limit_per_s': target.rate_limiter.limit_per_s,
             }
         return {
             'name': self.cfg.name,
--- a/galenaspoke/edge/metadata.py
+++ b/galenaspoke/edge/metadata.py
@@ -63,6 +63,10 @@
     long the target keeps an idle connection open; both are None if the
     response doesn't say.  `is_leaving` is True if the target that responded
     says that it leaves.
+
+    `names_rate_limit` is True if the target names how many requests a second
+    it takes from all routers together, and `rate_limit_per_s` is that number,
+    None if it can't be read.
     """
 
     request_id: str
@@ -73,3 +77,5 @@
     retry_after_ms: int | None
     idle_timeout_ms: int | None
     is_leaving: bool
+    names_rate_limit: bool = False
+    rate_limit_per_s: float | None = None
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -301,7 +301,7 @@
             caller,
             self._header_codec,
             self._clock,
-            self._target_view.mark_leaving,
+            self._target_view.hear,
             lambda: self._may_retry(context),
         )
         try:
--- a/galenaspoke/edge/targets.py
+++ b/galenaspoke/edge/targets.py
@@ -1,6 +1,7 @@
 """The targets that this router knows, and its idle connections to them."""
 
 from galenaspoke.edge import health
+from galenaspoke.edge import rate_limits
 from galenaspoke.edge import wait_estimates
 from galenaspoke.http import connections
 
@@ -22,6 +23,7 @@
         'entry',
         'health',
         'wait_estimator',
+        'rate_limiter',
         'in_flight',
         'is_removed',
         'paused_until',
@@ -32,6 +34,7 @@
         self.entry = entry
         self.health = health.Health()
         self.wait_estimator = wait_estimates.WaitEstimator()
+        self.rate_limiter = rate_limits.RateLimiter()
         self.in_flight = 0
         # Whether it left or was replaced by another incarnation.
         self.is_removed = False
--- a/galenaspoke/edge/views.py
+++ b/galenaspoke/edge/views.py
@@ -221,7 +221,29 @@
             if target_id not in self._held:
                 self._put(item)
 
-    def mark_leaving(self, target):
+    def hear(self, target, metadata, asked_at):
+        """Take note of what a target says of itself in a response.
+
+        `metadata` is the ResponseMetadata, `asked_at` when the request was
+        sent, 0 if that isn't known.
+        """
+        if metadata.is_leaving:
+            self._mark_leaving(target)
+        is_readable = metadata.rate_limit_per_s is not None
+        if metadata.names_rate_limit and not is_readable:
+            return
+        before = target.rate_limiter.limit_per_s
+        if target.rate_limiter.hear(
+            metadata.rate_limit_per_s, asked_at, self._clock.now()
+        ):
+            self._journal.note(
+                'target.limited',
+                target=target.entry.id,
+                limit_per_s=metadata.rate_limit_per_s,
+                before=before,
+            )
+
+    def _mark_leaving(self, target):
         """Send nothing more to a target that says itself that it leaves."""
         if self.directory.mark_leaving(target, self._clock.now()):
             self._journal.note(
--- a/galenaspoke/platform/headers.py
+++ b/galenaspoke/platform/headers.py
@@ -1,5 +1,8 @@
 """Parses and builds the platform's headers of requests and responses."""
 
+import math
+import re
+
 from galenaspoke.edge import metadata
 from galenaspoke.http import messages
 
@@ -21,6 +24,8 @@
     )
 )
 _MISDIRECTED_STATUS = 421
+_RATE_LIMIT = b'server-limit'
+_DECIMAL_NUMBER = re.compile(rb'\d+(\.\d*)?|\.\d+')
 # The platform's range of priorities; values outside of it are clamped.
 _HIGHEST_PRIORITY = 0
 _LOWEST_PRIORITY = 9
@@ -115,9 +120,20 @@
         retry_after_ms=_parse_seconds_as_ms(fields.get(b'retry-after', b'')),
         idle_timeout_ms=_parse_idle_timeout_ms(fields.get(b'keep-alive', b'')),
         is_leaving=fields.get(b'server-leaving', b'').strip() == b'1',
+        names_rate_limit=_RATE_LIMIT in fields,
+        rate_limit_per_s=_parse_decimal(fields.get(_RATE_LIMIT, b'')),
     )
 
 
+def _parse_decimal(value):
+    """Return a decimal number without a sign; None if it is anything else."""
+    value = value.strip()
+    if not _DECIMAL_NUMBER.fullmatch(value):
+        return None
+    number = float(value)
+    return number if math.isfinite(number) else None
+
+
 def _parse_seconds_as_ms(value):
     try:
         return int(float(value) * 1000)
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -132,7 +132,7 @@
             self.caller,
             headers,
             self.clock,
-            lambda _: None,
+            lambda *_: None,
             lambda: True,
         )
         task = gevent.spawn(attempt.run, 50)
@@ -259,7 +259,7 @@
             self.caller,
             headers,
             self.clock,
-            lambda _: None,
+            lambda *_: None,
             lambda: True,
         )
         with self.assertRaises(gevent.Timeout):
