--- a/galenaspoke/edge/members.py
+++ b/galenaspoke/edge/members.py
@@ -207,20 +207,27 @@
         while True:
             self._wake.clear()
             try:
-                if self._is_registered():
-                    self._mark_if_durable()
-                    self._count(stale=True)
-                    pause_s = READ_INTERVAL_S
-                else:
-                    # The list also tells whether the configuration is usable.
-                    self._count(stale=False)
-                    self._register()
-                    pause_s = FIRST_READ_INTERVAL_S
+                pause_s = self.refresh()
             except (base.StoreError, base.OutcomeUnknown) as exc:
                 self._journal.note('roster.unread', why=str(exc))
                 pause_s = RETRY_INTERVAL_S
             self._wake.wait(random.uniform(*pause_s))
 
+    def refresh(self):
+        """Read the list, and register if that is yet to be done.
+
+        Returns the bounds of the pause before the next time, in seconds.
+        Raises the store's errors.
+        """
+        if self._is_registered():
+            self._mark_if_durable()
+            self._count(stale=True)
+            return READ_INTERVAL_S
+        # The list also tells whether the configuration is usable.
+        self._count(stale=False)
+        self._register()
+        return FIRST_READ_INTERVAL_S
+
     def unregister(self):
         """Remove this router from the list, if the store responds in time.
 
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -127,6 +127,14 @@
         return value and 1000 * float(value)
 
 
+class LoneMember:
+    """Stands for the Members of a fleet with a single router."""
+
+    def get_router_count(self):
+        """Return 1."""
+        return 1
+
+
 class Desk:
     """One service with scripted engines, and a router's handler before it."""
 
@@ -136,9 +144,11 @@
         kind=catalog.RequestKind.IDEMPOTENT,
         timeout_ms=600,
         clock=None,
+        members=None,
         **route_options,
     ):
         self.clock = clock or clocks.Clock()
+        members = members or LoneMember()
         self.journal = base.Recorder()
         cfg = base.make_edge_settings(retry_slack=50)
         options = {
@@ -185,7 +195,7 @@
             config_view,
             self.target_view,
             None,
-            retries.RetryBudget(cfg, self.clock, lambda: 1),
+            retries.RetryBudget(cfg, self.clock, members.get_router_count),
             self.detector,
             headers,
             self.clock,
