Fix: routers divide the rate limit that a target names

What the users saw: a target that took 2.3 requests a second from all routers got 22 in 4 s where 19 were allowed, another 27 where 16 were.

The class of fault: a word of a target that each router hears alone, but that is about all of them.

A target whose part is used up is passed over like one that asked for a pause: no attempt, no retry, nothing for its health; if all are, callers are told at once when the first one has room.

Why not: a whole share for each router (27 of them and 2 a second leave less than one request in 4 s for each, and saved-up ones break the bound); a common clock (routers' clocks jump here); counting through the store (a call for each request).

--- a/galenaspoke/core/limits.py
+++ b/galenaspoke/core/limits.py
@@ -8,7 +8,8 @@
 class TokenBucket:
     """A token bucket that admits `rate_per_s` events a second.
 
-    Up to `burst` events are admitted at once.
+    Up to `burst` events are admitted at once.  It starts with `level` tokens,
+    full if that is None.
 
     Example::
 
@@ -20,22 +21,33 @@
 
     __slots__ = ('_rate_per_s', '_burst', '_level', '_updated_at')
 
-    def __init__(self, rate_per_s, burst, now):
+    def __init__(self, rate_per_s, burst, now, level=None):
         self._rate_per_s = rate_per_s
         self._burst = burst
-        self._level = float(burst)
+        self._level = float(burst if level is None else level)
         self._updated_at = now
 
-    def take(self, now):
-        """Admit one event; return False if it has to wait."""
+    def has_token(self, now):
+        """Return whether an event would be admitted."""
         gained = (now - self._updated_at) * self._rate_per_s / 1000
         self._level = min(self._burst, self._level + gained)
         self._updated_at = now
-        if self._level < 1:
+        return self._level >= 1
+
+    def take(self, now):
+        """Admit one event; return False if it has to wait."""
+        if not self.has_token(now):
             return False
         self._level -= 1
         return True
 
+    def change(self, rate_per_s, burst, now):
+        """Change the rate and the burst from now on."""
+        self.has_token(now)
+        self._rate_per_s = rate_per_s
+        self._burst = burst
+        self._level = min(self._level, burst)
+
     def wait_ms(self):
         """Return the milliseconds until the next event can be admitted."""
         missing = max(0.0, 1 - self._level)
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -98,6 +98,7 @@
             lambda: self.config_view.catalog.services,
             history_gone_error,
             self.poison_detector.record_target_down,
+            lambda key, max_count: self._members.get_share(key, max_count),
         )
         self._suspect_watcher = watchers.Watcher(
             lambda: store.scope(suspect_sharing.KIND),
--- a/galenaspoke/edge/members.py
+++ b/galenaspoke/edge/members.py
@@ -17,6 +17,7 @@
     members.get_router_count()      # 9, or 0 while it isn't known
 """
 
+import dataclasses
 import random
 import zlib
 
@@ -72,6 +73,19 @@
         return any(member.is_durable for member in self.members.values())
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Share:
+    """How the routers divide something.
+
+    `part_count` of `router_count` routers have an equal part of it, and
+    `has_part` says whether this router is one of them.
+    """
+
+    router_count: int
+    part_count: int
+    has_part: bool
+
+
 class Members:
     """Registers this router and reads the list of all routers.
 
@@ -93,6 +107,7 @@
         '_router_count',
         '_addresses',
         '_names',
+        '_sharing_names',
         '_counted_era',
         '_registered_era',
         '_registered_at',
@@ -131,6 +146,9 @@
         # they were read after this router had registered.
         self._names = set()
         self._counted_era = None
+        # The names of the other routers in the last two readings, None before
+        # the first.  One alone may lack routers that register at the time.
+        self._sharing_names = None
         # The store's era in which this router registered, and when.
         self._registered_era = None
         self._registered_at = 0
@@ -173,6 +191,20 @@
             return None
         return rendezvous.count_preferred(key, self._names, self._name)
 
+    def get_share(self, key, max_count):
+        """Return this router's Share of what `key` names.
+
+        At most `max_count` routers have a part; all routers with the same list
+        agree on which.  Returns None while the list isn't known.
+        """
+        if self._sharing_names is None:
+            return None
+        others = self._sharing_names
+        router_count = len(others) + 1
+        part_count = min(router_count, max_count)
+        rank = rendezvous.count_preferred(key, others, self._name)
+        return Share(router_count, part_count, rank < part_count)
+
     def may_draw(self):
         """Return whether this router may draw tokens from the ledger."""
         if not self._store.has_eras:
@@ -334,7 +366,7 @@
             for name in running - {self._name}
             if members[name].address
         }
-        self._names = running - {self._name}
+        self._record_names(running - {self._name})
         self._counted_era = self._store.era if self._is_registered() else None
         count = len(running | {self._name})
         # The list of a new era fills up again.
@@ -344,6 +376,13 @@
         )
         self._remove_stopped(members)
 
+    def _record_names(self, names):
+        earlier = self._sharing_names or set()
+        if self._is_registered():
+            earlier = self._names
+        self._sharing_names = names | earlier
+        self._names = names
+
     def _remove_stopped(self, members):
         """Remove the records of routers whose stop has become durable."""
         stopped = {
--- a/galenaspoke/edge/placement.py
+++ b/galenaspoke/edge/placement.py
@@ -25,9 +25,10 @@
 def filter_usable(targets, now):
     """Return the available targets, or all if none is available.
 
-    Targets that asked for a pause are left out in any case.
+    Targets that asked for a pause, or whose rate limit is used up, are left
+    out in any case.
     """
-    willing = [target for target in targets if now >= target.paused_until]
+    willing = [target for target in targets if target.is_willing(now)]
     available = [
         target for target in willing if target.health.is_available(now)
     ]
@@ -36,9 +37,8 @@
 
 def compute_pause_ms(targets, now):
     """Return how long all targets want no requests; 0 if one wants some."""
-    return max(
-        0, min((target.paused_until for target in targets), default=0) - now
-    )
+    waits = (target.unwilling_ms(now) for target in targets)
+    return max(0, min(waits, default=0))
 
 
 def choose_target(metadata, targets, now, domain, isolation):
--- a/galenaspoke/edge/refusals.py
+++ b/galenaspoke/edge/refusals.py
@@ -74,7 +74,11 @@
     return outcomes.Refusal(
         503,
         outcomes.Reason.OVERLOAD,
-        outcome.why if outcome else 'all targets asked for a pause',
+        (
+            outcome.why
+            if outcome
+            else 'all targets asked for a pause or limit their rate'
+        ),
         retry_after_ms,
     )
 
--- a/galenaspoke/edge/targets.py
+++ b/galenaspoke/edge/targets.py
@@ -17,7 +17,10 @@
 
 
 class Target:
-    """One incarnation of a target."""
+    """One incarnation of a target.
+
+    For `get_share` see `rate_limits.RateLimiter`.
+    """
 
     __slots__ = (
         'entry',
@@ -30,11 +33,11 @@
         '_idle',
     )
 
-    def __init__(self, entry):
+    def __init__(self, entry, get_share):
         self.entry = entry
         self.health = health.Health()
         self.wait_estimator = wait_estimates.WaitEstimator()
-        self.rate_limiter = rate_limits.RateLimiter()
+        self.rate_limiter = rate_limits.RateLimiter(entry.id, get_share)
         self.in_flight = 0
         # Whether it left or was replaced by another incarnation.
         self.is_removed = False
@@ -46,6 +49,14 @@
         """Send no requests until a time, as the target asked."""
         self.paused_until = max(self.paused_until, until)
 
+    def is_willing(self, now):
+        """Return whether it takes one more request of this router now."""
+        return now >= self.paused_until and self.rate_limiter.has_room(now)
+
+    def unwilling_ms(self, now):
+        """Return how long it takes no request of this router."""
+        return max(self.paused_until - now, self.rate_limiter.wait_ms(now))
+
     def acquire_connection(self, now):
         """Return an idle or a new connection; raise NotSent on failure."""
         while self._idle:
@@ -111,6 +122,8 @@
 class Directory:
     """All targets that this router knows.
 
+    For `get_share` see `rate_limits.RateLimiter`.
+
     Example::
 
         directory.put(entry, now)
@@ -118,9 +131,16 @@
         directory.remove('i-7f3a', now)
     """
 
-    __slots__ = ('_targets', '_missing', '_leaving', '_removed')
+    __slots__ = (
+        '_get_share',
+        '_targets',
+        '_missing',
+        '_leaving',
+        '_removed',
+    )
 
-    def __init__(self):
+    def __init__(self, get_share):
+        self._get_share = get_share
         # Target by id, the latest incarnation only.
         self._targets = {}
         # The ids of targets without an entry, and when to remove them.
@@ -159,7 +179,7 @@
                 known.entry = entry
                 return True
             known.mark_removed()
-        self._targets[entry.id] = Target(entry)
+        self._targets[entry.id] = Target(entry, self._get_share)
         return True
 
     def remove(self, target_id, now):
--- a/galenaspoke/edge/views.py
+++ b/galenaspoke/edge/views.py
@@ -162,7 +162,8 @@
     `history_gone_error`.  `on_target_down` is called with the identity of an
     incarnation that was replaced or misdirected, or whose entry was removed
     although it had not announced that it leaves.  It is not called for targets
-    whose entries did not reappear after an outage of the store.
+    whose entries did not reappear after an outage of the store.  For
+    `get_share` see `rate_limits.RateLimiter`.
     """
 
     __slots__ = (
@@ -188,8 +189,9 @@
         get_services,
         history_gone_error,
         on_target_down,
+        get_share,
     ):
-        self.directory = edge_targets.Directory()
+        self.directory = edge_targets.Directory(get_share)
         self._on_target_down = on_target_down
         self._decode = entry_codec.decode
         self._clock = clock
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -48,8 +48,8 @@
 
     __slots__ = ('engine', 'requests', 'tasks')
 
-    def __init__(self, entry, engine):
-        super().__init__(entry)
+    def __init__(self, entry, engine, get_share):
+        super().__init__(entry, get_share)
         self.engine = engine
         # How many requests have reached it.
         self.requests = 0
@@ -134,6 +134,10 @@
         """Return 1."""
         return 1
 
+    def get_share(self, key, max_count):
+        """Return that this router has all of it."""
+        return base.get_whole_share(key, max_count)
+
 
 class Desk:
     """One service with scripted engines, and a router's handler before it."""
@@ -144,11 +148,11 @@
         kind=catalog.RequestKind.IDEMPOTENT,
         timeout_ms=600,
         clock=None,
-        members=None,
+        fleet_members=None,
         **route_options,
     ):
         self.clock = clock or clocks.Clock()
-        members = members or LoneMember()
+        fleet_members = fleet_members or LoneMember()
         self.journal = base.Recorder()
         cfg = base.make_edge_settings(retry_slack=50)
         options = {
@@ -182,7 +186,9 @@
             lambda: config_view.catalog.services,
             Exception,
             self.detector.record_target_down,
+            fleet_members.get_share,
         )
+        self._get_share = fleet_members.get_share
         self.targets = collections.OrderedDict()
         for name, engine in engines.items():
             self.add_target(name, engine)
@@ -195,7 +201,9 @@
             config_view,
             self.target_view,
             None,
-            retries.RetryBudget(cfg, self.clock, members.get_router_count),
+            retries.RetryBudget(
+                cfg, self.clock, fleet_members.get_router_count
+            ),
             self.detector,
             headers,
             self.clock,
@@ -207,7 +215,7 @@
         """Add a target to the directory."""
         entry = base.make_target_entry(name, domain=domain)
         self.target_view.directory.put(entry, self.clock.now())
-        target = ScriptedTarget(entry, engine)
+        target = ScriptedTarget(entry, engine, self._get_share)
         self.target_view.directory._targets[name] = target
         self.targets[name] = target
 
--- a/tests/edge/limited_fleets.py
+++ b/tests/edge/limited_fleets.py
@@ -138,7 +138,7 @@
             },
             timeout_ms=60_000,
             clock=self.clock,
-            members=self.members[name],
+            fleet_members=self.members[name],
         )
         self.read_list(name)
 
--- a/tests/edge/test_crash_checks.py
+++ b/tests/edge/test_crash_checks.py
@@ -32,7 +32,9 @@
         self.listener.bind(('127.0.0.1', 0))
         self.addCleanup(self.listener.close)
         port = self.listener.getsockname()[1]
-        self.target = targets.Target(base.make_target_entry('i-1', port))
+        self.target = targets.Target(
+            base.make_target_entry('i-1', port), base.get_whole_share
+        )
         self.clock = base.make_manual_clock()
         self.down = []
         self.checker = crash_checks.CrashChecker(self.clock, self.down.append)
--- a/tests/edge/test_dropped_idle_connections.py
+++ b/tests/edge/test_dropped_idle_connections.py
@@ -17,7 +17,9 @@
 
     def setUp(self):
         # Nothing listens on that port, so new connections are refused.
-        self.target = targets.Target(base.make_target_entry('i-1', port=1))
+        self.target = targets.Target(
+            base.make_target_entry('i-1', port=1), base.get_whole_share
+        )
         self.conn, self.remote = base.make_connection_pair()
         self.addCleanup(self.remote.close)
 
--- a/tests/edge/test_hot_engine.py
+++ b/tests/edge/test_hot_engine.py
@@ -21,7 +21,10 @@
 def make_targets(count=4, **options):
     """Return a list of new targets."""
     return [
-        targets.Target(base.make_target_entry(f'i-{number}', **options))
+        targets.Target(
+            base.make_target_entry(f'i-{number}', **options),
+            base.get_whole_share,
+        )
         for number in range(count)
     ]
 
--- a/tests/edge/test_rate_limits.py
+++ b/tests/edge/test_rate_limits.py
@@ -37,7 +37,7 @@
     """Responses that name a limit, another, or none."""
 
     def setUp(self):
-        self.limiter = rate_limits.RateLimiter()
+        self.limiter = rate_limits.RateLimiter('i-1', base.get_whole_share)
         self.limiter.hear(2.0, asked_at=0, now=1000)
 
     def test_raised_lowered_and_ended(self):
--- a/tests/edge/test_store_from_copy.py
+++ b/tests/edge/test_store_from_copy.py
@@ -179,6 +179,7 @@
             lambda: test_store_outage.SERVICES,
             platform_store.HistoryGone,
             lambda _: None,
+            base.get_whole_share,
         )
         for view in (config_view, target_view):
             self.client.add_era_listener(view.watcher.restart)
--- a/tests/edge/test_store_outage.py
+++ b/tests/edge/test_store_outage.py
@@ -92,6 +92,7 @@
             lambda: SERVICES,
             platform_store.HistoryGone,
             self.identities_down.append,
+            base.get_whole_share,
         )
         gevent.spawn(view.watcher.run).join()
         return view
