Observe: software versions of targets, and what a request takes up

A target's entry states its software version, a request the attempt that it takes up; both are decoded and logged. No decision uses them yet.

Tests: tests.platform, interrupted streams and mismatched responses pass.

--- a/galenaspoke/core/target_entry.py
+++ b/galenaspoke/core/target_entry.py
@@ -15,7 +15,8 @@
 
     `born` identifies the incarnation and is 0 if the target doesn't state it.
     The same id with another `born` is another incarnation, which has no
-    knowledge of the requests sent to the previous one.
+    knowledge of the requests sent to the previous one.  `version` is that of
+    its software, empty if the target doesn't state it.
     """
 
     id: str
@@ -26,6 +27,7 @@
     domain: str
     slots: int
     leaving: bool
+    version: str = ''
 
     def identity(self):
         """Return a tuple that is unique to this incarnation."""
--- a/galenaspoke/edge/attempt_recorder.py
+++ b/galenaspoke/edge/attempt_recorder.py
@@ -59,6 +59,7 @@
             'attempt.failed',
             id=context.metadata.request_id,
             target=target.entry.id,
+            version=target.entry.version,
             outcome=type(outcome).__name__,
             why=why,
             ms=took_ms,
--- a/galenaspoke/edge/attempts.py
+++ b/galenaspoke/edge/attempts.py
@@ -261,6 +261,7 @@
         self._target.wait_estimator.record_first_event(self._context, now)
         if not self._caller.response_started:
             self._context.record_first_byte(now)
+            self._context.stream_version = self._target.entry.version
         self._context.record_events(undelivered, now)
         data = messages.encode_chunk(
             b''.join(event.raw for event in undelivered)
--- a/galenaspoke/edge/metadata.py
+++ b/galenaspoke/edge/metadata.py
@@ -14,6 +14,9 @@
     its length in tokens.  If several prompts have a common prefix, a model
     engine processes that prefix only once.  `timeout_ms` is the time that the
     caller allows for the response, None if it doesn't say.
+
+    A caller that takes up a stream states in `last_event_id` what it has, and
+    in `resumed_id` the id of the request that brought the first event.
     """
 
     request_id: str = ''
@@ -23,6 +26,7 @@
     output_tokens: int = 0
     prompt_parts: tuple = ()
     last_event_id: str = ''
+    resumed_id: str = ''
 
     def max_tokens(self):
         """Return the most tokens that the request can consume."""
--- a/galenaspoke/edge/request_context.py
+++ b/galenaspoke/edge/request_context.py
@@ -23,6 +23,7 @@
         'sent_count',
         'may_have_run',
         'last_event_id',
+        'stream_version',
         'first_byte_ms',
         'event_count',
         'last_event_at',
@@ -53,6 +54,9 @@
         # The id of the last event that the caller has, at first as stated by
         # the caller.
         self.last_event_id = metadata.last_event_id
+        # The software version of the target that began the stream, None while
+        # no event has come.
+        self.stream_version = None
         # How long the caller waited for the first byte of the response.
         self.first_byte_ms = None
         # The number of events that were sent to the caller.
--- a/galenaspoke/edge/responses.py
+++ b/galenaspoke/edge/responses.py
@@ -82,6 +82,8 @@
                 'targets': context.tried_ids,
                 'first_ms': context.first_byte_ms,
                 'events': context.event_count,
+                'version': context.stream_version,
+                'resumed_id': context.metadata.resumed_id,
                 'gap_ms': context.longest_gap_ms,
                 'sent_ms': context.sent_at
                 and context.sent_at - req.arrived_at,
--- a/galenaspoke/platform/headers.py
+++ b/galenaspoke/platform/headers.py
@@ -49,6 +49,7 @@
         output_tokens=sum(tokens[1:]),
         prompt_parts=_parse_prompt_parts(fields.get(b'x-prompt-prefix', '')),
         last_event_id=fields.get(b'last-event-id', ''),
+        resumed_id=fields.get(b'resumes', ''),
     )
 
 
--- a/galenaspoke/platform/target_entries.py
+++ b/galenaspoke/platform/target_entries.py
@@ -60,6 +60,7 @@
         domain=spec['Zone'],
         slots=spec['Slots'],
         leaving=_LEAVING_BY_STATE[spec['State']],
+        version=spec.get('Version', ''),
     )
 
 
--- a/tests/platform/test_forged_target_entries.py
+++ b/tests/platform/test_forged_target_entries.py
@@ -39,6 +39,10 @@
         self.assertEqual(('i-1', 5), decode().identity())
         self.assertTrue(decode(State='draining').leaving)
 
+    def test_version(self):
+        self.assertEqual("v1", decode().version)
+        self.assertEqual("", decode(Version=...).version)
+
     def test_missing_fields(self):
         for name in ('Service', 'Addr', 'Zone', 'Slots', 'State', 'Seq'):
             self.assertIsNone(decode(**{name: ...}), name)
