--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -149,6 +149,7 @@
         timeout_ms=600,
         clock=None,
         fleet_members=None,
+        store=None,
         **route_options,
     ):
         self.clock = clock or clocks.Clock()
@@ -179,7 +180,7 @@
         )
         self.detector = poison.PoisonDetector(self.clock, self.journal)
         self.target_view = views.TargetView(
-            None,
+            store,
             self.clock,
             self.journal,
             target_entries,
@@ -211,30 +212,30 @@
             self.journal,
         )
 
-    def add_target(self, name, engine, domain='a'):
-        """Add a target to the directory."""
-        entry = base.make_target_entry(name, domain=domain)
+    def add_target(self, name, engine, **options):
+        """Add a target to the directory; `options` change its entry."""
+        entry = base.make_target_entry(name, **options)
         self.target_view.directory.put(entry, self.clock.now())
         target = ScriptedTarget(entry, engine, self._get_share)
         self.target_view.directory._targets[name] = target
         self.targets[name] = target
 
-    def request(self, caller=None, pairs=(), body=b''):
+    def request(self, caller=None, pairs=(), body=b'', request_id=REQUEST_ID):
         """Handle one request; return the Caller that got the response.
 
         `pairs` are headers beside those that every request has.
         """
-        req = self.make_request(pairs, body)
+        req = self.make_request(pairs, body, request_id)
         caller = caller or Caller()
         self.handler.handle(req, caller)
         return caller
 
-    def make_request(self, pairs=(), body=b''):
+    def make_request(self, pairs=(), body=b'', request_id=REQUEST_ID):
         """Return a request that a caller sends now."""
         req = messages.Request()
         req.method = b'POST'
         req.url = b'/a/x'
-        req.headers = [(b'host', b'desk'), (b'x-request-id', REQUEST_ID)]
+        req.headers = [(b'host', b'desk'), (b'x-request-id', request_id)]
         req.headers.extend(pairs)
         req.body += body
         req.arrived_at = self.clock.now()
--- a/tests/edge/test_endless_bytes.py
+++ b/tests/edge/test_endless_bytes.py
@@ -177,7 +177,7 @@
         self.addCleanup(desk.close)
         # The first engine is in the router's failure domain, so it is chosen.
         for domain, engine in zip('abc', engines):
-            desk.add_target(f'i-{domain}', engine, domain)
+            desk.add_target(f'i-{domain}', engine, domain=domain)
         caller = handlers.Caller()
         with gevent.Timeout(TIMEOUT_S):
             try:
--- /dev/null
+++ b/tests/edge/version_fleets.py
@@ -0,0 +1,298 @@
+"""Routers before engines of several software versions, all in this process.
+
+Each event of a stream names the version of the engine that made it.  Clients
+that lose their connection take their stream up at another router; what they
+got in the end shows whether the versions of one stream were mixed.
+
+Example::
+
+    fleet = VersionFleet(3, {'a': 'v1', 'b': 'v2'})
+    stream = fleet.begin('front-0', event_count=2)
+    fleet.kill('front-0')
+    fleet.take_up(stream, 'front-1')     # the status that the client gets
+    stream.versions                      # {'v1'}
+"""
+
+import itertools
+import random
+import re
+
+import gevent
+import msgspec
+
+from galenaspoke.core import catalog
+from galenaspoke.edge import caller_connections
+from galenaspoke.edge import eras
+from galenaspoke.edge import members
+from galenaspoke.http import messages
+from tests.edge import base
+from tests.edge import handlers
+from tests import fakes
+
+STREAM_EVENTS = 6
+TIMEOUT_MS = 12_000
+# Between two requests.
+PAUSE_MS = 250
+_EVENT = re.compile(rb'id: (\d+)\ndata: (\S+) (\S+)\n')
+_REQUEST_ID = re.compile(rb'\r\nx-request-id: (\S+)\r\n', re.IGNORECASE)
+_LAST_EVENT_ID = re.compile(rb'\r\nlast-event-id: (\d+)\r\n', re.IGNORECASE)
+
+
+class Stream:
+    """What one client has of its stream, over all its attempts."""
+
+    def __init__(self, first_id):
+        # The id of the attempt that brought the first event.
+        self.first_id = first_id
+        # Pairs of an event's number and the version that made it.
+        self.events = []
+        # The name of the engine that made the last one.
+        self.engine = None
+
+    @property
+    def versions(self):
+        """The versions of which the client has events."""
+        return {version for _, version in self.events}
+
+    def is_whole(self):
+        """Return whether each event came once, in order."""
+        numbers = [number for number, _ in self.events]
+        return numbers == list(range(1, STREAM_EVENTS + 1))
+
+
+class LosingCaller(handlers.Caller):
+    """A caller whose connection breaks after some events."""
+
+    def __init__(self, event_count):
+        super().__init__()
+        self.event_count = event_count
+
+    def send(self, data):
+        """Record bytes; break off once there are enough events."""
+        super().send(data)
+        if len(_EVENT.findall(self.body)) >= self.event_count:
+            raise caller_connections.CallerDisconnected('reset')
+
+
+class Engine:
+    """An engine that streams events, one a chunk.
+
+    With `breaks_after` it closes the connection after so many events; with
+    `is_down` it closes it at once.
+    """
+
+    def __init__(self, name, version):
+        self.name = name
+        self.version = version
+        self.breaks_after = None
+        self.is_down = False
+        self.request_count = 0
+
+    def run(self, remote, head):
+        """Respond to one request."""
+        self.request_count += 1
+        if self.is_down:
+            remote.close()
+            return
+        request_id = _REQUEST_ID.search(head)[1]
+        last = _LAST_EVENT_ID.search(head)
+        begin = int(last[1]) + 1 if last else 1
+        remote.sendall(
+            b'HTTP/1.1 200 -\r\nX-Request-Id: %s\r\nX-Response-Stamp: s\r\n'
+            b'Content-Type: text/event-stream\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n' % request_id
+        )
+        for number in range(begin, STREAM_EVENTS + 1):
+            data = f'id: {number}\ndata: {self.version} {self.name}\n\n'
+            remote.sendall(messages.encode_chunk(data.encode()))
+            gevent.sleep(0)
+            if self.breaks_after == number - begin + 1:
+                remote.close()
+                return
+        remote.sendall(messages.LAST_CHUNK)
+
+
+class EngineTarget(handlers.ScriptedTarget):
+    """A target whose connections end at an engine of the fleet."""
+
+    __slots__ = ()
+
+    def _run_engine(self, remote):
+        try:
+            while head := remote.recv(65_536):
+                self.requests += 1
+                self.engine.run(remote, head)
+        except OSError:
+            pass
+        finally:
+            remote.close()
+
+
+class VersionFleet:
+    """Routers that know each other and the engines from one store.
+
+    `versions` maps the engines' names to their versions.
+    """
+
+    def __init__(self, router_count, versions, seed=1):
+        self.clock = base.make_manual_clock()
+        self.store = fakes.FakeStore()
+        self.random = random.Random(seed)
+        self.engines = {}
+        self.desks = {}
+        self.members = {}
+        self.streams = []
+        self._numbers = itertools.count()
+        for name, version in versions.items():
+            self.add_engine(name, version)
+        for number in range(router_count):
+            self.start(f'front-{number}')
+        self.read_lists()
+
+    # Routers.
+
+    def start(self, name):
+        """Start a router, or restart it: it has forgotten everything."""
+        self.kill(name)
+        cfg = base.make_edge_settings(name, peer_listen=name)
+        self.members[name] = members.Members(
+            cfg,
+            self.store,
+            eras.Eras(self.store),
+            self.clock,
+            base.Recorder(),
+            lambda: 1,
+        )
+        self.desks[name] = handlers.Desk(
+            {},
+            catalog.RequestKind.STREAM,
+            timeout_ms=TIMEOUT_MS,
+            clock=self.clock,
+            fleet_members=self.members[name],
+            store=self.store,
+        )
+        self.read_targets(name)
+        if not self.store.down:
+            self.members[name].refresh()
+
+    def kill(self, name):
+        """End a router at once; what it knew is lost."""
+        desk = self.desks.pop(name, None)
+        if desk:
+            desk.close()
+
+    def read_lists(self):
+        """Let all routers read the list of routers."""
+        for name in self.desks:
+            self.members[name].refresh()
+
+    def read_targets(self, *names):
+        """Let some routers, or all, read the list of targets."""
+        for name in names or self.desks:
+            self.desks[name].target_view.watcher.read()
+            self._connect_targets(self.desks[name])
+
+    def _connect_targets(self, desk):
+        """Connect the targets that a router has read to their engines."""
+        directory = desk.target_view.directory
+        for target_id in directory.list_ids():
+            target = directory.get(target_id)
+            if isinstance(target, EngineTarget):
+                continue
+            engine = self.engines[target_id]
+            target = EngineTarget(target.entry, engine, base.get_whole_share)
+            directory._targets[target_id] = desk.targets[target_id] = target
+
+    # Engines.
+
+    def add_engine(self, name, version, routers=()):
+        """Start an engine; all routers, or some, learn of it at once."""
+        self.engines[name] = Engine(name, version)
+        entry = {
+            'Service': 'pool',
+            'Addr': '127.0.0.1:1',
+            'Zone': 'a',
+            'Version': version,
+            'Slots': 64,
+            'State': 'ready',
+            'Seq': 1,
+            'born': len(self.engines),
+        }
+        self.store.put(f'servers/{name}', 0, msgspec.json.encode(entry))
+        self.read_targets(*routers)
+
+    def remove_engine(self, name, routers=()):
+        """End an engine; all routers, or some, learn of it at once."""
+        key = f'servers/{name}'
+        self.store.delete(key, self.store.get(key).version)
+        self.store.revision += 1
+        self.read_targets(*routers)
+
+    # Clients.
+
+    def begin(self, router, event_count=2):
+        """Begin a stream that breaks after some events; return the Stream."""
+        stream = Stream(self._make_id())
+        self._request(stream, router, stream.first_id, (), event_count)
+        self.streams.append(stream)
+        return stream
+
+    def take_up_elsewhere(self, stream, router):
+        """Take up a stream while the engine that made it is down."""
+        engine = self.engines[stream.engine]
+        engine.is_down = True
+        status = self.take_up(stream, router)
+        engine.is_down = False
+        self.clock.advance(PAUSE_MS)
+        return status
+
+    def take_up(self, stream, router, event_count=STREAM_EVENTS + 1):
+        """Take up a stream at a router; return the status.
+
+        It breaks again after `event_count` more events.
+        """
+        pairs = (
+            (b'last-event-id', b'%d' % stream.events[-1][0]),
+            (b'resumes', stream.first_id),
+        )
+        return self._request(
+            stream, router, self._make_id(), pairs, event_count
+        )
+
+    def _request(self, stream, router, request_id, pairs, event_count):
+        caller = LosingCaller(event_count)
+        pairs = (
+            (b'x-deadline-ms', b'%d' % TIMEOUT_MS),
+            (b'x-token-usage', b'1100,60'),
+            (b'x-prompt-prefix', b'%x:1000,0f:100' % len(self.streams)),
+            *pairs,
+        )
+        try:
+            self.desks[router].request(caller, pairs, request_id=request_id)
+        except caller_connections.CallerDisconnected:
+            pass
+        # What comes after that is lost with the connection.
+        received = _EVENT.findall(caller.body)[:event_count]
+        for number, version, engine in received:
+            stream.events.append((int(number), version.decode()))
+            stream.engine = engine.decode()
+        base.settle()
+        return caller.status
+
+    def _make_id(self):
+        return b'%016x' % (0x9C41 + next(self._numbers))
+
+    # Judgement.
+
+    def count_mixed(self):
+        """Return how many streams hold events of two versions or more."""
+        return sum(len(stream.versions) > 1 for stream in self.streams)
+
+    def count_whole(self):
+        """Return how many streams are whole."""
+        return sum(stream.is_whole() for stream in self.streams)
+
+    def close(self):
+        """End all routers and engines."""
+        for name in list(self.desks):
+            self.kill(name)
