Fix: a stream goes on only at the software version that began it

The class of fault: a choice of a target that forgets what the request is bound to already.

The fix: - a response goes on only at targets of the version of its first event; - the version of each stream is remembered here and, while its service has or lately had several versions, noted at two other routers, which consistent hashing of the request's id names, by datagrams; a router that doesn't know a stream asks four; - if nobody knows it, it goes on only if the store confirms that the service has had a single version for longer than streams last; a router that has not run for so long relies on what the others saw; - else it is refused at once, as not run. So lost notes cost a refusal and never a mixed stream.

Weighed and not taken: a version chosen by the request's id alone, see docs/design/platform.md.

--- a/galenaspoke/edge/attempts.py
+++ b/galenaspoke/edge/attempts.py
@@ -25,8 +25,9 @@
     `context` is the RequestContext, which holds the state that outlives the
     attempt.  `header_codec` translates the platform's headers.  `on_word`
     is called with the target, the ResponseMetadata of each of its responses,
-    and the time at which it was asked, 0 if that isn't known.  `may_retry`
-    returns whether another target may be tried after this one.
+    and the time at which it was asked, 0 if that isn't known.  `on_begin` is
+    called with the context and the target before the first event of a stream
+    is relayed.  `may_retry` returns whether another target may be tried after this one.
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         '_header_codec',
         '_clock',
         '_on_word',
+        '_on_begin',
         '_may_retry',
         '_timeout_s',
         '_asked_at',
@@ -50,6 +52,7 @@
         header_codec,
         clock,
         on_word,
+        on_begin,
         may_retry,
     ):
         self._context = context
@@ -58,6 +61,7 @@
         self._header_codec = header_codec
         self._clock = clock
         self._on_word = on_word
+        self._on_begin = on_begin
         self._may_retry = may_retry
         self._timeout_s = None
         # When the request was sent.
@@ -262,6 +266,7 @@
         if not self._caller.response_started:
             self._context.record_first_byte(now)
             self._context.stream_version = self._target.entry.version
+            self._on_begin(self._context, self._target)
         self._context.record_events(undelivered, now)
         data = messages.encode_chunk(
             b''.join(event.raw for event in undelivered)
--- /dev/null
+++ b/galenaspoke/edge/datagrams.py
@@ -0,0 +1,51 @@
+"""Datagrams between routers, for what may be lost.
+
+Example::
+
+    datagrams = Datagrams()
+    datagrams.bind('10.1.0.40:7340')
+    datagrams.send('10.2.0.29:7340', b'...')
+    datagrams.run(lambda data, address: None)     # never returns
+"""
+
+import gevent
+from gevent import socket
+
+from galenaspoke.edge import settings as edge_settings
+
+# Small enough not to be fragmented.
+MAX_BYTES = 1_200
+RECEIVE_BYTES = 65_536
+# After an error of the socket.
+RETRY_INTERVAL_S = 0.1
+
+
+class Datagrams:
+    """Sends and receives the datagrams of one router."""
+
+    __slots__ = ('_sock',)
+
+    def __init__(self):
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+
+    def bind(self, address):
+        """Receive at an address, which is also that of the sender."""
+        self._sock.bind(edge_settings.split_address(address))
+
+    def send(self, address, data):
+        """Send a datagram; one that can't be sent is lost."""
+        try:
+            self._sock.sendto(data, edge_settings.split_address(address))
+        except OSError:
+            pass
+
+    def run(self, handle):
+        """Call `handle(data, address)` for each datagram; never returns."""
+        while True:
+            try:
+                data, (host, port) = self._sock.recvfrom(RECEIVE_BYTES)
+            except OSError:
+                # An earlier datagram could not be delivered.
+                gevent.sleep(RETRY_INTERVAL_S)
+                continue
+            handle(data, f'{host}:{port}')
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -13,6 +13,7 @@
 from galenaspoke.edge import admission
 from galenaspoke.edge import budgets as edge_budgets
 from galenaspoke.edge import caller_connections
+from galenaspoke.edge import datagrams
 from galenaspoke.edge import eras as edge_eras
 from galenaspoke.edge import journal as journals
 from galenaspoke.edge import loan_protocol
@@ -21,10 +22,13 @@
 from galenaspoke.edge import poison
 from galenaspoke.edge import relay_discovery
 from galenaspoke.edge import request_handler
+from galenaspoke.edge import resumption
 from galenaspoke.edge import retries
 from galenaspoke.edge import settings as edge_settings
 from galenaspoke.edge import startup
+from galenaspoke.edge import stream_versions
 from galenaspoke.edge import suspect_sharing
+from galenaspoke.edge import version_notes
 from galenaspoke.edge import views
 from galenaspoke.edge import watchers
 from galenaspoke.http import listening
@@ -134,6 +138,17 @@
         self.admission = admission.Admission(
             self.config_view, self.poison_detector, headers
         )
+        streams = stream_versions.StreamVersions(self.clock)
+        # Bound by `start`.
+        self._datagrams = datagrams.Datagrams()
+        self._version_notes = version_notes.VersionNotes(
+            streams,
+            self.target_view.directory.versions,
+            self._members,
+            self._datagrams.send,
+            self.clock,
+            self.target_view.is_stale,
+        )
         self.request_handler = request_handler.RequestHandler(
             cfg,
             self.admission,
@@ -144,6 +159,13 @@
                 cfg, self.clock, self._members.get_router_count
             ),
             self.poison_detector,
+            resumption.Resumption(
+                self.target_view,
+                streams,
+                self._version_notes,
+                self.clock,
+                self.journal,
+            ),
             headers,
             self.clock,
             self.metrics,
@@ -206,6 +228,9 @@
             )
 
         _start_wsgi_server(self.cfg.peer_listen, application)
+        self._datagrams.bind(self.cfg.peer_listen)
+        gevent.spawn(self._datagrams.run, self._version_notes.handle)
+        gevent.spawn(self._version_notes.run)
         gevent.spawn(
             relay_discovery.run,
             self.cfg,
--- a/galenaspoke/edge/members.py
+++ b/galenaspoke/edge/members.py
@@ -17,6 +17,7 @@
     members.get_router_count()      # 9, or 0 while it isn't known
 """
 
+import bisect
 import dataclasses
 import random
 import zlib
@@ -108,6 +109,7 @@
         '_addresses',
         '_names',
         '_sharing_names',
+        '_ring',
         '_counted_era',
         '_registered_era',
         '_registered_at',
@@ -149,6 +151,8 @@
         # The names of the other routers in the last two readings, None before
         # the first.  One alone may lack routers that register at the time.
         self._sharing_names = None
+        # Pairs of the position of each other router and its address, in order.
+        self._ring = []
         # The store's era in which this router registered, and when.
         self._registered_era = None
         self._registered_at = 0
@@ -205,6 +209,17 @@
         rank = rendezvous.count_preferred(key, others, self._name)
         return Share(router_count, part_count, rank < part_count)
 
+    def list_holders(self, key, count):
+        """Return the addresses of the other routers that keep `key`.
+
+        They are the next ones on a ring of all names, so that routers whose
+        lists differ by a few names choose nearly the same.
+        """
+        position = (rendezvous.locate(key), '')
+        begin = bisect.bisect(self._ring, position)
+        ring = self._ring[begin:] + self._ring[:begin]
+        return [address for _, address in ring[:count]]
+
     def may_draw(self):
         """Return whether this router may draw tokens from the ledger."""
         if not self._store.has_eras:
@@ -366,6 +381,10 @@
             for name in running - {self._name}
             if members[name].address
         }
+        self._ring = sorted(
+            (rendezvous.locate(name), address)
+            for name, address in self._addresses.items()
+        )
         self._record_names(running - {self._name})
         self._counted_era = self._store.era if self._is_registered() else None
         count = len(running | {self._name})
--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -26,6 +26,7 @@
     TARGET_FAILED = 'target_failed'
     UNKNOWN_KEY = 'unknown_key'
     UNKNOWN_ROUTE = 'unknown_route'
+    VERSION_UNKNOWN = 'version_unknown'
     VIEW_STALE = 'view_stale'
 
 
--- a/galenaspoke/edge/rendezvous.py
+++ b/galenaspoke/edge/rendezvous.py
@@ -21,6 +21,11 @@
     return sum(rendezvous.weigh(key, other) < weight for other in names)
 
 
+def locate(name):
+    """Return the position of a name on a ring, as bytes."""
+    return rendezvous.weigh('', name)
+
+
 def choose_name(key, names):
     """Return the name that `key` prefers."""
     return min(names, key=lambda name: rendezvous.weigh(key, name))
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -68,6 +68,7 @@
         '_journal',
         '_responder',
         '_recorder',
+        '_resumption',
         '_isolations',
         '_undecided_tasks',
     )
@@ -81,6 +82,7 @@
         budget_manager,
         retry_budget,
         poison_detector,
+        resumption,
         header_codec,
         clock,
         metrics,
@@ -104,6 +106,7 @@
         self._recorder = attempt_recorder.AttemptRecorder(
             target_view, poison_detector, clock, journal
         )
+        self._resumption = resumption
         # The isolation of long prompts, by service name.
         self._isolations = collections.defaultdict(
             long_prompts.LongPromptIsolation
@@ -134,7 +137,9 @@
             result = self._admission.admit(req)
             if isinstance(result, request_context.RequestContext):
                 context = result
-                result = self._reserve_and_run(context, caller)
+                result = self._resumption.resolve(
+                    context
+                ) or self._reserve_and_run(context, caller)
         except _Abandoned:
             result = refusals.from_shutdown(context)
         except messages.BadRequest as exc:
@@ -238,8 +243,7 @@
             if isinstance(outcome, outcomes.Served):
                 return outcome
         pause_ms = placement.compute_pause_ms(
-            self._target_view.directory.list_accepting(context.service),
-            self._clock.now(),
+            self._list_accepting(context), self._clock.now()
         )
         return refusals.from_last_outcome(context, outcome, pause_ms)
 
@@ -257,11 +261,24 @@
 
     def _list_untried(self, context):
         """Return the accepting targets that were not tried yet."""
+        return [
+            target
+            for target in self._list_accepting(context)
+            if target.entry.id not in context.tried_ids
+        ]
+
+    def _list_accepting(self, context):
+        """Return the targets that may get a request.
+
+        A stream that has begun goes on at the version that began it.
+        """
         accepting = self._target_view.directory.list_accepting(context.service)
+        if context.stream_version is None:
+            return accepting
         return [
             target
             for target in accepting
-            if target.entry.id not in context.tried_ids
+            if target.entry.version == context.stream_version
         ]
 
     def _take_retry(self, context, outcome):
@@ -303,6 +320,7 @@
             self._header_codec,
             self._clock,
             self._target_view.hear,
+            self._resumption.record_begin,
             lambda: self._may_retry(context),
         )
         try:
--- a/galenaspoke/edge/targets.py
+++ b/galenaspoke/edge/targets.py
@@ -2,6 +2,7 @@
 
 from galenaspoke.edge import health
 from galenaspoke.edge import rate_limits
+from galenaspoke.edge import versions
 from galenaspoke.edge import wait_estimates
 from galenaspoke.http import connections
 
@@ -132,6 +133,7 @@
     """
 
     __slots__ = (
+        'versions',
         '_get_share',
         '_targets',
         '_missing',
@@ -140,6 +142,8 @@
     )
 
     def __init__(self, get_share):
+        # Which software versions there were, and when.
+        self.versions = versions.VersionHistory()
         self._get_share = get_share
         # Target by id, the latest incarnation only.
         self._targets = {}
@@ -176,9 +180,13 @@
                 (known.entry.host, known.entry.port)
                 == (entry.host, entry.port)
             ):
+                self._remove_version(known.entry, now)
+                self.versions.add(entry.service, entry.version)
                 known.entry = entry
                 return True
+            self._remove_version(known.entry, now)
             known.mark_removed()
+        self.versions.add(entry.service, entry.version)
         self._targets[entry.id] = Target(entry, self._get_share)
         return True
 
@@ -189,9 +197,13 @@
         if known is None:
             return False
         known.mark_removed()
+        self._remove_version(known.entry, now)
         self._removed[known.entry.identity()] = now
         return True
 
+    def _remove_version(self, entry, now):
+        self.versions.remove(entry.service, entry.version, now)
+
     def mark_leaving(self, target, now):
         """Stop new requests to an incarnation that says that it leaves.
 
@@ -230,6 +242,7 @@
 
     def forget_expired(self, now):
         """Forget incarnations that left more than LEFT_TTL_MS ago."""
+        self.versions.forget_before(now - LEFT_TTL_MS)
         known = {target.entry.identity() for target in self._targets.values()}
         for times in (self._leaving, self._removed):
             for identity, at in list(times.items()):
--- /dev/null
+++ b/galenaspoke/edge/version_notes.py
@@ -0,0 +1,239 @@
+"""Routers tell each other which software version began a stream.
+
+A caller may take up a stream at another router, after the one that began it
+has died.  So each router notes its streams at a few others, which consistent
+hashing of the request's id names.  Notes are datagrams and may be lost: what
+nobody knows is refused, see `resumption`.  While a service has had a single
+version for long there is nothing to tell, and no notes are sent.
+
+Example::
+
+    notes = VersionNotes(streams, history, members, datagrams.send, clock)
+    gevent.spawn(notes.run)
+    notes.add('9c41', Origin('pool', 'v1'))
+    notes.ask('9c41', 'pool')     # Findings(origin=..., versions={'v1'})
+"""
+
+import collections
+import dataclasses
+import itertools
+
+import gevent
+from gevent import event
+import msgspec
+
+from galenaspoke.edge import stream_versions
+
+# How many routers are told of a stream, and how many are asked.  The lists of
+# routers may differ by a few, so more are asked.
+HOLDER_COUNT = 2
+ASKED_COUNT = 4
+NOTE_INTERVAL_S = 0.05
+# An unanswered question is sent this often, so long after each other.
+ASK_ATTEMPTS = 2
+ASK_TIMEOUT_S = 0.06
+# How many notes make a datagram.
+NOTES_PER_DATAGRAM = 12
+
+
+class Note(msgspec.Struct, tag='note', array_like=True):
+    """Origins of streams: triples of request id, service and version."""
+
+    streams: list[tuple[str, str, str]]
+
+
+class Question(msgspec.Struct, tag='ask', array_like=True):
+    """Asks for a stream, and for the versions that its service had lately."""
+
+    number: int
+    request_id: str
+    service: str
+
+
+class Answer(msgspec.Struct, tag='tell', array_like=True):
+    """The answer to a question.
+
+    `origin` is a pair of service and version, `versions` those that the
+    service had in the last `MAX_STREAM_AGE_MS`; None is unknown.
+    """
+
+    number: int
+    origin: tuple[str, str] | None
+    versions: list[str] | None
+
+
+Message = Note | Question | Answer
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Findings:
+    """What other routers know of a stream.
+
+    `origin` is None if none knows it.  `versions` are those that the stream's
+    service had while it may have begun, as far as any router saw, None if
+    none knows all that time.
+    """
+
+    origin: stream_versions.Origin | None = None
+    versions: frozenset | None = None
+
+
+class _Inquiry:
+    """A question that waits for its answers."""
+
+    __slots__ = ('answers', 'expected', 'is_done')
+
+    def __init__(self, expected):
+        # By the address of the router.
+        self.answers = {}
+        self.expected = expected
+        self.is_done = event.Event()
+
+
+class VersionNotes:
+    """Tells other routers of streams, and asks them.
+
+    `streams` are this router's StreamVersions and `history` its
+    VersionHistory; `send(address, data)` sends a datagram, and `is_stale()` says
+    whether the history may lack what changed lately.
+    """
+
+    __slots__ = (
+        '_streams',
+        '_history',
+        '_members',
+        '_send',
+        '_clock',
+        '_is_stale',
+        '_unsent',
+        '_inquiries',
+        '_numbers',
+    )
+
+    def __init__(self, streams, history, members, send, clock, is_stale):
+        self._streams = streams
+        self._history = history
+        self._members = members
+        self._send = send
+        self._clock = clock
+        self._is_stale = is_stale
+        # By service: triples of request id, version and when it was added, of
+        # the streams of which no note was sent, the oldest first.
+        self._unsent = collections.defaultdict(collections.deque)
+        self._inquiries = {}
+        self._numbers = itertools.count()
+
+    def add(self, request_id, origin):
+        """Remember a stream that has begun here, and note it elsewhere soon."""
+        self._streams.remember(request_id, origin)
+        self._unsent[origin.service].append(
+            (request_id, origin.version, self._clock.now())
+        )
+
+    def run(self):
+        """Send notes at intervals; never returns."""
+        while True:
+            gevent.sleep(NOTE_INTERVAL_S)
+            self.send_notes()
+
+    def send_notes(self):
+        """Send the notes that other routers may need."""
+        now = self._clock.now()
+        notes = collections.defaultdict(list)
+        for service, unsent in self._unsent.items():
+            self._remove_expired(unsent, now)
+            if not unsent or not self._is_needed(service, now):
+                continue
+            for request_id, version, _ in unsent:
+                for address in self._members.list_holders(
+                    request_id, HOLDER_COUNT
+                ):
+                    notes[address].append((request_id, service, version))
+            unsent.clear()
+        for address, streams in notes.items():
+            for begin in range(0, len(streams), NOTES_PER_DATAGRAM):
+                note = Note(streams[begin : begin + NOTES_PER_DATAGRAM])
+                self._send(address, msgspec.msgpack.encode(note))
+
+    def _remove_expired(self, unsent, now):
+        begin = now - stream_versions.MAX_STREAM_AGE_MS
+        while unsent and unsent[0][2] < begin:
+            unsent.popleft()
+
+    def _is_needed(self, service, now):
+        """Return whether a router may not know a stream's version by itself."""
+        versions = self._list_versions(service, now)
+        return versions is None or len(versions) > 1 or self._is_stale()
+
+    def _list_versions(self, service, now):
+        return self._history.list_since(
+            service, now - stream_versions.MAX_STREAM_AGE_MS
+        )
+
+    def ask(self, request_id, service):
+        """Return the Findings of the other routers about a stream.
+
+        Waits until one knows its origin or all have answered, for
+        ASK_ATTEMPTS times ASK_TIMEOUT_S at most.
+        """
+        addresses = self._members.list_holders(request_id, ASKED_COUNT)
+        if not addresses:
+            return Findings()
+        number = next(self._numbers)
+        inquiry = self._inquiries[number] = _Inquiry(set(addresses))
+        data = msgspec.msgpack.encode(Question(number, request_id, service))
+        try:
+            for _ in range(ASK_ATTEMPTS):
+                for address in inquiry.expected - set(inquiry.answers):
+                    self._send(address, data)
+                if inquiry.is_done.wait(ASK_TIMEOUT_S):
+                    break
+        finally:
+            del self._inquiries[number]
+        return _combine(inquiry.answers.values())
+
+    def handle(self, data, address):
+        """Handle a datagram from another router."""
+        try:
+            message = msgspec.msgpack.decode(
+                data, type=Note | Question | Answer
+            )
+        except msgspec.DecodeError:
+            return
+        if isinstance(message, Note):
+            for request_id, service, version in message.streams:
+                self._streams.remember(
+                    request_id, stream_versions.Origin(service, version)
+                )
+        elif isinstance(message, Question):
+            self._answer(message, address)
+        else:
+            self._handle_answer(message, address)
+
+    def _answer(self, question, address):
+        origin = self._streams.find(question.request_id)
+        versions = self._list_versions(question.service, self._clock.now())
+        answer = Answer(
+            question.number,
+            origin and (origin.service, origin.version),
+            None if versions is None else sorted(versions),
+        )
+        self._send(address, msgspec.msgpack.encode(answer))
+
+    def _handle_answer(self, answer, address):
+        inquiry = self._inquiries.get(answer.number)
+        if inquiry is None or address not in inquiry.expected:
+            return
+        inquiry.answers[address] = answer
+        if answer.origin or set(inquiry.answers) == inquiry.expected:
+            inquiry.is_done.set()
+
+
+def _combine(answers):
+    """Return the Findings that answers make together."""
+    known = [set(a.versions) for a in answers if a.versions is not None]
+    versions = frozenset().union(*known) if known else None
+    for answer in answers:
+        if answer.origin:
+            return Findings(stream_versions.Origin(*answer.origin), versions)
+    return Findings(None, versions)
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -18,8 +18,11 @@
 from galenaspoke.edge import admission
 from galenaspoke.edge import poison
 from galenaspoke.edge import request_handler
+from galenaspoke.edge import resumption
 from galenaspoke.edge import retries
+from galenaspoke.edge import stream_versions
 from galenaspoke.edge import targets
+from galenaspoke.edge import version_notes
 from galenaspoke.edge import views
 from galenaspoke.http import messages
 from galenaspoke.platform import headers
@@ -138,6 +141,10 @@
         """Return that this router has all of it."""
         return base.get_whole_share(key, max_count)
 
+    def list_holders(self, key, count):
+        """Return an empty list: there is no other router."""
+        return []
+
 
 class Desk:
     """One service with scripted engines, and a router's handler before it."""
@@ -150,6 +157,7 @@
         clock=None,
         fleet_members=None,
         store=None,
+        send_datagram=lambda address, data: None,
         **route_options,
     ):
         self.clock = clock or clocks.Clock()
@@ -190,6 +198,15 @@
             fleet_members.get_share,
         )
         self._get_share = fleet_members.get_share
+        streams = stream_versions.StreamVersions(self.clock)
+        self.version_notes = version_notes.VersionNotes(
+            streams,
+            self.target_view.directory.versions,
+            fleet_members,
+            send_datagram,
+            self.clock,
+            self.target_view.is_stale,
+        )
         self.targets = collections.OrderedDict()
         for name, engine in engines.items():
             self.add_target(name, engine)
@@ -206,6 +223,13 @@
                 cfg, self.clock, fleet_members.get_router_count
             ),
             self.detector,
+            resumption.Resumption(
+                self.target_view,
+                streams,
+                self.version_notes,
+                self.clock,
+                self.journal,
+            ),
             headers,
             self.clock,
             self.journal,
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -133,6 +133,7 @@
             headers,
             self.clock,
             lambda *_: None,
+            lambda *_: None,
             lambda: True,
         )
         task = gevent.spawn(attempt.run, 50)
@@ -260,6 +261,7 @@
             headers,
             self.clock,
             lambda *_: None,
+            lambda *_: None,
             lambda: True,
         )
         with self.assertRaises(gevent.Timeout):
--- a/tests/edge/test_software_versions.py
+++ b/tests/edge/test_software_versions.py
@@ -10,14 +10,16 @@
 from tests.edge import version_fleets
 
 STREAM_COUNT = 40
+# Of each of these a router asks others that don't answer.
+UNKNOWN_COUNT = 6
 VERSIONS = {'a': 'v1', 'b': 'v1', 'c': 'v2', 'd': 'v2'}
 # Of the streams that are taken up while their version serves, so many go on at
 # least, as a share of those that begin.
 MIN_RESUMED_SHARE = 0.5
 
 
-class VersionTest(unittest.TestCase):
-    """Two versions side by side."""
+class FleetTestCase(unittest.TestCase):
+    """A base class that makes fleets and judges their streams."""
 
     def make_fleet(self, router_count=3, versions=None):
         """Return a fleet of routers before the engines."""
@@ -32,6 +34,10 @@
             fleet.count_whole(), MIN_RESUMED_SHARE * len(fleet.streams)
         )
 
+
+class VersionTest(FleetTestCase):
+    """Two versions side by side."""
+
     # Guards against streams that a router goes on with at an engine of
     # another version within one response.
     def test_engine_that_breaks_off(self):
@@ -63,3 +69,186 @@
             router = fleet.random.choice(list(fleet.desks))
             fleet.take_up_elsewhere(stream, router)
         self.check_most_go_on(fleet)
+
+    def test_taken_up_again_and_again(self):
+        fleet = self.make_fleet(router_count=5)
+        for _ in range(STREAM_COUNT):
+            stream = fleet.begin('front-0', event_count=1)
+            for number in (1, 2, 3):
+                fleet.take_up(stream, f'front-{number}', event_count=1)
+            fleet.take_up_elsewhere(stream, 'front-4')
+        self.check_most_go_on(fleet)
+
+    def test_chain_of_routers_that_die(self):
+        fleet = self.make_fleet(router_count=5)
+        streams = [fleet.begin('front-0') for _ in range(10)]
+        fleet.kill('front-0')
+        for stream in streams:
+            fleet.take_up(stream, 'front-1', event_count=1)
+        fleet.kill('front-1')
+        for stream in streams:
+            fleet.take_up_elsewhere(stream, 'front-2')
+        self.check_most_go_on(fleet)
+
+    def test_version_without_targets(self):
+        fleet = self.make_fleet()
+        streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
+        for name in ('a', 'b'):
+            fleet.remove_engine(name)
+        for stream in streams:
+            status = fleet.take_up(stream, 'front-1')
+            self.assertEqual(200 if stream.versions == {'v2'} else 503, status)
+        self.assertEqual(0, fleet.count_mixed())
+
+    def test_new_streams_use_all_versions(self):
+        fleet = self.make_fleet()
+        for _ in range(STREAM_COUNT):
+            fleet.begin('front-0')
+        versions = {v for stream in fleet.streams for v in stream.versions}
+        self.assertEqual({'v1', 'v2'}, versions)
+
+
+class UnknownOriginTest(FleetTestCase):
+    """Streams whose version nobody remembers."""
+
+    def make_unknown(self, fleet, count=UNKNOWN_COUNT):
+        """Return streams that only a dead router knew."""
+        fleet.network.cut_off('front-0')
+        streams = [fleet.begin('front-0') for _ in range(count)]
+        fleet.kill('front-0')
+        return streams
+
+    def test_refused_while_there_are_two_versions(self):
+        fleet = self.make_fleet()
+        for stream in self.make_unknown(fleet):
+            self.assertEqual(503, fleet.take_up(stream, 'front-1'))
+        self.assertEqual(0, fleet.count_mixed())
+
+    def test_refusal_tells_when_to_retry(self):
+        fleet = self.make_fleet()
+        (stream,) = self.make_unknown(fleet, count=1)
+        fleet.take_up(stream, 'front-1')
+        (refusal,) = [
+            fields
+            for event, fields in fleet.desks['front-1'].journal.lines
+            if event == 'refused'
+        ]
+        self.assertEqual('version_unknown', refusal['reason'])
+        self.assertGreater(refusal['retry_after_ms'], 0)
+        self.assertEqual([], refusal['targets'])
+
+    def test_goes_on_at_the_only_version(self):
+        fleet = self.make_fleet(versions={'a': 'v1', 'b': 'v1'})
+        fleet.clock.advance(61_000)
+        streams = self.make_unknown(fleet)
+        sent_before = fleet.network.sent_count
+        fleet.send_notes()
+        self.assertEqual(sent_before, fleet.network.sent_count)
+        for stream in streams:
+            self.assertEqual(200, fleet.take_up(stream, 'front-1'))
+
+    def test_version_that_has_ended_lately(self):
+        fleet = self.make_fleet()
+        fleet.clock.advance(61_000)
+        streams = self.make_unknown(fleet)
+        for name in ('a', 'b'):
+            fleet.remove_engine(name)
+        for stream in streams:
+            self.assertEqual(503, fleet.take_up(stream, 'front-1'))
+        fleet.clock.advance(61_000)
+        self.assertEqual(200, fleet.take_up(streams[0], 'front-1'))
+
+    def test_version_that_this_router_has_not_heard_of(self):
+        for store_is_down in (False, True):
+            fleet = self.make_fleet(versions={'a': 'v1', 'b': 'v1'})
+            fleet.clock.advance(61_000)
+            fleet.add_engine('c', 'v2', routers=('front-0',))
+            fleet.add_engine('d', 'v2', routers=('front-0',))
+            streams = self.make_unknown(fleet)
+            fleet.store.down = store_is_down
+            for stream in streams:
+                self.assertEqual(503, fleet.take_up(stream, 'front-1'))
+
+    def test_store_that_is_away(self):
+        fleet = self.make_fleet(versions={'a': 'v1', 'b': 'v1'})
+        fleet.clock.advance(61_000)
+        streams = self.make_unknown(fleet)
+        fleet.store.down = True
+        for stream in streams:
+            self.assertEqual(503, fleet.take_up(stream, 'front-1'))
+
+    def test_stream_that_names_no_request(self):
+        for versions, status in ((VERSIONS, 503), ({'a': 'v1'}, 200)):
+            fleet = self.make_fleet(versions=versions)
+            fleet.clock.advance(61_000)
+            stream = fleet.begin('front-0')
+            stream.first_id = b''
+            self.assertEqual(status, fleet.take_up(stream, 'front-1'))
+
+
+class ChangingVersionsTest(FleetTestCase):
+    """Versions that come while streams are open, and routers that restart."""
+
+    def test_stream_from_before_the_second_version(self):
+        fleet = self.make_fleet(5, versions={'a': 'v1', 'b': 'v1'})
+        fleet.clock.advance(61_000)
+        streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
+        for name in ('c', 'd'):
+            fleet.add_engine(name, 'v2')
+        fleet.send_notes()
+        fleet.kill('front-0')
+        for stream in streams:
+            fleet.take_up_elsewhere(stream, 'front-1')
+        self.check_most_go_on(fleet)
+
+    def test_router_that_has_restarted(self):
+        fleet = self.make_fleet(router_count=5)
+        fleet.clock.advance(61_000)
+        streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
+        fleet.start('front-0')
+        for stream in streams:
+            fleet.take_up_elsewhere(stream, 'front-0')
+        self.check_most_go_on(fleet)
+
+    def test_restarted_router_and_one_version(self):
+        fleet = self.make_fleet(versions={'a': 'v1', 'b': 'v1'})
+        fleet.clock.advance(61_000)
+        streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
+        fleet.start('front-0')
+        for stream in streams:
+            fleet.take_up_elsewhere(stream, 'front-0')
+        self.check_most_go_on(fleet)
+
+    def test_all_routers_restart(self):
+        fleet = self.make_fleet(router_count=5)
+        fleet.clock.advance(61_000)
+        streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
+        for name in list(fleet.desks):
+            fleet.kill(name)
+        for number in range(5):
+            fleet.start(f'front-{number}')
+        fleet.read_lists()
+        for stream in streams:
+            self.assertEqual(503, fleet.take_up(stream, 'front-1'))
+        fleet.streams.clear()
+        for _ in range(STREAM_COUNT):
+            fleet.take_up_elsewhere(fleet.begin('front-2'), 'front-3')
+        self.check_most_go_on(fleet)
+
+    def test_store_is_away(self):
+        fleet = self.make_fleet(router_count=5)
+        fleet.clock.advance(61_000)
+        fleet.store.down = True
+        for _ in range(STREAM_COUNT):
+            fleet.take_up_elsewhere(fleet.begin('front-2'), 'front-3')
+        self.check_most_go_on(fleet)
+
+    def test_store_is_away_and_one_version_is_known(self):
+        fleet = self.make_fleet(5, versions={'a': 'v1', 'b': 'v1'})
+        fleet.clock.advance(61_000)
+        fleet.store.down = True
+        for desk in fleet.desks.values():
+            desk.target_view.watcher.failing_since = fleet.clock.now()
+        for _ in range(STREAM_COUNT):
+            fleet.take_up_elsewhere(fleet.begin('front-2'), 'front-3')
+        self.check_most_go_on(fleet)
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -128,6 +128,35 @@
             remote.close()
 
 
+class Network:
+    """Carries datagrams between the routers of a fleet.
+
+    `lost` holds pairs of routers, from and to, between which all are lost.
+    """
+
+    def __init__(self, desks):
+        self.desks = desks
+        self.lost = set()
+        self.sent_count = 0
+
+    def send(self, sender, address, data):
+        """Deliver a datagram a moment later, unless it is lost."""
+        self.sent_count += 1
+        if (sender, address) in self.lost:
+            return
+        gevent.spawn(self._deliver, sender, address, data)
+
+    def _deliver(self, sender, address, data):
+        desk = self.desks.get(address)
+        if desk is not None:
+            desk.version_notes.handle(data, sender)
+
+    def cut_off(self, name):
+        """Lose everything from and to a router."""
+        for other in self.desks:
+            self.lost |= {(name, other), (other, name)}
+
+
 class VersionFleet:
     """Routers that know each other and the engines from one store.
 
@@ -140,6 +169,7 @@
         self.random = random.Random(seed)
         self.engines = {}
         self.desks = {}
+        self.network = Network(self.desks)
         self.members = {}
         self.streams = []
         self._numbers = itertools.count()
@@ -170,6 +200,9 @@
             clock=self.clock,
             fleet_members=self.members[name],
             store=self.store,
+            send_datagram=lambda address, data: self.network.send(
+                name, address, data
+            ),
         )
         self.read_targets(name)
         if not self.store.down:
@@ -181,6 +214,12 @@
         if desk:
             desk.close()
 
+    def send_notes(self):
+        """Let all routers send their notes, and receive them."""
+        for desk in self.desks.values():
+            desk.version_notes.send_notes()
+        base.settle()
+
     def read_lists(self):
         """Let all routers read the list of routers."""
         for name in self.desks:
@@ -251,10 +290,9 @@
 
         It breaks again after `event_count` more events.
         """
-        pairs = (
-            (b'last-event-id', b'%d' % stream.events[-1][0]),
-            (b'resumes', stream.first_id),
-        )
+        pairs = [(b'last-event-id', b'%d' % stream.events[-1][0])]
+        if stream.first_id:
+            pairs.append((b'resumes', stream.first_id))
         return self._request(
             stream, router, self._make_id(), pairs, event_count
         )
@@ -276,7 +314,7 @@
         for number, version, engine in received:
             stream.events.append((int(number), version.decode()))
             stream.engine = engine.decode()
-        base.settle()
+        self.send_notes()
         return caller.status
 
     def _make_id(self):
