--- a/galenaspoke/edge/version_notes.py
+++ b/galenaspoke/edge/version_notes.py
@@ -124,7 +124,7 @@
         self._numbers = itertools.count()
 
     def add(self, request_id, origin):
-        """Remember a stream that has begun here, and note it elsewhere soon."""
+        """Remember a stream that has begun here; note it elsewhere soon."""
         self._streams.remember(request_id, origin)
         self._unsent[origin.service].append(
             (request_id, origin.version, self._clock.now())
@@ -161,7 +161,7 @@
             unsent.popleft()
 
     def _is_needed(self, service, now):
-        """Return whether a router may not know a stream's version by itself."""
+        """Return whether a router may not know a version by itself."""
         versions = self._list_versions(service, now)
         return versions is None or len(versions) > 1 or self._is_stale()
 
