Fix: streams are taken up again for the first minute after a start

Cause: what versions there had been was each router's own memory, so a router that had just started knew nothing, and all of them after a start of the fleet.

The fix: it is kept in the store. A router begins streams that may be taken up only at versions on record, so one read says which versions may have begun a stream, whoever has died. That replaces the history that each router kept, and what routers told each other of theirs. A version without targets leaves the record after 2 to 3 minutes; one that has come back meanwhile is counted, so that nobody removes it.

Ruled out: believing one's own memory from the first start of the fleet on (FirstStart): restarted routers would know nothing.

--- a/galenaspoke/core/catalog.py
+++ b/galenaspoke/core/catalog.py
@@ -126,6 +126,7 @@
         'accounts',
         'limits',
         'requires_key',
+        'resumable_services',
         '_routes',
         '_accounts_by_api_key',
     )
@@ -138,6 +139,13 @@
         # Requests need an API key as soon as there is a client account.
         self.requires_key = bool(accounts)
         self._accounts_by_api_key = keys
+        # The services whose streams a caller may take up.
+        self.resumable_services = {
+            service
+            for route in routes
+            if route.resumable
+            for service, _ in route.splits
+        }
         self._routes = {}
         for route in routes:
             by_prefix = self._routes.setdefault(route.host, {})
--- a/galenaspoke/edge/attempts.py
+++ b/galenaspoke/edge/attempts.py
@@ -27,7 +27,8 @@
     is called with the target, the ResponseMetadata of each of its responses,
     and the time at which it was asked, 0 if that isn't known.  `on_begin` is
     called with the context and the target before the first event of a stream
-    is relayed.  `may_retry` returns whether another target may be tried after this one.
+    is relayed.  `may_retry` returns whether another target may be tried after
+    this one.
     """
 
     __slots__ = (
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -29,6 +29,7 @@
 from galenaspoke.edge import stream_versions
 from galenaspoke.edge import suspect_sharing
 from galenaspoke.edge import version_notes
+from galenaspoke.edge import version_record
 from galenaspoke.edge import views
 from galenaspoke.edge import watchers
 from galenaspoke.http import listening
@@ -139,11 +140,12 @@
             self.config_view, self.poison_detector, headers
         )
         streams = stream_versions.StreamVersions(self.clock)
+        self._version_record = version_record.VersionRecord(store, self.clock)
         # Bound by `start`.
         self._datagrams = datagrams.Datagrams()
         self._version_notes = version_notes.VersionNotes(
             streams,
-            self.target_view.directory.versions,
+            self._version_record,
             self._members,
             self._datagrams.send,
             self.clock,
@@ -160,10 +162,9 @@
             ),
             self.poison_detector,
             resumption.Resumption(
-                self.target_view,
+                self._version_record,
                 streams,
                 self._version_notes,
-                self.clock,
                 self.journal,
             ),
             headers,
@@ -187,6 +188,14 @@
         self.config_view.add_listener(self.target_view.redecode)
         self.config_view.add_listener(self.budget_manager.apply_new_limits)
         gevent.spawn(self.target_view.sweep)
+        gevent.spawn(
+            version_record.run_updates,
+            self._version_record,
+            lambda: self.config_view.catalog.resumable_services,
+            self.target_view.directory.list_versions,
+            self._members.get_router_count,
+            self.journal,
+        )
         gevent.spawn(
             suspect_sharing.run_publisher,
             self.cfg.name,
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -268,17 +268,12 @@
         ]
 
     def _list_accepting(self, context):
-        """Return the targets that may get a request.
-
-        A stream that has begun goes on at the version that began it.
-        """
+        """Return the accepting targets whose version suits a request."""
         accepting = self._target_view.directory.list_accepting(context.service)
-        if context.stream_version is None:
-            return accepting
         return [
             target
             for target in accepting
-            if target.entry.version == context.stream_version
+            if self._resumption.suits(context, target.entry)
         ]
 
     def _take_retry(self, context, outcome):
--- a/galenaspoke/edge/resumption.py
+++ b/galenaspoke/edge/resumption.py
@@ -4,8 +4,7 @@
 targets don't check it.  So a stream goes on only at the version that began it:
 
 - the one that this router or another one remembers, see `version_notes`;
-- else the only one that the service had while the stream may have begun, if
-  the store confirms that this is all of them;
+- else the only one that the store has on record for the service;
 - else none: the request is refused.
 
 Example::
@@ -23,22 +22,21 @@
 class Resumption:
     """Finds the versions of streams that callers take up.
 
-    `target_view` is the TargetView, `streams` the StreamVersions and `notes`
-    the VersionNotes.
+    `record` is the VersionRecord, `streams` the StreamVersions and `notes` the
+    VersionNotes.
     """
 
-    __slots__ = ('_target_view', '_streams', '_notes', '_clock', '_journal')
+    __slots__ = ('_record', '_streams', '_notes', '_journal')
 
-    def __init__(self, target_view, streams, notes, clock, journal):
-        self._target_view = target_view
+    def __init__(self, record, streams, notes, journal):
+        self._record = record
         self._streams = streams
         self._notes = notes
-        self._clock = clock
         self._journal = journal
 
     def record_begin(self, context, target):
         """Remember the version of a stream whose first event goes out."""
-        if context.route.is_repeatable():
+        if _may_be_taken_up(context):
             origin = stream_versions.Origin(
                 context.service, target.entry.version
             )
@@ -74,35 +72,38 @@
         context.stream_version = origin.version
         return None
 
+    def suits(self, context, entry):
+        """Return whether a target's version suits a request.
+
+        A stream that has begun goes on at the version that began it, and one
+        that may be taken up begins only at a version that is on record.
+        `entry` is the TargetEntry.
+        """
+        if context.stream_version is not None:
+            return entry.version == context.stream_version
+        if not _may_be_taken_up(context):
+            return True
+        return self._record.has(entry.service, entry.version)
+
     def _find_origin(self, context):
         """Return the Origin of a stream or None, and how it was found."""
         resumed_id = context.metadata.resumed_id
-        origin = self._streams.find(resumed_id)
-        if origin is not None:
-            return origin, 'own'
-        findings = self._notes.ask(resumed_id, context.service)
-        if findings.origin is not None:
-            return findings.origin, 'noted'
-        versions = self._list_possible(context, findings)
+        if resumed_id:
+            origin = self._streams.find(resumed_id)
+            if origin is not None:
+                return origin, 'own'
+            origin = self._notes.ask(resumed_id)
+            if origin is not None:
+                return origin, 'noted'
+        versions = self._record.read(context.service)
         if versions is not None and len(versions) == 1:
             (version,) = versions
             origin = stream_versions.Origin(context.service, version)
             return origin, 'only version'
         return None, 'unknown'
 
-    def _list_possible(self, context, findings):
-        """Return the versions that may have begun a stream, None if unknown.
 
-        A router that has not been running for long relies on the others.
-        """
-        if not self._target_view.confirm():
-            return None
-        now = self._clock.now()
-        versions = self._target_view.directory.versions
-        present = versions.list_present(context.service)
-        lately = versions.list_since(
-            context.service, now - stream_versions.MAX_STREAM_AGE_MS
-        )
-        if lately is None and findings.versions is None:
-            return None
-        return present | (lately or set()) | (findings.versions or set())
+def _may_be_taken_up(context):
+    """Return whether the caller may take up the response as a stream."""
+    is_stream = context.route.kind is catalog.RequestKind.STREAM
+    return is_stream and context.route.resumable
--- a/galenaspoke/edge/targets.py
+++ b/galenaspoke/edge/targets.py
@@ -2,7 +2,6 @@
 
 from galenaspoke.edge import health
 from galenaspoke.edge import rate_limits
-from galenaspoke.edge import versions
 from galenaspoke.edge import wait_estimates
 from galenaspoke.http import connections
 
@@ -133,7 +132,6 @@
     """
 
     __slots__ = (
-        'versions',
         '_get_share',
         '_targets',
         '_missing',
@@ -142,8 +140,6 @@
     )
 
     def __init__(self, get_share):
-        # Which software versions there were, and when.
-        self.versions = versions.VersionHistory()
         self._get_share = get_share
         # Target by id, the latest incarnation only.
         self._targets = {}
@@ -180,13 +176,9 @@
                 (known.entry.host, known.entry.port)
                 == (entry.host, entry.port)
             ):
-                self._remove_version(known.entry, now)
-                self.versions.add(entry.service, entry.version)
                 known.entry = entry
                 return True
-            self._remove_version(known.entry, now)
             known.mark_removed()
-        self.versions.add(entry.service, entry.version)
         self._targets[entry.id] = Target(entry, self._get_share)
         return True
 
@@ -197,13 +189,9 @@
         if known is None:
             return False
         known.mark_removed()
-        self._remove_version(known.entry, now)
         self._removed[known.entry.identity()] = now
         return True
 
-    def _remove_version(self, entry, now):
-        self.versions.remove(entry.service, entry.version, now)
-
     def mark_leaving(self, target, now):
         """Stop new requests to an incarnation that says that it leaves.
 
@@ -242,7 +230,6 @@
 
     def forget_expired(self, now):
         """Forget incarnations that left more than LEFT_TTL_MS ago."""
-        self.versions.forget_before(now - LEFT_TTL_MS)
         known = {target.entry.identity() for target in self._targets.values()}
         for times in (self._leaving, self._removed):
             for identity, at in list(times.items()):
@@ -258,6 +245,14 @@
             and target.entry.identity() not in self._leaving
         ]
 
+    def list_versions(self, service):
+        """Return the software versions of a service's targets."""
+        return {
+            target.entry.version
+            for target in self._targets.values()
+            if target.entry.service == service
+        }
+
     def close_expired_connections(self, now):
         """Close idle connections that targets are about to close."""
         for target in self._targets.values():
--- a/galenaspoke/edge/version_notes.py
+++ b/galenaspoke/edge/version_notes.py
@@ -3,19 +3,18 @@
 A caller may take up a stream at another router, after the one that began it
 has died.  So each router notes its streams at a few others, which consistent
 hashing of the request's id names.  Notes are datagrams and may be lost: what
-nobody knows is refused, see `resumption`.  While a service has had a single
-version for long there is nothing to tell, and no notes are sent.
+nobody knows is refused, see `resumption`.  While a service has a single
+version there is nothing to tell, and no notes are sent.
 
 Example::
 
-    notes = VersionNotes(streams, history, members, datagrams.send, clock)
+    notes = VersionNotes(streams, record, members, send, clock, is_stale)
     gevent.spawn(notes.run)
     notes.add('9c41', Origin('pool', 'v1'))
-    notes.ask('9c41', 'pool')     # Findings(origin=..., versions={'v1'})
+    notes.ask('9c42')     # Origin('pool', 'v2'), told by another router
 """
 
 import collections
-import dataclasses
 import itertools
 
 import gevent
@@ -43,48 +42,29 @@
 
 
 class Question(msgspec.Struct, tag='ask', array_like=True):
-    """Asks for a stream, and for the versions that its service had lately."""
+    """Asks for the origin of a stream."""
 
     number: int
     request_id: str
-    service: str
 
 
 class Answer(msgspec.Struct, tag='tell', array_like=True):
-    """The answer to a question.
-
-    `origin` is a pair of service and version, `versions` those that the
-    service had in the last `MAX_STREAM_AGE_MS`; None is unknown.
-    """
+    """The answer to a question: service and version, None if unknown."""
 
     number: int
     origin: tuple[str, str] | None
-    versions: list[str] | None
 
 
 Message = Note | Question | Answer
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Findings:
-    """What other routers know of a stream.
-
-    `origin` is None if none knows it.  `versions` are those that the stream's
-    service had while it may have begun, as far as any router saw, None if
-    none knows all that time.
-    """
-
-    origin: stream_versions.Origin | None = None
-    versions: frozenset | None = None
-
-
 class _Inquiry:
     """A question that waits for its answers."""
 
     __slots__ = ('answers', 'expected', 'is_done')
 
     def __init__(self, expected):
-        # By the address of the router.
+        # The origin, or None, by the address of the router.
         self.answers = {}
         self.expected = expected
         self.is_done = event.Event()
@@ -93,14 +73,14 @@
 class VersionNotes:
     """Tells other routers of streams, and asks them.
 
-    `streams` are this router's StreamVersions and `history` its
-    VersionHistory; `send(address, data)` sends a datagram, and `is_stale()` says
-    whether the history may lack what changed lately.
+    `streams` are this router's StreamVersions and `record` the VersionRecord;
+    `send(address, data)` sends a datagram, and `is_stale()` says whether the
+    store can't be followed at the moment.
     """
 
     __slots__ = (
         '_streams',
-        '_history',
+        '_record',
         '_members',
         '_send',
         '_clock',
@@ -110,9 +90,9 @@
         '_numbers',
     )
 
-    def __init__(self, streams, history, members, send, clock, is_stale):
+    def __init__(self, streams, record, members, send, clock, is_stale):
         self._streams = streams
-        self._history = history
+        self._record = record
         self._members = members
         self._send = send
         self._clock = clock
@@ -142,7 +122,7 @@
         notes = collections.defaultdict(list)
         for service, unsent in self._unsent.items():
             self._remove_expired(unsent, now)
-            if not unsent or not self._is_needed(service, now):
+            if not unsent or not self._is_needed(service):
                 continue
             for request_id, version, _ in unsent:
                 for address in self._members.list_holders(
@@ -160,28 +140,22 @@
         while unsent and unsent[0][2] < begin:
             unsent.popleft()
 
-    def _is_needed(self, service, now):
+    def _is_needed(self, service):
         """Return whether a router may not know a version by itself."""
-        versions = self._list_versions(service, now)
-        return versions is None or len(versions) > 1 or self._is_stale()
-
-    def _list_versions(self, service, now):
-        return self._history.list_since(
-            service, now - stream_versions.MAX_STREAM_AGE_MS
-        )
+        return len(self._record.list_known(service)) != 1 or self._is_stale()
 
-    def ask(self, request_id, service):
-        """Return the Findings of the other routers about a stream.
+    def ask(self, request_id):
+        """Return the Origin of a stream if another router knows it, or None.
 
         Waits until one knows its origin or all have answered, for
         ASK_ATTEMPTS times ASK_TIMEOUT_S at most.
         """
         addresses = self._members.list_holders(request_id, ASKED_COUNT)
         if not addresses:
-            return Findings()
+            return None
         number = next(self._numbers)
         inquiry = self._inquiries[number] = _Inquiry(set(addresses))
-        data = msgspec.msgpack.encode(Question(number, request_id, service))
+        data = msgspec.msgpack.encode(Question(number, request_id))
         try:
             for _ in range(ASK_ATTEMPTS):
                 for address in inquiry.expected - set(inquiry.answers):
@@ -190,7 +164,10 @@
                     break
         finally:
             del self._inquiries[number]
-        return _combine(inquiry.answers.values())
+        for origin in inquiry.answers.values():
+            if origin is not None:
+                return stream_versions.Origin(*origin)
+        return None
 
     def handle(self, data, address):
         """Handle a datagram from another router."""
@@ -212,11 +189,8 @@
 
     def _answer(self, question, address):
         origin = self._streams.find(question.request_id)
-        versions = self._list_versions(question.service, self._clock.now())
         answer = Answer(
-            question.number,
-            origin and (origin.service, origin.version),
-            None if versions is None else sorted(versions),
+            question.number, origin and (origin.service, origin.version)
         )
         self._send(address, msgspec.msgpack.encode(answer))
 
@@ -224,16 +198,6 @@
         inquiry = self._inquiries.get(answer.number)
         if inquiry is None or address not in inquiry.expected:
             return
-        inquiry.answers[address] = answer
+        inquiry.answers[address] = answer.origin
         if answer.origin or set(inquiry.answers) == inquiry.expected:
             inquiry.is_done.set()
-
-
-def _combine(answers):
-    """Return the Findings that answers make together."""
-    known = [set(a.versions) for a in answers if a.versions is not None]
-    versions = frozenset().union(*known) if known else None
-    for answer in answers:
-        if answer.origin:
-            return Findings(stream_versions.Origin(*answer.origin), versions)
-    return Findings(None, versions)
--- /dev/null
+++ b/galenaspoke/edge/version_record.py
@@ -0,0 +1,176 @@
+"""The store's record of the software versions of each service.
+
+A router begins streams that may be taken up only at versions that are in the
+record.  So whoever reads it knows every version that may have begun a stream,
+no matter how long it has been running and which routers have died.  A version
+stays in the record until no stream of it can be taken up any more.
+
+Example::
+
+    record = VersionRecord(store, clock)
+    record.update('pool', {'v1'})
+    record.has('pool', 'v1')      # True
+    record.read('pool')           # {'v1'}
+"""
+
+import random
+
+import gevent
+import msgspec
+
+from galenaspoke.edge import stream_versions
+from galenaspoke.store import base
+
+# The kind of the store objects, one for each service.
+KIND = 'versions'
+UPDATE_INTERVAL_S = 0.1
+# Added for each router, so that they don't all write at the same time.
+UPDATE_SPREAD_S = 0.002
+# A version without targets is removed after this long.  It is longer than
+# streams can be taken up, because others may notice later that it has ended.
+KEEP_MS = 2 * stream_versions.MAX_STREAM_AGE_MS
+# The removal is put off by up to this share, so that one router does it.
+KEEP_SPREAD = 0.5
+# How long a request waits for the record.
+READ_TIMEOUT_S = 0.4
+
+
+class ServiceVersions(msgspec.Struct):
+    """The record of one service.
+
+    `appearances` counts by version how often it has come back, so that nobody
+    removes a version that is there again.
+    """
+
+    appearances: dict[str, int] = {}
+
+
+class VersionRecord:
+    """Keeps the record up to date, and reads it.
+
+    Times are in ms of the clock.
+    """
+
+    __slots__ = ('_store', '_clock', '_eras', '_known', '_missing')
+
+    def __init__(self, store, clock):
+        self._store = store
+        self._clock = clock
+        # By service the era of the store in which its record was last read.
+        self._eras = {}
+        # By service what the record says: appearances by version.
+        self._known = {}
+        # By service and version, of those in the record without targets: when
+        # to remove it, and its appearances so far.
+        self._missing = {}
+
+    def has(self, service, version):
+        """Return whether a version is in the record and has targets."""
+        return (
+            self._is_current(service)
+            and version in self._known.get(service, ())
+            and (service, version) not in self._missing
+        )
+
+    def list_known(self, service):
+        """Return the versions in the record when it was last read."""
+        return set(self._known.get(service, ()))
+
+    def read(self, service):
+        """Return the versions that are in the record now.
+
+        Returns None if the service isn't recorded, or if the store doesn't
+        respond within READ_TIMEOUT_S.
+        """
+        try:
+            with gevent.Timeout(READ_TIMEOUT_S):
+                item = self._store.get(self._make_key(service))
+        except (base.StoreError, base.OutcomeUnknown, gevent.Timeout):
+            return None
+        return set(base.decode(item, ServiceVersions).appearances) or None
+
+    def update(self, service, present):
+        """Record the versions that a service's targets have now.
+
+        Writes only if a version has come, come back, or been gone for long.
+        Raises the store's errors.
+        """
+        now = self._clock.now()
+        known = self._known.get(service, {})
+        is_current = self._is_current(service)
+        added = present - set(known) if is_current else present
+        returned = {v for v in present if (service, v) in self._missing}
+        for version in set(known) - present:
+            remove_at = now + KEEP_MS * random.uniform(1, 1 + KEEP_SPREAD)
+            self._missing.setdefault(
+                (service, version), (remove_at, known[version])
+            )
+        ended = {
+            version
+            for (name, version), (remove_at, _) in self._missing.items()
+            if name == service and now >= remove_at
+        } - returned
+        if not added and not returned and not ended:
+            return
+        if not is_current:
+            # In a new era of the store the record begins empty.
+            added = added | (set(known) - ended)
+        self._write(service, added, returned, ended)
+
+    def _write(self, service, added, returned, ended):
+        era = self._store.era
+
+        def change(record):
+            before = dict(record.appearances)
+            for version in added:
+                record.appearances.setdefault(version, 1)
+            for version in returned:
+                _, seen = self._missing[service, version]
+                count = record.appearances.get(version, 0)
+                record.appearances[version] = max(count, seen + 1)
+            for version in ended:
+                _, seen = self._missing[service, version]
+                if record.appearances.get(version) == seen:
+                    del record.appearances[version]
+            is_changed = record.appearances != before
+            return True if is_changed else base.UNCHANGED
+
+        _, record = base.update(
+            self._store,
+            lambda: self._make_key(service),
+            ServiceVersions,
+            change,
+        )
+        self._eras[service] = era
+        self._known[service] = dict(record.appearances)
+        for version in returned | ended:
+            del self._missing[service, version]
+
+    def _is_current(self, service):
+        """Return whether the record was read in the present era."""
+        return self._eras.get(service) == self._store.era
+
+    def _make_key(self, service):
+        return f'{self._store.scope(KIND)}/{service}'
+
+
+def run_updates(
+    record, list_services, list_versions, get_router_count, journal
+):
+    """Keep the record up to date; never returns.
+
+    `list_services()` returns the services whose streams may be taken up, and
+    `list_versions(service)` the versions that their targets have.
+    """
+    is_failing = False
+    while True:
+        spread_s = UPDATE_SPREAD_S * get_router_count()
+        gevent.sleep(UPDATE_INTERVAL_S + random.uniform(0, spread_s))
+        try:
+            for service in list_services():
+                record.update(service, list_versions(service))
+            is_failing = False
+        except (base.StoreError, base.OutcomeUnknown) as exc:
+            if not is_failing:
+                journal.note('versions.unrecorded', why=str(exc))
+            is_failing = True
--- a/galenaspoke/edge/views.py
+++ b/galenaspoke/edge/views.py
@@ -1,11 +1,17 @@
 """This router's views of the store: the configuration and the targets."""
 
 import gevent
+from gevent import event
 
 from galenaspoke.core import catalog as catalogs
 from galenaspoke.edge import targets as edge_targets
 from galenaspoke.edge import watchers
+from galenaspoke.store import base as store_base
 
+# A configuration that was confirmed within this time counts as current.
+CONFIRMATION_TTL_MS = 1_000
+# How long a request waits for the configuration to be confirmed.
+CONFIRM_TIMEOUT_S = 0.4
 # Targets whose entries expired during a store outage have written them again
 # within this time after the recovery.
 REAPPEAR_TIMEOUT_MS = 1_800
@@ -36,6 +42,7 @@
         '_clock',
         '_journal',
         '_listeners',
+        '_pending_read',
         '_required_generation',
         '_is_current',
     )
@@ -49,6 +56,7 @@
         self._clock = clock
         self._journal = journal
         self._listeners = []
+        self._pending_read = None
         # The first configuration is used if it is no older than this.
         self._required_generation = 0
         self._is_current = False
@@ -90,9 +98,32 @@
     def confirm(self):
         """Return whether the configuration is certain to be the latest one.
 
-        See `Watcher.confirm`.
+        Reads it again unless it was confirmed a moment ago; returns False if
+        that fails or takes longer than CONFIRM_TIMEOUT_S.  Requests that wait
+        at the same time share one read.
         """
-        return self.watcher.confirm()
+        confirmed_at = self.watcher.confirmed_at
+        if (
+            confirmed_at is not None
+            and self._clock.now() - confirmed_at < CONFIRMATION_TTL_MS
+        ):
+            return True
+        if self._pending_read is None:
+            self._pending_read = event.AsyncResult()
+            gevent.spawn(self._read, self._pending_read)
+        try:
+            return self._pending_read.get(timeout=CONFIRM_TIMEOUT_S)
+        except gevent.Timeout:
+            return False
+
+    def _read(self, result):
+        try:
+            self.watcher.read()
+            result.set(True)
+        except (store_base.StoreError, store_base.OutcomeUnknown):
+            result.set(False)
+        finally:
+            self._pending_read = None
 
     def _on_list(self, items):
         for item in items:
@@ -191,24 +222,11 @@
         for target_id, item in self._items.items():
             if target_id not in self._held:
                 self._put(item)
-        self._begin_history()
-
-    def confirm(self):
-        """Return whether all targets are certain to be known.
-
-        See `Watcher.confirm`.
-        """
-        return self.watcher.confirm()
 
     def is_stale(self):
         """Return whether the targets can't be followed at the moment."""
         return self.watcher.failing_since is not None
 
-    def _begin_history(self):
-        """Record since when the versions of all targets are known."""
-        if self._era is not None and self._get_services():
-            self.directory.versions.begin(self._clock.now())
-
     def hear(self, target, metadata, asked_at):
         """Take note of what a target says of itself in a response.
 
@@ -299,7 +317,6 @@
         for target_id in self.directory.list_ids():
             if target_id not in self._items:
                 self._handle_missing(target_id)
-        self._begin_history()
 
     def _is_outdated(self, target_id):
         """Return whether a listed entry is older than what is known."""
--- a/galenaspoke/edge/watchers.py
+++ b/galenaspoke/edge/watchers.py
@@ -9,7 +9,6 @@
 import random
 
 import gevent
-from gevent import event
 
 from galenaspoke.store import base as store_base
 
@@ -19,10 +18,6 @@
 RECOVERY_WATCH_WAIT_MS = 1
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.6
-# A state that was confirmed within this time counts as current.
-CONFIRMATION_TTL_MS = 1_000
-# How long a request waits for the state to be confirmed.
-CONFIRM_TIMEOUT_S = 0.4
 
 
 class Watcher:
@@ -69,7 +64,6 @@
         '_is_listed',
         '_backoff_s',
         '_waiting_task',
-        '_pending_read',
     )
 
     def __init__(
@@ -107,9 +101,6 @@
         self._backoff_s = INITIAL_BACKOFF_S
         # The greenlet that waits for a change, None while there is none.
         self._waiting_task = None
-        # The result of a read that confirms the state, None while there is
-        # none.
-        self._pending_read = None
 
     def run(self):
         """List and watch, with backoff after failures; never returns."""
@@ -160,35 +151,6 @@
             self._on_list(listing.items)
             self.confirmed_at = max(self.confirmed_at or 0, started_at)
 
-    def confirm(self):
-        """Return whether the reported state is certain to be the latest one.
-
-        Lists all objects again unless it was confirmed a moment ago; returns
-        False if that fails or takes longer than CONFIRM_TIMEOUT_S.  Callers
-        that wait at the same time share one read.
-        """
-        if (
-            self.confirmed_at is not None
-            and self._clock.now() - self.confirmed_at < CONFIRMATION_TTL_MS
-        ):
-            return True
-        if self._pending_read is None:
-            self._pending_read = event.AsyncResult()
-            gevent.spawn(self._confirm, self._pending_read)
-        try:
-            return self._pending_read.get(timeout=CONFIRM_TIMEOUT_S)
-        except gevent.Timeout:
-            return False
-
-    def _confirm(self, result):
-        try:
-            self.read()
-            result.set(True)
-        except (store_base.StoreError, store_base.OutcomeUnknown):
-            result.set(False)
-        finally:
-            self._pending_read = None
-
     def _watch(self):
         wait_ms = (
             WATCH_WAIT_MS
--- a/tests/edge/crash_fleets.py
+++ b/tests/edge/crash_fleets.py
@@ -286,6 +286,7 @@
     """Make an engine a target of a router."""
     entry = base.make_target_entry(engine.name)
     desk.target_view.directory.put(entry, desk.clock.now())
+    desk.record_versions()
     target = EngineTarget(entry, engine, base.get_whole_share)
     desk.target_view.directory._targets[engine.name] = target
     desk.targets[engine.name] = target
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -23,11 +23,13 @@
 from galenaspoke.edge import stream_versions
 from galenaspoke.edge import targets
 from galenaspoke.edge import version_notes
+from galenaspoke.edge import version_record
 from galenaspoke.edge import views
 from galenaspoke.http import messages
 from galenaspoke.platform import headers
 from galenaspoke.platform import target_entries
 from tests.edge import base
+from tests import fakes
 
 REQUEST_ID = b'9c41'
 
@@ -199,9 +201,12 @@
         )
         self._get_share = fleet_members.get_share
         streams = stream_versions.StreamVersions(self.clock)
+        self.version_record = version_record.VersionRecord(
+            store or fakes.FakeStore(), self.clock
+        )
         self.version_notes = version_notes.VersionNotes(
             streams,
-            self.target_view.directory.versions,
+            self.version_record,
             fleet_members,
             send_datagram,
             self.clock,
@@ -224,10 +229,9 @@
             ),
             self.detector,
             resumption.Resumption(
-                self.target_view,
+                self.version_record,
                 streams,
                 self.version_notes,
-                self.clock,
                 self.journal,
             ),
             headers,
@@ -240,10 +244,17 @@
         """Add a target to the directory; `options` change its entry."""
         entry = base.make_target_entry(name, **options)
         self.target_view.directory.put(entry, self.clock.now())
+        self.record_versions()
         target = ScriptedTarget(entry, engine, self._get_share)
         self.target_view.directory._targets[name] = target
         self.targets[name] = target
 
+    def record_versions(self):
+        """Record the versions of the targets in the store."""
+        self.version_record.update(
+            'pool', self.target_view.directory.list_versions('pool')
+        )
+
     def request(self, caller=None, pairs=(), body=b'', request_id=REQUEST_ID):
         """Handle one request; return the Caller that got the response.
 
--- a/tests/edge/test_software_versions.py
+++ b/tests/edge/test_software_versions.py
@@ -7,6 +7,8 @@
 
 import unittest
 
+from galenaspoke.edge import version_record
+from galenaspoke.store import base as store_base
 from tests.edge import version_fleets
 
 STREAM_COUNT = 40
@@ -139,7 +141,6 @@
 
     def test_goes_on_at_the_only_version(self):
         fleet = self.make_fleet(versions={'a': 'v1', 'b': 'v1'})
-        fleet.clock.advance(61_000)
         streams = self.make_unknown(fleet)
         sent_before = fleet.network.sent_count
         fleet.send_notes()
@@ -149,19 +150,18 @@
 
     def test_version_that_has_ended_lately(self):
         fleet = self.make_fleet()
-        fleet.clock.advance(61_000)
         streams = self.make_unknown(fleet)
         for name in ('a', 'b'):
             fleet.remove_engine(name)
         for stream in streams:
             self.assertEqual(503, fleet.take_up(stream, 'front-1'))
-        fleet.clock.advance(61_000)
+        fleet.clock.advance(version_record.KEEP_MS * 2)
+        fleet.read_targets()
         self.assertEqual(200, fleet.take_up(streams[0], 'front-1'))
 
     def test_version_that_this_router_has_not_heard_of(self):
         for store_is_down in (False, True):
             fleet = self.make_fleet(versions={'a': 'v1', 'b': 'v1'})
-            fleet.clock.advance(61_000)
             fleet.add_engine('c', 'v2', routers=('front-0',))
             fleet.add_engine('d', 'v2', routers=('front-0',))
             streams = self.make_unknown(fleet)
@@ -171,7 +171,6 @@
 
     def test_store_that_is_away(self):
         fleet = self.make_fleet(versions={'a': 'v1', 'b': 'v1'})
-        fleet.clock.advance(61_000)
         streams = self.make_unknown(fleet)
         fleet.store.down = True
         for stream in streams:
@@ -180,7 +179,6 @@
     def test_stream_that_names_no_request(self):
         for versions, status in ((VERSIONS, 503), ({'a': 'v1'}, 200)):
             fleet = self.make_fleet(versions=versions)
-            fleet.clock.advance(61_000)
             stream = fleet.begin('front-0')
             stream.first_id = b''
             self.assertEqual(status, fleet.take_up(stream, 'front-1'))
@@ -191,7 +189,6 @@
 
     def test_stream_from_before_the_second_version(self):
         fleet = self.make_fleet(5, versions={'a': 'v1', 'b': 'v1'})
-        fleet.clock.advance(61_000)
         streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
         for name in ('c', 'd'):
             fleet.add_engine(name, 'v2')
@@ -203,7 +200,6 @@
 
     def test_router_that_has_restarted(self):
         fleet = self.make_fleet(router_count=5)
-        fleet.clock.advance(61_000)
         streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
         fleet.start('front-0')
         for stream in streams:
@@ -212,7 +208,6 @@
 
     def test_restarted_router_and_one_version(self):
         fleet = self.make_fleet(versions={'a': 'v1', 'b': 'v1'})
-        fleet.clock.advance(61_000)
         streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
         fleet.start('front-0')
         for stream in streams:
@@ -221,7 +216,6 @@
 
     def test_all_routers_restart(self):
         fleet = self.make_fleet(router_count=5)
-        fleet.clock.advance(61_000)
         streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
         for name in list(fleet.desks):
             fleet.kill(name)
@@ -235,9 +229,31 @@
             fleet.take_up_elsewhere(fleet.begin('front-2'), 'front-3')
         self.check_most_go_on(fleet)
 
+    # Guards against streams that are refused for a minute after a start,
+    # though there has only ever been one version.
+    def test_all_routers_restart_and_one_version(self):
+        fleet = self.make_fleet(versions={'a': 'v1', 'b': 'v1'})
+        streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
+        for name in list(fleet.desks):
+            fleet.start(name)
+        for stream in streams:
+            stream.first_id = b''
+            self.assertEqual(200, fleet.take_up(stream, 'front-1'))
+
+    def test_version_that_is_not_on_record(self):
+        fleet = self.make_fleet(versions={'a': 'v1', 'b': 'v1'})
+        # The engine writes its entry, the router can't write the record.
+        fleet.store.faults = [None, 'down']
+        with self.assertRaises(store_base.StoreError):
+            fleet.add_engine('c', 'v2', routers=('front-1',))
+        for _ in range(STREAM_COUNT):
+            self.assertEqual({'v1'}, fleet.begin('front-1').versions)
+        fleet.read_targets('front-1')
+        versions = [fleet.begin('front-1').versions for _ in range(20)]
+        self.assertIn({'v2'}, versions)
+
     def test_store_is_away(self):
         fleet = self.make_fleet(router_count=5)
-        fleet.clock.advance(61_000)
         fleet.store.down = True
         for _ in range(STREAM_COUNT):
             fleet.take_up_elsewhere(fleet.begin('front-2'), 'front-3')
@@ -245,7 +261,6 @@
 
     def test_store_is_away_and_one_version_is_known(self):
         fleet = self.make_fleet(5, versions={'a': 'v1', 'b': 'v1'})
-        fleet.clock.advance(61_000)
         fleet.store.down = True
         for desk in fleet.desks.values():
             desk.target_view.watcher.failing_since = fleet.clock.now()
--- a/tests/edge/test_store_outage.py
+++ b/tests/edge/test_store_outage.py
@@ -246,7 +246,7 @@
 
     def test_not_confirmed_while_the_store_is_down(self):
         view = self.make_view(store_base.Listing(5, [make_config_item(7)]))
-        self.clock.advance(watchers.CONFIRMATION_TTL_MS)
+        self.clock.advance(views.CONFIRMATION_TTL_MS)
         view.watcher._store = ScriptedStore(DOWN)
         self.assertFalse(view.confirm())
 
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -230,6 +230,7 @@
         for name in names or self.desks:
             self.desks[name].target_view.watcher.read()
             self._connect_targets(self.desks[name])
+            self.desks[name].record_versions()
 
     def _connect_targets(self, desk):
         """Connect the targets that a router has read to their engines."""
