--- a/galenaspoke/store/base.py
+++ b/galenaspoke/store/base.py
@@ -116,9 +116,11 @@
         except EraChanged:
             if not callable(key):
                 raise
-        except OutcomeUnknown:
+        except OutcomeUnknown as exc:
+            print('{"event":"dbg","why":"%s %s"}' % (item.key, exc), flush=True)
             is_retry = is_unresolved = True
-        except Conflict:
+        except Conflict as exc:
+            print('{"event":"dbg","why":"conflict %s %s"}' % (item, exc), flush=True)
             is_retry = True
         except StoreUnavailable as exc:
             if is_unresolved:
