--- a/galenaspoke/store/base.py
+++ b/galenaspoke/store/base.py
@@ -116,11 +116,9 @@
         except EraChanged:
             if not callable(key):
                 raise
-        except OutcomeUnknown as exc:
-            print('{"event":"dbg","why":"%s %s"}' % (item.key, exc), flush=True)
+        except OutcomeUnknown:
             is_retry = is_unresolved = True
-        except Conflict as exc:
-            print('{"event":"dbg","why":"conflict %s %s"}' % (item, exc), flush=True)
+        except Conflict:
             is_retry = True
         except StoreUnavailable as exc:
             if is_unresolved:
