--- a/galenaspoke/edge/version_record.py
+++ b/galenaspoke/edge/version_record.py
@@ -21,8 +21,7 @@
 from galenaspoke.edge import stream_versions
 from galenaspoke.store import base
 
-# The kind of the store objects, one for each service.  The platform refuses
-# 'versions', which is one of its own.
+# The kind of the store objects, one for each service.
 KIND = 'softwareversions'
 UPDATE_INTERVAL_S = 0.1
 # Added for each router, so that they don't all write at the same time.
