--- a/galenaspoke/edge/version_record.py
+++ b/galenaspoke/edge/version_record.py
@@ -22,7 +22,7 @@
 from galenaspoke.store import base
 
 # The kind of the store objects, one for each service.
-KIND = 'versions'
+KIND = 'softwareversions'
 UPDATE_INTERVAL_S = 0.1
 # Added for each router, so that they don't all write at the same time.
 UPDATE_SPREAD_S = 0.002
