Fix: a write that the store rejects is tried once, not without end

Cause: the platform answered 403, which the client took for a write of unknown outcome, and base.update reads and writes again at once after those. Ruled out: conflicts between routers (the trial printed 403 alone).

The fix: a status of 400 to 499 that has no other meaning here says that the call itself is wrong, so it raises Rejected. If an earlier write of the same update is unresolved it is WriteUnresolved as before.

A store that answers 500 for good is still asked again at once; not seen.

--- a/galenaspoke/platform/store.py
+++ b/galenaspoke/platform/store.py
@@ -257,6 +257,8 @@
             )
         if response.status in (404, *paths.NOT_APPLIED_STATUSES):
             raise base.StoreUnavailable(f'store: status {response.status}')
+        if 400 <= response.status < 500:
+            raise base.Rejected(f'{url_path}: status {response.status}')
         if response.status not in (200, 201):
             raise base.OutcomeUnknown(f'store: status {response.status}')
         return response
--- a/galenaspoke/store/base.py
+++ b/galenaspoke/store/base.py
@@ -45,6 +45,10 @@
     """
 
 
+class Rejected(StoreError):
+    """The store rejects a call as such; it would do so again."""
+
+
 class TooLarge(StoreError):
     """The value is larger than the store accepts."""
 
@@ -120,7 +124,7 @@
             is_retry = is_unresolved = True
         except Conflict:
             is_retry = True
-        except StoreUnavailable as exc:
+        except (StoreUnavailable, Rejected) as exc:
             if is_unresolved:
                 raise WriteUnresolved(str(exc)) from exc
             raise
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -21,6 +21,8 @@
 from galenaspoke.store import base
 
 POLL_INTERVAL_S = 0.005
+# Kinds that the platform lets nobody write.
+FORBIDDEN_KINDS = ('versions',)
 
 
 class PlatformStore:
@@ -57,6 +59,8 @@
         if method == 'GET':
             found = self._objects.get((kind, name))
             return (200, found) if found else (404, {})
+        if kind in FORBIDDEN_KINDS:
+            return 403, {}
         return self._write(method, kind, name, query, body)
 
     def _list(self, kind):
