Fix: the record of versions counts from its first write in an era on

Seen in a test with a store that states eras: after the first update no version counted as recorded until the next one, 0.1 s later, because the era was noted before the store's first response named it. Now it is that of the write that succeeded. Callers saw nothing of it.

--- a/galenaspoke/edge/version_record.py
+++ b/galenaspoke/edge/version_record.py
@@ -118,7 +118,12 @@
         self._write(service, added, returned, ended)
 
     def _write(self, service, added, returned, ended):
-        era = self._store.era
+        era = None
+
+        def make_key():
+            nonlocal era
+            era = self._store.era
+            return self._make_key(service)
 
         def change(record):
             before = dict(record.appearances)
@@ -135,12 +140,7 @@
             is_changed = record.appearances != before
             return True if is_changed else base.UNCHANGED
 
-        _, record = base.update(
-            self._store,
-            lambda: self._make_key(service),
-            ServiceVersions,
-            change,
-        )
+        _, record = base.update(self._store, make_key, ServiceVersions, change)
         self._eras[service] = era
         self._known[service] = dict(record.appearances)
         for version in returned | ended:
--- a/tests/platform/test_rejected_writes.py
+++ b/tests/platform/test_rejected_writes.py
@@ -42,7 +42,7 @@
         self.assertEqual(1, writes)
 
     def test_record_of_versions_is_written(self):
-        for era in (None,):
+        for era in (None, 1):
             client = self.make_client(era)
             record = version_record.VersionRecord(client, self.clock)
             record.update('pool', {'v1'})
