--- /dev/null
+++ b/tests/edge/test_version_histories.py
@@ -0,0 +1,150 @@
+"""Random histories of streams that are taken up while versions change.
+
+Routers die, restart, lose each other's datagrams and learn late of targets;
+the store is away now and then.  Whatever happens, no client may end with a
+stream of two software versions.
+"""
+
+import random
+import unittest
+
+from galenaspoke.store import base as store_base
+from tests.edge import version_fleets
+
+SEED_COUNT = 12
+STEP_COUNT = 120
+ROUTER_COUNT = 4
+MAX_ENGINES = 6
+MIN_ENGINES = 2
+MAX_PAUSE_MS = 800
+
+
+class History:
+    """One random history of a fleet."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.fleet = version_fleets.VersionFleet(
+            ROUTER_COUNT, {'a': 'v1', 'b': 'v1', 'c': 'v1'}, seed
+        )
+        self.version = 1
+        self.engine_count = 3
+        # How many requests took up a stream, and how many of these went on.
+        self.taken_up = 0
+        self.gone_on = 0
+
+    def run(self):
+        """Take all steps."""
+        steps = (
+            [self.begin] * 6
+            + [self.take_up] * 6
+            + [self.add_engine, self.remove_engine]
+            + [self.kill, self.restart, self.cut_off, self.heal]
+            + [self.store_away, self.store_back, self.read]
+        )
+        for _ in range(STEP_COUNT):
+            self.random.choice(steps)()
+            self.fleet.clock.advance(self.random.randrange(MAX_PAUSE_MS))
+
+    def _choose_router(self):
+        return self.random.choice(list(self.fleet.desks))
+
+    def _choose_some(self):
+        """Return the routers that learn of a change at once."""
+        names = list(self.fleet.desks)
+        return self.random.sample(names, self.random.randint(1, len(names)))
+
+    def begin(self):
+        """Begin a stream, which breaks."""
+        self.fleet.begin(self._choose_router(), self.random.randint(1, 3))
+
+    def take_up(self):
+        """Take up a stream, which may break again."""
+        broken = [
+            stream
+            for stream in self.fleet.streams
+            if stream.events and not stream.is_whole()
+        ]
+        if not broken:
+            return
+        stream = self.random.choice(broken[-8:])
+        before = len(stream.events)
+        self.fleet.take_up(
+            stream, self._choose_router(), self.random.randint(1, 6)
+        )
+        self.taken_up += 1
+        self.gone_on += len(stream.events) > before
+
+    def add_engine(self):
+        """Start an engine of the same or the next version."""
+        if self.fleet.store.down or len(self.fleet.engines) >= MAX_ENGINES:
+            return
+        self.version += self.random.randint(0, 1)
+        self.engine_count += 1
+        self.fleet.add_engine(
+            f'e{self.engine_count}', f'v{self.version}', self._choose_some()
+        )
+
+    def remove_engine(self):
+        """Remove an engine's entry; it goes on serving who still asks."""
+        if self.fleet.store.down:
+            return
+        names = [
+            item.key.split('/')[1]
+            for item in self.fleet.store.list('servers').items
+        ]
+        if len(names) > MIN_ENGINES:
+            name = self.random.choice(names)
+            self.fleet.remove_engine(name, self._choose_some())
+
+    def kill(self):
+        """Kill a router unless it is the last."""
+        if len(self.fleet.desks) > 1:
+            self.fleet.kill(self._choose_router())
+
+    def restart(self):
+        """Start a router, be it dead or alive, unless the store is away."""
+        if not self.fleet.store.down:
+            number = self.random.randrange(ROUTER_COUNT)
+            self.fleet.start(f'front-{number}')
+
+    def cut_off(self):
+        """Cut a router off from the others."""
+        self.fleet.network.cut_off(self._choose_router())
+
+    def heal(self):
+        """Connect all routers again."""
+        self.fleet.network.lost.clear()
+
+    def store_away(self):
+        """Make the store fail for all."""
+        self.fleet.store.down = True
+
+    def store_back(self):
+        """Make the store work again."""
+        self.fleet.store.down = False
+
+    def read(self):
+        """Let some routers catch up with the store."""
+        try:
+            self.fleet.read_targets(*self._choose_some())
+            self.fleet.read_lists()
+        except store_base.StoreError:
+            pass
+
+
+class HistoryTest(unittest.TestCase):
+    """Many seeds, each judged by what the clients got."""
+
+    def test_no_stream_mixes_versions(self):
+        taken_up = gone_on = 0
+        for seed in range(SEED_COUNT):
+            history = History(seed)
+            self.addCleanup(history.fleet.close)
+            history.run()
+            self.assertEqual(0, history.fleet.count_mixed(), f'seed {seed}')
+            taken_up += history.taken_up
+            gone_on += history.gone_on
+        # The histories do take streams up, and some go on.
+        self.assertGreater(taken_up, 20 * SEED_COUNT)
+        self.assertGreater(gone_on, 0)
