Fix: routers tell others of the streams that they took up

A stream that went on as the only version's, broke again and outlived its second router was refused once there were two versions: 0 of 40 went on. Now the id that the client names is noted at other routers like a stream that begins: at least half go on (the test's bound), none is mixed.

--- a/galenaspoke/edge/resumption.py
+++ b/galenaspoke/edge/resumption.py
@@ -67,8 +67,8 @@
                 'the version that began the stream is unknown',
                 outcomes.random_delay_ms(admission.RETRY_AFTER_MS),
             )
-        if metadata.resumed_id:
-            self._streams.remember(metadata.resumed_id, origin)
+        if metadata.resumed_id and source != 'own':
+            self._notes.add(metadata.resumed_id, origin)
         context.stream_version = origin.version
         return None
 
--- a/tests/edge/test_software_versions.py
+++ b/tests/edge/test_software_versions.py
@@ -198,6 +198,22 @@
             fleet.take_up_elsewhere(stream, 'front-1')
         self.check_most_go_on(fleet)
 
+    # Guards against a router that forgets at which version it went on with a
+    # stream that another one had begun.
+    def test_taken_up_before_and_after_the_second_version(self):
+        fleet = self.make_fleet(versions={'a': 'v1', 'b': 'v1'})
+        streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
+        fleet.kill('front-0')
+        for stream in streams:
+            fleet.take_up(stream, 'front-1', event_count=1)
+        for name in ('c', 'd'):
+            fleet.add_engine(name, 'v2')
+        fleet.send_notes()
+        fleet.kill('front-1')
+        for stream in streams:
+            fleet.take_up_elsewhere(stream, 'front-2')
+        self.check_most_go_on(fleet)
+
     def test_router_that_has_restarted(self):
         fleet = self.make_fleet(router_count=5)
         streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
