Router list: what routers agree on, apart from how a router registers

Behaviour is the same: the era in which the list counts as complete is asked from the store as before (a try that noted it by a listener failed a test of trials in a new era, and was dropped).

Tests of limits, versions, retries, poison, the ledger from a copy and calls to the store pass.

--- a/galenaspoke/edge/ledger_client.py
+++ b/galenaspoke/edge/ledger_client.py
@@ -133,7 +133,7 @@
 
         It is empty if that is this router.
         """
-        return self._members.get_home(self._page_name(budget))
+        return self._members.routers.get_home(self._page_name(budget))
 
     def read_page(self, budget, force_read=False):
         """Return a budget's page, read from the store if it is not cached.
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -81,7 +81,7 @@
         )
         self._relayed_calls = store_paths.RelayedCalls()
         self._feeds = feeds.Feeds(
-            cfg.name, self.clock, lambda: self._members.get_router_count()
+            cfg.name, self.clock, lambda: self._members.routers.get_count()
         )
         store = platform_store.Client(
             self._paths,
@@ -103,7 +103,7 @@
             lambda: self.config_view.catalog.services,
             history_gone_error,
             self.poison_detector.record_target_down,
-            lambda key, max_count: self._members.get_share(key, max_count),
+            lambda key, count: self._members.routers.get_share(key, count),
         )
         self._suspect_watcher = watchers.Watcher(
             lambda: store.scope(suspect_sharing.KIND),
@@ -124,7 +124,7 @@
             lambda: self.config_view.catalog.generation,
             self.config_view.set_required_generation,
         )
-        self.poison_detector.get_turn = self._members.get_turn
+        self.poison_detector.get_turn = self._members.routers.get_turn
         self.budget_manager = edge_budgets.BudgetManager(
             cfg,
             store,
@@ -146,7 +146,7 @@
         self._version_notes = version_notes.VersionNotes(
             streams,
             self._version_record,
-            self._members,
+            self._members.routers,
             self._datagrams.send,
             self.clock,
             self.target_view.is_stale,
@@ -158,7 +158,7 @@
             self.target_view,
             self.budget_manager,
             retries.RetryBudget(
-                cfg, self.clock, self._members.get_router_count
+                cfg, self.clock, self._members.routers.get_count
             ),
             self.poison_detector,
             resumption.Resumption(
@@ -193,7 +193,7 @@
             self._version_record,
             lambda: self.config_view.catalog.resumable_services,
             self.target_view.directory.list_versions,
-            self._members.get_router_count,
+            self._members.routers.get_count,
             self.journal,
         )
         gevent.spawn(
--- a/galenaspoke/edge/members.py
+++ b/galenaspoke/edge/members.py
@@ -14,11 +14,9 @@
 
     members = Members(cfg, store, eras, clock, journal, get_generation)
     gevent.spawn(members.run)
-    members.get_router_count()      # 9, or 0 while it isn't known
+    members.routers.get_count()     # 9, or 0 while it isn't known
 """
 
-import bisect
-import dataclasses
 import random
 import zlib
 
@@ -27,7 +25,7 @@
 import msgspec
 
 from galenaspoke.core import durability
-from galenaspoke.edge import rendezvous
+from galenaspoke.edge import router_list
 from galenaspoke.store import base
 from galenaspoke.utils import identity
 
@@ -74,19 +72,6 @@
         return any(member.is_durable for member in self.members.values())
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Share:
-    """How the routers divide something.
-
-    `part_count` of `router_count` routers have an equal part of it, and
-    `has_part` says whether this router is one of them.
-    """
-
-    router_count: int
-    part_count: int
-    has_part: bool
-
-
 class Members:
     """Registers this router and reads the list of all routers.
 
@@ -97,6 +82,7 @@
 
     __slots__ = (
         'holder_name',
+        'routers',
         '_name',
         '_address',
         '_store',
@@ -105,12 +91,6 @@
         '_journal',
         '_get_generation',
         '_on_generation',
-        '_router_count',
-        '_addresses',
-        '_names',
-        '_sharing_names',
-        '_ring',
-        '_counted_era',
         '_registered_era',
         '_registered_at',
         '_vouched_eras',
@@ -133,6 +113,8 @@
     ):
         # The router's name as a holder of tokens, with its incarnation.
         self.holder_name = f'{cfg.name}#{identity.new_incarnation()}'
+        # The other routers.
+        self.routers = router_list.RouterList(cfg.name, lambda: store.era)
         self._name = cfg.name
         self._address = cfg.peer_listen
         self._store = store
@@ -141,18 +123,6 @@
         self._journal = journal
         self._get_generation = get_generation
         self._on_generation = on_generation
-        self._router_count = 0
-        # The addresses of the routers that lend, by name.
-        self._addresses = {}
-        # The names of the other routers, and the era of the store in which
-        # they were read after this router had registered.
-        self._names = set()
-        self._counted_era = None
-        # The names of the other routers in the last two readings, None before
-        # the first.  One alone may lack routers that register at the time.
-        self._sharing_names = None
-        # Pairs of the position of each other router and its address, in order.
-        self._ring = []
         # The store's era in which this router registered, and when.
         self._registered_era = None
         self._registered_at = 0
@@ -171,55 +141,6 @@
         self._wake = event.Event()
         store.add_era_listener(self._begin_era)
 
-    def get_router_count(self):
-        """Return the number of routers, 0 while it isn't known."""
-        return self._router_count
-
-    def get_home(self, key):
-        """Return the address of the router that should own a page.
-
-        All routers with the same list choose the same one.  The address is
-        empty if that is this router, or if no router is known.
-        """
-        names = [*self._addresses, self._name]
-        home = rendezvous.choose_name(key, names)
-        return '' if home == self._name else self._addresses[home]
-
-    def get_turn(self, key):
-        """Return how many routers come before this one to try `key`.
-
-        None while the list of routers isn't known, which is until it was read
-        after this router registered: others register at the same time.
-        """
-        if self._counted_era is None or self._counted_era != self._store.era:
-            return None
-        return rendezvous.count_preferred(key, self._names, self._name)
-
-    def get_share(self, key, max_count):
-        """Return this router's Share of what `key` names.
-
-        At most `max_count` routers have a part; all routers with the same list
-        agree on which.  Returns None while the list isn't known.
-        """
-        if self._sharing_names is None:
-            return None
-        others = self._sharing_names
-        router_count = len(others) + 1
-        part_count = min(router_count, max_count)
-        rank = rendezvous.count_preferred(key, others, self._name)
-        return Share(router_count, part_count, rank < part_count)
-
-    def list_holders(self, key, count):
-        """Return the addresses of the other routers that keep `key`.
-
-        They are the next ones on a ring of all names, so that routers whose
-        lists differ by a few names choose nearly the same.
-        """
-        position = (rendezvous.locate(key), '')
-        begin = bisect.bisect(self._ring, position)
-        ring = self._ring[begin:] + self._ring[:begin]
-        return [address for _, address in ring[:count]]
-
     def may_draw(self):
         """Return whether this router may draw tokens from the ledger."""
         if not self._store.has_eras:
@@ -373,35 +294,17 @@
         members = {}
         for shard in read_shards(self._store, stale=stale).values():
             members |= shard.members
-        running = {
-            name for name, member in members.items() if not member.is_stopped
-        }
-        self._addresses = {
-            name: members[name].address
-            for name in running - {self._name}
-            if members[name].address
+        addresses = {
+            name: member.address
+            for name, member in members.items()
+            if not member.is_stopped
         }
-        self._ring = sorted(
-            (rendezvous.locate(name), address)
-            for name, address in self._addresses.items()
-        )
-        self._record_names(running - {self._name})
-        self._counted_era = self._store.era if self._is_registered() else None
-        count = len(running | {self._name})
-        # The list of a new era fills up again.
-        self._router_count = count if stale else max(count, self._router_count)
+        self.routers.replace(addresses, stale, self._is_registered())
         self._on_generation(
             max((member.generation for member in members.values()), default=0)
         )
         self._remove_stopped(members)
 
-    def _record_names(self, names):
-        earlier = self._sharing_names or set()
-        if self._is_registered():
-            earlier = self._names
-        self._sharing_names = names | earlier
-        self._names = names
-
     def _remove_stopped(self, members):
         """Remove the records of routers whose stop has become durable."""
         stopped = {
--- a/galenaspoke/edge/rate_limits.py
+++ b/galenaspoke/edge/rate_limits.py
@@ -9,7 +9,7 @@
 
 Example::
 
-    limiter = RateLimiter('i-7f', members.get_share)
+    limiter = RateLimiter('i-7f', routers.get_share)
     limiter.hear(2.0, asked_at=900, now=1000)     # True: it is news
     limiter.hear(None, asked_at=950, now=1010)    # False: asked before
     limiter.has_room(1010)                        # False: nothing is saved
@@ -47,8 +47,8 @@
 class RateLimiter:
     """The rate limit of one target.  Times are in ms of the clock.
 
-    `get_share(key, max_count)` returns the `members.Share` of this router if
-    `max_count` routers at most have one, or None while that isn't known.
+    `get_share(key, max_count)` returns this router's `router_list.Share` if at
+    most `max_count` routers have a part, or None while that isn't known.
     """
 
     __slots__ = (
--- a/galenaspoke/edge/version_notes.py
+++ b/galenaspoke/edge/version_notes.py
@@ -8,7 +8,7 @@
 
 Example::
 
-    notes = VersionNotes(streams, record, members, send, clock, is_stale)
+    notes = VersionNotes(streams, record, routers, send, clock, is_stale)
     gevent.spawn(notes.run)
     notes.add('9c41', Origin('pool', 'v1'))
     notes.ask('9c42')     # Origin('pool', 'v2'), told by another router
@@ -73,15 +73,15 @@
 class VersionNotes:
     """Tells other routers of streams, and asks them.
 
-    `streams` are this router's StreamVersions and `record` the VersionRecord;
-    `send(address, data)` sends a datagram, and `is_stale()` says whether the
-    store can't be followed at the moment.
+    `streams` are this router's StreamVersions and `record` the VersionRecord,
+    `routers` the RouterList; `send(address, data)` sends a datagram, and
+    `is_stale()` says whether the store can't be followed at the moment.
     """
 
     __slots__ = (
         '_streams',
         '_record',
-        '_members',
+        '_routers',
         '_send',
         '_clock',
         '_is_stale',
@@ -90,10 +90,10 @@
         '_numbers',
     )
 
-    def __init__(self, streams, record, members, send, clock, is_stale):
+    def __init__(self, streams, record, routers, send, clock, is_stale):
         self._streams = streams
         self._record = record
-        self._members = members
+        self._routers = routers
         self._send = send
         self._clock = clock
         self._is_stale = is_stale
@@ -125,7 +125,7 @@
             if not unsent or not self._is_needed(service):
                 continue
             for request_id, version, _ in unsent:
-                for address in self._members.list_holders(
+                for address in self._routers.list_holders(
                     request_id, HOLDER_COUNT
                 ):
                     notes[address].append((request_id, service, version))
@@ -150,7 +150,7 @@
         Waits until one knows its origin or all have answered, for
         ASK_ATTEMPTS times ASK_TIMEOUT_S at most.
         """
-        addresses = self._members.list_holders(request_id, ASKED_COUNT)
+        addresses = self._routers.list_holders(request_id, ASKED_COUNT)
         if not addresses:
             return None
         number = next(self._numbers)
--- a/tests/edge/base.py
+++ b/tests/edge/base.py
@@ -7,8 +7,8 @@
 
 from galenaspoke.core import clock
 from galenaspoke.core import target_entry
-from galenaspoke.edge import members
 from galenaspoke.edge import metadata
+from galenaspoke.edge import router_list
 from galenaspoke.edge import settings
 from galenaspoke.http import connections
 
@@ -83,7 +83,7 @@
 
 def get_whole_share(key, max_count):
     """Return the Share of a router that is alone."""
-    return members.Share(router_count=1, part_count=1, has_part=True)
+    return router_list.Share(router_count=1, part_count=1, has_part=True)
 
 
 def make_connection_pair():
--- a/tests/edge/era_fleets.py
+++ b/tests/edge/era_fleets.py
@@ -8,6 +8,7 @@
 from galenaspoke.edge import eras
 from galenaspoke.edge import members
 from galenaspoke.edge import reservations
+from galenaspoke.edge import router_list
 from galenaspoke.platform import store as platform_store
 from tests.edge import base
 from tests.edge import fleets
@@ -18,9 +19,11 @@
 WAIT_MS = 20_000
 
 
-class Members(members.Members):
+class RouterList(router_list.RouterList):
     """A list of routers whose router owns each page that it needs."""
 
+    __slots__ = ()
+
     def get_home(self, _):
         """Return '' for this router."""
         return ''
@@ -37,8 +40,7 @@
         )
         cfg = base.make_edge_settings(name, peer_listen=name, ledger_pages=1)
         store_eras = eras.Eras(self.client)
-        members_class = members.Members if fleet.has_homes else Members
-        self.members = members_class(
+        self.members = members.Members(
             cfg,
             self.client,
             store_eras,
@@ -46,6 +48,8 @@
             self.journal,
             lambda: fleet.catalog.generation,
         )
+        if not fleet.has_homes:
+            self.members.routers = RouterList(name)
         self.manager = budgets.BudgetManager(
             cfg,
             self.client,
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -20,6 +20,7 @@
 from galenaspoke.edge import request_handler
 from galenaspoke.edge import resumption
 from galenaspoke.edge import retries
+from galenaspoke.edge import router_list
 from galenaspoke.edge import stream_versions
 from galenaspoke.edge import targets
 from galenaspoke.edge import version_notes
@@ -132,20 +133,11 @@
         return value and 1000 * float(value)
 
 
-class LoneMember:
-    """Stands for the Members of a fleet with a single router."""
-
-    def get_router_count(self):
-        """Return 1."""
-        return 1
-
-    def get_share(self, key, max_count):
-        """Return that this router has all of it."""
-        return base.get_whole_share(key, max_count)
-
-    def list_holders(self, key, count):
-        """Return an empty list: there is no other router."""
-        return []
+def make_lone_router():
+    """Return the RouterList of a router that is alone."""
+    routers = router_list.RouterList('front-a-1')
+    routers.replace({})
+    return routers
 
 
 class Desk:
@@ -157,13 +149,14 @@
         kind=catalog.RequestKind.IDEMPOTENT,
         timeout_ms=600,
         clock=None,
-        fleet_members=None,
+        routers=None,
         store=None,
         send_datagram=lambda address, data: None,
         **route_options,
     ):
         self.clock = clock or clocks.Clock()
-        fleet_members = fleet_members or LoneMember()
+        if routers is None:
+            routers = make_lone_router()
         self.journal = base.Recorder()
         cfg = base.make_edge_settings(retry_slack=50)
         options = {
@@ -197,9 +190,9 @@
             lambda: config_view.catalog.services,
             Exception,
             self.detector.record_target_down,
-            fleet_members.get_share,
+            routers.get_share,
         )
-        self._get_share = fleet_members.get_share
+        self._get_share = routers.get_share
         streams = stream_versions.StreamVersions(self.clock)
         self.version_record = version_record.VersionRecord(
             store or fakes.FakeStore(), self.clock
@@ -207,7 +200,7 @@
         self.version_notes = version_notes.VersionNotes(
             streams,
             self.version_record,
-            fleet_members,
+            routers,
             send_datagram,
             self.clock,
             self.target_view.is_stale,
@@ -224,9 +217,7 @@
             config_view,
             self.target_view,
             None,
-            retries.RetryBudget(
-                cfg, self.clock, fleet_members.get_router_count
-            ),
+            retries.RetryBudget(cfg, self.clock, routers.get_count),
             self.detector,
             resumption.Resumption(
                 self.version_record,
--- a/tests/edge/limited_fleets.py
+++ b/tests/edge/limited_fleets.py
@@ -138,7 +138,7 @@
             },
             timeout_ms=60_000,
             clock=self.clock,
-            fleet_members=self.members[name],
+            routers=self.members[name].routers,
         )
         self.read_list(name)
 
--- a/tests/edge/test_poison.py
+++ b/tests/edge/test_poison.py
@@ -276,7 +276,7 @@
         """Return for each of some culprits how many routers try it."""
         return [
             sum(
-                router.get_turn(f'part:{number}') == 0
+                router.routers.get_turn(f'part:{number}') == 0
                 for router in self.routers
             )
             for number in range(20)
--- a/tests/edge/test_retry_storm.py
+++ b/tests/edge/test_retry_storm.py
@@ -90,25 +90,25 @@
         self.routers[name] = router
 
     def test_counts_all_routers(self):
-        self.assertEqual(3, self.routers['c'].get_router_count())
+        self.assertEqual(3, self.routers['c'].routers.get_count())
 
     def test_restarted_router_counts_once(self):
         self.register('a')
-        self.assertEqual(3, self.routers['a'].get_router_count())
+        self.assertEqual(3, self.routers['a'].routers.get_count())
 
     def test_router_that_left_is_not_counted(self):
         self.routers['b'].unregister()
         self.register('a')
-        self.assertEqual(2, self.routers['a'].get_router_count())
+        self.assertEqual(2, self.routers['a'].routers.get_count())
 
     def test_no_slack_while_the_count_is_unknown(self):
         self.store.down = True
         self.register('d')
-        self.assertEqual(0, self.routers['d'].get_router_count())
+        self.assertEqual(0, self.routers['d'].routers.get_count())
         clock = base.make_manual_clock()
         budget = retries.RetryBudget(
             base.make_edge_settings(),
             clock,
-            self.routers['d'].get_router_count,
+            self.routers['d'].routers.get_count,
         )
         self.assertFalse(budget.take_retry('desk'))
--- a/tests/edge/test_store_calls.py
+++ b/tests/edge/test_store_calls.py
@@ -48,7 +48,7 @@
 
     def test_all_agree(self):
         homes = {
-            router.members.get_home('0000') or name
+            router.members.routers.get_home('0000') or name
             for name, router in self.fleet.routers.items()
         }
         self.assertEqual(1, len(homes))
@@ -57,17 +57,23 @@
         for name in self.fleet.routers:
             self.assertTrue(self.fleet.serve(name, 1000, 1000))
         self.assertLessEqual(self.count_reads(), 2)
-        home = self.fleet.routers['r0'].members.get_home('0000') or 'r0'
+        home = (
+            self.fleet.routers['r0'].members.routers.get_home('0000') or 'r0'
+        )
         self.assertTrue(self.fleet.page().owner.startswith(f'{home}#'))
 
     def test_home_that_is_dead(self):
-        home = self.fleet.routers['r0'].members.get_home('0000') or 'r0'
+        home = (
+            self.fleet.routers['r0'].members.routers.get_home('0000') or 'r0'
+        )
         self.fleet.frozen.add(home)
         for name in set(self.fleet.routers) - {home}:
             self.assertTrue(self.fleet.serve(name, 1000, 1000))
 
     def test_page_that_another_router_owns(self):
-        home = self.fleet.routers['r0'].members.get_home('0000') or 'r0'
+        home = (
+            self.fleet.routers['r0'].members.routers.get_home('0000') or 'r0'
+        )
         self.fleet.frozen.add(home)
         others = sorted(set(self.fleet.routers) - {home})
         self.assertTrue(self.fleet.serve(others[0], 1000, 1000))
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -198,7 +198,7 @@
             catalog.RequestKind.STREAM,
             timeout_ms=TIMEOUT_MS,
             clock=self.clock,
-            fleet_members=self.members[name],
+            routers=self.members[name].routers,
             store=self.store,
             send_datagram=lambda address, data: self.network.send(
                 name, address, data
