--- a/galenaspoke/edge/datagrams.py
+++ b/galenaspoke/edge/datagrams.py
@@ -32,6 +32,10 @@
         """Receive at an address, which is also that of the sender."""
         self._sock.bind(edge_settings.split_address(address))
 
+    def get_address(self):
+        """Return the host and the port at which it receives."""
+        return self._sock.getsockname()
+
     def send(self, address, data):
         """Send a datagram; one that can't be sent is lost."""
         try:
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -7,7 +7,6 @@
 import click
 import gevent
 from gevent import event
-from gevent import pywsgi
 
 from galenaspoke.core import clock as clocks
 from galenaspoke.edge import admission
@@ -26,6 +25,7 @@
 from galenaspoke.edge import retries
 from galenaspoke.edge import settings as edge_settings
 from galenaspoke.edge import startup
+from galenaspoke.edge import status_pages
 from galenaspoke.edge import stream_versions
 from galenaspoke.edge import suspect_sharing
 from galenaspoke.edge import version_notes
@@ -41,7 +41,6 @@
 from galenaspoke.store import feeds
 from galenaspoke.store import paths as store_paths
 from galenaspoke.store import relays
-from galenaspoke.utils import state
 
 EXIT_OK = 0
 # Idle connections stay open this long after the start of the shutdown: a load
@@ -210,11 +209,14 @@
         gevent.spawn(self._members.run)
         host, port = edge_settings.split_address(self.cfg.listen)
         self._server = listening.serve(host, port, self._handle_connection)
-        _start_wsgi_server(self.cfg.ready_listen, self._status_app)
+        application = status_pages.make_application(
+            self.is_ready,
+            lambda: self.metrics.encode(self._gauges()),
+            self.dump,
+        )
+        status_pages.serve(self.cfg.ready_listen, application)
         if self._metrics_port:
-            _start_wsgi_server(
-                f'{host}:{self._metrics_port}', self._status_app
-            )
+            status_pages.serve(f'{host}:{self._metrics_port}', application)
         if self.cfg.peer_listen:
             self._serve_peers()
         self.journal.note('start', name=self.cfg.name, listen=self.cfg.listen)
@@ -236,7 +238,7 @@
                 environ, start_response
             )
 
-        _start_wsgi_server(self.cfg.peer_listen, application)
+        status_pages.serve(self.cfg.peer_listen, application)
         self._datagrams.bind(self.cfg.peer_listen)
         gevent.spawn(self._datagrams.run, self._version_notes.handle)
         gevent.spawn(self._version_notes.run)
@@ -249,23 +251,6 @@
             self._feeds,
         )
 
-    def _status_app(self, environ, start_response):
-        path = environ['PATH_INFO']
-        if path == '/ready':
-            ready = self.is_ready()
-            status = '200 OK' if ready else '503 Service Unavailable'
-            start_response(status, [('Content-Length', '0')])
-            return [b'']
-        if path == '/metrics':
-            body = self.metrics.encode(self._gauges())
-        elif path == '/state':
-            body = state.encode(self.dump())
-        else:
-            start_response('404 Not Found', [('Content-Length', '0')])
-            return [b'']
-        start_response('200 OK', [('Content-Length', str(len(body)))])
-        return [body]
-
     def is_ready(self):
         """Return whether load balancers may send callers to this router."""
         is_initialized = (
@@ -374,30 +359,20 @@
 
     def dump(self):
         """Return the router's state, for operators and tools."""
-        targets = {}
-        for target_id in self.target_view.directory.list_ids():
-            target = self.target_view.directory.get(target_id)
-            targets[target_id] = {
-                'service': target.entry.service,
-                'leaving': target.entry.leaving,
-                'in_flight': target.in_flight,
-                'failure_share': target.health.failure_share,
-                'limit_per_s': target.rate_limiter.limit_per_s,
-            }
+        directory = self.target_view.directory
         return {
             'name': self.cfg.name,
             **self._gauges(),
             'money': self.budget_manager.dump(),
             'poison': self.poison_detector.dump(),
-            'targets': targets,
+            'versions': self._version_record.dump(),
+            'targets': {
+                target_id: status_pages.dump_target(directory.get(target_id))
+                for target_id in directory.list_ids()
+            },
         }
 
 
-def _start_wsgi_server(address, application):
-    host, port = edge_settings.split_address(address)
-    pywsgi.WSGIServer((host, port), application, log=None).start()
-
-
 @click.command()
 @click.option('--settings', default=None, help='The settings file.')
 @click.option(
--- a/galenaspoke/edge/version_record.py
+++ b/galenaspoke/edge/version_record.py
@@ -76,6 +76,12 @@
         """Return the versions in the record when it was last read."""
         return set(self._known.get(service, ()))
 
+    def dump(self):
+        """Return the versions on record, by service."""
+        return {
+            service: sorted(known) for service, known in self._known.items()
+        }
+
     def read(self, service):
         """Return the versions that are in the record now.
 
--- /dev/null
+++ b/tests/edge/test_version_notes.py
@@ -0,0 +1,125 @@
+"""Notes, questions and answers about streams, as datagrams."""
+
+import unittest
+
+import gevent
+
+from galenaspoke.edge import datagrams
+from galenaspoke.edge import router_list
+from galenaspoke.edge import stream_versions
+from galenaspoke.edge import version_notes
+from galenaspoke.edge import version_record
+from tests.edge import base
+from tests import fakes
+
+V1 = stream_versions.Origin('pool', 'v1')
+V2 = stream_versions.Origin('pool', 'v2')
+
+
+class Peer:
+    """One router's notes, over real datagrams on loopback."""
+
+    def __init__(self, versions):
+        self.clock = base.make_manual_clock()
+        self.datagrams = datagrams.Datagrams()
+        self.datagrams.bind('127.0.0.1:0')
+        self.address = '{}:{}'.format(*self.datagrams.get_address())
+        self.streams = stream_versions.StreamVersions(self.clock)
+        record = version_record.VersionRecord(fakes.FakeStore(), self.clock)
+        record.update('pool', versions)
+        self.routers = router_list.RouterList(self.address)
+        self.notes = version_notes.VersionNotes(
+            self.streams,
+            record,
+            self.routers,
+            self.datagrams.send,
+            self.clock,
+            lambda: False,
+        )
+        self.task = gevent.spawn(self.datagrams.run, self.notes.handle)
+
+
+class NotesTest(unittest.TestCase):
+    """Three routers that know each other."""
+
+    def setUp(self):
+        self.peers = self.make_peers({'v1', 'v2'})
+
+    def make_peers(self, versions):
+        """Return three routers whose service has some versions."""
+        peers = [Peer(versions) for _ in range(3)]
+        addresses = {peer.address: peer.address for peer in peers}
+        for peer in peers:
+            peer.routers.replace(addresses)
+            self.addCleanup(peer.task.kill)
+        return peers
+
+    def test_note_reaches_the_others(self):
+        first, *others = self.peers
+        first.notes.add('9c41', V1)
+        first.notes.send_notes()
+        for peer in others:
+            base.wait_until(lambda: peer.streams.find('9c41') == V1)
+
+    def test_many_notes_at_once(self):
+        first, *others = self.peers
+        for number in range(100):
+            first.notes.add(f'{number:032x}', V1)
+        first.notes.send_notes()
+        for peer in others:
+            base.wait_until(lambda: peer.streams.find(f'{99:032x}') == V1)
+
+    def test_question_is_answered(self):
+        first, second, _ = self.peers
+        second.streams.remember('9c41', V2)
+        self.assertEqual(V2, first.notes.ask('9c41'))
+        self.assertIsNone(first.notes.ask('77'))
+
+    def test_router_that_is_dead(self):
+        first, second, third = self.peers
+        third.task.kill()
+        second.streams.remember('9c41', V2)
+        self.assertEqual(V2, first.notes.ask('9c41'))
+        self.assertIsNone(first.notes.ask('77'))
+
+    def test_no_other_router(self):
+        peer = Peer({'v1', 'v2'})
+        self.addCleanup(peer.task.kill)
+        self.assertIsNone(peer.notes.ask('9c41'))
+
+    def test_first_word_holds(self):
+        first = self.peers[0]
+        first.streams.remember('9c41', V1)
+        first.streams.remember('9c41', V2)
+        self.assertEqual(V1, first.streams.find('9c41'))
+
+    def test_unreadable_datagrams(self):
+        first, second, _ = self.peers
+        for data in (b'', b'\xff' * 40, b'{"a": 1}', b'\x93\xa4note\x01\x02'):
+            second.datagrams.send(first.address, data)
+        second.streams.remember('9c41', V2)
+        self.assertEqual(V2, first.notes.ask('9c41'))
+
+
+class MemoryTest(unittest.TestCase):
+    """How long streams are remembered, and how many."""
+
+    def setUp(self):
+        self.clock = base.make_manual_clock()
+        self.streams = stream_versions.StreamVersions(self.clock)
+
+    def test_old_streams_are_forgotten(self):
+        self.streams.remember('1', V1)
+        self.clock.advance(stream_versions.MAX_STREAM_AGE_MS)
+        self.streams.remember('2', V1)
+        self.assertEqual(V1, self.streams.find('1'))
+        self.clock.advance(1)
+        self.streams.remember('3', V1)
+        self.assertIsNone(self.streams.find('1'))
+        self.assertEqual(V1, self.streams.find('2'))
+
+    def test_oldest_are_forgotten_when_there_are_too_many(self):
+        for number in range(stream_versions.MAX_STREAMS + 10):
+            self.streams.remember(str(number), V1)
+        self.assertIsNone(self.streams.find('9'))
+        self.assertEqual(V1, self.streams.find('10'))
