--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -29,6 +29,9 @@
 from galenaspoke.core import registry  # noqa: E402
 from galenaspoke.core import runs as run_table  # noqa: E402
 from galenaspoke.core import schema  # noqa: E402
+from galenaspoke.edge import router_list  # noqa: E402
+from galenaspoke.edge import stream_versions  # noqa: E402
+from galenaspoke.edge import version_notes  # noqa: E402
 from galenaspoke.router import vouching  # noqa: E402
 from galenaspoke.rpc import messages  # noqa: E402
 
@@ -200,6 +203,52 @@
     )
 
 
+def measure_router_lists(figures):
+    """Measure the choices that routers agree on, by number of routers."""
+    for count in (10, 890):
+        routers = router_list.RouterList('front-0')
+        routers.replace(
+            {f'front-{number}': '10.0.0.1:7340' for number in range(count)}
+        )
+        targets = iter(range(100))
+        figures.record(
+            f'first share of a rate limit, {count} routers',
+            _time_ms(
+                lambda r=routers, t=targets: r.get_share(f'i-{next(t)}', 5),
+                100,
+            ),
+            'ms',
+        )
+        figures.record(
+            f'holders of a stream, {count} routers',
+            _time_ms(lambda r=routers: r.list_holders('9c41', 2), 1000),
+            'ms',
+        )
+
+
+def measure_version_notes(figures):
+    """Measure a note of a stream's version: bytes, time, memory."""
+    count = 10_000
+    ids = [f'{number:016x}' for number in range(count)]
+    note = version_notes.Note([(name, 'pool', 'v1.1') for name in ids[:1]])
+    data = msgspec.msgpack.encode(note)
+    figures.record('note of a stream', len(data), 'bytes')
+    streams = stream_versions.StreamVersions(clocks.Clock())
+    notes = version_notes.VersionNotes(
+        streams, None, None, None, clocks.Clock(), None
+    )
+    figures.record(
+        'note of a stream, received',
+        _time_ms(lambda: notes.handle(data, 'a'), count),
+        'ms',
+    )
+    tracemalloc.start()
+    for name in ids:
+        streams.remember(name, stream_versions.Origin('pool', 'v1.1'))
+    used = _stop_tracing_kb() / count
+    figures.record('stream remembered by a router', used, 'KB')
+
+
 def _measure_usage(figures, cluster, label, router, agent, seconds, run_load):
     """Record the usage of a router and an agent during `run_load`.
 
@@ -339,6 +388,8 @@
         measure_registries,
         measure_agent_records,
         measure_sent_keys,
+        measure_router_lists,
+        measure_version_notes,
     )
     for measurement in (*measurements, measure_daemons):
         measurement(figures)
--- a/galenaspoke/edge/router_list.py
+++ b/galenaspoke/edge/router_list.py
@@ -44,6 +44,7 @@
         '_addresses',
         '_names',
         '_sharing_names',
+        '_ranks',
         '_ring',
         '_settled_era',
     )
@@ -59,6 +60,9 @@
         # Those of the last two lists, None before the first.  One list alone
         # may lack routers that register at the time.
         self._sharing_names = None
+        # How many of those come before this router, by key: ranking many names
+        # takes a while.
+        self._ranks = {}
         # Pairs of the position of each other router and its address, in order.
         self._ring = []
         # The era in which the list was read after this router had registered,
@@ -82,6 +86,7 @@
         )
         earlier = self._names if is_registered else self._sharing_names
         self._sharing_names = names | (earlier or set())
+        self._ranks = {}
         self._names = names
         self._settled_era = self._get_era() if is_registered else None
         count = len(names) + 1
@@ -122,7 +127,10 @@
         others = self._sharing_names
         router_count = len(others) + 1
         part_count = min(router_count, max_count)
-        rank = rendezvous.count_preferred(key, others, self._name)
+        rank = self._ranks.get(key)
+        if rank is None:
+            rank = rendezvous.count_preferred(key, others, self._name)
+            self._ranks[key] = rank
         return Share(router_count, part_count, rank < part_count)
 
     def list_holders(self, key, count):
