Bound what the ids of streams cost; look a request's versions up once

From reading the change: callers choose the ids of their requests, and routers kept and sent them as they are, 20,000 of them; a digest of 24 characters takes their place. The versions at which a request may run were worked out anew for each target; now once for each request.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -229,8 +229,8 @@
 def measure_version_notes(figures):
     """Measure a note of a stream's version: bytes, time, memory."""
     count = 10_000
-    ids = [f'{number:016x}' for number in range(count)]
-    note = version_notes.Note([(name, 'pool', 'v1.1') for name in ids[:1]])
+    keys = [f'{number:024x}' for number in range(count)]
+    note = version_notes.Note([(key, 'pool', 'v1.1') for key in keys[:1]])
     data = msgspec.msgpack.encode(note)
     figures.record('note of a stream', len(data), 'bytes')
     streams = stream_versions.StreamVersions(clocks.Clock())
@@ -243,8 +243,8 @@
         'ms',
     )
     tracemalloc.start()
-    for name in ids:
-        streams.remember(name, stream_versions.Origin('pool', 'v1.1'))
+    for key in keys:
+        streams.remember(key, stream_versions.Origin('pool', 'v1.1'))
     used = _stop_tracing_kb() / count
     figures.record('stream remembered by a router', used, 'KB')
 
--- a/galenaspoke/edge/datagrams.py
+++ b/galenaspoke/edge/datagrams.py
@@ -13,8 +13,6 @@
 
 from galenaspoke.edge import settings as edge_settings
 
-# Small enough not to be fragmented.
-MAX_BYTES = 1_200
 RECEIVE_BYTES = 65_536
 # After an error of the socket.
 RETRY_INTERVAL_S = 0.1
--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -270,10 +270,11 @@
     def _list_accepting(self, context):
         """Return the accepting targets whose version suits a request."""
         accepting = self._target_view.directory.list_accepting(context.service)
+        versions = self._resumption.list_versions(context)
+        if versions is None:
+            return accepting
         return [
-            target
-            for target in accepting
-            if self._resumption.suits(context, target.entry)
+            target for target in accepting if target.entry.version in versions
         ]
 
     def _take_retry(self, context, outcome):
--- a/galenaspoke/edge/resumption.py
+++ b/galenaspoke/edge/resumption.py
@@ -13,11 +13,15 @@
     context.stream_version     # 'v1', if there is no refusal
 """
 
+import hashlib
+
 from galenaspoke.core import catalog
 from galenaspoke.edge import admission
 from galenaspoke.edge import outcomes
 from galenaspoke.edge import stream_versions
 
+_KEY_BYTES = 12
+
 
 class Resumption:
     """Finds the versions of streams that callers take up.
@@ -40,7 +44,7 @@
             origin = stream_versions.Origin(
                 context.service, target.entry.version
             )
-            self._notes.add(context.metadata.request_id, origin)
+            self._notes.add(_make_key(context.metadata.request_id), origin)
 
     def resolve(self, context):
         """Set the version at which a stream goes on, if it is taken up.
@@ -68,31 +72,30 @@
                 outcomes.random_delay_ms(admission.RETRY_AFTER_MS),
             )
         if metadata.resumed_id and source != 'own':
-            self._notes.add(metadata.resumed_id, origin)
+            self._notes.add(_make_key(metadata.resumed_id), origin)
         context.stream_version = origin.version
         return None
 
-    def suits(self, context, entry):
-        """Return whether a target's version suits a request.
+    def list_versions(self, context):
+        """Return the versions at which a request may run, None for all.
 
         A stream that has begun goes on at the version that began it, and one
         that may be taken up begins only at a version that is on record.
-        `entry` is the TargetEntry.
         """
         if context.stream_version is not None:
-            return entry.version == context.stream_version
+            return {context.stream_version}
         if not _may_be_taken_up(context):
-            return True
-        return self._record.has(entry.service, entry.version)
+            return None
+        return self._record.list_usable(context.service)
 
     def _find_origin(self, context):
         """Return the Origin of a stream or None, and how it was found."""
-        resumed_id = context.metadata.resumed_id
-        if resumed_id:
-            origin = self._streams.find(resumed_id)
+        if context.metadata.resumed_id:
+            key = _make_key(context.metadata.resumed_id)
+            origin = self._streams.find(key)
             if origin is not None:
                 return origin, 'own'
-            origin = self._notes.ask(resumed_id)
+            origin = self._notes.ask(key)
             if origin is not None:
                 return origin, 'noted'
         versions = self._record.read(context.service)
@@ -103,6 +106,12 @@
         return None, 'unknown'
 
 
+def _make_key(request_id):
+    """Return a short key for the id of a request, which callers choose."""
+    raw = request_id.encode('latin-1')
+    return hashlib.blake2b(raw, digest_size=_KEY_BYTES).hexdigest()
+
+
 def _may_be_taken_up(context):
     """Return whether the caller may take up the response as a stream."""
     is_stream = context.route.kind is catalog.RequestKind.STREAM
--- a/galenaspoke/edge/stream_versions.py
+++ b/galenaspoke/edge/stream_versions.py
@@ -27,27 +27,26 @@
 
 
 class StreamVersions:
-    """Remembers the origin of streams by the id of the request."""
+    """Remembers the origin of streams by a key made of the request's id."""
 
     __slots__ = ('_clock', '_records')
 
     def __init__(self, clock):
         self._clock = clock
-        # Pairs of an Origin and when it was recorded by request id, the oldest
-        # first.
+        # Pairs of an Origin and when it was recorded by key, the oldest first.
         self._records = {}
 
-    def remember(self, request_id, origin):
+    def remember(self, key, origin):
         """Record the Origin of a stream; the first one that is said holds."""
-        if request_id in self._records:
+        if key in self._records:
             return
         now = self._clock.now()
-        self._records[request_id] = (origin, now)
+        self._records[key] = (origin, now)
         self._forget_oldest(now)
 
-    def find(self, request_id):
+    def find(self, key):
         """Return the Origin of a stream, None if it isn't known."""
-        origin, _ = self._records.get(request_id, (None, 0))
+        origin, _ = self._records.get(key, (None, 0))
         return origin
 
     def _forget_oldest(self, now):
--- a/galenaspoke/edge/version_notes.py
+++ b/galenaspoke/edge/version_notes.py
@@ -31,12 +31,12 @@
 # An unanswered question is sent this often, so long after each other.
 ASK_ATTEMPTS = 2
 ASK_TIMEOUT_S = 0.06
-# How many notes make a datagram.
+# Few enough that a datagram isn't fragmented.
 NOTES_PER_DATAGRAM = 12
 
 
 class Note(msgspec.Struct, tag='note', array_like=True):
-    """Origins of streams: triples of request id, service and version."""
+    """Origins of streams: triples of key, service and version."""
 
     streams: list[tuple[str, str, str]]
 
@@ -45,7 +45,7 @@
     """Asks for the origin of a stream."""
 
     number: int
-    request_id: str
+    key: str
 
 
 class Answer(msgspec.Struct, tag='tell', array_like=True):
@@ -97,17 +97,19 @@
         self._send = send
         self._clock = clock
         self._is_stale = is_stale
-        # By service: triples of request id, version and when it was added, of
+        # By service: triples of key, version and when it was added, of
         # the streams of which no note was sent, the oldest first.
-        self._unsent = collections.defaultdict(collections.deque)
+        self._unsent = collections.defaultdict(
+            lambda: collections.deque(maxlen=stream_versions.MAX_STREAMS)
+        )
         self._inquiries = {}
         self._numbers = itertools.count()
 
-    def add(self, request_id, origin):
+    def add(self, key, origin):
         """Remember a stream that has begun here; note it elsewhere soon."""
-        self._streams.remember(request_id, origin)
+        self._streams.remember(key, origin)
         self._unsent[origin.service].append(
-            (request_id, origin.version, self._clock.now())
+            (key, origin.version, self._clock.now())
         )
 
     def run(self):
@@ -124,11 +126,9 @@
             self._remove_expired(unsent, now)
             if not unsent or not self._is_needed(service):
                 continue
-            for request_id, version, _ in unsent:
-                for address in self._routers.list_holders(
-                    request_id, HOLDER_COUNT
-                ):
-                    notes[address].append((request_id, service, version))
+            for key, version, _ in unsent:
+                for address in self._routers.list_holders(key, HOLDER_COUNT):
+                    notes[address].append((key, service, version))
             unsent.clear()
         for address, streams in notes.items():
             for begin in range(0, len(streams), NOTES_PER_DATAGRAM):
@@ -144,18 +144,18 @@
         """Return whether a router may not know a version by itself."""
         return len(self._record.list_known(service)) != 1 or self._is_stale()
 
-    def ask(self, request_id):
+    def ask(self, key):
         """Return the Origin of a stream if another router knows it, or None.
 
         Waits until one knows its origin or all have answered, for
         ASK_ATTEMPTS times ASK_TIMEOUT_S at most.
         """
-        addresses = self._routers.list_holders(request_id, ASKED_COUNT)
+        addresses = self._routers.list_holders(key, ASKED_COUNT)
         if not addresses:
             return None
         number = next(self._numbers)
         inquiry = self._inquiries[number] = _Inquiry(set(addresses))
-        data = msgspec.msgpack.encode(Question(number, request_id))
+        data = msgspec.msgpack.encode(Question(number, key))
         try:
             for _ in range(ASK_ATTEMPTS):
                 for address in inquiry.expected - set(inquiry.answers):
@@ -178,9 +178,9 @@
         except msgspec.DecodeError:
             return
         if isinstance(message, Note):
-            for request_id, service, version in message.streams:
+            for key, service, version in message.streams:
                 self._streams.remember(
-                    request_id, stream_versions.Origin(service, version)
+                    key, stream_versions.Origin(service, version)
                 )
         elif isinstance(message, Question):
             self._answer(message, address)
@@ -188,7 +188,7 @@
             self._handle_answer(message, address)
 
     def _answer(self, question, address):
-        origin = self._streams.find(question.request_id)
+        origin = self._streams.find(question.key)
         answer = Answer(
             question.number, origin and (origin.service, origin.version)
         )
--- a/galenaspoke/edge/version_record.py
+++ b/galenaspoke/edge/version_record.py
@@ -9,8 +9,8 @@
 
     record = VersionRecord(store, clock)
     record.update('pool', {'v1'})
-    record.has('pool', 'v1')      # True
-    record.read('pool')           # {'v1'}
+    record.list_usable('pool')     # {'v1'}
+    record.read('pool')            # {'v1'}, from the store
 """
 
 import random
@@ -64,13 +64,15 @@
         # to remove it, and its appearances so far.
         self._missing = {}
 
-    def has(self, service, version):
-        """Return whether a version is in the record and has targets."""
-        return (
-            self._is_current(service)
-            and version in self._known.get(service, ())
-            and (service, version) not in self._missing
-        )
+    def list_usable(self, service):
+        """Return the versions that are in the record and have targets."""
+        if not self._is_current(service):
+            return set()
+        return {
+            version
+            for version in self._known.get(service, ())
+            if (service, version) not in self._missing
+        }
 
     def list_known(self, service):
         """Return the versions in the record when it was last read."""
--- a/tests/edge/test_version_record.py
+++ b/tests/edge/test_version_record.py
@@ -23,7 +23,7 @@
         records = [self.make_record() for _ in range(5)]
         for record in records:
             record.update('pool', {'v1'})
-            self.assertTrue(record.has('pool', 'v1'))
+            self.assertIn('v1', record.list_usable('pool'))
         self.assertEqual(1, self.store.writes)
 
     def test_version_counts_only_once_it_is_written(self):
@@ -31,9 +31,9 @@
         self.store.faults = ['down']
         with self.assertRaises(version_record.base.StoreError):
             self.record.update('pool', {'v1', 'v2'})
-        self.assertFalse(self.record.has('pool', 'v2'))
+        self.assertNotIn('v2', self.record.list_usable('pool'))
         self.record.update('pool', {'v1', 'v2'})
-        self.assertTrue(self.record.has('pool', 'v2'))
+        self.assertIn('v2', self.record.list_usable('pool'))
 
     def test_lost_response_of_a_write(self):
         self.store.faults = ['lost']
@@ -77,27 +77,27 @@
     def test_version_that_comes_back_counts_once_it_is_written(self):
         self.record.update('pool', {'v1', 'v2'})
         self.record.update('pool', {'v2'})
-        self.assertFalse(self.record.has('pool', 'v1'))
+        self.assertNotIn('v1', self.record.list_usable('pool'))
         self.store.faults = ['down']
         with self.assertRaises(version_record.base.StoreError):
             self.record.update('pool', {'v1', 'v2'})
-        self.assertFalse(self.record.has('pool', 'v1'))
+        self.assertNotIn('v1', self.record.list_usable('pool'))
         self.record.update('pool', {'v1', 'v2'})
-        self.assertTrue(self.record.has('pool', 'v1'))
+        self.assertIn('v1', self.record.list_usable('pool'))
 
     def test_new_era_of_the_store(self):
         self.record.update('pool', {'v1', 'v2'})
         self.record.update('pool', {'v2'})
         self.store.objects.clear()
         self.store.era = 1
-        self.assertFalse(self.record.has('pool', 'v2'))
+        self.assertNotIn('v2', self.record.list_usable('pool'))
         self.record.update('pool', {'v2'})
         self.assertEqual({'v1', 'v2'}, self.record.read('pool'))
-        self.assertTrue(self.record.has('pool', 'v2'))
+        self.assertIn('v2', self.record.list_usable('pool'))
 
     def test_services_have_separate_records(self):
         self.record.update('pool', {'v1'})
         self.record.update('desk', {'v7'})
         self.assertEqual({'v1'}, self.record.read('pool'))
         self.assertEqual({'v7'}, self.record.read('desk'))
-        self.assertFalse(self.record.has('desk', 'v1'))
+        self.assertNotIn('v1', self.record.list_usable('desk'))
--- a/tests/platform/test_rejected_writes.py
+++ b/tests/platform/test_rejected_writes.py
@@ -47,4 +47,4 @@
             record = version_record.VersionRecord(client, self.clock)
             record.update('pool', {'v1'})
             self.assertEqual({'v1'}, record.read('pool'))
-            self.assertTrue(record.has('pool', 'v1'))
+            self.assertEqual({'v1'}, record.list_usable('pool'))
