--- a/tests/spec/test_specs.py
+++ b/tests/spec/test_specs.py
@@ -9,9 +9,10 @@
 from spec import joining
 from spec import restarts
 from spec import topups
+from spec import versions
 from spec import vouching
 
-MODULES = (joining, eras, grants, restarts, topups, vouching)
+MODULES = (joining, eras, grants, restarts, topups, versions, vouching)
 
 
 def _evaluate_invariants(protocol):
