--- a/galenaspoke/edge/request_handler.py
+++ b/galenaspoke/edge/request_handler.py
@@ -137,9 +137,9 @@
             result = self._admission.admit(req)
             if isinstance(result, request_context.RequestContext):
                 context = result
-                result = self._resumption.resolve(
-                    context
-                ) or self._reserve_and_run(context, caller)
+                result = self._resolve_version(context)
+                if result is None:
+                    result = self._reserve_and_run(context, caller)
         except _Abandoned:
             result = refusals.from_shutdown(context)
         except messages.BadRequest as exc:
@@ -174,6 +174,24 @@
         """
         return self._admission.is_stopping and not caller.has_queued_request()
 
+    def _limit_time(self, context):
+        """Return a context manager that ends at the request's deadline.
+
+        It raises _DeadlineExceeded then.
+        """
+        remaining_ms = context.remaining_ms(self._clock.now())
+        return gevent.Timeout(
+            max(0.001, remaining_ms / 1000), _DeadlineExceeded()
+        )
+
+    def _resolve_version(self, context):
+        """Return a Refusal if a stream can't be resumed, else None."""
+        try:
+            with self._limit_time(context):
+                return self._resumption.resolve(context)
+        except _DeadlineExceeded:
+            return refusals.from_deadline(context)
+
     # Budgets.
 
     def _reserve_and_run(self, context, caller):
@@ -182,11 +200,8 @@
         if isinstance(reservation, outcomes.Refusal):
             return reservation
         self._retry_budget.record_request(context.service)
-        remaining_ms = context.remaining_ms(self._clock.now())
         try:
-            with gevent.Timeout(
-                max(0.001, remaining_ms / 1000), _DeadlineExceeded()
-            ):
+            with self._limit_time(context):
                 return self._run_attempts(context, caller)
         except _DeadlineExceeded:
             return refusals.from_deadline(context)
--- a/tests/edge/test_software_versions.py
+++ b/tests/edge/test_software_versions.py
@@ -7,6 +7,8 @@
 
 import unittest
 
+import gevent
+
 from galenaspoke.edge import version_record
 from galenaspoke.store import base as store_base
 from tests.edge import version_fleets
@@ -176,6 +178,19 @@
         for stream in streams:
             self.assertEqual(503, fleet.resume(stream, 'front-1'))
 
+    def test_store_that_is_silent_until_the_deadline(self):
+        fleet = self.make_fleet(versions={'a': 'v1'})
+        (stream,) = self.make_unknown(fleet, count=1)
+        fleet.store.get = lambda key: gevent.sleep(60)
+        fleet.timeout_ms = 10
+        self.assertEqual(503, fleet.resume(stream, 'front-1'))
+        (refusal,) = [
+            fields
+            for event, fields in fleet.desks['front-1'].journal.lines
+            if event == 'refused'
+        ]
+        self.assertEqual('deadline', refusal['reason'])
+
     def test_stream_that_names_no_request(self):
         for versions, status in ((VERSIONS, 503), ({'a': 'v1'}, 200)):
             fleet = self.make_fleet(versions=versions)
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -172,6 +172,8 @@
         self.network = Network(self.desks)
         self.members = {}
         self.streams = []
+        # How long clients wait for a response.
+        self.timeout_ms = TIMEOUT_MS
         self._numbers = itertools.count()
         for name, version in versions.items():
             self.add_engine(name, version)
@@ -301,7 +303,7 @@
     def _request(self, stream, router, request_id, pairs, event_count):
         caller = LosingCaller(event_count)
         pairs = (
-            (b'x-deadline-ms', b'%d' % TIMEOUT_MS),
+            (b'x-deadline-ms', b'%d' % self.timeout_ms),
             (b'x-token-usage', b'1100,60'),
             (b'x-prompt-prefix', b'%x:1000,0f:100' % len(self.streams)),
             *pairs,
