--- a/galenaspoke/ctl/timelines.py
+++ b/galenaspoke/ctl/timelines.py
@@ -39,6 +39,8 @@
     'poison': 'targets that ran it went down',
     'target_failed': 'its target failed, and requests of its kind are not'
     ' retried',
+    'version_unknown': 'it resumes a stream, and no router knows which software'
+    ' version began that',
     'bad_request': 'it is malformed',
 }
 _EVENT_TEXTS = {
@@ -53,6 +55,9 @@
     'target.gone': 'removed target {target} ({why})',
     'target.leaving': 'learned that target {target} is leaving',
     'target.ready': 'learned that target {target} is ready',
+    'target.limited': 'learned that target {target} takes {limit_per_s}'
+    ' requests a second from all routers',
+    'versions.unrecorded': 'could not record software versions ({why})',
     'money.taken_over': 'took over the ledger page of {budget}',
 }
 
@@ -159,8 +164,10 @@
 
 
 def _describe_event(line):
-    values = {key: line.get(key, '?') for key in ('kind', 'why', 'target')}
-    values['budget'] = line.get('budget', '?')
+    names = ('kind', 'why', 'target', 'budget', 'limit_per_s')
+    values = {name: line.get(name, '?') for name in names}
+    if values['limit_per_s'] is None:
+        values['limit_per_s'] = 'any number of'
     return '(related) ' + _EVENT_TEXTS[line['event']].format(**values)
 
 
@@ -179,6 +186,8 @@
             f"sent to {line.get('target')}; after {line.get('ms')} ms:"
             f" {line.get('why')}; {outcome}{ejection_note}"
         )
+    if event == 'stream.resumed':
+        return _describe_resumed(line)
     if event == 'answered':
         return _describe_answered(line)
     if event == 'refused':
@@ -191,6 +200,17 @@
     return event
 
 
+def _describe_resumed(line):
+    resumed = line.get('resumed_id') or 'a stream that it does not name'
+    version = line.get('version')
+    if version is None:
+        return f'resumes {resumed}, which began at an unknown version'
+    return (
+        f'resumes {resumed}, which began at version {version}'
+        f" (known as: {line.get('source')})"
+    )
+
+
 def _describe_answered(line):
     words = [f"answered {line.get('status')} after {line.get('ms')} ms"]
     if line.get('targets'):
--- a/tests/ctl/test_timelines.py
+++ b/tests/ctl/test_timelines.py
@@ -56,6 +56,28 @@
         for reason in outcomes.Reason:
             self.assertIn(reason.value, timelines._REASON_TEXTS)
 
+    def test_resumed_streams_and_limited_targets(self):
+        lines = (
+            '{"at_ms":1000,"event":"target.limited","target":"i-7",'
+            '"limit_per_s":2.5,"before":null}\n'
+            '{"at_ms":1001,"event":"target.limited","target":"i-7",'
+            '"limit_per_s":null,"before":2.5}\n'
+            '{"at_ms":1002,"event":"stream.resumed","id":"9c41",'
+            '"resumed_id":"77","version":"v1","source":"noted"}\n'
+            '{"at_ms":1003,"event":"answered","status":200,"ms":4,'
+            '"id":"9c41","targets":["i-7"]}\n'
+            '{"at_ms":1004,"event":"stream.resumed","id":"9c41",'
+            '"resumed_id":"","version":null,"source":"unknown"}\n'
+        )
+        text = self.build_timeline(lines=lines).text
+        for expected in (
+            'target i-7 takes 2.5 requests a second',
+            'target i-7 takes any number of requests a second',
+            'resumes 77, which began at version v1 (known as: noted)',
+            'resumes a stream that it does not name, which began at an',
+        ):
+            self.assertIn(expected, text)
+
     def test_explain_command(self):
         runner = testing.CliRunner()
         result = runner.invoke(main.main, ['explain', '9c41', '-'], LINES)
