--- a/galenaspoke/ctl/timelines.py
+++ b/galenaspoke/ctl/timelines.py
@@ -39,8 +39,8 @@
     'poison': 'targets that ran it went down',
     'target_failed': 'its target failed, and requests of its kind are not'
     ' retried',
-    'version_unknown': 'it resumes a stream, and no router knows which software'
-    ' version began that',
+    'version_unknown': 'it resumes a stream, and no router knows which'
+    ' software version began that',
     'bad_request': 'it is malformed',
 }
 _EVENT_TEXTS = {
