--- a/galenaspoke/edge/datagrams.py
+++ b/galenaspoke/edge/datagrams.py
@@ -13,8 +13,6 @@
 
 from galenaspoke.edge import settings as edge_settings
 
-# Small enough not to be fragmented.
-MAX_BYTES = 1_200
 RECEIVE_BYTES = 65_536
 # After an error of the socket.
 RETRY_INTERVAL_S = 0.1
@@ -32,6 +30,10 @@
         """Receive at an address, which is also that of the sender."""
         self._sock.bind(edge_settings.split_address(address))
 
+    def get_address(self):
+        """Return the host and the port at which it receives."""
+        return self._sock.getsockname()
+
     def send(self, address, data):
         """Send a datagram; one that can't be sent is lost."""
         try:
--- a/galenaspoke/edge/resumption.py
+++ b/galenaspoke/edge/resumption.py
@@ -1,4 +1,4 @@
-"""Decides at which software version a stream that is taken up may go on.
+"""Decides at which software version a stream that is resumed may go on.
 
 What two versions of a target's software write doesn't fit together, and
 targets don't check it.  So a stream goes on only at the version that began it:
@@ -13,14 +13,18 @@
     context.stream_version     # 'v1', if there is no refusal
 """
 
+import hashlib
+
 from galenaspoke.core import catalog
 from galenaspoke.edge import admission
 from galenaspoke.edge import outcomes
 from galenaspoke.edge import stream_versions
 
+_KEY_BYTES = 12
+
 
 class Resumption:
-    """Finds the versions of streams that callers take up.
+    """Finds the versions of streams that callers resume.
 
     `record` is the VersionRecord, `streams` the StreamVersions and `notes` the
     VersionNotes.
@@ -36,14 +40,14 @@
 
     def record_begin(self, context, target):
         """Remember the version of a stream whose first event goes out."""
-        if _may_be_taken_up(context):
+        if _is_resumable(context):
             origin = stream_versions.Origin(
                 context.service, target.entry.version
             )
-            self._notes.add(context.metadata.request_id, origin)
+            self._notes.add(_make_key(context.metadata.request_id), origin)
 
     def resolve(self, context):
-        """Set the version at which a stream goes on, if it is taken up.
+        """Set the version at which a stream goes on, if it is resumed.
 
         Returns a Refusal if the version isn't known, else None.
         """
@@ -54,7 +58,7 @@
             return None
         origin, source = self._find_origin(context)
         self._journal.note(
-            'stream.taken_up',
+            'stream.resumed',
             id=metadata.request_id,
             resumed_id=metadata.resumed_id,
             version=origin and origin.version,
@@ -67,32 +71,31 @@
                 'the version that began the stream is unknown',
                 outcomes.random_delay_ms(admission.RETRY_AFTER_MS),
             )
-        if metadata.resumed_id:
-            self._streams.remember(metadata.resumed_id, origin)
+        if metadata.resumed_id and source != 'own':
+            self._notes.add(_make_key(metadata.resumed_id), origin)
         context.stream_version = origin.version
         return None
 
-    def suits(self, context, entry):
-        """Return whether a target's version suits a request.
+    def list_versions(self, context):
+        """Return the versions at which a request may run, None for all.
 
         A stream that has begun goes on at the version that began it, and one
-        that may be taken up begins only at a version that is on record.
-        `entry` is the TargetEntry.
+        that may be resumed begins only at a version that is on record.
         """
         if context.stream_version is not None:
-            return entry.version == context.stream_version
-        if not _may_be_taken_up(context):
-            return True
-        return self._record.has(entry.service, entry.version)
+            return {context.stream_version}
+        if not _is_resumable(context):
+            return None
+        return self._record.list_usable(context.service)
 
     def _find_origin(self, context):
         """Return the Origin of a stream or None, and how it was found."""
-        resumed_id = context.metadata.resumed_id
-        if resumed_id:
-            origin = self._streams.find(resumed_id)
+        if context.metadata.resumed_id:
+            key = _make_key(context.metadata.resumed_id)
+            origin = self._streams.find(key)
             if origin is not None:
                 return origin, 'own'
-            origin = self._notes.ask(resumed_id)
+            origin = self._notes.ask(key)
             if origin is not None:
                 return origin, 'noted'
         versions = self._record.read(context.service)
@@ -103,7 +106,13 @@
         return None, 'unknown'
 
 
-def _may_be_taken_up(context):
-    """Return whether the caller may take up the response as a stream."""
+def _make_key(request_id):
+    """Return a short key for the id of a request, which callers choose."""
+    raw = request_id.encode('latin-1')
+    return hashlib.blake2b(raw, digest_size=_KEY_BYTES).hexdigest()
+
+
+def _is_resumable(context):
+    """Return whether the caller may resume the response as a stream."""
     is_stream = context.route.kind is catalog.RequestKind.STREAM
     return is_stream and context.route.resumable
--- a/galenaspoke/edge/version_record.py
+++ b/galenaspoke/edge/version_record.py
@@ -1,16 +1,16 @@
 """The store's record of the software versions of each service.
 
-A router begins streams that may be taken up only at versions that are in the
+A router begins streams that may be resumed only at versions that are in the
 record.  So whoever reads it knows every version that may have begun a stream,
 no matter how long it has been running and which routers have died.  A version
-stays in the record until no stream of it can be taken up any more.
+stays in the record until no stream of it can be resumed any more.
 
 Example::
 
     record = VersionRecord(store, clock)
     record.update('pool', {'v1'})
-    record.has('pool', 'v1')      # True
-    record.read('pool')           # {'v1'}
+    record.list_usable('pool')     # {'v1'}
+    record.read('pool')            # {'v1'}, from the store
 """
 
 import random
@@ -27,7 +27,7 @@
 # Added for each router, so that they don't all write at the same time.
 UPDATE_SPREAD_S = 0.002
 # A version without targets is removed after this long.  It is longer than
-# streams can be taken up, because others may notice later that it has ended.
+# streams can be resumed, because others may notice later that it has ended.
 KEEP_MS = 2 * stream_versions.MAX_STREAM_AGE_MS
 # The removal is put off by up to this share, so that one router does it.
 KEEP_SPREAD = 0.5
@@ -64,18 +64,26 @@
         # to remove it, and its appearances so far.
         self._missing = {}
 
-    def has(self, service, version):
-        """Return whether a version is in the record and has targets."""
-        return (
-            self._is_current(service)
-            and version in self._known.get(service, ())
-            and (service, version) not in self._missing
-        )
+    def list_usable(self, service):
+        """Return the versions that are in the record and have targets."""
+        if not self._is_current(service):
+            return set()
+        return {
+            version
+            for version in self._known.get(service, ())
+            if (service, version) not in self._missing
+        }
 
     def list_known(self, service):
         """Return the versions in the record when it was last read."""
         return set(self._known.get(service, ()))
 
+    def dump(self):
+        """Return the versions on record, by service."""
+        return {
+            service: sorted(known) for service, known in self._known.items()
+        }
+
     def read(self, service):
         """Return the versions that are in the record now.
 
@@ -118,7 +126,12 @@
         self._write(service, added, returned, ended)
 
     def _write(self, service, added, returned, ended):
-        era = self._store.era
+        era = None
+
+        def make_key():
+            nonlocal era
+            era = self._store.era
+            return self._make_key(service)
 
         def change(record):
             before = dict(record.appearances)
@@ -135,12 +148,7 @@
             is_changed = record.appearances != before
             return True if is_changed else base.UNCHANGED
 
-        _, record = base.update(
-            self._store,
-            lambda: self._make_key(service),
-            ServiceVersions,
-            change,
-        )
+        _, record = base.update(self._store, make_key, ServiceVersions, change)
         self._eras[service] = era
         self._known[service] = dict(record.appearances)
         for version in returned | ended:
@@ -159,7 +167,7 @@
 ):
     """Keep the record up to date; never returns.
 
-    `list_services()` returns the services whose streams may be taken up, and
+    `list_services()` returns the services whose streams may be resumed, and
     `list_versions(service)` the versions that their targets have.
     """
     is_failing = False
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -1,7 +1,7 @@
 """Routers before engines of several software versions, all in this process.
 
 Each event of a stream names the version of the engine that made it.  Clients
-that lose their connection take their stream up at another router; what they
+that lose their connection resume their stream at another router; what they
 got in the end shows whether the versions of one stream were mixed.
 
 Example::
@@ -9,7 +9,7 @@
     fleet = VersionFleet(3, {'a': 'v1', 'b': 'v2'})
     stream = fleet.begin('front-0', event_count=2)
     fleet.kill('front-0')
-    fleet.take_up(stream, 'front-1')     # the status that the client gets
+    fleet.resume(stream, 'front-1')     # the status that the client gets
     stream.versions                      # {'v1'}
 """
 
@@ -172,6 +172,8 @@
         self.network = Network(self.desks)
         self.members = {}
         self.streams = []
+        # How long clients wait for a response.
+        self.timeout_ms = TIMEOUT_MS
         self._numbers = itertools.count()
         for name, version in versions.items():
             self.add_engine(name, version)
@@ -198,7 +200,7 @@
             catalog.RequestKind.STREAM,
             timeout_ms=TIMEOUT_MS,
             clock=self.clock,
-            fleet_members=self.members[name],
+            routers=self.members[name].routers,
             store=self.store,
             send_datagram=lambda address, data: self.network.send(
                 name, address, data
@@ -277,17 +279,17 @@
         self.streams.append(stream)
         return stream
 
-    def take_up_elsewhere(self, stream, router):
-        """Take up a stream while the engine that made it is down."""
+    def resume_elsewhere(self, stream, router):
+        """Resume a stream while the engine that made it is down."""
         engine = self.engines[stream.engine]
         engine.is_down = True
-        status = self.take_up(stream, router)
+        status = self.resume(stream, router)
         engine.is_down = False
         self.clock.advance(PAUSE_MS)
         return status
 
-    def take_up(self, stream, router, event_count=STREAM_EVENTS + 1):
-        """Take up a stream at a router; return the status.
+    def resume(self, stream, router, event_count=STREAM_EVENTS + 1):
+        """Resume a stream at a router; return the status.
 
         It breaks again after `event_count` more events.
         """
@@ -301,7 +303,7 @@
     def _request(self, stream, router, request_id, pairs, event_count):
         caller = LosingCaller(event_count)
         pairs = (
-            (b'x-deadline-ms', b'%d' % TIMEOUT_MS),
+            (b'x-deadline-ms', b'%d' % self.timeout_ms),
             (b'x-token-usage', b'1100,60'),
             (b'x-prompt-prefix', b'%x:1000,0f:100' % len(self.streams)),
             *pairs,
