--- a/tests/edge/base.py
+++ b/tests/edge/base.py
@@ -7,6 +7,8 @@
 
 from galenaspoke.core import clock
 from galenaspoke.core import target_entry
+from galenaspoke.edge import eras
+from galenaspoke.edge import members
 from galenaspoke.edge import metadata
 from galenaspoke.edge import router_list
 from galenaspoke.edge import settings
@@ -81,6 +83,13 @@
     )
 
 
+def make_members(cfg, store, clock_):
+    """Return the Members of a router whose configuration has generation 1."""
+    return members.Members(
+        cfg, store, eras.Eras(store), clock_, Recorder(), lambda: 1
+    )
+
+
 def get_whole_share(key, max_count):
     """Return the Share of a router that is alone."""
     return router_list.Share(router_count=1, part_count=1, has_part=True)
--- a/tests/edge/limited_fleets.py
+++ b/tests/edge/limited_fleets.py
@@ -11,8 +11,6 @@
 import collections
 import random
 
-from galenaspoke.edge import eras
-from galenaspoke.edge import members
 from tests.edge import base
 from tests.edge import handlers
 from tests import fakes
@@ -123,14 +121,7 @@
         for engine in self.engines.values():
             engine.forget_router(name)
         cfg = base.make_edge_settings(name)
-        self.members[name] = members.Members(
-            cfg,
-            self.store,
-            eras.Eras(self.store),
-            self.clock,
-            base.Recorder(),
-            lambda: 1,
-        )
+        self.members[name] = base.make_members(cfg, self.store, self.clock)
         self.desks[name] = handlers.Desk(
             {
                 target: engine.make_responder(name)
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -22,8 +22,6 @@
 
 from galenaspoke.core import catalog
 from galenaspoke.edge import caller_connections
-from galenaspoke.edge import eras
-from galenaspoke.edge import members
 from galenaspoke.http import messages
 from tests.edge import base
 from tests.edge import handlers
@@ -187,14 +185,7 @@
         """Start a router, or restart it: it has forgotten everything."""
         self.kill(name)
         cfg = base.make_edge_settings(name, peer_listen=name)
-        self.members[name] = members.Members(
-            cfg,
-            self.store,
-            eras.Eras(self.store),
-            self.clock,
-            base.Recorder(),
-            lambda: 1,
-        )
+        self.members[name] = base.make_members(cfg, self.store, self.clock)
         self.desks[name] = handlers.Desk(
             {},
             catalog.RequestKind.STREAM,
