Streams: log each plan that a router follows, and the age of what is resumed

Cause: stream.resumed said how a version was found, but not how old the stream was taken to be, and no line said which plan a router followed, from which view of the targets. Change: a line versions.plan with the view's revision and the time for which it is confirmed; max_age_ms in stream.resumed. No logic changed.

--- a/galenaspoke/edge/streams/resumption.py
+++ b/galenaspoke/edge/streams/resumption.py
@@ -88,6 +88,7 @@
             resumed_id=metadata.resumed_id,
             version=origin and origin.version,
             source=source,
+            max_age_ms=self._max_age_ms(context),
         )
         if origin is None or origin.service != context.service:
             return outcomes.Refusal(
--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -270,6 +270,7 @@
     changes no plan.
     """
     is_failing = False
+    logged_plans = {}
     while True:
         spread_s = UPDATE_SPREAD_S * get_router_count()
         gevent.sleep(UPDATE_INTERVAL_S + random.uniform(0, spread_s))
@@ -284,8 +285,24 @@
                         else target_view.count_versions(service)
                     ),
                 )
+                plan = record.get_plan(service)
+                if plan != logged_plans.get(service):
+                    logged_plans[service] = plan
+                    _log_plan(journal, service, plan, target_view.watcher)
             is_failing = False
         except (base.StoreError, base.OutcomeUnknown) as exc:
             if not is_failing:
                 journal.note('versions.unrecorded', why=str(exc))
             is_failing = True
+
+
+def _log_plan(journal, service, plan, watcher):
+    """Log a plan that this router follows from now on."""
+    journal.note(
+        'versions.plan',
+        service=service,
+        shares=plan.shares,
+        since_ms=plan.since_ms,
+        view_revision=watcher.revision,
+        view_confirmed_at=watcher.confirmed_at,
+    )
