--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -16,6 +16,7 @@
 import itertools
 import random
 import re
+from unittest import mock
 
 import gevent
 import msgspec
@@ -219,6 +220,16 @@
             desk.version_notes.send_notes()
         base.settle()
 
+    def exchange(self):
+        """Let routers that can reach each other agree on plans."""
+        base.settle()
+
+    def deliver_listing(self, name, listing):
+        """Let a router read an old list of targets."""
+        store = self.store
+        with mock.patch.object(store, 'list', lambda *_, **__: listing):
+            self.read_targets(name)
+
     def read_lists(self):
         """Let all routers read the list of routers."""
         for name in self.desks:
