Streams: a machine lost for good doesn't keep plans open; an era's first record proves little

Cause: the list of routers keeps one that crashed and never came back, so each plan would have waited 40 minutes for it. And in a new era of the store the first record may have a single version, though routers that haven't noticed the era began streams at others: 'only version' was certain at once. Change: the record states since when routers have been silent; after 40 minutes nobody waits for them, and they must read the record first (their own bound is 30 minutes). With eras, the only version counts only for what began after all routers followed the era's first plan; without eras as before. The era's test is of the function that now decides it; before, Resumption took a single version on record without asking for the era (shown by reading only).

--- a/galenaspoke/edge/streams/plan_agreement.py
+++ b/galenaspoke/edge/streams/plan_agreement.py
@@ -8,7 +8,9 @@
 have ended.  Until then what began by one of them is uncertain.
 
 A router that isn't in the list yet reads the record once it is, so it follows
-the plan or a later one.  If the author doesn't get on, others take over.
+the plan or a later one.  One that is silent for very long has to read it as
+well before it begins streams again.  If the author doesn't get on, others take
+over.
 
 Example::
 
@@ -28,8 +30,8 @@
 # as long each time, up to the maximum.
 INITIAL_RETRY_MS = 100
 MAX_RETRY_MS = 2_000
-# The list of routers is read again after this long: some may have restarted
-# elsewhere.
+# Routers that haven't answered for this long are on record as silent, and the
+# list of routers is read again: some may have restarted elsewhere.
 RELIST_MS = 10_000
 # A plan that isn't settled this long after it was read, for each router whose
 # turn comes first, is taken over.
@@ -74,6 +76,7 @@
         'number',
         'addresses',
         'pending',
+        'unused',
         'retry_ms',
         'send_at',
         'listed_at',
@@ -86,6 +89,8 @@
         # not said yet that they follow the plan.
         self.addresses = addresses
         self.pending = dict(addresses)
+        # The names of those that need not answer.
+        self.unused = set()
         self.retry_ms = INITIAL_RETRY_MS
         self.send_at = now
         self.listed_at = now
@@ -200,7 +205,7 @@
         if now < current.send_at:
             return
         if now - current.listed_at > RELIST_MS:
-            self._relist(current)
+            self._relist(service, current)
         data = msgspec.msgpack.encode(
             Follow(service, current.era, current.number)
         )
@@ -210,22 +215,31 @@
         current.send_at = now + current.retry_ms
         current.retry_ms = min(MAX_RETRY_MS, 2 * current.retry_ms)
 
-    def _relist(self, current):
-        """Ask routers that restarted elsewhere at their new addresses."""
+    def _relist(self, service, current):
+        """Ask routers that restarted elsewhere at their new addresses.
+
+        Those that have been silent for very long need not answer.
+        """
         others = self._list_others()
+        unused = self._record.mark_silent(service, list(current.pending))
         current.listed_at = self._clock.now()
         current.pending = {
-            name: others[name] for name in current.pending if name in others
+            name: others[name]
+            for name in current.pending
+            if name in others and name not in unused
         }
+        current.unused = unused
         self._journal.note(
             'versions.unsettled',
+            service=service,
             number=current.number,
             waits_for=sorted(current.pending),
         )
 
     def _settle(self, service, current):
         """Record that the earlier plans have ended, and tell it."""
-        self._record.settle(service, current.number)
+        answered = set(current.addresses) - current.unused
+        self._record.settle(service, current.number, answered)
         del self._rounds[service]
         self._journal.note(
             'versions.settled', service=service, number=current.number
--- a/galenaspoke/edge/streams/resumption.py
+++ b/galenaspoke/edge/streams/resumption.py
@@ -4,7 +4,8 @@
 targets don't check it.  So a stream goes on only at the version that began it:
 
 - the one that this router or another one remembers, see `version_notes`;
-- else the only one that the store has on record for the service;
+- else the only one that the store has on record for the service, unless an
+  earlier record was lost;
 - else the one at which streams with its key have begun by all plans that may
   have been in force, see `version_plans`;
 - else none: the request is refused.
@@ -155,16 +156,15 @@
         record = self._record.read(context.service)
         if record is None:
             return None, 'unknown'
-        if len(record.appearances) == 1:
-            (version,) = record.appearances
-            origin = stream_versions.Origin(context.service, version)
-            return origin, 'only version'
         version = self._record.find_version(
             record, _plan_key(context), self._max_age_ms(context)
         )
         if version is None:
             return None, 'unknown'
-        return stream_versions.Origin(context.service, version), 'plan'
+        is_only = len(record.appearances) == 1
+        return stream_versions.Origin(context.service, version), (
+            'only version' if is_only else 'plan'
+        )
 
     def _max_age_ms(self, context):
         """Return how long ago a stream that is resumed may have begun.
--- a/galenaspoke/edge/streams/service_versions.py
+++ b/galenaspoke/edge/streams/service_versions.py
@@ -32,13 +32,14 @@
     removes a version that is there again.  `plans` are in order of time, and
     all by which streams have begun since `complete_since_ms` are there; None
     if streams may still begin by others.  `plan_count` is how many plans there
-    have been.
+    have been.  `silent` says since when routers have not answered, by name.
     """
 
     appearances: dict[str, int] = {}
     plans: list[version_plans.Plan] = []
     complete_since_ms: int | None = None
     plan_count: int = 0
+    silent: dict[str, int] = {}
 
     def get_plan(self):
         """Return the plan in force, None if there is none."""
@@ -67,12 +68,34 @@
         self.remove_expired(wall_ms)
         return True
 
-    def settle(self, number, wall_ms):
+    def mark_silent(self, names, wall_ms):
+        """Record which routers don't answer; return whether that is news."""
+        before = len(self.silent)
+        for name in names:
+            self.silent.setdefault(name, wall_ms)
+        return len(self.silent) > before
+
+    def list_unused(self, wall_ms):
+        """Return the routers that certainly begin no streams.
+
+        They have been silent for so long that they must read the record first.
+        """
+        return {
+            name
+            for name, since_ms in self.silent.items()
+            if wall_ms - since_ms > PLAN_EXPIRY_MS
+        }
+
+    def settle(self, number, wall_ms, answered=()):
         """Record that all routers follow the plan `number` or a later one.
 
-        Returns whether that changes anything.
+        `answered` are the routers that say so.  Returns whether that changes
+        anything.
         """
         is_changed = False
+        for name in set(answered) & set(self.silent):
+            del self.silent[name]
+            is_changed = True
         if self.complete_since_ms is None:
             self.complete_since_ms = wall_ms
             is_changed = True
@@ -105,6 +128,8 @@
         complete_ms = self.complete_since_ms
         if complete_ms is None or since_ms < complete_ms:
             return None
+        if len(self.appearances) == 1:
+            return next(iter(self.appearances))
         return version_plans.find_certain_version(self.plans, key, since_ms)
 
     def remove_expired(self, wall_ms):
--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -158,6 +158,9 @@
         `versions` is what `read` returned, and `key` that of the stream, see
         `version_plans`.  Returns None if the version isn't certain.
         """
+        if len(versions.appearances) == 1 and not self._store.era:
+            # No record was lost, so no stream began at a version without one.
+            return next(iter(versions.appearances))
         earliest_ms, _ = self._bound_wall_ms()
         return versions.find_version(
             key, earliest_ms - max_age_ms - version_plans.CLOCK_ERROR_MS
@@ -208,16 +211,32 @@
         """Read the record again; raises the store's errors."""
         self._change(service, lambda _: base.UNCHANGED)
 
-    def settle(self, service, number):
-        """Record that all routers follow a plan; raises the store's errors."""
+    def settle(self, service, number, answered=()):
+        """Record that all routers follow a plan; raises the store's errors.
+
+        `answered` are the names of those that said so.
+        """
         _, latest_ms = self._bound_wall_ms()
 
         def change(versions):
-            is_changed = versions.settle(number, latest_ms)
+            is_changed = versions.settle(number, latest_ms, answered)
             return True if is_changed else base.UNCHANGED
 
         self._change(service, change)
 
+    def mark_silent(self, service, names):
+        """Record that routers don't answer; raises the store's errors.
+
+        Returns the names of those that need not be waited for.
+        """
+        earliest_ms, latest_ms = self._bound_wall_ms()
+
+        def change(versions):
+            is_changed = versions.mark_silent(names, latest_ms)
+            return True if is_changed else base.UNCHANGED
+
+        return self._change(service, change).list_unused(earliest_ms)
+
     def update(self, service, present, counts=None, view_revision=0):
         """Record the versions that a service's targets have now.
 
--- a/tests/edge/test_plan_agreement.py
+++ b/tests/edge/test_plan_agreement.py
@@ -73,6 +73,42 @@
         self.fleet.exchange()
         self.assertTrue(self.read_record().is_settled())
 
+    # Guards against plans that stay open for long after each change, because a
+    # machine that was lost for good stays in the list of routers.
+    def test_router_that_is_lost_for_good_delays_the_end_once(self):
+        self.fleet.kill('front-2')
+        self.fleet.add_engine('c', 'v2')
+        self.wait_for_silent(service_versions.PLAN_EXPIRY_MS)
+        self.assertTrue(self.read_record().is_settled())
+        self.assertEqual({'front-2'}, set(self.read_record().silent))
+        self.fleet.add_engine('d', 'v2')
+        self.wait_for_silent(plan_agreement.RELIST_MS)
+        self.assertTrue(self.read_record().is_settled())
+
+    def wait_for_silent(self, wait_ms):
+        """Let time pass for a router that doesn't answer."""
+        for _ in range(3):
+            self.fleet.exchange()
+            self.fleet.clock.advance(wait_ms)
+        self.fleet.exchange()
+
+    # Guards against a router that goes on without the record after the others
+    # have ceased to wait for it.
+    def test_router_that_others_no_longer_wait_for_begins_nothing(self):
+        self.fleet.network.cut_off('front-2')
+        routers = ('front-0', 'front-1', 'front-3')
+        self.fleet.add_engine('c', 'v2', routers=routers)
+        self.wait_for_silent(service_versions.PLAN_EXPIRY_MS)
+        self.assertTrue(self.read_record().is_settled())
+        self.assertEqual([], self.fleet.begin('front-2', 1).events)
+        self.fleet.network.heal()
+        self.fleet.read_targets('front-2')
+        self.fleet.exchange()
+        self.assertEqual(1, len(self.fleet.begin('front-2', 1).events))
+        self.fleet.add_engine('d', 'v2')
+        self.fleet.exchange()
+        self.assertEqual({}, self.read_record().silent)
+
     # Guards against an author that waits for ever for a router that has left.
     def test_router_that_has_stopped_is_not_asked(self):
         self.fleet.members['front-2'].unregister()
--- a/tests/edge/test_version_plans.py
+++ b/tests/edge/test_version_plans.py
@@ -145,6 +145,19 @@
         self.assertEqual('v1', record.find_version('k', now))
         self.assertIsNone(record.find_version('k', now - 1))
 
+    # Guards against the only version of a new era's record, which lacks the
+    # versions of routers that have not noticed the era yet.
+    def test_only_version_of_a_new_era_is_uncertain(self):
+        self.store.era = 1
+        self.record.update('pool', {'v1'}, {'v1': 3}, 1)
+        record = self.record.read('pool')
+        self.assertIsNone(self.record.find_version(record, 'k', 0))
+        self.settle()
+        self.clock.advance(version_plans.CLOCK_ERROR_MS)
+        record = self.record.read('pool')
+        self.assertEqual('v1', self.record.find_version(record, 'k', 0))
+        self.assertIsNone(self.record.find_version(record, 'k', 1))
+
     def test_history_that_was_removed_is_uncertain(self):
         for number in range(service_versions.MAX_PLANS + 5):
             self.clock.advance(100)
