Fix: events end at a blank line, whatever the line ends

Callers could get an event twice from a target that mixes line ends (a line that ends with LF before a blank line with CRLF), or no event before the end: two events passed for one with the first one's id, and a retry asked for what comes after that id. The same with two id lines in one event, of which the last one holds, and an id with NUL, which the specification of server-sent events lets clients ignore, went into the header of the next request.

Cause: the pattern of a blank line knew three of its forms, and that of an id took the first one, whatever was in it.

Both new tests failed before: [] for ['1', '2', '3'], and '7' for '8'. Now LF and CRLF may follow each other in any order, also split across reads.

--- a/galenaspoke/edge/streams/sse.py
+++ b/galenaspoke/edge/streams/sse.py
@@ -10,13 +10,17 @@
 import dataclasses
 import re
 
-_BLANK_LINE = re.compile(rb'\r\n\r\n|\n\n|\r\r')
-_ID_LINE = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
+_BLANK_LINE = re.compile(rb'\r?\n\r?\n|\r\r')
+# An id that contains NUL is ignored.
+_ID_LINE = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n\0]*)(?=[\r\n])')
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Event:
-    """One event as it was received; `id` is empty if it has none."""
+    """One event as it was received.
+
+    `id` is that of its last id line, empty if it has none.
+    """
 
     raw: bytes
     id: str
@@ -37,9 +41,8 @@
         start = 0
         for match in _BLANK_LINE.finditer(self._pending):
             raw = self._pending[start : match.end()]
-            id_match = _ID_LINE.search(raw)
-            event_id = id_match[1].decode('latin-1') if id_match else ''
-            events.append(Event(raw, event_id))
+            ids = _ID_LINE.findall(raw)
+            events.append(Event(raw, ids[-1].decode('latin-1') if ids else ''))
             start = match.end()
         self._pending = self._pending[start:]
         return events
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -4,6 +4,7 @@
 must never look complete.
 """
 
+import itertools
 import unittest
 
 import gevent
@@ -46,6 +47,45 @@
         self.assertEqual(['1', '2'], [event.id for event in events])
         self.assertEqual(b'id: 3\nda', splitter.remainder())
 
+    def split_by_byte(self, raw):
+        """Return the ids of events that come a byte at a time."""
+        splitter = sse.EventSplitter()
+        events = []
+        for i in range(len(raw)):
+            events += splitter.feed(raw[i : i + 1])
+        relayed = b''.join(event.raw for event in events)
+        self.assertEqual(raw, relayed + splitter.remainder())
+        return [event.id for event in events]
+
+    # Guards against two events that pass for one, after which the caller gets
+    # the second one again from another target.
+    def test_all_line_ends(self):
+        ends = (b'\n', b'\r\n')
+        for line_end, blank_line in itertools.product(ends, ends):
+            raw = b''.join(
+                b'id: %d%sdata: x%s%s' % (i, line_end, line_end, blank_line)
+                for i in (1, 2, 3)
+            )
+            splitter = sse.EventSplitter()
+            events = splitter.feed(raw)
+            self.assertEqual(['1', '2', '3'], [event.id for event in events])
+            self.assertEqual(b'', splitter.remainder())
+            self.assertEqual(['1', '2', '3'], self.split_by_byte(raw))
+        raw = b'id: 1\rdata: x\r\rid: 2\rdata: x\r\r'
+        self.assertEqual(['1', '2'], self.split_by_byte(raw))
+
+    # Guards against a stream that goes on after another event than the last.
+    def test_id_of_an_event(self):
+        for raw, event_id in (
+            (b'id: 7\nid: 8\ndata: x\n\n', '8'),
+            (b'x-weight-versions: 2\nid: 7\ndata: x\n\n', '7'),
+            (b': id: 6\ndata: id: 6\nid:7\n\n', '7'),
+            (b'id: 7\0\ndata: x\n\n', ''),
+            (b'id: 7\nid: 8\0\ndata: x\n\n', '7'),
+            (b'idx: 7\ndata: x\n\n', ''),
+        ):
+            self.assertEqual([event_id], self.split_by_byte(raw), raw)
+
 
 class FakeTarget:
     """A target whose connection is a pair of sockets."""
