Fix: a stream goes on only where its events belong

Callers could get events twice, in the wrong order or with some missing:

- an id that came twice or went back in one read of a target's stream was passed on (in a later read it wasn't);
- events without a number, where another target goes on with a stream, were passed on wherever they came, so a stream without ids began once more after its first events;
- where another target goes on too late, the caller got a stream with a gap that ended as complete.

A Last-Event-Id of over 4,300 digits ended the task of the request with ValueError.

Cause: events were compared with the last id before the read, one by one, and nothing looked at where a target's stream goes on.

Four new tests failed before: [1, 2, 2, 3, 1, 2, 3, 4] for [1, 2, 3, 4], 'Served is not an instance of Unknown' for the events without a number and the gap, and the ValueError. EventOrder now holds what the caller has of its stream; a target whose next event doesn't fit is left. Within one target's stream nothing is missed out by us, and a first attempt may begin with any id, so neither is judged.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -211,13 +211,17 @@
     def _relay_stream(self, conn, response):
         """Relay events as they arrive, each only once it is complete."""
         splitter = sse.EventSplitter()
+        order = self._context.event_order
+        order.begin_run()
         has_events = False
         while True:
             events = splitter.feed(response.take_body())
             has_events = has_events or bool(events)
-            undelivered = self._filter_undelivered(events)
+            undelivered = order.select(events)
             if undelivered:
                 self._relay_events(response, undelivered)
+            if order.fault:
+                raise connections.ResponseLost(order.fault)
             if response.is_complete:
                 break
             if len(splitter.remainder()) > MAX_EVENT_BYTES:
@@ -252,20 +256,6 @@
                 'connection closed in the middle of a stream'
             )
 
-    def _filter_undelivered(self, events):
-        """Return the events that the caller does not have yet.
-
-        Events without a numeric id always count as undelivered.
-        """
-        last_id = self._context.last_event_id
-        if not last_id.isdecimal():
-            return events
-        return [
-            event
-            for event in events
-            if not event.id.isdecimal() or int(event.id) > int(last_id)
-        ]
-
     def _relay_events(self, response, undelivered):
         now = self._clock.now()
         first = self._target.wait_estimator.record_first_event(
--- a/galenaspoke/edge/serving/request_context.py
+++ b/galenaspoke/edge/serving/request_context.py
@@ -3,6 +3,7 @@
 from galenaspoke.core import catalog
 from galenaspoke.edge.crashes import crash_suspects
 from galenaspoke.edge.crashes import poison
+from galenaspoke.edge.streams import event_order
 
 # Enough to tell a target's pace, and a bound on the memory of long streams.
 MAX_EVENT_TIMES = 200
@@ -25,7 +26,7 @@
         'deadline',
         'sent_count',
         'may_have_run',
-        'last_event_id',
+        'event_order',
         'stream_version',
         'first_byte_ms',
         'event_count',
@@ -57,9 +58,8 @@
         self.sent_count = 0
         # Whether any target may have started to run the request.
         self.may_have_run = False
-        # The id of the last event that the caller has, at first as stated by
-        # the caller.
-        self.last_event_id = metadata.last_event_id
+        # Which events the caller has.
+        self.event_order = event_order.EventOrder(metadata.last_event_id)
         # The software version of the target that began the stream, None while
         # no event has come.
         self.stream_version = None
@@ -98,6 +98,11 @@
             )
         return self._crash_keys
 
+    @property
+    def last_event_id(self):
+        """The id of the last event that the caller has; empty if none."""
+        return self.event_order.last_id
+
     def remaining_ms(self, now):
         """Return the time until the deadline, negative once it has passed."""
         return self.deadline - now
@@ -132,9 +137,6 @@
         if len(self.event_times) < MAX_EVENT_TIMES:
             self.event_times.extend([now] * len(events))
         self.event_count += len(events)
-        for event in events:
-            if event.id:
-                self.last_event_id = event.id
 
     def consumed_tokens(self, max_tokens_per_event):
         """Return the tokens that the request used of its account's budget.
--- /dev/null
+++ b/galenaspoke/edge/streams/event_order.py
@@ -0,0 +1,100 @@
+"""Which events of a target's stream come after those that the caller has.
+
+Several targets may serve one response in turn, each of which is told the id of
+the last event that the caller has.  Event ids increase, so they show what the
+caller has already, and whether something is missing where a target goes on.
+
+Example::
+
+    order = EventOrder(last_id='')
+    order.begin_run()
+    order.select(events)      # all of them; the last one has the id '4'
+    order.begin_run()
+    order.select(events)      # those from '5' on
+"""
+
+# Longer numbers are no event ids.
+MAX_ID_DIGITS = 18
+
+
+class EventOrder:
+    """The events that one caller has of its stream.
+
+    `last_id` is the id of the last one, at first as stated by the caller;
+    empty if it has none.  `fault` says why the present target's stream can't
+    go on: what comes next of it doesn't fit what the caller has.  It is empty
+    if it does.
+    """
+
+    __slots__ = ('last_id', 'fault', '_has_events', '_is_placed', '_max_step')
+
+    def __init__(self, last_id):
+        self.last_id = last_id
+        self.fault = ''
+        # Whether events of this response were selected.
+        self._has_events = False
+        # Whether it is known where the present target's events belong.
+        self._is_placed = False
+        # The largest difference of the ids of successive events of a target.
+        self._max_step = 0
+
+    def begin_run(self):
+        """Begin the stream of another target.
+
+        Where the events of the first one belong is known if the caller has
+        none, and not to be judged if the last one's id isn't a number.
+        """
+        self.fault = ''
+        self._is_placed = (
+            not self._has_events and _parse_id(self.last_id) is None
+        )
+
+    def select(self, events):
+        """Return those of a target's next events that the caller lacks.
+
+        They count as events that the caller has.  If `fault` is set then, the
+        event after them can't be relayed.
+        """
+        selected = []
+        for event in events:
+            number = _parse_id(event.id)
+            if number is None:
+                is_wanted = self._check_unnumbered(event)
+            else:
+                is_wanted = self._check_numbered(number)
+            if self.fault:
+                break
+            if is_wanted:
+                selected.append(event)
+                self.last_id = event.id or self.last_id
+        self._has_events = self._has_events or bool(selected)
+        return selected
+
+    def _check_unnumbered(self, event):
+        """Return whether to relay an event whose id is no number."""
+        if not self._is_placed and event.has_data():
+            self.fault = 'an event without a number where a stream goes on'
+        return self._is_placed
+
+    def _check_numbered(self, number):
+        """Return whether to relay the event with a number."""
+        last = _parse_id(self.last_id)
+        if last is None:
+            if not self._is_placed:
+                self.fault = 'a stream without numbers goes on with numbers'
+            return True
+        step = number - last
+        if step <= 0:
+            return False
+        if self._is_placed:
+            self._max_step = max(self._max_step, step)
+        elif self._max_step and step > self._max_step:
+            self.fault = f'events are missing between {last} and {number}'
+        self._is_placed = True
+        return True
+
+
+def _parse_id(event_id):
+    """Return the number that is an event's id, None if it is none."""
+    is_number = event_id.isdecimal() and len(event_id) <= MAX_ID_DIGITS
+    return int(event_id) if is_number else None
--- a/galenaspoke/edge/streams/sse.py
+++ b/galenaspoke/edge/streams/sse.py
@@ -13,6 +13,7 @@
 _BLANK_LINE = re.compile(rb'\r?\n\r?\n|\r\r')
 # An id that contains NUL is ignored.
 _ID_LINE = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n\0]*)(?=[\r\n])')
+_DATA_LINE = re.compile(rb'(?:^|[\r\n])data[:\r\n]')
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -25,6 +26,10 @@
     raw: bytes
     id: str
 
+    def has_data(self):
+        """Return whether a client sees the event; it ignores others."""
+        return bool(_DATA_LINE.search(self.raw))
+
 
 class EventSplitter:
     """Splits the bytes of a stream into complete events."""
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import re
 import unittest
 
 import gevent
@@ -247,6 +248,99 @@
         self.assertIn(b's1', self.caller.data)
         self.assertNotIn(b's2', self.caller.data)
 
+    def run_attempts(self, *bodies):
+        """Run an attempt for each body, all but the last broken off."""
+        for body in bodies[:-1]:
+            self.run_attempt(HEAD, body and messages.encode_chunk(body))
+        return self.run_attempt(
+            HEAD,
+            messages.encode_chunk(bodies[-1]),
+            messages.LAST_CHUNK,
+            close=False,
+        )
+
+    def encode_events(self, *event_ids):
+        """Return the bytes of events."""
+        return b''.join(encode_event(event_id) for event_id in event_ids)
+
+    def received_ids(self):
+        """Return the ids of the events that the caller got, in order."""
+        return [int(i) for i in re.findall(rb'id: (\d+)\n', self.caller.data)]
+
+    # Guards against events that the caller gets twice or after later ones.
+    def test_events_that_come_again(self):
+        for bodies in (
+            ((1, 2, 2, 3, 1, 2, 3, 4),),
+            ((1, 2), (2, 2, 3, 3, 4)),
+            ((1, 2), (1, 2, 3, 4)),
+            ((1, 2), (), (2, 1), (3, 4)),
+        ):
+            self.setUp()
+            outcome = self.run_attempts(
+                *(self.encode_events(*event_ids) for event_ids in bodies)
+            )
+            self.assertEqual(outcomes.Served(200), outcome)
+            self.assertEqual([1, 2, 3, 4], self.received_ids(), bodies)
+
+    # Guards against a stream that another target goes on with too late.
+    def test_events_are_missing(self):
+        for first, second in (((1, 2), (4, 5)), ((2, 4), (7, 9))):
+            self.setUp()
+            outcome = self.run_attempts(
+                self.encode_events(*first), self.encode_events(*second)
+            )
+            self.assertIsInstance(outcome, outcomes.Unknown)
+            self.assertEqual(list(first), self.received_ids())
+            self.assertEqual(str(first[-1]), self.context.last_event_id)
+
+    def test_ids_that_increase_by_more_than_one(self):
+        outcome = self.run_attempts(
+            self.encode_events(2, 4, 9), self.encode_events(11, 16, 20)
+        )
+        self.assertEqual(outcomes.Served(200), outcome)
+        self.assertEqual([2, 4, 9, 11, 16, 20], self.received_ids())
+
+    # Guards against a stream that begins once more after its first events, for
+    # want of ids that tell.
+    def test_events_without_a_number_where_a_stream_goes_on(self):
+        bare = b'data: x\n\n'
+        opaque = b'id: a\ndata: x\n\n'
+        numbered = self.encode_events(1, 2)
+        for first, second in itertools.product(
+            (bare, opaque, numbered), (bare, opaque, numbered)
+        ):
+            if first == second == numbered:
+                continue
+            self.setUp()
+            self.run_attempt(HEAD, messages.encode_chunk(first))
+            before = self.caller.data
+            outcome = self.run_attempts(second)
+            self.assertIsInstance(outcome, outcomes.Unknown)
+            self.assertEqual(before, self.caller.data)
+
+    def test_comments_and_events_without_an_id_in_between(self):
+        outcome = self.run_attempts(
+            self.encode_events(1) + b': a\n\ndata: b\n\n',
+            b': c\n\nretry: 9\n\n' + self.encode_events(2) + b'data: d\n\n',
+        )
+        self.assertEqual(outcomes.Served(200), outcome)
+        self.assertEqual([1, 2], self.received_ids())
+        self.assertIn(b'data: b\n\n', self.caller.data)
+        self.assertIn(b'data: d\n\n', self.caller.data)
+
+    # Guards against an attempt that ends with an exception of its own.
+    def test_ids_of_many_digits(self):
+        long_id = '1' * 5_000
+        for last_id, event_id in (('1', long_id), (long_id, '1'), ('', '1')):
+            self.setUp()
+            self.context.event_order.last_id = last_id
+            outcome = self.run_attempts(
+                b'id: %s\ndata: x\n\n' % event_id.encode()
+            )
+            self.assertIsInstance(
+                outcome, (outcomes.Served, outcomes.Unknown), last_id[:3]
+            )
+
     # Guards against a whole response, with a head of its own, in the middle of
     # the stream that another target began.
     def test_other_response_after_events(self):
