Fix: a connection that fails while a request is sent has no proper end

Callers could get a stream without a length as complete though its target had reset the connection: a long request was still being sent, the task that sends its rest got the error, and the next read saw the end of the stream. The same with the kernel's own ETIMEDOUT, where the target was cut off; before a response that counted as closed by the target, so as a sign of a crash.

Cause: the kernel reports a socket's error once, to the call that comes first, and that task dropped it.

Now the error is kept and raised in place of the end. A broken pipe isn't: it says that the peer had ended its side before, or that a read got the error.

--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -61,6 +61,7 @@
         '_read_until',
         '_unyielded_bytes',
         '_send_task',
+        '_send_error',
         '_interrupted_why',
     )
 
@@ -78,6 +79,9 @@
         self._unyielded_bytes = 0
         # Sends what the socket buffer did not take at once.
         self._send_task = None
+        # Why that failed.  The kernel reports an error once, so a read after
+        # it sees the end of the stream.
+        self._send_error = None
         # Why `interrupt` was called, empty if it wasn't.
         self._interrupted_why = ''
 
@@ -98,19 +102,20 @@
             sent = self._sock._sock.send(data)
         except BlockingIOError:
             sent = 0
-        except ConnectionError as exc:
-            raise PeerClosed(f'send: {exc}') from exc
         except OSError as exc:
-            raise ResponseLost(f'send: {exc}') from exc
+            raise _make_loss('send', exc) from exc
         if sent < len(data):
             self._send_task = gevent.spawn(self._send_rest, data[sent:])
 
     def _send_rest(self, data):
         try:
             self._sock.sendall(data)
-        except OSError:
-            # The greenlet that reads the response gets the error.
+        except BrokenPipeError:
+            # The peer had closed its side, or the greenlet that reads the
+            # response got the error.
             pass
+        except OSError as exc:
+            self._send_error = exc
 
     def is_fully_sent(self):
         """Return whether the whole request has been sent."""
@@ -138,6 +143,8 @@
             raise ResponseLost(why) from exc
         if self._interrupted_why:
             raise ResponseLost(self._interrupted_why)
+        if not data and self._send_error is not None:
+            raise _make_loss('send', self._send_error)
         if not data:
             self.parser.feed_eof()
             return False
@@ -230,6 +237,12 @@
     return Connection(sock, max_body_bytes)
 
 
+def _make_loss(operation, error):
+    """Return the ResponseLost for a socket's error."""
+    is_closed = isinstance(error, ConnectionError)
+    return (PeerClosed if is_closed else ResponseLost)(f'{operation}: {error}')
+
+
 def peek(sock):
     """Return the next byte of a gevent socket without consuming it.
 
