Fix: the rest of a request is sent for as long as its response is awaited

A target that reads a long request for longer than the read timeout, while no other may be tried, never got the rest of it: the request ran nowhere and waited until its deadline.

Cause: the task that sends the rest took the socket's timeout, which is that of the greenlet that reads, and ended with it.

Now that task goes on until the connection is closed.

--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -108,8 +108,10 @@
             self._send_task = gevent.spawn(self._send_rest, data[sent:])
 
     def _send_rest(self, data):
+        left = memoryview(data)
         try:
-            self._sock.sendall(data)
+            while left:
+                left = left[self._send_some(left) :]
         except BrokenPipeError:
             # The peer had closed its side, or the greenlet that reads the
             # response got the error.
@@ -117,6 +119,19 @@
         except OSError as exc:
             self._send_error = exc
 
+    def _send_some(self, data):
+        """Return how many bytes were sent.
+
+        The socket's timeout is that of the greenlet that reads; a peer may
+        read a request for longer.
+        """
+        try:
+            return self._sock.send(data)
+        except TimeoutError as exc:
+            if exc.errno is None:
+                return 0
+            raise
+
     def is_fully_sent(self):
         """Return whether the whole request has been sent."""
         return self._send_task is None or self._send_task.ready()
--- a/tests/http/test_failed_sends.py
+++ b/tests/http/test_failed_sends.py
@@ -1,4 +1,4 @@
-"""Connections that fail while the rest of a request is being sent.
+"""Connections that fail or wait while the rest of a request is being sent.
 
 The kernel reports a socket's error once, to the call that comes first, and the
 end of the stream to the others.
@@ -26,8 +26,10 @@
     """Responses without a length, which the end of the connection ends."""
 
     def setUp(self):
-        listener = socket.create_server(('127.0.0.1', 0))
+        listener = socket.socket()
         self.addCleanup(listener.close)
+        listener.bind(('127.0.0.1', 0))
+        listener.listen()
         self.conn = connections.connect(*listener.getsockname(), 1)
         self.addCleanup(self.conn.close)
         self.remote, _ = listener.accept()
@@ -86,3 +88,16 @@
             gevent.sleep(0.05)
             self.reset()
             self.assertEqual(b'ok', self.conn.read_response().body)
+
+    # Guards against a request that never arrives as a whole because its target
+    # reads it later than it may answer.
+    def test_target_that_reads_slowly(self):
+        self.conn.send(REQUEST)
+        self.conn.set_read_timeout(0.05)
+        with self.assertRaises(connections.ReadTimeout):
+            self.conn.read_head()
+        left = len(REQUEST)
+        self.remote.settimeout(5)
+        while left:
+            left -= len(self.remote.recv(1_048_576))
+        self.assertTrue(self.conn.is_fully_sent())
