Fix: a route's time-out doesn't say for how long its callers wait

Callers of a route whose time-out a configuration had made shorter than they wait got streams from two versions: a router that had heard of none of them since its start, or since the route got another name, took the time-out as the longest time that a caller waits, so the stream seemed younger than it was, and a plan that was in force when it began was left out. The same with callers that wait for longer than those of whom the router has heard.

Now a route of which no caller has been heard of takes the longest wait of other routes, else a minute, after which no stream is resumed; so does a caller that has more time left than any that was heard of.

What remains: among callers of one route that wait for different times, those that wait longest must be heard of before a router knows their age.

--- a/galenaspoke/edge/streams/resumption.py
+++ b/galenaspoke/edge/streams/resumption.py
@@ -57,7 +57,7 @@
         self._clock = clock
         self._journal = journal
         # The longest time for which a caller of a route wants to wait, by the
-        # route's name.
+        # route's name.  Its time-out says nothing about that.
         self._patience_ms = {}
 
     def record_begin(self, context, target):
@@ -169,16 +169,28 @@
         """Return how long ago a stream that is resumed may have begun.
 
         Callers state for how much longer they wait.  None waits longer, over
-        all its tries, than the callers of its route do at most.
+        all its tries, than `_find_patience_ms` says.
         """
-        patience_ms = max(
-            context.route.timeout_ms,
-            self._patience_ms.get(context.route.name, 0),
-        )
         left_ms = context.metadata.timeout_ms
-        if left_ms is None:
-            return max(patience_ms, stream_versions.MAX_STREAM_AGE_MS)
-        return max(0, patience_ms - left_ms)
+        patience_ms = self._find_patience_ms(context.route, left_ms)
+        if left_ms is None or left_ms > patience_ms:
+            return patience_ms
+        return patience_ms - left_ms
+
+    def _find_patience_ms(self, route, left_ms):
+        """Return for how long a caller that has so much time left may wait.
+
+        That is as long as the callers of its route do at most.  If none of
+        these has been heard of, those of other routes tell, from which a
+        configuration may have split it off.  A caller that has more time left
+        than any of them differs from them.
+        """
+        heard_ms = self._patience_ms.get(route.name) or max(
+            self._patience_ms.values(), default=0
+        )
+        if left_ms is None or not heard_ms or left_ms > heard_ms:
+            heard_ms = stream_versions.MAX_STREAM_AGE_MS
+        return max(heard_ms, route.timeout_ms)
 
 
 def _plan_key(context):
--- a/tests/edge/test_streams_after_power_loss.py
+++ b/tests/edge/test_streams_after_power_loss.py
@@ -5,9 +5,11 @@
 lasts, and against streams whose parts come from two versions.
 """
 
+import dataclasses
 import unittest
 from unittest import mock
 
+from galenaspoke.core import catalog
 from galenaspoke.core import clock
 from tests.edge import version_fleets
 
@@ -19,6 +21,8 @@
 # A router may learn of a release so late, and clocks may differ by so much.
 LATE_MS = 1_999
 CLOCK_ERROR_MS = 1_000
+# For longer than the time-out of the route.
+LONG_WAIT_MS = 30_000
 OLD = {'a': 'v1', 'b': 'v1', 'c': 'v1', 'd': 'v1'}
 MIXED = {'a': 'v1', 'b': 'v1', 'c': 'v2', 'd': 'v2'}
 # Resumed streams are served at this share of the rate of new ones or better.
@@ -137,6 +141,69 @@
             ):
                 self.resume_all(fleet, streams, names_request=False)
 
+    def begin_before_release(self, waited_ms):
+        """Return a fleet and its streams, after a release and a power loss.
+
+        The streams began before the release, so long ago, and their callers
+        wait for longer than the route's time-out.
+        """
+        fleet = self.make_fleet(OLD)
+        fleet.timeout_ms = LONG_WAIT_MS
+        streams = self.begin_streams(fleet)
+        self.release_half(fleet)
+        fleet.clock.advance(waited_ms)
+        self.lose_power(fleet)
+        return fleet, streams
+
+    # Guards against a route's time-out that counts as the time for which its
+    # callers wait, while the router has heard of none.
+    def test_callers_wait_for_longer_than_the_time_out(self):
+        for waited_ms in (6_000, 15_000, 25_000):
+            fleet, streams = self.begin_before_release(waited_ms)
+            share = self.resume_all(fleet, streams, names_request=False)
+            self.assertGreaterEqual(share, MIN_RATE_SHARE / 2)
+            self.assertLess(share, 1)
+
+    # Guards against callers that are forgotten when a configuration splits or
+    # renames their route.
+    def test_route_has_another_name(self):
+        fleet = self.make_fleet(OLD)
+        fleet.timeout_ms = LONG_WAIT_MS
+        streams = self.begin_streams(fleet)
+        self.release_half(fleet)
+        fleet.clock.advance(25_000)
+        for desk in fleet.desks.values():
+            route = desk.config_view.catalog.match('desk', '/a/')
+            desk.config_view.catalog = catalog.Catalog(
+                2,
+                [dataclasses.replace(route, name='renamed')],
+                desk.config_view.catalog.services.values(),
+                [],
+                {},
+                catalog.Limits(),
+            )
+        share = self.resume_all(fleet, streams, names_request=False)
+        self.assertGreater(share, 0)
+        self.assertLess(share, 1)
+
+    # Guards against one caller with little time whose wait counts for all.
+    def test_one_caller_waits_for_less_than_others(self):
+        fleet, streams = self.begin_before_release(6_000)
+        fleet.timeout_ms = version_fleets.TIMEOUT_MS
+        self.begin_streams(fleet)
+        fleet.timeout_ms = LONG_WAIT_MS
+        self.resume_all(fleet, streams, names_request=False)
+
+    def test_callers_were_heard_of(self):
+        fleet, streams = self.begin_before_release(15_000)
+        later = self.begin_streams(fleet)
+        share = self.resume_all(fleet, streams, names_request=False)
+        self.assertLess(share, 1)
+        # They began by the latest plan alone.
+        fleet.clock.advance(LATE_MS)
+        self.resume_all(fleet, later, names_request=False)
+        self.assertTrue(all(stream.is_whole() for stream in later))
+
     def test_new_streams_wait_for_the_next_plan(self):
         fleet = self.make_fleet(OLD)
         for name in OLD:
