A copied response never belongs to a later request

What callers saw: "not run, try again" (503) for a request that an engine had run, or that a second engine ran once more; or the answer to an earlier request.

Cause: a response was tied to its request by the request's id alone. If a caller uses an id again, or sends none, and the request goes out on the kept connection that carried the earlier one, a copy of the earlier response has the right id. The check that an idle connection is empty doesn't help: the copy may come after it.

Tests, before the fix: - test_copied_refusal_is_not_the_answer_to_the_second_request: b'mine' != b'{"refused":"overload","detail":"status 503"}' - test_copied_refusal_does_not_lead_to_a_second_run: [1, 0] != [1, 1]: both engines ran it - test_copied_answer_is_not_the_answer_to_the_second_request and test_requests_without_an_id: b'mine' != b'other' - test_other_ids_share_a_connection passed; it holds the price - test_connection_ends_with_the_ids_that_it_may_remember: no such bound

Fix: a connection remembers the ids that it has carried, and a request whose id is among them goes out on a new one. So a response with the request's id is the engine's response to this request, or a copy of that. A connection ends after 256 requests, which bounds the memory; one new connection in 256 requests is the whole price if no id comes twice.

Ruled out: remembering the ids of refused requests only (a copied success is as wrong), and closing connections after each refusal (under overload that is a new connection for each request).

test_endless_bytes.DuplicateTest sent two requests with one id and meant them to share a connection, which they no longer do: its first request has an id of its own now.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -77,7 +77,7 @@
         """
         self._timeout_s = timeout_ms / 1000
         try:
-            conn = self._target.acquire_connection(self._clock.now())
+            conn = self._acquire_connection()
         except connections.NotSent as exc:
             return outcomes.NotRun(
                 str(exc),
@@ -90,6 +90,7 @@
         self._context.may_have_run = True
         try:
             self._sent_at = self._clock.now()
+            conn.request_ids.add(self._context.metadata.request_id)
             conn.send(self._encode_request())
             self._context.sent_count += 1
             self._context.sent_at = self._clock.now()
@@ -116,6 +117,18 @@
                 # This also makes the target cancel work that is under way.
                 conn.close()
 
+    def _acquire_connection(self):
+        """Return a connection on which no request had this one's id.
+
+        On any other, a copy of the earlier request's response could not be
+        told from the response to this one.
+        """
+        conn = self._target.acquire_connection(self._clock.now())
+        if self._context.metadata.request_id not in conn.request_ids:
+            return conn
+        conn.close()
+        return self._target.connect()
+
     def _wait(self, conn, read):
         """Return what `read` returns; begin the read timeout anew before it.
 
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -24,6 +24,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# A connection carries at most this many requests whose ids it remembers.
+MAX_REQUESTS = 256
 
 
 class NotSent(Exception):
@@ -57,6 +59,7 @@
         'idle_since',
         'idle_timeout_ms',
         'was_used',
+        'request_ids',
         '_sock',
         '_read_until',
         '_unyielded_bytes',
@@ -68,6 +71,10 @@
         self.parser = messages.ResponseParser(max_body_bytes)
         # Whether an earlier request got its response here.
         self.was_used = False
+        # The ids of the requests that were sent here, as far as the caller
+        # adds them.  The peer may write a response once more, so only the
+        # first request with an id can tell its response by the id.
+        self.request_ids = set()
         self.idle_since = 0
         # How long the peer keeps the connection open while it is idle.
         self.idle_timeout_ms = 0
@@ -194,7 +201,11 @@
 
     def is_reusable(self, response):
         """Return whether the connection can carry another request."""
-        is_clean = not self.parser.responses and self.is_fully_sent()
+        is_clean = (
+            not self.parser.responses
+            and self.is_fully_sent()
+            and len(self.request_ids) < MAX_REQUESTS
+        )
         return is_clean and response.is_complete and response.keep_alive
 
     def is_open_and_empty(self):
--- /dev/null
+++ b/tests/edge/test_copied_responses.py
@@ -0,0 +1,129 @@
+"""Engines that write an earlier response once more on a kept connection.
+
+A request's id ties a response to it only if no earlier request on the same
+connection had that id: callers may use one again.
+"""
+
+import unittest
+
+from galenaspoke.core import catalog
+from galenaspoke.http import connections
+from tests.edge import handlers
+
+ONCE = catalog.RequestKind.ONCE
+
+
+class CopyingEngine:
+    """An engine that copies the first response on each connection.
+
+    It writes that once more before each later response there.  Its very first
+    response is `first`, all others are `served`.
+    """
+
+    def __init__(self, first, served):
+        # How many requests have run.
+        self.run_count = 0
+        self._first = first
+        self._served = served
+        # The first response by connection.
+        self._firsts = {}
+
+    def __call__(self, remote, number):
+        copy = self._firsts.get(remote, b'')
+        if copy:
+            remote.sendall(copy)
+        response = self._served
+        if number == 1 and self._first:
+            response = self._first
+        else:
+            self.run_count += 1
+        self._firsts.setdefault(remote, response)
+        remote.sendall(response)
+
+
+class RepeatedIdTest(unittest.TestCase):
+    """Requests with an id that an earlier one on the connection had."""
+
+    def make_desk(self, first, kind=ONCE, request_id=handlers.REQUEST_ID):
+        """Return a desk before a copying engine, and the engine."""
+        engine = CopyingEngine(
+            first,
+            handlers.encode_response(body=b'mine', request_id=request_id),
+        )
+        desk = handlers.Desk({'i-1': engine}, kind)
+        self.addCleanup(desk.close)
+        return desk, engine
+
+    # Guards against REFUSED: "not run" for a request that the engine ran.
+    def test_copied_refusal_is_not_the_answer_to_the_second_request(self):
+        desk, engine = self.make_desk(handlers.encode_busy())
+        self.assertEqual(503, desk.request().status)
+        self.assertEqual(b'mine', desk.request().body)
+        self.assertEqual(1, engine.run_count)
+
+    # Guards against TWICE: the second engine runs what the first ran.
+    def test_copied_refusal_does_not_lead_to_a_second_run(self):
+        desk, engine = self.make_desk(handlers.encode_busy())
+        self.assertEqual(503, desk.request().status)
+        other = CopyingEngine(b'', handlers.encode_response(body=b'other'))
+        desk.add_target('i-2', other)
+        # So that the first engine is chosen first.
+        desk.targets['i-2'].in_flight = 100
+        self.assertEqual(200, desk.request().status)
+        self.assertEqual([1, 0], [engine.run_count, other.run_count])
+
+    # Guards against MIXED: a caller gets the answer to another request.
+    def test_copied_answer_is_not_the_answer_to_the_second_request(self):
+        desk, _ = self.make_desk(handlers.encode_response(body=b'other'))
+        self.assertEqual(b'other', desk.request().body)
+        self.assertEqual(b'mine', desk.request().body)
+
+    # Guards against MIXED and REFUSED for requests that have no id.
+    def test_requests_without_an_id(self):
+        for first, status in (
+            (handlers.encode_response(body=b'other', request_id=b''), 200),
+            (
+                handlers.encode_response(503, b'', b'X-Not-Run: 1\r\n', b''),
+                503,
+            ),
+        ):
+            desk, _ = self.make_desk(first, request_id=b'')
+            self.assertEqual(status, desk.request(request_id=b'').status)
+            caller = desk.request(request_id=b'')
+            self.assertEqual(b'mine', caller.body, status)
+
+    # Guards against a new connection for each request after a refusal.
+    def test_other_ids_share_a_connection(self):
+        connected = set()
+
+        def respond(remote, number):
+            connected.add(remote)
+            remote.sendall(
+                handlers.encode_response(
+                    503, b'', b'X-Not-Run: 1\r\n', b'%d' % number
+                )
+            )
+
+        desk = handlers.Desk({'i-1': respond}, ONCE)
+        self.addCleanup(desk.close)
+        for number in range(1, 21):
+            desk.request(request_id=b'%d' % number)
+        self.assertEqual([20], desk.count_requests())
+        self.assertEqual(1, len(connected))
+
+    # Guards against ids that pile up, or are forgotten while it is used.
+    def test_connection_ends_with_the_ids_that_it_may_remember(self):
+        connected = []
+
+        def respond(remote, number):
+            if remote not in connected:
+                connected.append(remote)
+            remote.sendall(handlers.encode_response(request_id=b'%d' % number))
+
+        desk = handlers.Desk({'i-1': respond}, ONCE)
+        self.addCleanup(desk.close)
+        for number in range(1, connections.MAX_REQUESTS + 2):
+            caller = desk.request(request_id=b'%d' % number)
+            self.assertEqual(200, caller.status)
+            expected = 1 if number <= connections.MAX_REQUESTS else 2
+            self.assertEqual(expected, len(connected), number)
--- a/tests/edge/test_endless_bytes.py
+++ b/tests/edge/test_endless_bytes.py
@@ -237,7 +237,7 @@
     def test_late_refusal_without_an_id_proves_nothing(self):
         def respond(remote, number):
             if number == 1:
-                remote.sendall(handlers.encode_response())
+                remote.sendall(handlers.encode_response(request_id=b'77'))
                 return
             # A second response to the request before; this one runs.
             remote.sendall(
@@ -246,13 +246,13 @@
 
         desk = handlers.Desk({'i-1': respond}, catalog.RequestKind.ONCE)
         self.addCleanup(desk.close)
-        self.assertEqual(200, desk.request().status)
+        self.assertEqual(200, desk.request(request_id=b'77').status)
         self.assertEqual(502, desk.request().status)
 
     def test_late_copy_of_a_response(self):
         def respond(remote, number):
             if number == 1:
-                remote.sendall(handlers.encode_response())
+                remote.sendall(handlers.encode_response(request_id=b'77'))
                 return
             # A second response to the request before.
             remote.sendall(
@@ -262,7 +262,7 @@
 
         desk = handlers.Desk({'i-1': respond}, catalog.RequestKind.ONCE)
         self.addCleanup(desk.close)
-        desk.request()
+        desk.request(request_id=b'77')
         self.assertEqual(b'mine', desk.request().body)
 
 
