Close a connection after a response that nothing ties to the request

What callers saw: an engine worked on for a request whose caller had its 502 long ago, and the next request on that connection waited behind it.

Cause: a refusal or an unstamped response without an id, on a connection that was used, is an unknown outcome, since it may be a copy of an earlier response. But the connection was kept as if the request had been answered.

Before the fix, test_engine_may_be_at_work_after_it: the engine's connection was still open 0.5 s after the 502 ("False is not true").

Fix: only a response with the request's own id leaves the connection for another request. Engines echo the id, so this costs nothing else.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -98,7 +98,9 @@
                 conn, lambda: conn.read_head(self._is_for_this_request)
             )
             outcome = self._handle_response(conn, response)
-            reusable = conn.is_reusable(response)
+            # Without the id it may be a copy of an earlier response, and the
+            # target still at work.
+            reusable = self._has_own_id() and conn.is_reusable(response)
             return outcome
         except connections.ResponseLost as exc:
             return outcomes.Unknown(
@@ -174,6 +176,9 @@
             )
         return is_own or (not metadata.request_id and not metadata.has_stamp)
 
+    def _has_own_id(self):
+        return self._metadata.request_id == self._context.metadata.request_id
+
     def _handle_response(self, conn, response):
         self._metadata = metadata = self._header_codec.parse_response(response)
         if response.status == UNAVAILABLE_STATUS and metadata.retry_after_ms:
--- a/tests/edge/test_copied_responses.py
+++ b/tests/edge/test_copied_responses.py
@@ -6,6 +6,8 @@
 
 import unittest
 
+from gevent import event
+
 from galenaspoke.core import catalog
 from galenaspoke.http import connections
 from tests.edge import handlers
@@ -127,3 +129,31 @@
             self.assertEqual(200, caller.status)
             expected = 1 if number <= connections.MAX_REQUESTS else 2
             self.assertEqual(expected, len(connected), number)
+
+
+class UntiedResponseTest(unittest.TestCase):
+    """Responses without an id, which may be copies."""
+
+    # Guards against GONE and a next request that waits behind this one.
+    def test_engine_may_be_at_work_after_it(self):
+        untied = (
+            b'HTTP/1.1 503 -\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n',
+            b'HTTP/1.1 502 -\r\nContent-Length: 0\r\n\r\n',
+        )
+        for copy in untied:
+            is_cut_off = event.Event()
+
+            def respond(remote, number):
+                if number == 1:
+                    remote.sendall(handlers.encode_response(request_id=b'1'))
+                    return
+                remote.sendall(copy)
+                # It works on the request until its caller has gone.
+                if not remote.recv(65_536):
+                    is_cut_off.set()
+
+            desk = handlers.Desk({'i-1': respond}, ONCE)
+            self.addCleanup(desk.close)
+            self.assertEqual(200, desk.request(request_id=b'1').status)
+            self.assertEqual(502, desk.request(request_id=b'2').status)
+            self.assertTrue(is_cut_off.wait(0.5), copy)
