X-Not-Run beside a status that says otherwise proves nothing

What callers saw: "not run, try again" (503), or a run at a second engine, for a request that an engine had answered with a success or a failure of its own, whose head also had X-Not-Run.

Cause: the header alone counted as proof, whatever the status.

Before the fix, test_not_run_beside_a_status_that_says_otherwise: 502 != 503 for status 200, and the second engine got the request.

Fix: only the statuses that may refuse a request, 4xx and 503, prove with the header that it did not run; PROTOCOL.md names 400, 421, 429 and 503. Any other is an unknown outcome. A stamp beside a refusal is no contradiction: PROTOCOL.md doesn't say that refusals have none.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -8,6 +8,8 @@
 # A response with this status or a higher one, NOT_RUN_STATUSES aside, is an
 # `outcomes.Failure`: it is relayed only if no other target may be tried.
 MIN_FAILURE_STATUS = 500
+# From this status up to MIN_FAILURE_STATUS, the request itself is at fault.
+MIN_REQUEST_ERROR_STATUS = 400
 EVENT_STREAM = 'text/event-stream'
 # Statuses that promise the caller that the request did not run.  A response
 # with one of them that lacks the target's own statement (`not_run`) is not
@@ -186,6 +188,10 @@
         if metadata.not_run and not metadata.request_id and conn.was_used:
             # It may be a second response to the request before.
             return outcomes.Unknown(f'status {response.status}, without an id')
+        if metadata.not_run and not _can_refuse(response.status):
+            return outcomes.Unknown(
+                f'status {response.status}, but said not to have run'
+            )
         if metadata.not_run:
             conn.read_body(response, self._timeout_s)
             if metadata.misdirected:
@@ -305,3 +311,12 @@
             )
             data = head + data
         self._caller.send(data)
+
+
+def _can_refuse(status):
+    """Return whether a target may answer so without running the request.
+
+    A success, or a server error other than 503, says that it ran.
+    """
+    is_request_error = MIN_REQUEST_ERROR_STATUS <= status < MIN_FAILURE_STATUS
+    return is_request_error or status == UNAVAILABLE_STATUS
--- a/tests/edge/test_copied_responses.py
+++ b/tests/edge/test_copied_responses.py
@@ -157,3 +157,33 @@
             self.assertEqual(200, desk.request(request_id=b'1').status)
             self.assertEqual(502, desk.request(request_id=b'2').status)
             self.assertTrue(is_cut_off.wait(0.5), copy)
+
+
+class ContradictionTest(unittest.TestCase):
+    """Responses that say both that a request has run and that it has not."""
+
+    # Guards against REFUSED and TWICE after a head that contradicts itself.
+    def test_not_run_beside_a_status_that_says_otherwise(self):
+        for status in (200, 204, 302, 500, 502, 504):
+            response = handlers.encode_response(
+                status, b'', extra=b'X-Not-Run: 1\r\n'
+            )
+
+            def respond(remote, _):
+                remote.sendall(response)
+
+            desk = handlers.Desk({'i-1': respond, 'i-2': respond}, ONCE)
+            self.addCleanup(desk.close)
+            self.assertEqual(502, desk.request().status, status)
+            self.assertEqual(1, sum(desk.count_requests()), status)
+
+    def test_not_run_beside_a_status_that_refuses(self):
+        for status in (400, 408, 421, 429, 503):
+            response = handlers.encode_response(
+                status, b'', extra=b'X-Not-Run: 1\r\n'
+            )
+            desk = handlers.Desk(
+                {'i-1': lambda remote, _: remote.sendall(response)}, ONCE
+            )
+            self.addCleanup(desk.close)
+            self.assertEqual(503, desk.request().status, status)
