A response that begins within another's head is no response

What callers saw: "not run, try again" (503), or a run at a second engine, for a request that an engine had run; or a success that no engine gave.

Cause: an engine may write an earlier response once more and cut it off. If that ends within its reason phrase or the value of a header, the start of the next response becomes a part of it, and the rest of that response's head, with the request's own id, follows: `X-Not-Run:HTTP/1.1 200 OK`, `X-Request-Id: 2`. All of it was read as one refusal of request 2. Cut at the end of a line or within a name, the head was invalid already.

Fix: a status line within a reason phrase or a header's value makes the response invalid, so the outcome is unknown and the connection is closed. `Via: HTTP/1.1 front` is none.

--- a/galenaspoke/http/messages.py
+++ b/galenaspoke/http/messages.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+import re
 
 import httptools
 
@@ -36,6 +37,9 @@
 MAX_HEAD_BYTES = 65_536
 # The longest body that is held in memory until it is complete.
 MAX_BODY_BYTES = 4_194_304
+# The start of a response.  Within the head of another one, that one was cut
+# off, and the two can't be told apart.
+_STATUS_LINE = re.compile(rb'HTTP/1\.\d \d{3}')
 _MIN_FINAL_STATUS = 200
 _BODILESS_STATUSES = (204, 304)
 _PHRASES = {
@@ -271,6 +275,7 @@
         '_max_body_bytes',
         '_overhead_bytes',
         '_current',
+        '_reason',
         '_parser',
     )
 
@@ -280,6 +285,8 @@
         # The bytes since the last head, piece of a body or end of a response.
         self._overhead_bytes = 0
         self._current = None
+        # The reason phrase of the current response, as far as it has arrived.
+        self._reason = b''
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data):
@@ -308,8 +315,12 @@
 
     def on_message_begin(self):
         self._current = Response()
+        self._reason = b''
         self.responses.append(self._current)
 
+    def on_status(self, reason):
+        self._reason += reason
+
     def on_header(self, name, value):
         if not self._current.is_head_complete:
             self._current.headers.append((name.lower(), value))
@@ -317,6 +328,9 @@
     def on_headers_complete(self):
         self._overhead_bytes = 0
         response = self._current
+        values = [value for _, value in response.headers]
+        if _STATUS_LINE.search(b'\n'.join([self._reason, *values])):
+            raise BadResponse('a response began within the head of another')
         response.status = self._parser.get_status_code()
         response.keep_alive = self._parser.should_keep_alive()
         response.is_head_complete = True
--- a/tests/edge/test_copied_responses.py
+++ b/tests/edge/test_copied_responses.py
@@ -187,3 +187,61 @@
             )
             self.addCleanup(desk.close)
             self.assertEqual(503, desk.request().status, status)
+
+
+class TruncatedCopyTest(unittest.TestCase):
+    """A copy that ends early, and the response that follows it at once."""
+
+    COPIES = (
+        b'HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Request-Id: 1\r\n'
+        b'Retry-After: 1\r\nContent-Length: 2\r\n\r\nno',
+        b'HTTP/1.1 503 Busy\r\nX-Request-Id: 1\r\nX-Not-Run: 1\r\n'
+        b'Content-Length: 2\r\n\r\nno',
+        b'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nX-Response-Stamp: copied\r\n'
+        b'X-Request-Id: 1\r\nContent-Length: 5\r\n\r\nother',
+    )
+
+    def request_after(self, copy, response):
+        """Return what a caller gets whose response follows a cut copy."""
+
+        def respond(remote, number):
+            if number == 1:
+                remote.sendall(handlers.encode_response(request_id=b'1'))
+            else:
+                remote.sendall(copy + response)
+
+        desk = handlers.Desk({'i-1': respond}, ONCE, timeout_ms=60)
+        self.addCleanup(desk.close)
+        self.assertEqual(200, desk.request(request_id=b'1').status)
+        return desk.request(request_id=b'2')
+
+    def list_cuts(self):
+        """Return each copy cut after each of its bytes."""
+        return [
+            copy[:end] for copy in self.COPIES for end in range(1, len(copy))
+        ]
+
+    # Guards against REFUSED: the head of the copy takes in the id that ties
+    # the response to the request.
+    def test_answer_does_not_become_a_refusal(self):
+        answer = handlers.encode_response(body=b'mine', request_id=b'2')
+        for cut in self.list_cuts():
+            caller = self.request_after(cut, answer)
+            self.assertIn(caller.status, (502, 504), cut)
+
+    # Guards against MIXED: a success that the engine didn't give.
+    def test_failure_does_not_become_a_success(self):
+        failure = handlers.encode_response(500, b'', request_id=b'2')
+        for cut in self.list_cuts():
+            caller = self.request_after(cut, failure)
+            self.assertIn(caller.status, (502, 504), cut)
+
+    # Guards against a stricter parser than proxies' headers bear.
+    def test_names_of_protocols_in_headers(self):
+        answer = handlers.encode_response(
+            body=b'mine',
+            extra=b'Via: HTTP/1.1 front, 1.1 HTTP/1.1\r\n',
+            request_id=b'2',
+        )
+        self.assertEqual(200, self.request_after(b'', answer).status)
