A connection counts all that was sent on it

What callers would see: "not run, try again" (503) for a request that an engine runs. Nothing in the code sends so today; checks of a target's incarnation on a new connection would.

Cause: a refusal without an id is suspected to be a copy if the connection "was used". That was set when a caller's request gave the connection back, so a request of the router itself on a new connection, a health check for example, left the connection unsuspected, and a copy of its refusal proved the next request not run.

Before the fix, test_refusal_of_an_earlier_request_of_the_router_itself: 502 != 503.

Fix: `send` counts the requests, and a connection is suspected from the second on, whoever sent the first. `keep_connection` and `release_connection` differed by that flag only: one is left. `test_crash_checks` asks for the count, 0, in place of the flag.

--- a/galenaspoke/edge/crashes/crash_checks.py
+++ b/galenaspoke/edge/crashes/crash_checks.py
@@ -60,4 +60,4 @@
             # Not reached, which says nothing about the target.
             pass
         else:
-            target.keep_connection(conn, self._clock.now(), None)
+            target.release_connection(conn, self._clock.now(), None)
--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -185,8 +185,12 @@
         self._metadata = metadata = self._header_codec.parse_response(response)
         if response.status == UNAVAILABLE_STATUS and metadata.retry_after_ms:
             self._target.pause(self._clock.now() + metadata.retry_after_ms)
-        if metadata.not_run and not metadata.request_id and conn.was_used:
-            # It may be a second response to the request before.
+        if (
+            metadata.not_run
+            and not metadata.request_id
+            and conn.request_count > 1
+        ):
+            # It may be a second response to an earlier request.
             return outcomes.Unknown(f'status {response.status}, without an id')
         if metadata.not_run and not _can_refuse(response.status):
             return outcomes.Unknown(
--- a/galenaspoke/edge/targets/directory.py
+++ b/galenaspoke/edge/targets/directory.py
@@ -96,15 +96,10 @@
         )
 
     def release_connection(self, conn, now, idle_timeout_ms):
-        """Keep a used connection for another request, or close it.
+        """Keep an idle connection for another request, or close it.
 
         `idle_timeout_ms` is the target's idle timeout, None if not stated.
         """
-        conn.was_used = True
-        self.keep_connection(conn, now, idle_timeout_ms)
-
-    def keep_connection(self, conn, now, idle_timeout_ms):
-        """Keep an idle connection, or close it."""
         conn.idle_since = now
         conn.idle_timeout_ms = (
             DEFAULT_IDLE_TIMEOUT_MS
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -58,7 +58,7 @@
         'parser',
         'idle_since',
         'idle_timeout_ms',
-        'was_used',
+        'request_count',
         'request_ids',
         '_sock',
         '_read_until',
@@ -69,8 +69,8 @@
 
     def __init__(self, sock, max_body_bytes=messages.MAX_BODY_BYTES):
         self.parser = messages.ResponseParser(max_body_bytes)
-        # Whether an earlier request got its response here.
-        self.was_used = False
+        # How many requests were sent here.
+        self.request_count = 0
         # The ids of the requests that were sent here, as far as the caller
         # adds them.  The peer may write a response once more, so only the
         # first request with an id can tell its response by the id.
@@ -101,6 +101,7 @@
         What the socket buffer doesn't take is sent in the background, so that
         an early response can be read meanwhile.
         """
+        self.request_count += 1
         try:
             sent = self._sock._sock.send(data)
         except BlockingIOError:
--- a/tests/edge/test_copied_responses.py
+++ b/tests/edge/test_copied_responses.py
@@ -158,6 +158,23 @@
             self.assertEqual(502, desk.request(request_id=b'2').status)
             self.assertTrue(is_cut_off.wait(0.5), copy)
 
+    # Guards against REFUSED on a connection whose first request was our own.
+    def test_refusal_of_an_earlier_request_of_the_router_itself(self):
+        refusal = handlers.encode_response(
+            503, b'', b'X-Not-Run: 1\r\n'
+        ).replace(b'X-Request-Id: 9c41\r\nX-Response-Stamp: s\r\n', b'')
+        desk = handlers.Desk(
+            {'i-1': lambda remote, _: remote.sendall(refusal)}, ONCE
+        )
+        self.addCleanup(desk.close)
+        target = desk.targets['i-1']
+        conn = target.connect()
+        conn.send(b'GET /health HTTP/1.1\r\nHost: desk\r\n\r\n')
+        self.assertEqual(503, conn.read_response().status)
+        target.release_connection(conn, desk.clock.now(), None)
+        self.assertEqual(502, desk.request().status)
+        self.assertEqual([2], desk.count_requests())
+
 
 class ContradictionTest(unittest.TestCase):
     """Responses that say both that a request has run and that it has not."""
--- a/tests/edge/test_crash_checks.py
+++ b/tests/edge/test_crash_checks.py
@@ -53,7 +53,7 @@
         self.check()
         self.assertEqual([], self.down)
         conn = self.target.acquire_connection(self.clock.now())
-        self.assertFalse(conn.was_used)
+        self.assertEqual(0, conn.request_count)
         conn.close()
 
     # Guards against a partitioned router that takes all targets for crashed.
