A refused call to the store ends its connection

What would be seen: a write that the store applied counts as refused ("certainly changed nothing"), so tokens that were returned are spent once more.

Cause: nothing in the store's responses names the call, so a copy of a refusal on a kept connection is read as the answer to the next call. The check that an idle connection is empty doesn't help if it comes later.

Fix: a connection is kept only after a success. After 429 and 503 the path backs off for 400 ms or longer anyway, so that costs a connection in each backoff, and else one after a conflict or a missing object.

Not covered: a copy of a success. Object and revision in the answer to a write could tell most of them from it.

--- a/galenaspoke/store/paths.py
+++ b/galenaspoke/store/paths.py
@@ -34,6 +34,8 @@
 PROBE_TIMEOUT_S = 0.5
 # Statuses which guarantee that a call had no effect.
 NOT_APPLIED_STATUSES = (429, 503)
+# From this status up a response says that the call failed.
+MIN_ERROR_STATUS = 400
 # A relay's status for a call that may or may not have taken effect.
 OUTCOME_UNKNOWN_STATUS = 504
 # URL prefix under which a process relays calls to the store.
@@ -95,8 +97,11 @@
                 conn.set_read_timeout(timeout_s)
                 conn.send(head + body)
                 response = conn.read_response()
+            # Nothing ties a response to its call, so a copy of a refusal would
+            # pass for the refusal of the next call.
             reusable = (
-                conn.is_reusable(response)
+                response.status < MIN_ERROR_STATUS
+                and conn.is_reusable(response)
                 and len(self._idle_connections) < MAX_IDLE_CONNECTIONS
             )
             return response
--- a/tests/store/test_paths.py
+++ b/tests/store/test_paths.py
@@ -1,4 +1,7 @@
-"""Calls to the store on a network path of which another call fails."""
+"""Calls to the store on a network path of which another call fails.
+
+Also calls on a connection on which another call was refused.
+"""
 
 import unittest
 
@@ -59,3 +62,42 @@
         watch = self.start_call('GET', LONG_S)
         self.path.record_failure(0)
         self.assertEqual('the path was given up', watch.get(timeout=2))
+
+
+class CopiedRefusalTest(unittest.TestCase):
+    """A store that writes a refusal once more, on a kept connection.
+
+    Nothing in its responses names the call.
+    """
+
+    def start_store(self, status):
+        """Return the path to a store that refuses one call and copies that."""
+        refusal = b'HTTP/1.1 %d -\r\nContent-Length: 0\r\n\r\n' % status
+        self.connection_count = 0
+
+        def serve(sock, _):
+            self.connection_count += 1
+            is_first = self.connection_count == 1
+            while sock.recv(65_536):
+                sock.sendall(refusal if is_first else RESPONSE)
+
+        store = server.StreamServer(('127.0.0.1', 0), serve)
+        store.start()
+        self.addCleanup(store.stop)
+        return paths.StorePath(f'127.0.0.1:{store.server_port}', '')
+
+    # Guards against a write that is applied and taken for refused.
+    def test_copy_is_not_the_answer_to_a_write(self):
+        for status in (404, 409, 413, 429, 503, 504):
+            path = self.start_store(status)
+            refused = path.call('GET', '/objects/a/b', b'', SHORT_S)
+            self.assertEqual(status, refused.status)
+            written = path.call('PUT', '/objects/a/b', b'{}', SHORT_S)
+            self.assertEqual(200, written.status)
+
+    # Guards against a new connection for each call.
+    def test_calls_that_succeed_share_a_connection(self):
+        path = self.start_store(200)
+        for _ in range(5):
+            path.call('PUT', '/objects/a/b', b'{}', SHORT_S)
+        self.assertEqual(1, self.connection_count)
