A request without an id is the first on its connection

What callers saw: a request without an id got the answer to an earlier request.

Cause: a stamped response without an id is the request's own if that has none either. A copy that lost its id, of the answer to any earlier request on the connection, passed for it.

Found by a new test, random histories of requests with few ids, refusals, answers and copies of both, whole, cut or without id and stamp; the engines' record of what ran is compared with what callers were told.

Fix: such a request is sent on a new connection only. Engines reject requests without an id, so this costs nothing.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -125,10 +125,13 @@
         """Return a connection on which no request had this one's id.
 
         On any other, a copy of the earlier request's response could not be
-        told from the response to this one.
+        told from the response to this one.  A request without an id is always
+        the first on its connection.
         """
         conn = self._target.acquire_connection(self._clock.now())
-        if self._context.metadata.request_id not in conn.request_ids:
+        request_id = self._context.metadata.request_id
+        is_new_id = request_id and request_id not in conn.request_ids
+        if is_new_id or not conn.request_count:
             return conn
         conn.close()
         return self._target.connect()
--- a/tests/edge/test_copied_responses.py
+++ b/tests/edge/test_copied_responses.py
@@ -4,8 +4,11 @@
 connection had that id: callers may use one again.
 """
 
+import collections
+import random
 import unittest
 
+import gevent
 from gevent import event
 
 from galenaspoke.core import catalog
@@ -262,3 +265,98 @@
             request_id=b'2',
         )
         self.assertEqual(200, self.request_after(b'', answer).status)
+
+
+class HistoryTest(unittest.TestCase):
+    """Random histories of requests, refusals, answers and copies of both."""
+
+    REQUESTS = 120
+    # So few that ids come again soon.
+    IDS = (b'1', b'2', b'3', b'')
+    MAX_DELAY_S = 0.002
+
+    def make_engine(self):
+        """Return an engine that refuses, answers and copies at random."""
+        # What was written on each connection.
+        written = {}
+
+        def copy_something(remote):
+            if remote not in written or remote.closed:
+                return
+            copy = self.random.choice(written[remote])
+            if self.random.random() < 0.3:
+                copy = copy.replace(b'X-Request-Id', b'X-Unknown')
+                if self.random.random() < 0.5:
+                    copy = copy.replace(b'X-Response-Stamp', b'X-Unknown')
+            if self.random.random() < 0.1:
+                copy = copy[: self.random.randrange(1, len(copy))]
+            self.send(remote, copy)
+
+        def respond(remote, _):
+            serial, request_id = self.current
+            for _ in range(self.random.choice((0, 0, 1, 2))):
+                copy_something(remote)
+            if self.random.random() < 0.4:
+                status = self.random.choice((421, 429, 503))
+                body, extra = b'', b'X-Not-Run: 1\r\n'
+            else:
+                self.runs[serial] += 1
+                status, body = 200, b'%d' % serial
+                extra = b'X-Serial: %d\r\n' % serial
+            if self.random.random() < 0.3:
+                gevent.sleep(self.random.uniform(0, self.MAX_DELAY_S))
+            response = handlers.encode_response(
+                status, body, extra, request_id
+            )
+            self.send(remote, response)
+            written.setdefault(remote, []).append(response)
+            if self.random.random() < 0.5:
+                gevent.spawn_later(
+                    self.random.uniform(0, self.MAX_DELAY_S),
+                    copy_something,
+                    remote,
+                )
+
+        return respond
+
+    def send(self, remote, data):
+        """Send if the connection is still open."""
+        try:
+            remote.sendall(data)
+        except OSError:
+            pass
+
+    def play(self, seed):
+        """Play one history; return how often each status was answered."""
+        self.random = random.Random(seed)
+        self.runs = [0] * self.REQUESTS
+        desk = handlers.Desk({}, ONCE, timeout_ms=40)
+        self.addCleanup(desk.close)
+        answered = collections.Counter()
+        for serial in range(self.REQUESTS):
+            # Targets that answered 421 are removed.
+            for name in ('i-1', 'i-2'):
+                if desk.target_view.directory.get(name) is None:
+                    desk.add_target(name, self.make_engine())
+            request_id = self.random.choice(self.IDS)
+            self.current = serial, request_id
+            caller = desk.request(request_id=request_id)
+            answered[caller.status] += 1
+            story = (seed, serial, caller.status)
+            self.assertLessEqual(self.runs[serial], 1, story)
+            if caller.status == 200:
+                self.assertEqual(b'%d' % serial, caller.body, story)
+                self.assertEqual(1, self.runs[serial], story)
+            elif caller.status == 503:
+                self.assertEqual(0, self.runs[serial], story)
+            else:
+                self.assertIn(caller.status, (502, 504), story)
+        return answered
+
+    # Guards against REFUSED, TWICE and MIXED.
+    def test_what_callers_are_told_is_true(self):
+        answered = collections.Counter()
+        for seed in range(20):
+            answered.update(self.play(seed))
+        for status in (200, 502, 503):
+            self.assertGreater(answered[status], 100, answered)
