Targets choose a connection that can carry a request

No change of what callers see, but for one thing: the choice stood in Attempt, after an idle connection had been taken, and closed it if it had carried the request's id. Now `Target.acquire_connection` takes the id and leaves such connections to others. Checks of incarnations, which choose connections too, get the same rule that way.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -79,7 +79,9 @@
         """
         self._timeout_s = timeout_ms / 1000
         try:
-            conn = self._acquire_connection()
+            conn = self._target.acquire_connection(
+                self._clock.now(), self._context.metadata.request_id
+            )
         except connections.NotSent as exc:
             return outcomes.NotRun(
                 str(exc),
@@ -121,21 +123,6 @@
                 # This also makes the target cancel work that is under way.
                 conn.close()
 
-    def _acquire_connection(self):
-        """Return a connection on which no request had this one's id.
-
-        On any other, a copy of the earlier request's response could not be
-        told from the response to this one.  A request without an id is always
-        the first on its connection.
-        """
-        conn = self._target.acquire_connection(self._clock.now())
-        request_id = self._context.metadata.request_id
-        is_new_id = request_id and request_id not in conn.request_ids
-        if is_new_id or not conn.request_count:
-            return conn
-        conn.close()
-        return self._target.connect()
-
     def _wait(self, conn, read):
         """Return what `read` returns; begin the read timeout anew before it.
 
@@ -188,11 +175,7 @@
         self._metadata = metadata = self._header_codec.parse_response(response)
         if response.status == UNAVAILABLE_STATUS and metadata.retry_after_ms:
             self._target.pause(self._clock.now() + metadata.retry_after_ms)
-        if (
-            metadata.not_run
-            and not metadata.request_id
-            and conn.request_count > 1
-        ):
+        if metadata.not_run and not metadata.request_id and conn.was_used:
             # It may be a second response to an earlier request.
             return outcomes.Unknown(f'status {response.status}, without an id')
         if metadata.not_run and not _can_refuse(response.status):
--- a/galenaspoke/edge/targets/directory.py
+++ b/galenaspoke/edge/targets/directory.py
@@ -76,10 +76,12 @@
             self.cold_start.wait_ms(now),
         )
 
-    def acquire_connection(self, now):
-        """Return an idle or a new connection; raise NotSent on failure."""
-        while self._idle:
-            conn = self._idle.pop()
+    def acquire_connection(self, now, request_id):
+        """Return an idle or a new connection that can carry a request.
+
+        Raises NotSent on failure.
+        """
+        while (conn := self._pop_idle(request_id)) is not None:
             idle_ms = now - conn.idle_since
             if (
                 idle_ms < conn.idle_timeout_ms - IDLE_MARGIN_MS
@@ -89,6 +91,16 @@
             conn.close()
         return self.connect()
 
+    def _pop_idle(self, request_id):
+        """Return the latest idle connection that can carry a request.
+
+        Returns None if there is none.
+        """
+        for index in reversed(range(len(self._idle))):
+            if self._idle[index].can_carry(request_id):
+                return self._idle.pop(index)
+        return None
+
     def connect(self):
         """Return a new connection; raise NotSent on failure."""
         return connections.connect(
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -71,9 +71,8 @@
         self.parser = messages.ResponseParser(max_body_bytes)
         # How many requests were sent here.
         self.request_count = 0
-        # The ids of the requests that were sent here, as far as the caller
-        # adds them.  The peer may write a response once more, so only the
-        # first request with an id can tell its response by the id.
+        # The ids of the requests that were sent here, see `can_carry`; its
+        # users add them.
         self.request_ids = set()
         self.idle_since = 0
         # How long the peer keeps the connection open while it is idle.
@@ -88,6 +87,20 @@
         # Why `interrupt` was called, empty if it wasn't.
         self._interrupted_why = ''
 
+    @property
+    def was_used(self):
+        """Whether a request was sent here before the latest one."""
+        return self.request_count > 1
+
+    def can_carry(self, request_id):
+        """Return whether the id will tie a response to a new request.
+
+        The peer may write an earlier response once more, so no request here
+        may have had that id.  A request without one must be the first.
+        """
+        is_new = request_id and request_id not in self.request_ids
+        return bool(is_new or not self.request_ids)
+
     def set_read_timeout(self, timeout_s):
         """Make reads raise ReadTimeout once `timeout_s` from now has passed.
 
--- a/tests/edge/test_crash_checks.py
+++ b/tests/edge/test_crash_checks.py
@@ -52,7 +52,7 @@
         self.listener.listen(1)
         self.check()
         self.assertEqual([], self.down)
-        conn = self.target.acquire_connection(self.clock.now())
+        conn = self.target.acquire_connection(self.clock.now(), '1')
         self.assertEqual(0, conn.request_count)
         conn.close()
 
--- a/tests/edge/test_dropped_idle_connections.py
+++ b/tests/edge/test_dropped_idle_connections.py
@@ -27,7 +27,9 @@
         """Return whether a connection is used again after `age_ms`."""
         self.target.release_connection(self.conn, NOW, idle_timeout_ms)
         try:
-            return self.target.acquire_connection(NOW + age_ms) is self.conn
+            return (
+                self.target.acquire_connection(NOW + age_ms, '1') is self.conn
+            )
         except directory.connections.NotSent:
             return False
 
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -56,7 +56,7 @@
         self.conn = conn
         self.released = []
 
-    def acquire_connection(self, _):
+    def acquire_connection(self, *_):
         """Return the test's connection."""
         return self.conn
 
@@ -250,7 +250,7 @@
         class Connecting(FakeTarget):
             """A target to which no connection is established."""
 
-            def acquire_connection(self, now):
+            def acquire_connection(self, now, request_id):
                 """Block, as an attempt to connect without a response does."""
                 gevent.sleep(60)
 
