--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -8,6 +8,8 @@
 # A response with this status or a higher one, NOT_RUN_STATUSES aside, is an
 # `outcomes.Failure`: it is relayed only if no other target may be tried.
 MIN_FAILURE_STATUS = 500
+# From this status up to MIN_FAILURE_STATUS, the request itself is at fault.
+MIN_REQUEST_ERROR_STATUS = 400
 EVENT_STREAM = 'text/event-stream'
 # Statuses that promise the caller that the request did not run.  A response
 # with one of them that lacks the target's own statement (`not_run`) is not
@@ -77,7 +79,9 @@
         """
         self._timeout_s = timeout_ms / 1000
         try:
-            conn = self._target.acquire_connection(self._clock.now())
+            conn = self._target.acquire_connection(
+                self._clock.now(), self._context.metadata.request_id
+            )
         except connections.NotSent as exc:
             return outcomes.NotRun(
                 str(exc),
@@ -90,6 +94,7 @@
         self._context.may_have_run = True
         try:
             self._sent_at = self._clock.now()
+            conn.request_ids.add(self._context.metadata.request_id)
             conn.send(self._encode_request())
             self._context.sent_count += 1
             self._context.sent_at = self._clock.now()
@@ -97,7 +102,9 @@
                 conn, lambda: conn.read_head(self._is_for_this_request)
             )
             outcome = self._handle_response(conn, response)
-            reusable = conn.is_reusable(response)
+            # Without the id it may be a copy of an earlier response, and the
+            # target still at work.
+            reusable = self._has_own_id() and conn.is_reusable(response)
             return outcome
         except connections.ResponseLost as exc:
             return outcomes.Unknown(
@@ -161,13 +168,20 @@
             )
         return is_own or (not metadata.request_id and not metadata.has_stamp)
 
+    def _has_own_id(self):
+        return self._metadata.request_id == self._context.metadata.request_id
+
     def _handle_response(self, conn, response):
         self._metadata = metadata = self._header_codec.parse_response(response)
         if response.status == UNAVAILABLE_STATUS and metadata.retry_after_ms:
             self._target.pause(self._clock.now() + metadata.retry_after_ms)
         if metadata.not_run and not metadata.request_id and conn.was_used:
-            # It may be a second response to the request before.
+            # It may be a second response to an earlier request.
             return outcomes.Unknown(f'status {response.status}, without an id')
+        if metadata.not_run and not _can_refuse(response.status):
+            return outcomes.Unknown(
+                f'status {response.status}, but said not to have run'
+            )
         if metadata.not_run:
             conn.read_body(response, self._timeout_s)
             if metadata.misdirected:
@@ -282,3 +296,12 @@
             )
             data = head + data
         self._caller.send(data)
+
+
+def _can_refuse(status):
+    """Return whether a target may answer so without running the request.
+
+    A success, or a server error other than 503, says that it ran.
+    """
+    is_request_error = MIN_REQUEST_ERROR_STATUS <= status < MIN_FAILURE_STATUS
+    return is_request_error or status == UNAVAILABLE_STATUS
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -24,6 +24,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# A connection carries at most this many requests whose ids it remembers.
+MAX_REQUESTS = 256
 
 
 class NotSent(Exception):
@@ -56,7 +58,8 @@
         'parser',
         'idle_since',
         'idle_timeout_ms',
-        'was_used',
+        'request_count',
+        'request_ids',
         '_sock',
         '_read_until',
         '_unyielded_bytes',
@@ -67,8 +70,11 @@
 
     def __init__(self, sock, max_body_bytes=messages.MAX_BODY_BYTES):
         self.parser = messages.ResponseParser(max_body_bytes)
-        # Whether an earlier request got its response here.
-        self.was_used = False
+        # How many requests were sent here.
+        self.request_count = 0
+        # The ids of the requests that were sent here, see `can_carry`; its
+        # users add them.
+        self.request_ids = set()
         self.idle_since = 0
         # How long the peer keeps the connection open while it is idle.
         self.idle_timeout_ms = 0
@@ -85,6 +91,20 @@
         # Why `interrupt` was called, empty if it wasn't.
         self._interrupted_why = ''
 
+    @property
+    def was_used(self):
+        """Whether a request was sent here before the latest one."""
+        return self.request_count > 1
+
+    def can_carry(self, request_id):
+        """Return whether the id will tie a response to a new request.
+
+        The peer may write an earlier response once more, so no request here
+        may have had that id.  A request without one must be the first.
+        """
+        is_new = request_id and request_id not in self.request_ids
+        return bool(is_new or not self.request_ids)
+
     def set_read_timeout(self, timeout_s):
         """Make reads raise ReadTimeout once `timeout_s` from now has passed.
 
@@ -98,6 +118,7 @@
         What the socket buffer doesn't take is sent in the background, so that
         an early response can be read meanwhile.
         """
+        self.request_count += 1
         try:
             sent = self._sock._sock.send(data)
         except BlockingIOError:
@@ -216,7 +237,11 @@
 
     def is_reusable(self, response):
         """Return whether the connection can carry another request."""
-        is_clean = not self.parser.responses and self.is_fully_sent()
+        is_clean = (
+            not self.parser.responses
+            and self.is_fully_sent()
+            and len(self.request_ids) < MAX_REQUESTS
+        )
         return is_clean and response.is_complete and response.keep_alive
 
     def is_open_and_empty(self):
--- a/tests/edge/test_crash_checks.py
+++ b/tests/edge/test_crash_checks.py
@@ -52,8 +52,8 @@
         self.listener.listen(1)
         self.check()
         self.assertEqual([], self.down)
-        conn = self.target.acquire_connection(self.clock.now())
-        self.assertFalse(conn.was_used)
+        conn = self.target.acquire_connection(self.clock.now(), '1')
+        self.assertEqual(0, conn.request_count)
         conn.close()
 
     # Guards against a partitioned router that takes all targets for crashed.
