Send resumable streams to the incarnation in the entry only

What callers saw: streams that went on at another software version than the one that began them, while engines restarted and routers were out of step.

Cause: attempts took a stream's version from the target's entry. An engine that starts again under its id and address at another version is taken for the old one by a router that has not read the new entry. It remembers, and tells others, streams that begin there at the old version, and sends streams of the old version there. X-Expect-Instance names only the id, and no response names the version or the incarnation.

Fix: `GET /report` of a model engine states `born`, and a connection does not outlive the process at its other end. So all connections to an address that are open at the same time lead to the same process: one that a report has confirmed vouches for a new one as long as it is open, also after a reset that may only mean too many connections. With none open, the entry counts as long as nothing has shown that the process may have ended and the router follows the entries without delay; a router that stood still, also with its machine suspended (CLOCK_BOOTTIME), counts as late until the store has answered a call made afterwards, as it does for 3 s after its start, an outage or a new era. Else a report is asked for on that very connection. One check at a time for a target serves all requests that wait. If another incarnation answers, nothing was sent, and the old incarnation is marked as leaving: decoding its entry again does not bring it back. A report that is not answered or can't be read fails the attempt as not sent; a target without `born` serves as before. Silence, unlike a reset, also ends the trust in the connections that seem open: resets of a cut link may have been lost. Requests that are no resumable streams are not checked.

Weighed: a check of each new connection (reports are priced as probes); a check whenever the store is lost only (a router that is merely late, or has stood still, is not covered).

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -40,6 +40,7 @@
 from galenaspoke.platform import configuration
 from galenaspoke.platform import evacuations
 from galenaspoke.platform import headers
+from galenaspoke.platform import reports
 from galenaspoke.platform import store as platform_store
 from galenaspoke.platform import target_entries
 from galenaspoke.store import feeds
@@ -181,6 +182,7 @@
                 self.journal,
             ),
             headers,
+            reports,
             self.clock,
             self.metrics,
             self.journal,
--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -2,6 +2,7 @@
 
 from galenaspoke.edge import outcomes
 from galenaspoke.edge.streams import sse
+from galenaspoke.edge.targets import incarnations
 from galenaspoke.http import connections
 from galenaspoke.http import messages
 
@@ -28,7 +29,8 @@
     and when the request was sent, 0 if that isn't known.  `on_begin` is called
     with the context and the target before the first event of a stream is
     relayed.  `may_retry` returns whether another target may be tried after
-    this one.
+    this one.  `acquire` takes how long the target may take to respond, in ms,
+    and returns a connection to it; it raises NotSent on failure.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         '_on_response',
         '_on_begin',
         '_may_retry',
+        '_acquire',
         '_timeout_s',
         '_sent_at',
         '_metadata',
@@ -55,6 +58,7 @@
         on_response,
         on_begin,
         may_retry,
+        acquire,
     ):
         self._context = context
         self._target = target
@@ -64,6 +68,7 @@
         self._on_response = on_response
         self._on_begin = on_begin
         self._may_retry = may_retry
+        self._acquire = acquire
         self._timeout_s = None
         # When the request was sent.
         self._sent_at = 0
@@ -77,11 +82,12 @@
         """
         self._timeout_s = timeout_ms / 1000
         try:
-            conn = self._target.acquire_connection(self._clock.now())
+            conn = self._acquire(timeout_ms)
         except connections.NotSent as exc:
             return outcomes.NotRun(
                 str(exc),
                 reached=False,
+                misdirected=isinstance(exc, incarnations.OtherIncarnation),
                 refused=isinstance(exc, connections.Refused),
             )
         response = None
--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -20,6 +20,8 @@
 from galenaspoke.edge.serving import refusals
 from galenaspoke.edge.serving import request_context
 from galenaspoke.edge.serving import responses
+from galenaspoke.edge.streams import resumption as resumptions
+from galenaspoke.edge.targets import incarnations
 from galenaspoke.edge.targets import long_prompts
 from galenaspoke.edge.targets import placement
 from galenaspoke.edge.targets import speeds
@@ -70,6 +72,7 @@
         '_responder',
         '_recorder',
         '_resumption',
+        '_incarnation_checker',
         '_isolations',
         '_speeds',
         '_undecided_tasks',
@@ -86,6 +89,7 @@
         poison_detector,
         resumption,
         header_codec,
+        report_codec,
         clock,
         metrics,
         journal,
@@ -109,6 +113,13 @@
             target_view, poison_detector, clock, journal
         )
         self._resumption = resumption
+        self._incarnation_checker = incarnations.IncarnationChecker(
+            report_codec,
+            target_view.is_in_step,
+            target_view.record_replaced,
+            clock,
+            metrics,
+        )
         # The isolation of long prompts, by service name.
         self._isolations = collections.defaultdict(
             long_prompts.LongPromptIsolation
@@ -350,6 +361,7 @@
             self._target_view.record_response,
             self._resumption.record_begin,
             lambda: self._may_retry(context),
+            lambda timeout_ms: self._acquire(context, target, timeout_ms),
         )
         try:
             # That this attempt did not run says nothing about earlier ones.
@@ -370,6 +382,15 @@
         )
         return outcome
 
+    def _acquire(self, context, target, timeout_ms):
+        """Return a connection to a target; raise NotSent on failure.
+
+        A stream whose version matters must reach the target's incarnation.
+        """
+        if resumptions.is_bound_to_version(context):
+            return self._incarnation_checker.acquire(target, timeout_ms)
+        return target.acquire_connection(self._clock.now())
+
     def _record_speed(self, context, target):
         """Learn from an attempt how fast its target is."""
         if not context.metadata.prompt_parts:
--- a/galenaspoke/edge/streams/resumption.py
+++ b/galenaspoke/edge/streams/resumption.py
@@ -198,3 +198,11 @@
     """Return whether the caller may resume the response as a stream."""
     is_stream = context.route.kind is catalog.RequestKind.STREAM
     return is_stream and context.route.resumable
+
+
+def is_bound_to_version(context):
+    """Return whether the version that serves a request must be certain.
+
+    That is so for a stream that goes on, and for one that may be resumed.
+    """
+    return context.stream_version is not None or _is_resumable(context)
--- a/galenaspoke/edge/targets/directory.py
+++ b/galenaspoke/edge/targets/directory.py
@@ -2,6 +2,7 @@
 
 from galenaspoke.edge.targets import cold_start
 from galenaspoke.edge.targets import health
+from galenaspoke.edge.targets import incarnations
 from galenaspoke.edge.targets import pace
 from galenaspoke.edge.targets import rate_limits
 from galenaspoke.edge.targets import wait_estimates
@@ -26,6 +27,7 @@
 
     __slots__ = (
         'entry',
+        'incarnation',
         'health',
         'wait_estimator',
         'pace',
@@ -39,6 +41,7 @@
 
     def __init__(self, entry, get_share):
         self.entry = entry
+        self.incarnation = incarnations.Incarnation(entry.born)
         self.health = health.Health()
         self.wait_estimator = wait_estimates.WaitEstimator()
         self.pace = pace.Pace()
@@ -86,9 +89,16 @@
                 and conn.is_open_and_empty()
             ):
                 return conn
-            conn.close()
+            self._close_idle(conn, now)
         return self.connect()
 
+    def _close_idle(self, conn, now):
+        """Close a connection; note if the target did so before its time."""
+        is_early = now - conn.idle_since < conn.idle_timeout_ms
+        if is_early and not conn.is_open_and_empty():
+            self.incarnation.record_end()
+        conn.close()
+
     def connect(self):
         """Return a new connection; raise NotSent on failure."""
         return connections.connect(
@@ -123,7 +133,7 @@
             if now - conn.idle_since < conn.idle_timeout_ms - IDLE_MARGIN_MS:
                 kept.append(conn)
             else:
-                conn.close()
+                self._close_idle(conn, now)
         self._idle = kept
 
     def mark_removed(self):
--- a/galenaspoke/edge/views/watchers.py
+++ b/galenaspoke/edge/views/watchers.py
@@ -51,6 +51,7 @@
         'era',
         'revision',
         'confirmed_at',
+        'asked_at',
         'failing_since',
         'recovered_at',
         '_get_kind',
@@ -84,6 +85,8 @@
         # The latest time at which the reported state is certain to have been
         # current, None if never.
         self.confirmed_at = None
+        # When the latest call that succeeded was made, None if none has.
+        self.asked_at = None
         # Since when calls to the store fail, None while they succeed; and when
         # they last succeeded again.
         self.failing_since = None
@@ -144,7 +147,7 @@
         """List all objects of the kind; raise the store's errors."""
         started_at = self._clock.now()
         listing = self._store.list(self._get_kind())
-        self._record_success()
+        self._record_success(started_at)
         if (listing.era, listing.revision) >= (self.era, self.revision):
             self.era = listing.era
             self.revision = listing.revision
@@ -161,6 +164,7 @@
         # that the objects are listed again, rather than resume over another
         # path.
         era = self.era
+        started_at = self._clock.now()
         self._waiting_task = gevent.getcurrent()
         try:
             revision, changes = self._store.watch(
@@ -172,7 +176,7 @@
             )
         finally:
             self._waiting_task = None
-        self._record_success()
+        self._record_success(started_at)
         if (era, revision) < (self.era, self.revision):
             return
         for change in changes:
@@ -187,7 +191,8 @@
                 'store.lost', kind=self._get_kind(), why=str(exc)
             )
 
-    def _record_success(self):
+    def _record_success(self, asked_at):
+        self.asked_at = asked_at
         if self.failing_since is not None:
             now = self._clock.now()
             self._journal.note(
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -201,6 +201,10 @@
         """Return whether an idle connection is open with nothing to read."""
         return is_open_and_empty(self._sock)
 
+    def is_closed(self):
+        """Return whether `close` was called."""
+        return self._sock.fileno() < 0
+
     def interrupt(self, why):
         """Make a greenlet that waits for the peer fail at once.
 
--- a/tests/edge/crash_fleets.py
+++ b/tests/edge/crash_fleets.py
@@ -284,7 +284,8 @@
 
 def add_engine(desk, engine):
     """Make an engine a target of a router."""
-    entry = base.make_target_entry(engine.name)
+    # It doesn't state when it started, so it is asked for no reports.
+    entry = base.make_target_entry(engine.name, born=0)
     desk.target_view.directory.put(entry, desk.clock.now())
     desk.record_versions()
     target = EngineTarget(entry, engine, base.get_whole_share)
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -28,6 +28,7 @@
 from galenaspoke.edge.views import target_view as target_views
 from galenaspoke.http import messages
 from galenaspoke.platform import headers
+from galenaspoke.platform import reports
 from galenaspoke.platform import target_entries
 from tests.edge import base
 from tests import fakes
@@ -49,6 +50,18 @@
     return encode_response(503, b'', b'X-Not-Run: 1\r\n' + extra)
 
 
+def answer_report(remote, head, born):
+    """Answer a request for a report; return whether it was one."""
+    if not head.startswith(b'GET /report '):
+        return False
+    body = b'{"Stage":"unified","Seq":0,"born":%d}' % born
+    remote.sendall(
+        b'HTTP/1.1 200 -\r\nContent-Type: application/json\r\n'
+        b'Content-Length: %d\r\n\r\n%s' % (len(body), body)
+    )
+    return True
+
+
 class ScriptedTarget(directory.Target):
     """A target whose connections end at a scripted engine."""
 
@@ -69,7 +82,9 @@
 
     def _run_engine(self, remote):
         try:
-            while remote.recv(65_536):
+            while head := remote.recv(65_536):
+                if answer_report(remote, head, self.entry.born):
+                    continue
                 self.requests += 1
                 self.engine(remote, self.requests)
         except OSError:
@@ -228,6 +243,7 @@
                 self.journal,
             ),
             headers,
+            reports,
             self.clock,
             self.journal,
             self.journal,
--- /dev/null
+++ b/tests/edge/test_incarnations.py
@@ -0,0 +1,332 @@
+"""Engines that start again under their id and address at another version.
+
+A router that hasn't read the new entry takes the new process for the old one.
+Streams that it begins or resumes there would be of the wrong version.
+"""
+
+import unittest
+
+import gevent
+
+from galenaspoke.core import catalog
+from galenaspoke.edge.targets import directory
+from galenaspoke.edge.views import target_view
+from galenaspoke.http import connections
+from tests.edge import base
+from tests.edge import handlers
+from tests.edge import version_fleets
+
+STREAM_COUNT = 24
+VERSIONS = {'a': 'v1', 'b': 'v1', 'c': 'v2', 'd': 'v1'}
+# A report of an engine that doesn't state when it started.
+UNSUPPORTED = b'HTTP/1.1 400 -\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\nid'
+LAST_REPORT = (
+    b'HTTP/1.1 200 -\r\nConnection: close\r\nContent-Length: 10\r\n\r\n'
+    b'{"born":1}'
+)
+
+
+class FleetTestCase(unittest.TestCase):
+    """A base class with a fleet whose routers differ in what they know."""
+
+    def make_fleet(self, versions=None):
+        """Return a fleet of two routers that are in step."""
+        fleet = version_fleets.VersionFleet(2, versions or VERSIONS)
+        self.addCleanup(fleet.close)
+        fleet.clock.advance(target_view.RECOVERY_WINDOW_MS)
+        fleet.read_targets()
+        return fleet
+
+    def restart_unseen(self, fleet, name, version):
+        """Restart an engine; only front-1 reads its new entry."""
+        fleet.engines[name].restart(version)
+        fleet.write_entry(name)
+        fleet.read_targets('front-1')
+
+    def cut_off(self, fleet, router='front-0'):
+        """Make a router lose the store."""
+        watcher = fleet.desks[router].target_view.watcher
+        watcher.failing_since = fleet.clock.now()
+
+    def count_reports(self, fleet):
+        """Return how many reports all engines were asked for."""
+        return sum(engine.report_count for engine in fleet.engines.values())
+
+    def find_notes(self, fleet, event, router='front-0'):
+        """Return the fields of all log lines of one kind."""
+        lines = fleet.desks[router].journal.lines
+        return [fields for name, fields in lines if name == event]
+
+
+class RestartTest(FleetTestCase):
+    """Streams at an engine that started again at another version."""
+
+    # Guards against streams that begin at the new version, are remembered as
+    # of the old one and go on there.
+    def test_streams_that_begin_there(self):
+        fleet = self.make_fleet()
+        self.cut_off(fleet)
+        self.restart_unseen(fleet, 'a', 'v2')
+        for _ in range(STREAM_COUNT):
+            fleet.resume_elsewhere(fleet.begin('front-0'), 'front-1')
+        self.assertEqual(0, fleet.count_mixed())
+        self.assertGreater(fleet.count_whole(), STREAM_COUNT / 2)
+
+    # Guards against streams of the old version that go on at the new one.
+    def test_streams_that_go_on_there(self):
+        fleet = self.make_fleet()
+        self.cut_off(fleet)
+        streams = [fleet.begin('front-1') for _ in range(STREAM_COUNT)]
+        self.restart_unseen(fleet, 'a', 'v2')
+        for stream in streams:
+            fleet.resume_elsewhere(stream, 'front-0')
+        self.assertEqual(0, fleet.count_mixed())
+
+    # Guards against the same within one response, whose engine breaks off.
+    def test_streams_that_go_on_there_within_one_response(self):
+        fleet = self.make_fleet({'a': 'v1', 'b': 'v1'})
+        self.cut_off(fleet)
+        for name in ('a', 'b'):
+            fleet.engines[name].breaks_after = 2
+        for number in range(STREAM_COUNT):
+            fleet.begin('front-0', version_fleets.STREAM_EVENTS)
+            if not number:
+                self.restart_unseen(fleet, 'a', 'v2')
+        self.assertEqual(0, fleet.count_mixed())
+
+    # Guards against a router that learns late, though the store answers it,
+    # and has lost its own connections to the engine.
+    def test_router_whose_connections_were_closed(self):
+        fleet = self.make_fleet()
+        while not fleet.engines['a'].request_count:
+            fleet.begin('front-0', version_fleets.STREAM_EVENTS + 1)
+        self.restart_unseen(fleet, 'a', 'v2')
+        targets = fleet.desks['front-0'].target_view.directory
+        for _ in range(STREAM_COUNT):
+            fleet.resume_elsewhere(fleet.begin('front-0'), 'front-1')
+            targets.close_expired_connections(fleet.clock.now())
+        self.assertEqual(0, fleet.count_mixed())
+
+    # Guards against the wrong version that comes back with the old entry when
+    # a new configuration makes the router decode all entries again.
+    def test_old_entry_is_decoded_again(self):
+        fleet = self.make_fleet()
+        self.cut_off(fleet)
+        self.restart_unseen(fleet, 'a', 'v2')
+        for _ in range(STREAM_COUNT):
+            fleet.begin('front-0')
+            view = fleet.desks['front-0'].target_view
+            view.redecode()
+            fleet._connect_targets(fleet.desks['front-0'])
+        (note,) = self.find_notes(fleet, 'target.replaced')
+        self.assertEqual(
+            ('a', 1, 1_001),
+            (note['target'], note['expected_born'], note['found_born']),
+        )
+        for stream in fleet.streams:
+            fleet.resume_elsewhere(stream, 'front-1')
+        self.assertEqual(0, fleet.count_mixed())
+
+    def test_new_entry_makes_it_a_target_again(self):
+        fleet = self.make_fleet({'a': 'v1'})
+        self.cut_off(fleet)
+        self.restart_unseen(fleet, 'a', 'v2')
+        fleet.begin('front-0')
+        self.assertEqual(0, fleet.engines['a'].request_count)
+        fleet.read_targets('front-0')
+        self.assertEqual({'v2'}, fleet.begin('front-0').versions)
+
+    def test_same_version_is_checked_alike(self):
+        fleet = self.make_fleet({'a': 'v1', 'b': 'v1'})
+        self.cut_off(fleet)
+        self.restart_unseen(fleet, 'a', 'v1')
+        for _ in range(STREAM_COUNT):
+            self.assertEqual({'v1'}, fleet.begin('front-0').versions)
+        self.assertEqual(1, len(self.find_notes(fleet, 'target.replaced')))
+
+
+class ReportTest(FleetTestCase):
+    """How many reports are asked for, and those that tell nothing."""
+
+    # Reports are priced.
+    def test_none_while_in_step(self):
+        fleet = self.make_fleet()
+        for _ in range(STREAM_COUNT):
+            fleet.resume_elsewhere(fleet.begin('front-0'), 'front-0')
+        # Each engine that was down closed connections.
+        self.assertLessEqual(self.count_reports(fleet), STREAM_COUNT)
+        fleet = self.make_fleet()
+        for _ in range(STREAM_COUNT):
+            fleet.begin('front-0', version_fleets.STREAM_EVENTS + 1)
+        self.assertEqual(0, self.count_reports(fleet))
+
+    def test_one_for_each_open_connection_while_out_of_step(self):
+        fleet = self.make_fleet()
+        self.cut_off(fleet)
+        for _ in range(STREAM_COUNT):
+            fleet.begin('front-0', version_fleets.STREAM_EVENTS + 1)
+        self.assertLessEqual(self.count_reports(fleet), len(VERSIONS))
+        self.assertEqual(STREAM_COUNT, fleet.count_whole())
+
+    def test_one_serves_all_that_wait_for_it(self):
+        fleet = self.make_fleet({'a': 'v1'})
+        self.cut_off(fleet)
+        gevent.joinall(
+            [
+                gevent.spawn(fleet.begin, 'front-0', 7)
+                for _ in range(STREAM_COUNT)
+            ]
+        )
+        self.assertEqual(1, self.count_reports(fleet))
+        self.assertEqual(STREAM_COUNT, fleet.count_whole())
+
+    def test_engine_without_reports_serves(self):
+        fleet = self.make_fleet({'a': 'v1'})
+        fleet.engines['a'].report = UNSUPPORTED
+        self.cut_off(fleet)
+        for _ in range(STREAM_COUNT):
+            fleet.begin('front-0')
+        self.assertEqual({'v1'}, fleet.streams[0].versions)
+        self.assertEqual(1, self.count_reports(fleet))
+
+    # A second response to the request before must not pass for a report.
+    def test_late_response_is_no_report(self):
+        fleet = self.make_fleet({'a': 'v1'})
+        fleet.begin('front-0', version_fleets.STREAM_EVENTS + 1)
+        target = fleet.desks['front-0'].targets['a']
+        target.incarnation.record_silence()
+        fleet.engines['a'].report = UNSUPPORTED
+        fleet.begin('front-0', version_fleets.STREAM_EVENTS + 1)
+        # The one on the used connection doesn't count.
+        self.assertEqual(2, self.count_reports(fleet))
+
+    def test_report_that_ends_its_connection(self):
+        fleet = self.make_fleet({'a': 'v1'})
+        fleet.engines['a'].report = LAST_REPORT
+        self.cut_off(fleet)
+        stream = fleet.begin('front-0')
+        self.assertEqual(set(), stream.versions)
+        fleet.engines['a'].report = None
+        fleet.desks['front-0'].targets['a'].health.record_success()
+        self.assertEqual({'v1'}, fleet.begin('front-0').versions)
+
+    def test_report_that_cannot_be_read(self):
+        for report in (
+            b'HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n',
+            b'HTTP/1.1 200 -\r\nContent-Length: 1\r\n\r\n{',
+            b'HTTP/1.1 200 -\r\nContent-Length: 12\r\n\r\n{"born":1.5}',
+            b'HTTP/1.1 200 -\r\nContent-Length: 3000\r\n\r\n' + b'[' * 3000,
+            b'nothing of the kind\r\n\r\n',
+        ):
+            fleet = self.make_fleet({'a': 'v1', 'b': 'v1'})
+            fleet.engines['a'].report = report
+            self.cut_off(fleet)
+            for _ in range(STREAM_COUNT):
+                fleet.begin('front-0', version_fleets.STREAM_EVENTS + 1)
+            self.assertEqual(STREAM_COUNT, fleet.count_whole(), report)
+            self.assertEqual(0, fleet.engines['a'].request_count, report)
+
+    def test_requests_that_are_no_streams_need_none(self):
+        desk = handlers.Desk(
+            {'i-1': lambda remote, _: remote.sendall(RESPONSE)},
+            catalog.RequestKind.IDEMPOTENT,
+        )
+        self.addCleanup(desk.close)
+        desk.target_view.watcher.failing_since = desk.clock.now()
+        self.assertEqual(200, desk.request().status)
+        self.assertNotIn('incarnations.checked', desk.journal.events())
+
+
+RESPONSE = handlers.encode_response()
+
+
+class InStepTest(FleetTestCase):
+    """When a router counts as one that follows the targets without delay."""
+
+    def setUp(self):
+        self.fleet = self.make_fleet()
+        self.clock = self.fleet.clock
+        self.view = self.fleet.desks['front-0'].target_view
+
+    def test_not_for_a_moment_after_the_start(self):
+        self.fleet.start('front-0')
+        self.view = self.fleet.desks['front-0'].target_view
+        self.assertFalse(self.view.is_in_step())
+        self.clock.advance(target_view.RECOVERY_WINDOW_MS)
+        self.assertTrue(self.view.is_in_step())
+
+    def test_not_while_or_just_after_the_store_is_lost(self):
+        self.assertTrue(self.view.is_in_step())
+        self.cut_off(self.fleet)
+        self.assertFalse(self.view.is_in_step())
+        self.view.watcher.read()
+        self.assertFalse(self.view.is_in_step())
+        self.clock.advance(target_view.RECOVERY_WINDOW_MS)
+        self.assertTrue(self.view.is_in_step())
+
+    def test_not_without_an_answer_of_the_store(self):
+        self.clock.advance(target_view.CONFIRMATION_TTL_MS)
+        self.assertFalse(self.view.is_in_step())
+        self.view.watcher.read()
+        self.assertTrue(self.view.is_in_step())
+
+    # Guards against a router that stood still and goes on with what it knew.
+    def test_not_after_it_stood_still(self):
+        for stand_still in (self.clock.advance, self.clock.suspend):
+            with self.subTest(stand_still.__name__):
+                self.view.watcher.read()
+                sweep = gevent.spawn(self.view.sweep)
+                self.addCleanup(sweep.kill)
+                gevent.sleep(2 * target_view.SWEEP_INTERVAL_S)
+                self.assertTrue(self.view.is_in_step())
+                stand_still(target_view.MAX_SWEEP_INTERVAL_MS + 1)
+                self.assertFalse(self.view.is_in_step())
+                gevent.sleep(2 * target_view.SWEEP_INTERVAL_S)
+                self.assertFalse(self.view.is_in_step())
+                self.clock.advance(1)
+                self.view.watcher.read()
+                self.assertTrue(self.view.is_in_step())
+                sweep.kill()
+
+
+class LostConnectionTest(unittest.TestCase):
+    """Idle connections that a target closes before their time."""
+
+    def setUp(self):
+        self.target = directory.Target(
+            base.make_target_entry('i-1', port=1), base.get_whole_share
+        )
+        conn, self.remote = base.make_connection_pair()
+        self.addCleanup(self.remote.close)
+        self.target.incarnation.confirm(conn)
+        self.target.release_connection(conn, 0, 1_000)
+
+    def is_reached(self):
+        """Return whether a new connection needs no report."""
+        conn, remote = base.make_connection_pair()
+        self.addCleanup(remote.close)
+        return self.target.incarnation.is_reached_by(conn, lambda: True)
+
+    def test_closed_by_the_target(self):
+        self.remote.close()
+        with self.assertRaises(connections.NotSent):
+            self.target.acquire_connection(100)
+        self.assertFalse(self.is_reached())
+
+    def test_closed_by_the_target_and_swept(self):
+        self.remote.close()
+        self.target.close_expired_connections(1_000 - directory.IDLE_MARGIN_MS)
+        self.assertFalse(self.is_reached())
+
+    def test_closed_in_time(self):
+        self.target.close_expired_connections(1_000 - directory.IDLE_MARGIN_MS)
+        self.assertTrue(self.is_reached())
+
+    # A reset may mean only that a target has too many connections.
+    def test_another_connection_is_open(self):
+        self.target.incarnation.record_end()
+        self.assertTrue(self.is_reached())
+
+    def test_another_connection_after_silence(self):
+        self.target.incarnation.record_silence()
+        self.assertFalse(self.is_reached())
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -135,6 +135,7 @@
             lambda *_: None,
             lambda *_: None,
             lambda: True,
+            self.target.acquire_connection,
         )
         task = gevent.spawn(attempt.run, 50)
         gevent.sleep(0)
@@ -254,15 +255,17 @@
                 """Block, as an attempt to connect without a response does."""
                 gevent.sleep(60)
 
+        target = Connecting(None)
         attempt = attempts.Attempt(
             self.context,
-            Connecting(None),
+            target,
             self.caller,
             headers,
             self.clock,
             lambda *_: None,
             lambda *_: None,
             lambda: True,
+            target.acquire_connection,
         )
         with self.assertRaises(gevent.Timeout):
             with gevent.Timeout(0.01):
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -16,6 +16,7 @@
 import itertools
 import random
 import re
+import socket
 
 import gevent
 import msgspec
@@ -82,18 +83,33 @@
     """An engine that streams events, one a chunk.
 
     With `breaks_after` it closes the connection after so many events; with
-    `is_down` it closes it at once.
+    `is_down` it closes it at once.  `report` is its response to a request for
+    a report, None for the usual one.
     """
 
-    def __init__(self, name, version):
+    def __init__(self, name, version, born):
         self.name = name
         self.version = version
+        self.born = born
+        self.report = None
+        self.report_count = 0
+        self.remotes = set()
         self.breaks_after = None
         self.is_down = False
         self.request_count = 0
 
+    def restart(self, version):
+        """End all connections; go on as another incarnation."""
+        self.version = version
+        self.born += 1_000
+        for remote in self.remotes:
+            remote.shutdown(socket.SHUT_RDWR)
+
     def run(self, remote, head):
         """Respond to one request."""
+        if head.startswith(b'GET /report '):
+            self._send_report(remote, head)
+            return
         self.request_count += 1
         if self.is_down:
             remote.close()
@@ -115,6 +131,15 @@
                 return
         remote.sendall(messages.LAST_CHUNK)
 
+    def _send_report(self, remote, head):
+        self.report_count += 1
+        if self.report is not None:
+            remote.sendall(self.report)
+        elif self.is_down:
+            remote.close()
+        else:
+            handlers.answer_report(remote, head, self.born)
+
 
 class EngineTarget(handlers.ScriptedTarget):
     """A target whose connections end at an engine of the fleet."""
@@ -122,6 +147,7 @@
     __slots__ = ()
 
     def _run_engine(self, remote):
+        self.engine.remotes.add(remote)
         try:
             while head := remote.recv(65_536):
                 self.requests += 1
@@ -129,6 +155,7 @@
         except OSError:
             pass
         finally:
+            self.engine.remotes.discard(remote)
             remote.close()
 
 
@@ -246,19 +273,26 @@
 
     def add_engine(self, name, version, routers=()):
         """Start an engine; all routers, or some, learn of it at once."""
-        self.engines[name] = Engine(name, version)
+        self.engines[name] = Engine(name, version, len(self.engines) + 1)
+        self.write_entry(name)
+        self.read_targets(*routers)
+
+    def write_entry(self, name):
+        """Let an engine write its entry; no router reads it yet."""
+        engine = self.engines[name]
+        key = f'servers/{name}'
         entry = {
             'Service': 'pool',
             'Addr': '127.0.0.1:1',
             'Zone': 'a',
-            'Version': version,
+            'Version': engine.version,
             'Slots': 64,
             'State': 'ready',
             'Seq': 1,
-            'born': len(self.engines),
+            'born': engine.born,
         }
-        self.store.put(f'servers/{name}', 0, msgspec.json.encode(entry))
-        self.read_targets(*routers)
+        value = msgspec.json.encode(entry)
+        self.store.put(key, self.store.get(key).version, value)
 
     def remove_engine(self, name, routers=()):
         """End an engine; all routers, or some, learn of it at once."""
