Keep the version of a Target for its whole life

Cause: an entry of the same id, `born` and address replaced the entry of a Target in place. A stream's version is read when its first event goes out, so a request that was sent at v1 was remembered as of v2. Without `born` (0) that is what a restart looks like.

Test, before the fix: "'v1' != 'v2'" with the same start and without one. With a newer `born` it passed before: that made a new Target, and the attempt kept the old one, whose label is right.

Fix: an entry of another version makes a new Target, like another address does. An attempt keeps its Target, so its version is that of the time when it was sent, at the first event as well as in the choice of the next target within one response.

--- a/galenaspoke/edge/targets/directory.py
+++ b/galenaspoke/edge/targets/directory.py
@@ -195,7 +195,8 @@
     def put(self, entry, now):
         """Add or update a target; return whether anything changed.
 
-        Another incarnation or address makes a new Target.
+        Another incarnation, address or version makes a new Target, so the
+        version of a Target never changes.
         """
         self._missing.pop(entry.id, None)
         self._removed.pop(entry.identity(), None)
@@ -205,10 +206,7 @@
         if known is not None:
             if known.entry == entry:
                 return False
-            if known.entry.identity() == entry.identity() and (
-                (known.entry.host, known.entry.port)
-                == (entry.host, entry.port)
-            ):
+            if _get_process(known.entry) == _get_process(entry):
                 known.entry = entry
                 return True
             known.mark_removed()
@@ -293,3 +291,11 @@
         """Close idle connections that targets are about to close."""
         for target in self._targets.values():
             target.close_expired_connections(now)
+
+
+def _get_process(entry):
+    """Return what two entries of the same process have in common.
+
+    A target that doesn't state its start may show it by its version only.
+    """
+    return entry.identity(), entry.host, entry.port, entry.version
--- a/tests/edge/test_incarnations.py
+++ b/tests/edge/test_incarnations.py
@@ -5,8 +5,10 @@
 """
 
 import unittest
+from unittest import mock
 
 import gevent
+from gevent import event
 
 from galenaspoke.core import catalog
 from galenaspoke.edge.targets import directory
@@ -24,6 +26,12 @@
     b'HTTP/1.1 200 -\r\nConnection: close\r\nContent-Length: 10\r\n\r\n'
     b'{"born":1}'
 )
+RESPONSE = handlers.encode_response()
+STREAM = (
+    b'HTTP/1.1 200 -\r\nX-Request-Id: %s\r\nX-Response-Stamp: s\r\n'
+    b'Content-Type: text/event-stream\r\nContent-Length: 15\r\n\r\n'
+    b'id: 1\ndata: a\n\n' % handlers.REQUEST_ID
+)
 
 
 class FleetTestCase(unittest.TestCase):
@@ -237,7 +245,72 @@
         self.assertNotIn('incarnations.checked', desk.journal.events())
 
 
-RESPONSE = handlers.encode_response()
+class ChangingEntryTest(unittest.TestCase):
+    """An entry that changes while a stream is about to begin."""
+
+    def setUp(self):
+        self.may_respond = event.Event()
+        self.desk = handlers.Desk({}, catalog.RequestKind.STREAM)
+        self.addCleanup(self.desk.close)
+
+    def respond(self, remote, number):
+        """Send a stream of one event once the test lets it."""
+        self.may_respond.wait()
+        remote.sendall(STREAM)
+
+    def put_entry(self, **options):
+        """Let the router learn of a new entry."""
+        entry = base.make_target_entry('i-1', **options)
+        self.desk.target_view.directory.put(entry, self.desk.clock.now())
+
+    def find_version(self):
+        """Return the version that the router remembers of the stream."""
+        pairs = [(b'resumes', handlers.REQUEST_ID), (b'last-event-id', b'1')]
+        self.desk.request(pairs=pairs, request_id=b'9c42')
+        (fields,) = [
+            fields
+            for name, fields in self.desk.journal.lines
+            if name == 'stream.resumed'
+        ]
+        return fields['version']
+
+    # Guards against a stream that began before its target's entry named
+    # another version, and is remembered as of that one.
+    def test_after_the_request_was_sent(self):
+        self.check_sent_before(born=1, new_born=2)
+
+    def test_after_the_request_was_sent_with_the_same_start(self):
+        self.check_sent_before(born=1, new_born=1)
+
+    def test_after_the_request_was_sent_without_a_start(self):
+        self.check_sent_before(born=0, new_born=0)
+
+    def check_sent_before(self, born, new_born):
+        """Check the version of a stream that an entry at v2 overtakes."""
+        self.desk.add_target('i-1', self.respond, born=born, version='v1')
+        task = gevent.spawn(self.desk.request)
+        base.wait_until(lambda: self.desk.count_requests() == [1])
+        self.put_entry(born=new_born, version='v2')
+        self.may_respond.set()
+        self.assertEqual(200, task.get().status)
+        self.assertEqual('v1', self.find_version())
+
+    # Guards against a stream that begins at the new incarnation since its
+    # target was replaced while the connection was being made.
+    def test_before_the_request_is_sent(self):
+        self.may_respond.set()
+        self.desk.add_target('i-1', self.respond, version='v1')
+        connect = handlers.ScriptedTarget.connect
+
+        def be_replaced(target):
+            self.put_entry(born=2, version='v2')
+            return connect(target)
+
+        with mock.patch.object(
+            handlers.ScriptedTarget, 'connect', be_replaced
+        ):
+            self.assertEqual(503, self.desk.request().status)
+        self.assertEqual([0], self.desk.count_requests())
 
 
 class InStepTest(FleetTestCase):
