In step only if the entries were confirmed within 1.5 s

A router that is cut off without a reset notices when a watch or a feed times out. With the bound of the watch, 5.7 s, it counted as in step until then, and took an engine without a connection of its own for the old incarnation. A feed is answered within 1.3 s, so a bound of 1.5 s costs next to nothing where there are feeds; without them a router is out of step for a part of each watch, and asks for a report there unless a connection vouches.

The tests of this series read the entries again after they let the clock pass, as a router in step does.

--- a/galenaspoke/edge/views/target_view.py
+++ b/galenaspoke/edge/views/target_view.py
@@ -19,8 +19,8 @@
 # target lives and writes it again.
 HOLD_MS = 6_000
 # The entries are followed without delay if they were confirmed within this
-# time: that is how often a watch is answered.
-CONFIRMATION_TTL_MS = watchers.WATCH_WAIT_MS + 700
+# time, in which a feed is answered.  A cut may go unnoticed for as long.
+CONFIRMATION_TTL_MS = 1_500
 # If the sweep is late by more, the process stood still.
 MAX_SWEEP_INTERVAL_MS = 1_000
 
--- a/tests/edge/test_incarnations.py
+++ b/tests/edge/test_incarnations.py
@@ -161,6 +161,7 @@
         fleet = self.make_fleet()
         for _ in range(STREAM_COUNT):
             fleet.resume_elsewhere(fleet.begin('front-0'), 'front-0')
+            fleet.read_targets()
         # Each engine that was down closed connections.
         self.assertLessEqual(self.count_reports(fleet), STREAM_COUNT)
         fleet = self.make_fleet()
@@ -326,6 +327,7 @@
         self.view = self.fleet.desks['front-0'].target_view
         self.assertFalse(self.view.is_in_step())
         self.clock.advance(target_view.RECOVERY_WINDOW_MS)
+        self.view.watcher.read()
         self.assertTrue(self.view.is_in_step())
 
     def test_not_while_or_just_after_the_store_is_lost(self):
@@ -335,6 +337,7 @@
         self.view.watcher.read()
         self.assertFalse(self.view.is_in_step())
         self.clock.advance(target_view.RECOVERY_WINDOW_MS)
+        self.view.watcher.read()
         self.assertTrue(self.view.is_in_step())
 
     def test_not_without_an_answer_of_the_store(self):
