--- a/galenaspoke/edge/targets/directory.py
+++ b/galenaspoke/edge/targets/directory.py
@@ -2,6 +2,7 @@
 
 from galenaspoke.edge.targets import cold_start
 from galenaspoke.edge.targets import health
+from galenaspoke.edge.targets import incarnations
 from galenaspoke.edge.targets import pace
 from galenaspoke.edge.targets import rate_limits
 from galenaspoke.edge.targets import wait_estimates
@@ -26,6 +27,7 @@
 
     __slots__ = (
         'entry',
+        'incarnation',
         'health',
         'wait_estimator',
         'pace',
@@ -39,6 +41,7 @@
 
     def __init__(self, entry, get_share):
         self.entry = entry
+        self.incarnation = incarnations.Incarnation(entry.born)
         self.health = health.Health()
         self.wait_estimator = wait_estimates.WaitEstimator()
         self.pace = pace.Pace()
@@ -88,7 +91,7 @@
                 and conn.is_open_and_empty()
             ):
                 return conn
-            conn.close()
+            self._close_idle(conn, now)
         return self.connect()
 
     def _pop_idle(self, request_id):
@@ -101,6 +104,13 @@
                 return self._idle.pop(index)
         return None
 
+    def _close_idle(self, conn, now):
+        """Close a connection; note if the target did so before its time."""
+        is_early = now - conn.idle_since < conn.idle_timeout_ms
+        if is_early and not conn.is_open_and_empty():
+            self.incarnation.record_end()
+        conn.close()
+
     def connect(self):
         """Return a new connection; raise NotSent on failure."""
         return connections.connect(
@@ -130,7 +140,7 @@
             if now - conn.idle_since < conn.idle_timeout_ms - IDLE_MARGIN_MS:
                 kept.append(conn)
             else:
-                conn.close()
+                self._close_idle(conn, now)
         self._idle = kept
 
     def mark_removed(self):
@@ -192,7 +202,8 @@
     def put(self, entry, now):
         """Add or update a target; return whether anything changed.
 
-        Another incarnation or address makes a new Target.
+        Another incarnation, address or version makes a new Target, so the
+        version of a Target never changes.
         """
         self._missing.pop(entry.id, None)
         self._removed.pop(entry.identity(), None)
@@ -202,10 +213,7 @@
         if known is not None:
             if known.entry == entry:
                 return False
-            if known.entry.identity() == entry.identity() and (
-                (known.entry.host, known.entry.port)
-                == (entry.host, entry.port)
-            ):
+            if _get_process(known.entry) == _get_process(entry):
                 known.entry = entry
                 return True
             known.mark_removed()
@@ -290,3 +298,11 @@
         """Close idle connections that targets are about to close."""
         for target in self._targets.values():
             target.close_expired_connections(now)
+
+
+def _get_process(entry):
+    """Return what two entries of the same process have in common.
+
+    A target that doesn't state its start may show it by its version only.
+    """
+    return entry.identity(), entry.host, entry.port, entry.version
