Tests of copied responses stand a busy machine

Now they are ended with each history, deadlines are 10 s where none is waited for, and connections are kept for 30 s.

--- a/tests/edge/test_copied_responses.py
+++ b/tests/edge/test_copied_responses.py
@@ -13,9 +13,13 @@
 
 from galenaspoke.core import catalog
 from galenaspoke.http import connections
+from tests.edge import base
 from tests.edge import handlers
 
 ONCE = catalog.RequestKind.ONCE
+# Longer than the process stands still on a busy machine.
+LONG_DEADLINE_MS = 10_000
+KEEP_ALIVE = b'Keep-Alive: timeout=30\r\n'
 
 
 class CopyingEngine:
@@ -55,7 +59,9 @@
             first,
             handlers.encode_response(body=b'mine', request_id=request_id),
         )
-        desk = handlers.Desk({'i-1': engine}, kind)
+        desk = handlers.Desk(
+            {'i-1': engine}, kind, timeout_ms=LONG_DEADLINE_MS
+        )
         self.addCleanup(desk.close)
         return desk, engine
 
@@ -105,11 +111,13 @@
             connected.add(remote)
             remote.sendall(
                 handlers.encode_response(
-                    503, b'', b'X-Not-Run: 1\r\n', b'%d' % number
+                    503, b'', b'X-Not-Run: 1\r\n' + KEEP_ALIVE, b'%d' % number
                 )
             )
 
-        desk = handlers.Desk({'i-1': respond}, ONCE)
+        desk = handlers.Desk(
+            {'i-1': respond}, ONCE, timeout_ms=LONG_DEADLINE_MS
+        )
         self.addCleanup(desk.close)
         for number in range(1, 21):
             desk.request(request_id=b'%d' % number)
@@ -123,9 +131,15 @@
         def respond(remote, number):
             if remote not in connected:
                 connected.append(remote)
-            remote.sendall(handlers.encode_response(request_id=b'%d' % number))
+            remote.sendall(
+                handlers.encode_response(
+                    extra=KEEP_ALIVE, request_id=b'%d' % number
+                )
+            )
 
-        desk = handlers.Desk({'i-1': respond}, ONCE)
+        desk = handlers.Desk(
+            {'i-1': respond}, ONCE, timeout_ms=LONG_DEADLINE_MS
+        )
         self.addCleanup(desk.close)
         for number in range(1, connections.MAX_REQUESTS + 2):
             caller = desk.request(request_id=b'%d' % number)
@@ -148,18 +162,24 @@
 
             def respond(remote, number):
                 if number == 1:
-                    remote.sendall(handlers.encode_response(request_id=b'1'))
+                    remote.sendall(
+                        handlers.encode_response(
+                            extra=KEEP_ALIVE, request_id=b'1'
+                        )
+                    )
                     return
                 remote.sendall(copy)
                 # It works on the request until its caller has gone.
                 if not remote.recv(65_536):
                     is_cut_off.set()
 
-            desk = handlers.Desk({'i-1': respond}, ONCE)
+            desk = handlers.Desk(
+                {'i-1': respond}, ONCE, timeout_ms=LONG_DEADLINE_MS
+            )
             self.addCleanup(desk.close)
             self.assertEqual(200, desk.request(request_id=b'1').status)
             self.assertEqual(502, desk.request(request_id=b'2').status)
-            self.assertTrue(is_cut_off.wait(0.5), copy)
+            self.assertTrue(is_cut_off.wait(5), copy)
 
     # Guards against REFUSED on a connection whose first request was our own.
     def test_refusal_of_an_earlier_request_of_the_router_itself(self):
@@ -167,14 +187,16 @@
             503, b'', b'X-Not-Run: 1\r\n'
         ).replace(b'X-Request-Id: 9c41\r\nX-Response-Stamp: s\r\n', b'')
         desk = handlers.Desk(
-            {'i-1': lambda remote, _: remote.sendall(refusal)}, ONCE
+            {'i-1': lambda remote, _: remote.sendall(refusal)},
+            ONCE,
+            timeout_ms=LONG_DEADLINE_MS,
         )
         self.addCleanup(desk.close)
         target = desk.targets['i-1']
         conn = target.connect()
         conn.send(b'GET /health HTTP/1.1\r\nHost: desk\r\n\r\n')
         self.assertEqual(503, conn.read_response().status)
-        target.release_connection(conn, desk.clock.now(), None)
+        target.release_connection(conn, desk.clock.now(), 30_000)
         self.assertEqual(502, desk.request().status)
         self.assertEqual([2], desk.count_requests())
 
@@ -192,7 +214,11 @@
             def respond(remote, _):
                 remote.sendall(response)
 
-            desk = handlers.Desk({'i-1': respond, 'i-2': respond}, ONCE)
+            desk = handlers.Desk(
+                {'i-1': respond, 'i-2': respond},
+                ONCE,
+                timeout_ms=LONG_DEADLINE_MS,
+            )
             self.addCleanup(desk.close)
             self.assertEqual(502, desk.request().status, status)
             self.assertEqual(1, sum(desk.count_requests()), status)
@@ -203,7 +229,9 @@
                 status, b'', extra=b'X-Not-Run: 1\r\n'
             )
             desk = handlers.Desk(
-                {'i-1': lambda remote, _: remote.sendall(response)}, ONCE
+                {'i-1': lambda remote, _: remote.sendall(response)},
+                ONCE,
+                timeout_ms=LONG_DEADLINE_MS,
             )
             self.addCleanup(desk.close)
             self.assertEqual(503, desk.request().status, status)
@@ -227,11 +255,15 @@
 
         def respond(remote, number):
             if number == 1:
-                remote.sendall(handlers.encode_response(request_id=b'1'))
+                remote.sendall(
+                    handlers.encode_response(extra=KEEP_ALIVE, request_id=b'1')
+                )
             else:
                 remote.sendall(copy + response)
 
-        desk = handlers.Desk({'i-1': respond}, ONCE, timeout_ms=60)
+        desk = handlers.Desk(
+            {'i-1': respond}, ONCE, timeout_ms=LONG_DEADLINE_MS
+        )
         self.addCleanup(desk.close)
         self.assertEqual(200, desk.request(request_id=b'1').status)
         return desk.request(request_id=b'2')
@@ -331,32 +363,48 @@
         self.random = random.Random(seed)
         self.runs = [0] * self.REQUESTS
         desk = handlers.Desk({}, ONCE, timeout_ms=40)
-        self.addCleanup(desk.close)
         answered = collections.Counter()
-        for serial in range(self.REQUESTS):
-            # Targets that answered 421 are removed.
-            for name in ('i-1', 'i-2'):
-                if desk.target_view.directory.get(name) is None:
-                    desk.add_target(name, self.make_engine())
-            request_id = self.random.choice(self.IDS)
-            self.current = serial, request_id
-            caller = desk.request(request_id=request_id)
-            answered[caller.status] += 1
-            story = (seed, serial, caller.status)
-            self.assertLessEqual(self.runs[serial], 1, story)
-            if caller.status == 200:
-                self.assertEqual(b'%d' % serial, caller.body, story)
-                self.assertEqual(1, self.runs[serial], story)
-            elif caller.status == 503:
-                self.assertEqual(0, self.runs[serial], story)
-            else:
-                self.assertIn(caller.status, (502, 504), story)
+        try:
+            for serial in range(self.REQUESTS):
+                self.replace_removed_targets(desk)
+                status = self.check_request(desk, serial, f'seed {seed}')
+                answered[status] += 1
+        finally:
+            desk.close()
         return answered
 
+    def replace_removed_targets(self, desk):
+        """Put back the targets that answered 421."""
+        for name in ('i-1', 'i-2'):
+            if desk.target_view.directory.get(name) is not None:
+                continue
+            if name in desk.targets:
+                gevent.killall(desk.targets[name].tasks)
+            desk.add_target(name, self.make_engine())
+
+    def check_request(self, desk, serial, story):
+        """Check what the caller of one request is told; return the status."""
+        request_id = self.random.choice(self.IDS)
+        self.current = serial, request_id
+        caller = desk.request(request_id=request_id)
+        # An engine that has the request takes it up before the next one.
+        base.settle()
+        story = f'{story}, request {serial}, {caller.status}'
+        run_count = self.runs[serial]
+        if caller.status == 200:
+            self.assertEqual(b'%d' % serial, caller.body, story)
+            self.assertEqual(1, run_count, story)
+        elif caller.status == 503:
+            self.assertEqual(0, run_count, story)
+        else:
+            self.assertIn(caller.status, (502, 504), story)
+            self.assertLessEqual(run_count, 1, story)
+        return caller.status
+
     # Guards against REFUSED, TWICE and MIXED.
     def test_what_callers_are_told_is_true(self):
         answered = collections.Counter()
-        for seed in range(20):
+        for seed in range(12):
             answered.update(self.play(seed))
         for status in (200, 502, 503):
             self.assertGreater(answered[status], 100, answered)
