Fix: bytes that are no response don't undo the response before them

Callers lost a whole response, or the last events of a stream that its target had ended properly, if the target sent other bytes after it and both arrived in one read: a stream that can't be resumed was broken off.

Cause: a read that ends in invalid bytes failed before what it had brought was used.

The new test failed before: 'Unknown(invalid HTTP response ...) is not an instance of Served'. Now the next read fails, and the connection isn't used again.

--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -62,6 +62,7 @@
         '_unyielded_bytes',
         '_send_task',
         '_send_error',
+        '_parse_error',
         '_interrupted_why',
     )
 
@@ -82,6 +83,8 @@
         # Why that failed.  The kernel reports an error once, so a read after
         # it sees the end of the stream.
         self._send_error = None
+        # Why what came last isn't valid.  What came before it still counts.
+        self._parse_error = None
         # Why `interrupt` was called, empty if it wasn't.
         self._interrupted_why = ''
 
@@ -137,7 +140,12 @@
         return self._send_task is None or self._send_task.ready()
 
     def receive(self):
-        """Read and parse more; return False if the peer closed cleanly."""
+        """Read and parse more; return False if the peer closed cleanly.
+
+        If what was read isn't valid from some point on, the next call fails.
+        """
+        if self._parse_error is not None:
+            raise self._parse_error
         if self._read_until is not None:
             left_s = self._read_until - time.monotonic()
             if left_s <= 0:
@@ -170,7 +178,7 @@
         try:
             self.parser.feed(data)
         except messages.BadResponse as exc:
-            raise ResponseLost(f'invalid HTTP response: {exc}') from exc
+            self._parse_error = ResponseLost(f'invalid HTTP response: {exc}')
         return True
 
     def read_head(self, is_expected=None):
@@ -216,8 +224,9 @@
 
     def is_reusable(self, response):
         """Return whether the connection can carry another request."""
-        is_clean = not self.parser.responses and self.is_fully_sent()
-        return is_clean and response.is_complete and response.keep_alive
+        is_clean = not self.parser.responses and self._parse_error is None
+        is_between = response.is_complete and self.is_fully_sent()
+        return is_clean and is_between and response.keep_alive
 
     def is_open_and_empty(self):
         """Return whether an idle connection is open with nothing to read."""
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -354,6 +354,22 @@
             self.assertNotIsInstance(outcome, outcomes.Served)
             self.assertEqual(before, self.caller.data, status)
 
+    # Guards against the loss of what a target sent before bytes that are no
+    # response.
+    def test_invalid_bytes_after_events(self):
+        end = messages.LAST_CHUNK
+        for rest in (end + b'garbage', end + HEAD, b'garbage'):
+            self.setUp()
+            outcome = self.run_attempt(
+                HEAD + self.encode_chunk(1, 2) + rest, close=False
+            )
+            is_whole = rest.startswith(end)
+            expected = outcomes.Served if is_whole else outcomes.Unknown
+            self.assertIsInstance(outcome, expected, rest)
+            self.assertEqual([1, 2], self.received_ids())
+            self.assertEqual(is_whole, self.caller.data.endswith(end))
+            self.assertEqual([], self.target.released)
+
     def test_read_timeout(self):
         outcome = self.run_attempt(HEAD, self.encode_chunk(1), close=False)
         self.assertEqual(
