--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -415,7 +415,7 @@
         class Connecting(FakeTarget):
             """A target to which no connection is established."""
 
-            def acquire_connection(self, now, request_id):
+            def acquire_connection(self, *_):
                 """Block, as an attempt to connect without a response does."""
                 gevent.sleep(60)
 
--- a/tests/edge/test_out_of_step_plans.py
+++ b/tests/edge/test_out_of_step_plans.py
@@ -90,6 +90,8 @@
     def test_streams_go_on_once_all_follow_the_plan(self):
         self.release_half(('front-0', *IN_STEP))
         self.fleet.clock.advance(OUT_OF_STEP_MS)
+        # It tells how long callers of the route wait.
+        self.fleet.begin(IN_STEP[0])
         self.fleet.network.cut_off(BEHIND)
         streams = self.begin_streams(BEHIND)
         versions = {v for stream in streams for v in stream.versions}
--- a/tests/edge/test_streams_after_power_loss.py
+++ b/tests/edge/test_streams_after_power_loss.py
@@ -153,6 +153,7 @@
         fleet.timeout_ms = LONG_WAIT_MS
         streams = self.begin_streams(fleet)
         self.release_half(fleet)
+        fleet.exchange()
         fleet.clock.advance(waited_ms)
         self.lose_power(fleet)
         return fleet, streams
@@ -173,6 +174,7 @@
         fleet.timeout_ms = LONG_WAIT_MS
         streams = self.begin_streams(fleet)
         self.release_half(fleet)
+        fleet.exchange()
         fleet.clock.advance(25_000)
         for desk in fleet.desks.values():
             route = desk.config_view.catalog.match('desk', '/a/')
