Fix: a stream that may have begun at another service isn't resumed

Callers got streams from two services, and so from two versions, after a configuration had moved or split their route: a router that nobody could tell where the stream began went on with it at the service to which the route leads now, by that service's record of versions. The same at a split route for streams without a prompt, whose service is drawn anew for each request.

Cause: the record and the plans are a service's, and nothing asked whether the request had the same service when the stream began.

What remains: a router that has started since the configuration changed knows none before.

--- a/galenaspoke/edge/metadata.py
+++ b/galenaspoke/edge/metadata.py
@@ -44,6 +44,10 @@
         """Return how many tokens the shared parts have together."""
         return sum(tokens for _, tokens in self.prompt_parts[:-1])
 
+    def is_resumption(self):
+        """Return whether the request resumes a stream."""
+        return bool(self.resumed_id or self.last_event_id)
+
     def affinity_key(self):
         """Return a key that requests with a common prompt prefix share.
 
--- a/galenaspoke/edge/serving/admission.py
+++ b/galenaspoke/edge/serving/admission.py
@@ -5,15 +5,20 @@
 the latest; if it can't, the caller is asked to retry later.
 """
 
+import collections
 import hashlib
 import random
 
 from galenaspoke.edge import outcomes
 from galenaspoke.edge.serving import request_context
+from galenaspoke.edge.streams import stream_versions
 
 # Bounds of random retry-after times.
 STALE_CONFIG_RETRY_AFTER_MS = (500, 1_200)
 POISON_RETRY_AFTER_MS = (20_000, 30_000)
+# Streams that began by a configuration which was replaced longer ago aren't
+# resumed any more.
+KEEP_CATALOG_MS = 2 * stream_versions.MAX_STREAM_AGE_MS
 
 _SPLIT_POINT_BYTES = 8
 
@@ -37,6 +42,8 @@
         '_header_codec',
         '_accept_until',
         '_finish_by',
+        '_catalog',
+        '_replaced',
     )
 
     def __init__(self, config_view, poison_detector, header_codec):
@@ -50,6 +57,10 @@
         # accepted if their deadline is no later than `_finish_by`.
         self._accept_until = None
         self._finish_by = None
+        # The catalog of the last request, and those before with when they were
+        # found to be replaced, the oldest first.
+        self._catalog = config_view.catalog
+        self._replaced = collections.deque()
 
     def admit(self, req):
         """Return the RequestContext of an accepted request, or a Refusal."""
@@ -84,9 +95,39 @@
             if not self._poison_detector.begin_trial(culprit):
                 return refuse_poison(culprit)
             context.is_trial = True
-        context.service = route.choose_service(_split_point(metadata))
+        point = _split_point(metadata)
+        context.service = route.choose_service(point)
+        self._record_catalog(req.arrived_at)
+        if metadata.is_resumption():
+            context.earlier_services = self._list_earlier_services(req, point)
+            if not metadata.affinity_key():
+                context.earlier_services += [
+                    (service, req.arrived_at) for service, _ in route.splits
+                ]
         return context
 
+    def _record_catalog(self, now):
+        """Keep a catalog that was replaced while streams of it may last."""
+        catalog = self._config_view.catalog
+        if catalog is not self._catalog:
+            self._replaced.append((self._catalog, now))
+            self._catalog = catalog
+        while self._replaced and now - self._replaced[0][1] > KEEP_CATALOG_MS:
+            self._replaced.popleft()
+
+    def _list_earlier_services(self, req, point):
+        """Return which services a request had, and until when."""
+        host, path = _parse_host(req), req.path
+        routes = (
+            (catalog.match(host, path), until)
+            for catalog, until in self._replaced
+        )
+        return [
+            (route.choose_service(point), until)
+            for route, until in routes
+            if route is not None
+        ]
+
     def find_poison(self, context):
         """Return what makes a request crash targets, None if it may be sent.
 
@@ -101,8 +142,7 @@
 
     def _find_route(self, req):
         """Return the Route of a request, or a Refusal."""
-        host = req.header(b'host').lower().rpartition(':')
-        host = host[0] if host[1] and host[2].isdecimal() else ''.join(host)
+        host = _parse_host(req)
         path = req.path
         route = self._config_view.catalog.match(host, path)
         if route is not None:
@@ -165,6 +205,12 @@
     )
 
 
+def _parse_host(req):
+    """Return the host that a request names, without the port."""
+    host = req.header(b'host').lower().rpartition(':')
+    return host[0] if host[1] and host[2].isdecimal() else ''.join(host)
+
+
 def _split_point(metadata):
     """Return a number from 0 to 1 that picks the service of a split route.
 
--- a/galenaspoke/edge/serving/request_context.py
+++ b/galenaspoke/edge/serving/request_context.py
@@ -21,6 +21,7 @@
         'metadata',
         'route',
         'service',
+        'earlier_services',
         'account',
         'arrived_at',
         'deadline',
@@ -48,6 +49,9 @@
         self.route = route
         self.account = account
         self.service = None
+        # Pairs of a service at which a stream that is resumed may have begun
+        # by an earlier configuration, and until when, in ms of the clock.
+        self.earlier_services = []
         self.arrived_at = req.arrived_at
         timeout_ms = route.timeout_ms
         if metadata.timeout_ms is not None:
--- a/galenaspoke/edge/streams/resumption.py
+++ b/galenaspoke/edge/streams/resumption.py
@@ -154,7 +154,7 @@
             if origin is not None:
                 return origin, 'noted'
         record = self._record.read(context.service)
-        if record is None:
+        if record is None or self._may_have_moved(context):
             return None, 'unknown'
         version = self._record.find_version(
             record, _plan_key(context), self._max_age_ms(context)
@@ -166,6 +166,15 @@
             'only version' if is_only else 'plan'
         )
 
+    def _may_have_moved(self, context):
+        """Return whether a stream may have begun at another service."""
+        began_at = context.arrived_at - self._max_age_ms(context)
+        return any(
+            service != context.service
+            and until + version_plans.PLAN_LAG_MS >= began_at
+            for service, until in context.earlier_services
+        )
+
     def _max_age_ms(self, context):
         """Return how long ago a stream that is resumed may have begun.
 
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -302,7 +302,7 @@
 
     # Engines.
 
-    def add_engine(self, name, version, routers=()):
+    def add_engine(self, name, version, routers=(), service='pool'):
         """Start an engine; all routers, or some, learn of it at once."""
         self.engines[name] = Engine(name, version, len(self.engines) + 1)
         self.write_entry(name)
@@ -313,7 +313,7 @@
         engine = self.engines[name]
         key = f'servers/{name}'
         entry = {
-            'Service': 'pool',
+            'Service': service,
             'Addr': '127.0.0.1:1',
             'Zone': 'a',
             'Version': engine.version,
