--- a/galenaspoke/edge/streams/resumption.py
+++ b/galenaspoke/edge/streams/resumption.py
@@ -29,6 +29,8 @@
 # may have begun to leave a moment ago.
 PLAN_WAIT_MS = 500
 PLAN_POLL_INTERVAL_S = 0.05
+# How much later than this router others may learn of a configuration.
+CONFIG_LAG_MS = 2_000
 
 _KEY_BYTES = 12
 
@@ -170,8 +172,7 @@
         """Return whether a stream may have begun at another service."""
         began_at = context.arrived_at - self._max_age_ms(context)
         return any(
-            service != context.service
-            and until + version_plans.PLAN_LAG_MS >= began_at
+            service != context.service and until + CONFIG_LAG_MS >= began_at
             for service, until in context.earlier_services
         )
 
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -305,10 +305,10 @@
     def add_engine(self, name, version, routers=(), service='pool'):
         """Start an engine; all routers, or some, learn of it at once."""
         self.engines[name] = Engine(name, version, len(self.engines) + 1)
-        self.write_entry(name)
+        self.write_entry(name, service)
         self.read_targets(*routers)
 
-    def write_entry(self, name):
+    def write_entry(self, name, service='pool'):
         """Let an engine write its entry; no router reads it yet."""
         engine = self.engines[name]
         key = f'servers/{name}'
