A second copy of a report is no refusal of the request after it

Cause: an engine may send a response twice, the second time where the next one is expected. A refused request for a report has no id; on a connection that seemed unused its copy counted as the refusal of the request that followed.

--- a/tests/edge/test_incarnations.py
+++ b/tests/edge/test_incarnations.py
@@ -209,6 +209,17 @@
         # The one on the used connection doesn't count.
         self.assertEqual(2, self.count_reports(fleet))
 
+    # Guards against a second response to the report that passes for a refusal
+    # of the request after it, which the engine runs.
+    def test_late_report_is_no_response(self):
+        desk = handlers.Desk(
+            {'i-1': lambda remote, _: remote.sendall(UNSUPPORTED)},
+            catalog.RequestKind.STREAM,
+        )
+        self.addCleanup(desk.close)
+        self.assertEqual(502, desk.request().status)
+        self.assertIn('incarnations.checked', desk.journal.events())
+
     def test_report_that_ends_its_connection(self):
         fleet = self.make_fleet({'a': 'v1'})
         fleet.engines['a'].report = LAST_REPORT
