Store: decode each object of a list or watch by itself

Cause: a page of a list, or all events of a watch, was decoded in one step. `Spec` was msgspec.Raw, but skipping over it checks escapes and recurses: half a surrogate pair anywhere is a DecodeError for all, and 1,000 nested values are a RecursionError, which isn't a DecodeError and ended the watch's greenlet. A `Rev` that is no int, or a name that is no text, did the same.

Change: a response that can't be decoded as a whole is split by strings and brackets alone, and each object is decoded by itself. An object whose name can be read is always handed out, so that it isn't taken for a removed one and an evacuation stays one; if its `Rev` is unreadable or not in 64 bits its value is unreadable, too. One without a name is left out, logged once and counted (`store.unreadable`). A page ends at the last name that can be read.

Beside it: - A name in `After` is quoted. One with a space or a line break made a bad request line, and the list failed as often as it was tried. - A write whose response can't be read is OutcomeUnknown. It was StoreUnavailable, "certainly nothing changed", though it had been carried out; a ledger's return of tokens would have been undone by that.

--- a/galenaspoke/platform/store.py
+++ b/galenaspoke/platform/store.py
@@ -13,12 +13,16 @@
 """
 
 import re
+from urllib import parse
 
 import msgspec
 
+from galenaspoke.platform import store_objects
 from galenaspoke.store import base
 from galenaspoke.store import feeds
 from galenaspoke.store import paths
+from galenaspoke.store import unreadable
+from galenaspoke.utils import decoding
 
 # The header that holds the era, in every response of the store itself.
 ERA_HEADER = b'store-era'
@@ -31,36 +35,6 @@
 _SCOPED_KIND = re.compile(r'[a-z]+?(\d*)\Z')
 
 
-class _Metadata(msgspec.Struct, rename='pascal'):
-    # `rev` is the store's revision at the object's last change.
-    name: str
-    rev: int = 0
-
-
-class _Object(msgspec.Struct):
-    metadata: _Metadata = msgspec.field(name='Metadata')
-    spec: msgspec.Raw = msgspec.field(
-        name='Spec', default=msgspec.Raw(b'null')
-    )
-
-
-class _Listing(msgspec.Struct, rename='pascal'):
-    items: list[_Object]
-    has_more: bool = False
-    store_revision: int = 0
-
-
-class _Event(msgspec.Struct):
-    # The object after the change, or its last state if it was deleted.
-    object: _Object = msgspec.field(name='Object')
-    deleted: bool = msgspec.field(name='Deleted', default=False)
-
-
-class _Events(msgspec.Struct):
-    events: list[_Event]
-    revision: int = msgspec.field(name='StoreRevision', default=0)
-
-
 class Change(msgspec.Struct, frozen=True):
     """One object that was written or deleted."""
 
@@ -72,11 +46,6 @@
     """The changes since a revision are no longer available; list again."""
 
 
-_object_decoder = msgspec.json.Decoder(_Object)
-_listing_decoder = msgspec.json.Decoder(_Listing)
-_events_decoder = msgspec.json.Decoder(_Events)
-
-
 class Client:
     """A process's client for the platform's store.
 
@@ -96,6 +65,7 @@
         '_metrics',
         '_clock',
         '_journal',
+        '_unreadable',
         '_era',
         '_era_listeners',
     )
@@ -115,6 +85,9 @@
         self._metrics = metrics
         self._clock = clock
         self._journal = journal
+        self._unreadable = unreadable.UnreadableObjects(
+            'store.unreadable', journal
+        )
         # None until the store's first response.
         self._era = None
         self._era_listeners = []
@@ -137,34 +110,42 @@
         self._era_listeners.append(listener)
 
     def get(self, key):
-        """Return the Item at `key`, with version 0 if there is none."""
+        """Return the Item at `key`, with version 0 if there is none.
+
+        Raises Unreadable if the object's metadata can't be read.
+        """
         response = self._read(f'/objects/{key}')
         if response.status == 404:
             return base.Item(key, 0, msgspec.Raw(b''))
         kind = key.split('/', 1)[0]
-        return _make_item(kind, _decode(_object_decoder, response))
+        try:
+            obj = store_objects.decode_object(bytes(response.body))
+        except decoding.Unreadable as exc:
+            raise base.Unreadable(f'{key}: {exc}') from exc
+        return _make_item(kind, obj)
 
     def list(self, kind, stale=False):
         """Return the Listing of all objects of a kind.
 
         A `stale` listing is cheaper for the store and may be seconds old.
+        Objects without a readable name are left out, see `store_objects`.
         """
         items = []
         after = ''
         era = None
         while True:
-            query = [f'After={after}'] if after else []
+            query = [f'After={parse.quote(after, safe="")}'] if after else []
             if stale:
                 query.append(_STALE_QUERY)
             response = self._read(f'/objects/{kind}?{"&".join(query)}')
             if era not in (None, self.era):
                 raise base.EraChanged(f'{kind}: the era rose while listing')
             era = self.era
-            page = _decode(_listing_decoder, response)
-            items += [_make_item(kind, obj) for obj in page.items]
-            if not page.has_more or not page.items:
-                return base.Listing(page.store_revision, items, era)
-            after = page.items[-1].metadata.name
+            page = self._decode(store_objects.decode_listing, kind, response)
+            items += [_make_item(kind, obj) for obj in page.objects]
+            if not page.has_more or not page.objects:
+                return base.Listing(page.revision, items, era)
+            after = page.objects[-1].metadata.name
 
     def watch(self, kind, since, wait_ms, era=0, retry=True):
         """Wait for changes after revision `since` of an era.
@@ -194,13 +175,27 @@
             )
         if response.status != 200:
             raise base.StoreUnavailable(f'watch: status {response.status}')
-        events = _decode(_events_decoder, response)
+        events = self._decode(store_objects.decode_events, kind, response)
         changes = [
             Change(_make_item(kind, event.object), event.deleted)
             for event in events.events
         ]
         return events.revision or since, changes
 
+    def _decode(self, decode, kind, response):
+        """Decode a response that holds objects of a kind."""
+
+        def note(name, why):
+            if self._unreadable.note(f'{kind}/{name}', why):
+                self._metrics.count('store.unreadable')
+
+        try:
+            return decode(bytes(response.body), note)
+        except decoding.Unreadable as exc:
+            raise base.StoreUnavailable(
+                f'store: unreadable response: {exc}'
+            ) from exc
+
     def _call_feed(self, kind, since):
         """Watch through a feeder; return None if that fails."""
         sent_at = self._clock.now()
@@ -227,7 +222,12 @@
             response = self._write('PUT', f'/objects/{key}', body)
         else:
             response = self._write('POST', f'/objects/{kind}', body)
-        return _decode(_object_decoder, response).metadata.rev
+        try:
+            obj = store_objects.decode_object(bytes(response.body))
+        except decoding.Unreadable as exc:
+            # The store has carried it out, but the version isn't known.
+            raise base.OutcomeUnknown(f'{key}: {exc}') from exc
+        return obj.metadata.rev
 
     def delete(self, key, version):
         """Delete the object if it has `version`; raise like `put`."""
@@ -330,18 +330,9 @@
 def _conflicting_item(url_path, response):
     """Return the Item in the response to a conflict, or None."""
     try:
-        obj = _object_decoder.decode(bytes(response.body))
-    except msgspec.DecodeError:
+        obj = store_objects.decode_object(bytes(response.body))
+    except decoding.Unreadable:
         return None
     return (
         _make_item(url_path.split('/')[2], obj) if obj.metadata.rev else None
     )
-
-
-def _decode(decoder, response):
-    try:
-        return decoder.decode(bytes(response.body))
-    except msgspec.DecodeError as exc:
-        raise base.StoreUnavailable(
-            f'store: unreadable response: {exc}'
-        ) from exc
--- a/galenaspoke/store/base.py
+++ b/galenaspoke/store/base.py
@@ -20,6 +20,10 @@
     """The store can't be reached, is failing or is overloaded."""
 
 
+class Unreadable(StoreError):
+    """An object can't be decoded; others can."""
+
+
 class WriteUnresolved(StoreUnavailable):
     """The store failed before it could tell whether a write took effect.
 
