Targets: an entry out of range or nested deeply describes no target

Cause: an entry's numbers had no upper bound, its id and address were used as they came, and only msgspec.DecodeError was caught. 1,500 nested values raised RecursionError in the view's greenlet; between 40 and some 950 it depended on the caller's stack whether an entry could be read, so that routers differed. An id with a line break became a header of its own in requests; `\d` matches the digits of all scripts; "010.0.0.1" is octal for the resolver and "10.0.0.1:080" had two readings.

Values that are nested more than 40 deep are unreadable, in every router alike. This is what PROTOCOL.md asks for entries of another writer: they name no engine to use.

--- a/galenaspoke/platform/target_entries.py
+++ b/galenaspoke/platform/target_entries.py
@@ -1,38 +1,39 @@
 """Decodes the entries that targets write about themselves.
 
-An entry that is incomplete, or in which any value has a wrong type, is taken
-to come from another writer and describes no target.
+An entry that is incomplete, or in which any value has a wrong type or is out
+of range, is taken to come from another writer and describes no target.
 """
 
 import re
 
-import msgspec
-
 from galenaspoke.core import target_entry
+from galenaspoke.utils import addresses
+from galenaspoke.utils import decoding
 
 KIND = 'servers'
+# No target is cold for longer.
+MAX_COLD_LEFT_MS = 86_400_000
 
-_ADDRESS = re.compile(r'(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})\Z')
+# A target's id is sent to it in a header.
+_ID = re.compile(r'[!-~]+')
 _LEAVING_BY_STATE = {'ready': False, 'draining': True}
-_MAX_PORT = 65_535
 
 
 def decode(name, value, services):
     """Return the TargetEntry of the object `name`.
 
     Returns None if it is invalid or its service is not in `services`, which
-    holds the names of the configured services.
+    holds the names of the configured services.  The result depends on nothing
+    else, so that all routers have the same entries.
     """
     try:
-        spec = msgspec.json.decode(value)
-    except msgspec.DecodeError:
-        return None
-    if not isinstance(spec, dict):
+        spec = decoding.decode_shallow_json(value)
+    except decoding.Unreadable:
         return None
-    match = _get_text(spec, 'Addr') and _ADDRESS.match(spec['Addr'])
-    if not match or not 0 < int(match[2]) <= _MAX_PORT:
+    if not isinstance(spec, dict) or not _ID.fullmatch(name):
         return None
-    if any(int(part) > 255 for part in match[1].split('.')):
+    address = addresses.parse(_get_text(spec, 'Addr'))
+    if address is None:
         return None
     if _get_text(spec, 'Service') not in services:
         return None
@@ -40,22 +41,15 @@
         spec, 'Zone'
     ):
         return None
-    if not _is_whole_number(spec.get('Slots')) or not _is_whole_number(
-        spec.get('Seq')
-    ):
-        return None
-    if not _is_number(spec.get('ColdLeftMs', 0)):
+    if not _has_valid_numbers(spec):
         return None
     if not isinstance(spec.get('Version', ''), str):
         return None
-    born = spec.get('born', 0)
-    if not _is_whole_number(born):
-        return None
     return target_entry.TargetEntry(
         id=name,
-        born=born,
-        host=match[1],
-        port=int(match[2]),
+        born=spec.get('born', 0),
+        host=address[0],
+        port=address[1],
         service=spec['Service'],
         domain=spec['Zone'],
         slots=spec['Slots'],
@@ -70,11 +64,10 @@
     return value if isinstance(value, str) else ''
 
 
-def _is_whole_number(value):
-    is_integer = isinstance(value, int) and not isinstance(value, bool)
-    return is_integer and value >= 0
-
-
-def _is_number(value):
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    return is_number and value >= 0
+def _has_valid_numbers(spec):
+    return (
+        decoding.is_whole_number(spec.get('Slots'), decoding.MAX_INT32)
+        and decoding.is_whole_number(spec.get('Seq'))
+        and decoding.is_whole_number(spec.get('born', 0))
+        and decoding.is_number(spec.get('ColdLeftMs', 0), MAX_COLD_LEFT_MS)
+    )
--- a/tests/platform/test_forged_target_entries.py
+++ b/tests/platform/test_forged_target_entries.py
@@ -64,6 +64,52 @@
         self.assertIsNone(decode(born=5.5))
         self.assertEqual(0, decode(born=...).born)
 
+    def test_numbers_out_of_range(self):
+        for name in ('Slots', 'Seq', 'born', 'ColdLeftMs'):
+            for wrong in (-1, 2**63, 2**70, 10**400, 1e300, -0.5):
+                entry = decode(**{name: wrong})
+                self.assertIsNone(entry, (name, wrong))
+        self.assertIsNone(decode(Slots=2**31))
+        self.assertEqual(2**63 - 1, decode(born=2**63 - 1).born)
+        self.assertEqual(800.5, decode(ColdLeftMs=800.5).cold_left_ms)
+
+    def test_numbers_that_json_has_not(self):
+        for wrong in (b'1e999', b'-1e999', b'NaN', b'Infinity', b'9' * 5_000):
+            raw = msgspec.json.encode(VALID).replace(b'"Slots":6', b'"Slots":')
+            raw = raw.replace(b'"Slots":', b'"Slots":' + wrong)
+            entry = target_entries.decode('i-1', raw, {'pool'})
+            self.assertIsNone(entry, wrong)
+
+    def test_addresses_that_are_read_in_several_ways(self):
+        for address in (
+            '10.0.0.1:65536',
+            '10.0.0.1:99999',
+            '10.0.0.1:080',
+            '10.0.0.1:-1',
+            '10.0.0.1:٨٠',
+            '١٠.0.0.1:80',
+            '010.0.0.1:80',
+            '10.0.0.1:80\n',
+            ' 10.0.0.1:80',
+        ):
+            self.assertIsNone(decode(Addr=address), address)
+
+    def test_ids_that_no_header_may_hold(self):
+        raw = msgspec.json.encode(VALID)
+        for name in ('', 'a b', 'i-1\r\nX-Tenant: a', 'i-é', 'i-\0', 'i-1\n'):
+            entry = target_entries.decode(name, raw, {'pool'})
+            self.assertIsNone(entry, name)
+
+    def test_nesting(self):
+        # How deep msgspec can go depends on the caller's stack.
+        for depth in (50, 200, 900, 1_500, 100_000):
+            raw = msgspec.json.encode(VALID)[:-1] + b',"more":%s}' % (
+                b'[' * depth + b']' * depth
+            )
+            entry = target_entries.decode('i-1', raw, {'pool'})
+            self.assertIsNone(entry, depth)
+        self.assertIsNotNone(decode(more=[[[{}]]]))
+
     def test_invalid_bytes(self):
-        for raw in (b'', b'{"Addr"', b'7', b'"text"', b'\xff'):
+        for raw in (b'', b'{"Addr"', b'7', b'"text"', b'\xff', b'"\\udcff"'):
             self.assertIsNone(target_entries.decode('i-1', raw, {'pool'}), raw)
