TargetView: count versions by what the store holds now

Cause: `_entries`, by which a service's versions are counted for a plan, kept the last readable version of an entry when another writer overwrote it, or when its service left the configuration, and lacked an entry that the copy of a store had brought back for as long as this router held it. So two routers that follow the same store counted differently, by what each had seen before.

Change: an entry is decoded where it comes in or the configuration changes, and `_entries` holds exactly those that can be read. PROTOCOL.md: an entry of another writer "names no engine to use", so it counts for no version. Which targets are used is decided apart from that, as before: a target that is known stays while its entry is unreadable. The page says that the entry names none, not that it removes one; the target didn't write it, may well be serving, and is checked by its id with each request. It goes when the entry is removed.

An unreadable entry is named once, until it is readable or gone. It was named anew with each list and each configuration.

--- a/galenaspoke/edge/views/target_view.py
+++ b/galenaspoke/edge/views/target_view.py
@@ -6,6 +6,7 @@
 
 from galenaspoke.edge.targets import directory
 from galenaspoke.edge.views import watchers
+from galenaspoke.store import unreadable
 
 # Targets whose entries expired during a store outage have written them again
 # within this time after the recovery.
@@ -44,6 +45,7 @@
         '_items',
         '_entries',
         '_received_at',
+        '_unreadable',
         '_held',
         '_era',
         '_era_began_at',
@@ -70,10 +72,15 @@
         # All current items by target id, including those that describe no
         # valid target.
         self._items = {}
-        # What the entries in the store say now, and when each was received, by
-        # target id.
+        # What the entries in the store say now, by target id, without those
+        # that describe no valid target.  It depends on the store and the
+        # configuration alone, not on what was there before.
         self._entries = {}
+        # When each entry was received, by target id.
         self._received_at = {}
+        self._unreadable = unreadable.UnreadableObjects(
+            'target.unreadable', journal
+        )
         # The ids of entries that are outdated because the store came back from
         # a copy, and until when each is not used.
         self._held = {}
@@ -93,9 +100,10 @@
 
     def redecode(self):
         """Decode all entries again, after a new configuration."""
-        for target_id, item in self._items.items():
+        for target_id in self._items:
+            self._decode_entry(target_id)
             if target_id not in self._held:
-                self._put(item)
+                self._put(target_id)
 
     def is_stale(self):
         """Return whether the targets can't be followed at the moment."""
@@ -104,8 +112,8 @@
     def count_versions(self, service):
         """Return how many targets of each version accept requests.
 
-        This goes by the entries in the store alone, so that all routers that
-        follow the store count alike.
+        This goes by the entries in the store and the configuration alone, so
+        that all routers that follow both count alike.
         """
         return collections.Counter(
             entry.version
@@ -182,8 +190,7 @@
         for target_id, until in list(self._held.items()):
             if now >= until:
                 del self._held[target_id]
-                if target_id in self._items:
-                    self._put(self._items[target_id])
+                self._put(target_id)
 
     def _on_list(self, items):
         now = self._clock.now()
@@ -191,8 +198,11 @@
         if is_new_era and self._era is not None:
             self._era_began_at = now
         self._items = {item.name: item for item in items}
-        self._entries = {}
         self._received_at = dict.fromkeys(self._items, now)
+        self._entries = {}
+        for target_id in self._items:
+            self._decode_entry(target_id)
+        self._unreadable.keep_only(self._items)
         if is_new_era:
             self._held = {
                 target_id: now + HOLD_MS
@@ -200,22 +210,30 @@
                 if self._is_outdated(target_id)
             }
         self._era = self.watcher.era
-        for target_id, item in self._items.items():
+        for target_id in self._items:
             if target_id not in self._held:
-                self._put(item)
+                self._put(target_id)
         for target_id in self.directory.list_ids():
             if target_id not in self._items:
                 self._handle_missing(target_id)
 
     def _is_outdated(self, target_id):
         """Return whether a listed entry is older than what is known."""
-        entry = self._decode_entry(target_id)
+        entry = self._entries.get(target_id)
         return entry is not None and self.directory.is_outdated(entry)
 
     def _decode_entry(self, target_id):
-        return self._decode(
-            target_id, self._items[target_id].value, self._get_services()
-        )
+        """Take over what the entry of a target says now."""
+        services = self._get_services()
+        entry = self._decode(target_id, self._items[target_id].value, services)
+        if entry is not None:
+            self._entries[target_id] = entry
+            self._unreadable.forget(target_id)
+            return
+        self._entries.pop(target_id, None)
+        # Without services it is decoded again, once there is a configuration.
+        if services:
+            self._unreadable.note(target_id, 'invalid or of no known service')
 
     def _on_change(self, change):
         target_id = change.item.name
@@ -225,24 +243,23 @@
             self._items.pop(target_id, None)
             self._entries.pop(target_id, None)
             self._received_at.pop(target_id, None)
+            self._unreadable.forget(target_id)
             self._handle_missing(target_id)
         else:
             self._items[target_id] = change.item
             self._received_at[target_id] = self._clock.now()
-            self._put(change.item)
+            self._decode_entry(target_id)
+            self._put(target_id)
 
-    def _put(self, item):
-        target_id = item.name
-        entry = self._decode_entry(target_id)
-        if not self._get_services():
-            # It is decoded again once there is a configuration.
-            return
+    def _put(self, target_id):
+        """Add or update a target by its entry.
+
+        An invalid entry says nothing about a target that is known already: it
+        doesn't come from that target, which may well be serving.
+        """
+        entry = self._entries.get(target_id)
         if entry is None:
-            # The entry is invalid or of an unknown service.  It says nothing
-            # about a target that is known already.
-            self._journal.note('target.unreadable', target=target_id)
             return
-        self._entries[target_id] = entry
         known = self.directory.get(target_id)
         if known and known.entry.identity() != entry.identity():
             self._on_target_down(known.entry.identity())
--- a/tests/edge/test_cold_targets.py
+++ b/tests/edge/test_cold_targets.py
@@ -13,6 +13,7 @@
 from galenaspoke.edge.membership import router_list
 from galenaspoke.edge.targets import cold_start
 from galenaspoke.edge.views import target_view
+from galenaspoke.platform import store as platform_store
 from galenaspoke.platform import target_entries
 from galenaspoke.store import base as store_base
 from tests.edge import base
@@ -192,9 +193,7 @@
         item = store_base.Item(
             'servers/i-1', 1, msgspec.Raw(msgspec.json.encode(ENTRY | fields))
         )
-        self.view._items['i-1'] = item
-        self.view._received_at['i-1'] = self.clock.now()
-        self.view._put(item)
+        self.view._on_change(platform_store.Change(item, False))
         return self.view.directory.get('i-1')
 
     def is_cold(self, target):
