Views: a configuration or a fault in a view doesn't end the watch

Cause: the configuration's decoder caught the errors of its own look-ups only. 1,500 nested values (RecursionError), `ColdStartS` of 1e308 (OverflowError) or a `Version` that is text (TypeError when it is compared) ended the greenlet of the watch, so that no later configuration was seen. Other wrong values, such as an `IdleTimeoutMs` of 1e300 or `ApiKeys` that are one text (each character was a key), were installed, and would have failed requests later. And whatever any view raised ended its watch.

Watcher logs what a view fails with (`watch.unhandled`) and goes on with the next change.

--- a/galenaspoke/edge/views/config_view.py
+++ b/galenaspoke/edge/views/config_view.py
@@ -6,6 +6,7 @@
 from galenaspoke.core import catalog as catalogs
 from galenaspoke.edge.views import watchers
 from galenaspoke.store import base as store_base
+from galenaspoke.store import unreadable
 
 # A configuration that was confirmed within this time counts as current.
 CONFIRMATION_TTL_MS = 1_000
@@ -33,6 +34,7 @@
         '_pending_read',
         '_required_generation',
         '_is_current',
+        '_unreadable',
     )
 
     def __init__(
@@ -48,6 +50,9 @@
         # The first configuration is used if it is no older than this.
         self._required_generation = 0
         self._is_current = False
+        self._unreadable = unreadable.UnreadableObjects(
+            'config.unreadable', journal
+        )
         self.watcher = watchers.Watcher(
             lambda: config_codec.KIND,
             store,
@@ -127,7 +132,7 @@
         try:
             catalog = self._decode(item.value)
         except ValueError as exc:
-            self._journal.note('config.unreadable', why=str(exc))
+            self._unreadable.note(f'{item.key} {item.version}', str(exc))
             return
         if catalog.generation <= self.catalog.generation:
             return
--- a/galenaspoke/edge/views/watchers.py
+++ b/galenaspoke/edge/views/watchers.py
@@ -18,6 +18,8 @@
 RECOVERY_WATCH_WAIT_MS = 1
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.6
+# How much of an unexpected error is logged.
+MAX_WHY_CHARS = 200
 
 
 class Watcher:
@@ -148,7 +150,7 @@
         if (listing.era, listing.revision) >= (self.era, self.revision):
             self.era = listing.era
             self.revision = listing.revision
-            self._on_list(listing.items)
+            self._report(self._on_list, listing.items)
             self.confirmed_at = max(self.confirmed_at or 0, started_at)
 
     def _watch(self):
@@ -176,10 +178,25 @@
         if (era, revision) < (self.era, self.revision):
             return
         for change in changes:
-            self._on_change(change)
+            self._report(self._on_change, change)
         self.revision = revision
         self.confirmed_at = self._clock.now()
 
+    def _report(self, callback, news):
+        """Call a callback; whatever it fails with doesn't end the watch.
+
+        A callback handles what it can't read by itself.  This keeps a fault in
+        it from hiding all that the store says later.
+        """
+        try:
+            callback(news)
+        except Exception as exc:
+            self._journal.note(
+                'watch.unhandled',
+                kind=self._get_kind(),
+                why=f'{exc!r:.{MAX_WHY_CHARS}}',
+            )
+
     def _record_failure(self, exc):
         if self.failing_since is None:
             self.failing_since = self._clock.now()
--- a/tests/edge/test_odd_entries.py
+++ b/tests/edge/test_odd_entries.py
@@ -9,7 +9,10 @@
 import gevent
 import msgspec
 
+from galenaspoke.edge.views import config_view as config_views
 from galenaspoke.edge.views import target_view as target_views
+from galenaspoke.edge.views import watchers
+from galenaspoke.platform import configuration
 from galenaspoke.platform import store as platform_store
 from galenaspoke.platform import target_entries
 from galenaspoke.store import base as store_base
@@ -180,6 +183,89 @@
                 self.assertEqual({'v1': 2}, view.count_versions('pool'))
 
 
+class WatcherTest(unittest.TestCase):
+    """A view that fails with what the store says."""
+
+    def setUp(self):
+        self.clock = base.make_manual_clock()
+        self.journal = base.Recorder()
+        self.seen = []
+
+    def handle(self, news):
+        """Record what was reported; fail at what is odd."""
+        self.seen.append(news)
+        if 'odd' in str(news):
+            raise RuntimeError(news)
+
+    def run_watcher(self, *responses):
+        """Follow the responses of a store; return the Watcher."""
+        watcher = watchers.Watcher(
+            lambda: 'servers',
+            test_store_outage.ScriptedStore(*responses),
+            self.clock,
+            self.journal,
+            lambda items: self.handle([item.name for item in items]),
+            lambda change: self.handle(change.item.name),
+            platform_store.HistoryGone,
+        )
+        gevent.spawn(watcher.run).join()
+        return watcher
+
+    def test_change_that_the_view_fails_with(self):
+        watcher = self.run_watcher(
+            store_base.Listing(5, [make_item('i-1', b'{}')]),
+            (6, [make_change('odd', b'{}'), make_change('i-2', b'{}')]),
+            (7, [make_change('i-3', b'{}')]),
+        )
+        self.assertEqual([['i-1'], 'odd', 'i-2', 'i-3'], self.seen)
+        self.assertEqual(7, watcher.revision)
+        self.assertEqual(['watch.unhandled'], self.journal.events())
+
+    def test_list_that_the_view_fails_with(self):
+        self.run_watcher(
+            store_base.Listing(5, [make_item('odd', b'{}')]),
+            (7, [make_change('i-3', b'{}')]),
+        )
+        self.assertEqual([['odd'], 'i-3'], self.seen)
+
+
+class ConfigViewTest(unittest.TestCase):
+    """The ConfigView of one router."""
+
+    def test_configurations_that_cannot_be_used(self):
+        values = [
+            *odd_objects.ODD_SPECS.values(),
+            b'{"Version":"8"}',
+            b'{"Version":null}',
+            b'{"Version":8,"Services":[{"Name":"a","ColdStartS":1e308}]}',
+            b'{"Version":8,"Limits":{"IdleTimeoutMs":1e300}}',
+        ]
+        for value in values:
+            item = store_base.Item('config/main', 6, msgspec.Raw(value))
+            first = test_store_outage.make_config_item(7)
+            last = test_store_outage.make_config_item(9)
+            journal = base.Recorder()
+            view = config_views.ConfigView(
+                test_store_outage.ScriptedStore(
+                    store_base.Listing(5, [first]),
+                    (6, [platform_store.Change(item, False)]),
+                    DOWN,
+                    store_base.Listing(6, [item]),
+                    (9, [platform_store.Change(last, False)]),
+                ),
+                base.make_manual_clock(),
+                journal,
+                configuration,
+                platform_store.HistoryGone,
+            )
+            gevent.spawn(view.watcher.run).join()
+            with self.subTest(value=value[:60]):
+                self.assertEqual(9, view.catalog.generation)
+                events = journal.events()
+                self.assertEqual(1, events.count('config.unreadable'))
+                self.assertNotIn('watch.unhandled', events)
+
+
 class EndingPaths(odd_objects.ScriptedPaths):
     """Ends the watcher after the last response."""
 
