Money, members: an object that can't be read is an error, no greenlet's end

Cause: `store.base.decode` let msgspec's errors through. One of these isn't a StoreError, so a ledger page, a shard of the list of routers, an era or a statement that can't be decoded ended the greenlet that read it: the page's writer (requests then waited for tokens until their time was up, for good), Members.run (no registration, so no draws), the read of an era's name. A page that violates the ledger's invariants did the same in the writer.

Change: `decode` raises Unreadable, a StoreError. A page that can't be read, or must not be written, is refused as unreachable: nothing is drawn from it and nothing is written over it. Where an earlier write is unresolved the writer keeps trying to find out, as when the store is down. A shard that can't be read fails the list, which would be taken for whole without it; objects of the kind that are no shard, and eras that are no number, are left out. A statement that can't be read counts as missing and is named once, so nothing unseen is released by it.

Loan messages have tokens from 0 to MAX_TOKENS: a negative loan raised the lender's own balance. A response with more tokens than were asked for, or a reason that isn't one (a ValueError in the request), counts as none.

--- a/galenaspoke/edge/membership/eras.py
+++ b/galenaspoke/edge/membership/eras.py
@@ -10,8 +10,13 @@
     eras.list_earlier()     # [3, 2], in era 4
 """
 
+import re
+
 from galenaspoke.store import base
 
+# No more digits than a 64-bit number has.
+_ERA_NAME = re.compile(r'[1-9][0-9]{0,17}')
+
 
 class Eras:
     """The eras that a process knows of, from the store or from before."""
@@ -28,12 +33,17 @@
         """Return the earlier eras that are known, the latest first.
 
         Also adds the present era to the list, so that later ones know of it.
-        Raises the store's errors.
+        Objects that aren't named after an era are ignored.  Raises the store's
+        errors.
         """
         era = self._store.era
         if self._listed_era != era:
             items = self._store.list(base.ERAS_KIND).items
-            listed = {int(item.key.split('/')[1]) for item in items}
+            listed = {
+                int(item.name)
+                for item in items
+                if _ERA_NAME.fullmatch(item.name)
+            }
             if era not in listed:
                 self._add(era)
             self._known |= listed | {era}
--- a/galenaspoke/edge/membership/members.py
+++ b/galenaspoke/edge/membership/members.py
@@ -345,10 +345,16 @@
 def read_shards(store, era=None, stale=False):
     """Return the Shards of an era's list, by name; the present era's if None.
 
-    A `stale` list may be seconds old.
+    A `stale` list may be seconds old.  Raises Unreadable if a shard can't be
+    decoded: without it the list would be taken for whole.  Other objects of
+    the kind are ignored.
     """
     listing = store.list(store.scope(KIND, era), stale=stale)
-    return {item.name: base.decode(item, Shard) for item in listing.items}
+    return {
+        item.name: base.decode(item, Shard)
+        for item in listing.items
+        if item.name in SHARD_NAMES
+    }
 
 
 def _remove_holder(shard, name, holder):
--- a/galenaspoke/edge/money/loan_protocol.py
+++ b/galenaspoke/edge/money/loan_protocol.py
@@ -12,11 +12,16 @@
     LoanClient().request_loan('10.1.0.40:7340', request).tokens      # 2000
 """
 
+import typing
+
 import msgspec
 
-from galenaspoke.edge import settings as edge_settings
+from galenaspoke.core import ledger
+from galenaspoke.edge.money import reservations
 from galenaspoke.http import connections
 from galenaspoke.http import messages
+from galenaspoke.utils import addresses
+from galenaspoke.utils import decoding
 
 LEND_PATH = '/lend'
 RETURN_PATH = '/return'
@@ -29,6 +34,12 @@
 # Idle connections kept for each address.
 MAX_IDLE_CONNECTIONS = 4
 
+Tokens = typing.Annotated[int, msgspec.Meta(ge=0, le=ledger.MAX_TOKENS)]
+# Why a loan may be refused.
+_REFUSALS = {shortage.value for shortage in reservations.Shortage} | {
+    reservations.MOVED
+}
+
 
 class LoanRequest(msgspec.Struct):
     """A borrower's request, in tokens.
@@ -39,10 +50,10 @@
     """
 
     budget: str
-    need: int
-    ahead: int
+    need: Tokens
+    ahead: Tokens
     borrower: str
-    unsettled: int
+    unsettled: Tokens
 
 
 class LoanResponse(msgspec.Struct):
@@ -54,7 +65,7 @@
     """
 
     holder: str
-    tokens: int = 0
+    tokens: Tokens = 0
     shortage: str = ''
     detail: str = ''
 
@@ -63,7 +74,7 @@
     """Unspent tokens of a loan, returned to the holder that lent them."""
 
     budget: str
-    tokens: int
+    tokens: Tokens
     holder: str
     borrower: str
 
@@ -83,17 +94,21 @@
     def request_loan(self, address, request):
         """Return the LoanResponse of the router at `address`.
 
-        Returns None if it does not answer.
+        Returns None if it does not answer, or not with what a lender says.
         """
         body = self._post(address, LEND_PATH, request)
         if body is None:
             return None
         try:
-            return msgspec.json.decode(body, type=LoanResponse)
-        except msgspec.DecodeError:
+            response = decoding.decode_json(body, LoanResponse)
+        except decoding.Unreadable:
             # Tokens that were lent, if any, are stranded: the lender counts
             # them as spent.
             return None
+        if response.tokens > request.need + request.ahead:
+            return None
+        is_clear = response.tokens or response.shortage in _REFUSALS
+        return response if is_clear else None
 
     def return_tokens(self, address, loan_return):
         """Return tokens to their lender; if that fails, they are stranded."""
@@ -101,7 +116,10 @@
 
     def _post(self, address, path, message):
         """Send a message; return the body of the response, or None."""
-        host, port = edge_settings.split_address(address)
+        target = addresses.parse(address)
+        if target is None:
+            return None
+        host, port = target
         body = msgspec.json.encode(message)
         head = messages.encode_head(
             f'POST {path} HTTP/1.1'.encode(),
@@ -154,10 +172,10 @@
             return [b'']
         message_type, handle = handlers[environ['PATH_INFO']]
         try:
-            message = msgspec.json.decode(
-                environ['wsgi.input'].read(), type=message_type
+            message = decoding.decode_json(
+                environ['wsgi.input'].read(), message_type
             )
-        except msgspec.DecodeError:
+        except decoding.Unreadable:
             start_response('400 Bad Request', [('Content-Length', '0')])
             return [b'']
         body = msgspec.json.encode(handle(message))
--- a/galenaspoke/edge/money/statements.py
+++ b/galenaspoke/edge/money/statements.py
@@ -20,6 +20,7 @@
 
 from galenaspoke.edge.membership import members
 from galenaspoke.store import base
+from galenaspoke.store import unreadable
 
 KIND = 'statements'
 RETRY_INTERVAL_S = (0.2, 0.5)
@@ -50,6 +51,7 @@
         '_journal',
         '_required',
         '_required_era',
+        '_unreadable',
     )
 
     def __init__(self, cfg, holder_name, store, eras, journal):
@@ -61,6 +63,9 @@
         # What `_get_required` returns in `_required_era`, by its argument.
         self._required = {}
         self._required_era = None
+        self._unreadable = unreadable.UnreadableObjects(
+            'money.statement_unreadable', journal
+        )
 
     def write(self, granted_by_budget, vouched_eras):
         """Write this router's statement in the present era.
@@ -85,13 +90,15 @@
         """Return all Statements of this era, or None if some are missing.
 
         `lost_eras` is in how many earlier eras tokens may have been drawn
-        that are unseen.  Raises the store's errors.
+        that are unseen.  One that can't be read counts as missing.  Raises the
+        store's errors.
         """
         required = self._get_required(lost_eras)
         listing = self._store.list(self._store.scope(KIND))
         statements = [
-            msgspec.json.decode(item.value, type=Statement)
-            for item in listing.items
+            statement
+            for statement in map(self._decode, listing.items)
+            if statement is not None
         ]
         stated = {
             (statement.holder, era)
@@ -101,6 +108,15 @@
         is_complete = bool(required) and required <= stated
         return statements if is_complete else None
 
+    def _decode(self, item):
+        try:
+            statement = base.decode(item, Statement)
+        except base.Unreadable as exc:
+            self._unreadable.note(item.key, str(exc))
+            return None
+        self._unreadable.forget(item.key)
+        return statement
+
     def _get_required(self, lost_eras):
         """Return which holders must have made a statement.
 
--- a/galenaspoke/fleet/registries.py
+++ b/galenaspoke/fleet/registries.py
@@ -1,7 +1,6 @@
 """Registry operations that routers and agents share."""
 
 from absl import logging
-import msgspec
 
 from galenaspoke.core import registry
 from galenaspoke.rpc import messages
@@ -87,7 +86,7 @@
 def _decode_holder(item):
     try:
         return store_client.decode(item, registry.HolderRecord)
-    except msgspec.DecodeError as exc:
+    except store_client.Unreadable as exc:
         raise HolderUnreadable(f'{item.key} is unreadable: {exc}') from exc
 
 
--- a/galenaspoke/router/page_writer.py
+++ b/galenaspoke/router/page_writer.py
@@ -192,12 +192,13 @@
             try:
                 is_fresh = self._cached is None
                 item = self._cached or self._store.get(self._key)
+                page = store_base.decode(item, ledger.Page)
             except store_base.StoreError as exc:
+                self._cached = None
                 if not attempts:
                     raise
                 self._defer(batch, exc)
                 continue
-            page = store_base.decode(item, ledger.Page)
             if self._took_effect(page, attempts, batch):
                 break
             self._check_still_writer(page)
@@ -209,6 +210,15 @@
                 # The cached page may be stale: decide on a fresh one.
                 self._cached = None
                 continue
+            try:
+                ledger.check_invariants(page)
+            except ledger.InvariantViolation as exc:
+                # Another writer has left a page that must not be written.
+                self._cached = None
+                if not attempts:
+                    raise store_base.Unreadable(f'{self._key}: {exc}') from exc
+                self._defer(batch, exc)
+                continue
             if self._put(item, page, attempts, batch):
                 break
         self._confirm_holder()
@@ -239,7 +249,6 @@
 
     def _put(self, item, page, attempts, batch):
         """Write the page; return True if it is certain that it was written."""
-        ledger.check_invariants(page)
         self._sequence += 1
         if self._is_retiring:
             page.writers.pop(self._holder_name, None)
--- a/galenaspoke/router/peers.py
+++ b/galenaspoke/router/peers.py
@@ -134,7 +134,7 @@
         for item in items:
             try:
                 use_item(item)
-            except msgspec.DecodeError as exc:
+            except (store_client.Unreadable, msgspec.DecodeError) as exc:
                 self._metrics.count('store.unreadable')
                 logging.error(
                     'skipped unreadable object %s: %s', item.key, exc
--- a/galenaspoke/router/recovery.py
+++ b/galenaspoke/router/recovery.py
@@ -11,7 +11,6 @@
 
 from absl import logging
 import gevent
-import msgspec
 
 from galenaspoke.core import ledger
 from galenaspoke.core import registry
@@ -304,7 +303,7 @@
         for item in self._store.list(registry.HOLDER_PREFIX).items:
             try:
                 record = store_client.decode(item, registry.HolderRecord)
-            except msgspec.DecodeError as exc:
+            except store_client.Unreadable as exc:
                 self._metrics.count('store.unreadable')
                 logging.log_every_n_seconds(
                     logging.ERROR,
--- a/galenaspoke/store/base.py
+++ b/galenaspoke/store/base.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from galenaspoke.utils import decoding
+
 # The kind of the objects that stand for the eras of the store, by number.  It
 # is the only kind of the system that has the same name in all eras.
 ERAS_KIND = 'eras'
@@ -103,9 +105,9 @@
     must be safe to apply twice.
 
     Return (result, object as it now is in the store).  Raises StoreError if
-    the store can't be read or refuses the write for another reason than a
-    conflict, and its subclass WriteUnresolved if an earlier write whose
-    response was lost may have taken effect all the same.
+    the object can't be read, or if the store refuses the write for another
+    reason than a conflict, and its subclass WriteUnresolved if an earlier
+    write whose response was lost may have taken effect all the same.
     """
     is_retry = False
     is_unresolved = False
@@ -113,11 +115,11 @@
     while True:
         try:
             item = client.get(key() if callable(key) else key)
+            obj = decode(item, struct_type)
         except StoreError as exc:
             if is_unresolved:
                 raise WriteUnresolved(str(exc)) from exc
             raise
-        obj = decode(item, struct_type)
         if is_retry and is_applied and is_applied(obj):
             return result, obj
         result = change(obj)
@@ -149,8 +151,12 @@
 def decode(item, struct_type):
     """Decode an item's value; return a new struct if there is none.
 
-    An item that doesn't exist yet may have a value to create it with.
+    An item that doesn't exist yet may have a value to create it with.  Raises
+    Unreadable if the value can't be decoded.
     """
     if not bytes(item.value):
         return struct_type()
-    return msgspec.json.decode(item.value, type=struct_type)
+    try:
+        return decoding.decode_json(item.value, struct_type)
+    except decoding.Unreadable as exc:
+        raise Unreadable(f'{item.key}: {exc}') from exc
--- a/galenaspoke/store/client.py
+++ b/galenaspoke/store/client.py
@@ -19,12 +19,14 @@
 import msgspec
 
 from galenaspoke.store import base
+from galenaspoke.utils import decoding
 
 MAX_CONNECTIONS = 8
 
 # Re-exported for callers of this client.
 StoreError = base.StoreError
 StoreUnavailable = base.StoreUnavailable
+Unreadable = base.Unreadable
 WriteUnresolved = base.WriteUnresolved
 Conflict = base.Conflict
 TooLarge = base.TooLarge
@@ -98,7 +100,7 @@
     def list(self, prefix):
         """Return the Listing of all objects under `prefix`."""
         _, body = self._read(f'/list/{prefix}')
-        return msgspec.json.decode(body, type=Listing)
+        return _decode_listing(body)
 
     def watch(self, prefix, since):
         """Wait for a change under `prefix` after revision `since`.
@@ -107,7 +109,7 @@
         """
         path = f'/watch/{prefix}?since={since}&wait_ms={self._cfg.watch_ms}'
         _, body = self._read(path, self._watch_client)
-        return msgspec.json.decode(body, type=Listing)
+        return _decode_listing(body)
 
     def put(self, key, version, value):
         """Replace the object at `version`; return its new version.
@@ -145,6 +147,13 @@
         return int(resp['Version'] or 0)
 
 
+def _decode_listing(body):
+    try:
+        return decoding.decode_json(body, Listing)
+    except decoding.Unreadable as exc:
+        raise StoreUnavailable(f'store: unreadable list: {exc}') from exc
+
+
 _TRANSPORT_ERRORS = (
     OSError,
     TimeoutError,
