Relays, datagrams, suspects: what can't be read is left out

Cause: a datagram with 5,000 nested arrays is a RecursionError, which ended the greenlet that receives all datagrams (paces and notes of streams); the same in a relay's slot or in published suspects ended those of their readers. A relay or a holder whose address isn't IP:PORT was used as it came: ValueError, or OverflowError for port 99999, in the greenlet that called the store, lent, or sent a note.

Change: all decode through utils.decoding and catch its one error. A relay whose address isn't in the usual form is no relay; a loan or a datagram to such an address isn't sent. Numbers of suspects are of 64 bits. Slots and suspects that can't be read are named once.

A seeded test changes valid documents at random places and gives them to every decoder (lists, events, target entries, configuration, pages, shards, statements, relays, suspects, loans, datagrams): none raises anything but its declared error; 0.9 s. On the code before, calls with such inputs raised RecursionError in PaceSharing.handle and VersionNotes.handle, ValueError in StorePath.call and Datagrams.send, and OverflowError in the latter.

--- a/galenaspoke/edge/crashes/poison.py
+++ b/galenaspoke/edge/crashes/poison.py
@@ -16,11 +16,13 @@
 
 import collections
 import hashlib
+import typing
 
 import gevent
 import msgspec
 
 from galenaspoke.edge.crashes import crash_suspects
+from galenaspoke.utils import decoding
 
 # A request is a suspect only if its target is found down within this time
 # after the request was cut off.
@@ -39,6 +41,9 @@
 EXPIRE_INTERVAL_S = 10
 
 
+Number = typing.Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INT64)]
+
+
 class Suspect(msgspec.Struct, frozen=True, omit_defaults=True):
     """A key that is a suspect of one crash of a target.
 
@@ -48,9 +53,9 @@
     """
 
     request: str
-    target: tuple[str, int]
-    at_ms: int = 0
-    rank: int = crash_suspects.REQUEST_RANK
+    target: tuple[str, Number]
+    at_ms: Number = 0
+    rank: Number = crash_suspects.REQUEST_RANK
     is_cleared: bool = False
 
 
--- a/galenaspoke/edge/crashes/suspect_sharing.py
+++ b/galenaspoke/edge/crashes/suspect_sharing.py
@@ -20,6 +20,7 @@
 from galenaspoke.edge.crashes import crash_suspects
 from galenaspoke.edge.crashes import poison
 from galenaspoke.store import base
+from galenaspoke.utils import decoding
 
 # The kind of the store objects in which routers publish their suspects.
 KIND = 'suspects'
@@ -129,16 +130,19 @@
 def merge_suspects(poison_detector, item):
     """Add the suspects that a router published in `item`.
 
-    An item that can't be decoded is ignored.
+    An item that can't be decoded is ignored.  Returns whether it can.
     """
-    for suspect in _decode(item):
+    suspects = _decode(item, None)
+    for suspect in suspects or ():
         poison_detector.add_published(suspect)
+    return suspects is not None
 
 
-def _decode(item):
+def _decode(item, default=()):
+    """Return the suspects in an item, `default` if they can't be decoded."""
     if not item.value:
         return []
     try:
-        return msgspec.json.decode(item.value, type=list[poison.Suspect])
-    except msgspec.DecodeError:
-        return []
+        return decoding.decode_json(item.value, list[poison.Suspect])
+    except decoding.Unreadable:
+        return default
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -45,6 +45,7 @@
 from galenaspoke.store import feeds
 from galenaspoke.store import paths as store_paths
 from galenaspoke.store import relays
+from galenaspoke.store import unreadable
 
 EXIT_OK = 0
 # Idle connections stay open this long after the start of the shutdown: a load
@@ -111,6 +112,9 @@
         self._evacuation_view = None
         if cfg.evacuation_ms:
             self._follow_evacuations(store, history_gone_error)
+        self._unreadable_suspects = unreadable.UnreadableObjects(
+            'suspects.unreadable', self.journal
+        )
         self._suspect_watcher = watchers.Watcher(
             lambda: store.scope(suspect_sharing.KIND),
             store,
@@ -261,7 +265,10 @@
         return watched
 
     def _merge_suspects(self, item):
-        suspect_sharing.merge_suspects(self.poison_detector, item)
+        if suspect_sharing.merge_suspects(self.poison_detector, item):
+            self._unreadable_suspects.forget(item.key)
+        else:
+            self._unreadable_suspects.note(item.key, 'no suspects')
 
     def _serve_peers(self):
         relay_app = store_paths.make_relay_app(
--- a/galenaspoke/edge/membership/datagrams.py
+++ b/galenaspoke/edge/membership/datagrams.py
@@ -12,6 +12,7 @@
 from gevent import socket
 
 from galenaspoke.edge import settings as edge_settings
+from galenaspoke.utils import addresses
 
 RECEIVE_BYTES = 65_536
 # After an error of the socket.
@@ -36,8 +37,11 @@
 
     def send(self, address, data):
         """Send a datagram; one that can't be sent is lost."""
+        target = addresses.parse(address)
+        if target is None:
+            return
         try:
-            self._sock.sendto(data, edge_settings.split_address(address))
+            self._sock.sendto(data, target)
         except OSError:
             pass
 
--- a/galenaspoke/edge/membership/pace_sharing.py
+++ b/galenaspoke/edge/membership/pace_sharing.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from galenaspoke.edge.targets import speeds
+from galenaspoke.utils import decoding
 
 # To how many routers, and how often, the paces are sent.
 FANOUT = 3
@@ -82,8 +83,8 @@
     def handle(self, data, address):
         """Handle a datagram of another router; ignore what isn't paces."""
         try:
-            message = msgspec.msgpack.decode(data, type=Paces)
-        except msgspec.DecodeError:
+            message = decoding.decode_msgpack(data, Paces)
+        except decoding.Unreadable:
             return
         for target_id, event_ms in message.event_ms.items():
             target = self._directory.get(target_id)
--- a/galenaspoke/edge/membership/relay_discovery.py
+++ b/galenaspoke/edge/membership/relay_discovery.py
@@ -14,6 +14,7 @@
 
 from galenaspoke.store import base
 from galenaspoke.store import relays
+from galenaspoke.store import unreadable
 
 # How often the list of relays is read.
 READ_INTERVAL_S = (8.0, 12.0)
@@ -31,6 +32,9 @@
     states that this process serves none.
     """
     relay = relays.Relay(cfg.name, cfg.peer_listen, cfg.domain, is_dedicated)
+    unreadable_slots = unreadable.UnreadableObjects(
+        'relays.unreadable', journal
+    )
     registered_era = None
     interval_s = FIRST_READ_INTERVAL_S
     while True:
@@ -39,7 +43,7 @@
                 relays.register(store, relay)
                 registered_era = store.era
             else:
-                _read(cfg, store, paths, store_feeds)
+                _read(cfg, store, paths, store_feeds, unreadable_slots)
                 interval_s = READ_INTERVAL_S
             pause_s = interval_s
         except (base.StoreError, base.OutcomeUnknown) as exc:
@@ -48,9 +52,9 @@
         gevent.sleep(random.uniform(*pause_s))
 
 
-def _read(cfg, store, paths, store_feeds):
+def _read(cfg, store, paths, store_feeds, unreadable_slots):
     """Read the list of relays; keep the known ones if it is empty."""
-    known_relays = relays.list_relays(store)
+    known_relays = relays.list_relays(store, unreadable_slots)
     if known_relays and store_feeds is not None:
         store_feeds.set_feeders(
             [relay.address for relay in known_relays if relay.apart]
--- a/galenaspoke/edge/money/statements.py
+++ b/galenaspoke/edge/money/statements.py
@@ -21,6 +21,7 @@
 from galenaspoke.edge.membership import members
 from galenaspoke.store import base
 from galenaspoke.store import unreadable
+from galenaspoke.utils import decoding
 
 KIND = 'statements'
 RETRY_INTERVAL_S = (0.2, 0.5)
@@ -110,8 +111,8 @@
 
     def _decode(self, item):
         try:
-            statement = base.decode(item, Statement)
-        except base.Unreadable as exc:
+            statement = decoding.decode_json(item.value, Statement)
+        except decoding.Unreadable as exc:
             self._unreadable.note(item.key, str(exc))
             return None
         self._unreadable.forget(item.key)
--- a/galenaspoke/edge/streams/version_notes.py
+++ b/galenaspoke/edge/streams/version_notes.py
@@ -22,6 +22,7 @@
 import msgspec
 
 from galenaspoke.edge.streams import stream_versions
+from galenaspoke.utils import decoding
 
 # How many routers are told of a stream, and how many are asked.  The lists of
 # routers may differ by a few, so more are asked.
@@ -172,10 +173,8 @@
     def handle(self, data, address):
         """Handle a datagram from another router."""
         try:
-            message = msgspec.msgpack.decode(
-                data, type=Note | Question | Answer
-            )
-        except msgspec.DecodeError:
+            message = decoding.decode_msgpack(data, Message)
+        except decoding.Unreadable:
             return
         if isinstance(message, Note):
             for key, service, version in message.streams:
--- a/galenaspoke/store/relays.py
+++ b/galenaspoke/store/relays.py
@@ -17,6 +17,8 @@
 import msgspec
 
 from galenaspoke.store import base
+from galenaspoke.utils import addresses
+from galenaspoke.utils import decoding
 
 # Kind of the store objects, one for each slot, in each era of the store.
 KIND = 'relays'
@@ -56,14 +58,21 @@
         pass
 
 
-def list_relays(client):
+def list_relays(client, unreadable):
     """Return the relays in the list, as it was at most some seconds ago.
 
-    `client` is a `galenaspoke.platform.store.Client`.
+    `client` is a `galenaspoke.platform.store.Client`.  Slots that can't be
+    read are left out; `unreadable`, the UnreadableObjects, names them.
     """
-    items = client.list(client.scope(KIND), stale=True).items
-    decoded = [_decode(item) for item in items]
-    return [relay for relay in decoded if relay is not None]
+    relays = []
+    for item in client.list(client.scope(KIND), stale=True).items:
+        relay = _decode(item)
+        if relay is None:
+            unreadable.note(item.key, 'no relay')
+        else:
+            unreadable.forget(item.key)
+            relays.append(relay)
+    return relays
 
 
 def order_by_preference(relays, domain, own_address):
@@ -81,7 +90,9 @@
 
 
 def _decode(item):
+    """Return the Relay in a slot, None if it can't be read or reached."""
     try:
-        return msgspec.json.decode(item.value, type=Relay)
-    except msgspec.DecodeError:
+        relay = decoding.decode_json(item.value, Relay)
+    except decoding.Unreadable:
         return None
+    return relay if addresses.parse(relay.address) else None
