--- a/galenaspoke/edge/streams/plan_agreement.py
+++ b/galenaspoke/edge/streams/plan_agreement.py
@@ -24,6 +24,7 @@
 import msgspec
 
 from galenaspoke.store import base
+from galenaspoke.utils import decoding
 
 POLL_INTERVAL_S = 0.1
 # Questions without an answer are sent again after this long, then after twice
@@ -254,8 +255,8 @@
     def handle(self, data, address):
         """Handle a datagram of another router; ignore other kinds."""
         try:
-            message = msgspec.msgpack.decode(data, type=Message)
-        except msgspec.DecodeError:
+            message = decoding.decode_msgpack(data, Message)
+        except decoding.Unreadable:
             return
         if message.era != self._store.era:
             return
--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -196,15 +196,15 @@
     def read(self, service):
         """Return the ServiceVersions that the store has now.
 
-        Returns None if the service isn't recorded, or if the store doesn't
-        respond within READ_TIMEOUT_S.
+        Returns None if the service isn't recorded, if the store doesn't
+        respond within READ_TIMEOUT_S, or if the record can't be read.
         """
         try:
             with gevent.Timeout(READ_TIMEOUT_S):
                 item = self._store.get(self._make_key(service))
+            versions = base.decode(item, service_versions.ServiceVersions)
         except (base.StoreError, base.OutcomeUnknown, gevent.Timeout):
             return None
-        versions = base.decode(item, service_versions.ServiceVersions)
         return versions if versions.appearances else None
 
     def refresh(self, service):
