Streams: what a router does about versions stands in one place

Tidying: edge/main.py and the desk of the tests built the record, the notes, the agreement and the resumption each for themselves.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -27,11 +27,7 @@
 from galenaspoke.edge import settings as edge_settings
 from galenaspoke.edge import startup
 from galenaspoke.edge import status_pages
-from galenaspoke.edge.streams import plan_agreement
-from galenaspoke.edge.streams import resumption
-from galenaspoke.edge.streams import stream_versions
-from galenaspoke.edge.streams import version_notes
-from galenaspoke.edge.streams import version_record
+from galenaspoke.edge.streams import version_tracking
 from galenaspoke.edge.views import config_view as config_views
 from galenaspoke.edge.views import evacuation_view
 from galenaspoke.edge.views import target_view as target_views
@@ -151,25 +147,12 @@
         self.admission = admission.Admission(
             self.config_view, self.poison_detector, headers
         )
-        streams = stream_versions.StreamVersions(self.clock)
-        self._version_record = version_record.VersionRecord(
-            store, self.clock, self._members.is_registered
-        )
         # Bound by `start`.
         self._datagrams = datagrams.Datagrams()
-        self._version_notes = version_notes.VersionNotes(
-            streams,
-            self._version_record,
-            self._members.routers,
-            self._datagrams.send,
-            self.clock,
-            self.target_view.is_stale,
-        )
-        self._plan_agreement = plan_agreement.PlanAgreement(
-            self._version_record,
+        self._versions = version_tracking.VersionTracking(
             store,
-            self._members.list_others,
-            self._members.routers,
+            self._members,
+            self.target_view,
             self._datagrams.send,
             self.clock,
             self.journal,
@@ -189,14 +172,7 @@
                 cfg, self.clock, self._members.routers.get_count
             ),
             self.poison_detector,
-            resumption.Resumption(
-                self._version_record,
-                streams,
-                self._version_notes,
-                self.target_view.directory,
-                self.clock,
-                self.journal,
-            ),
+            self._versions.resumption,
             headers,
             reports,
             self.clock,
@@ -234,13 +210,8 @@
         self.config_view.add_listener(self.target_view.redecode)
         self.config_view.add_listener(self.budget_manager.apply_new_limits)
         gevent.spawn(self.target_view.sweep)
-        gevent.spawn(
-            version_record.run_updates,
-            self._version_record,
-            lambda: self.config_view.catalog.resumable_services,
-            self.target_view,
-            self._members.routers.get_count,
-            self.journal,
+        self._versions.start(
+            lambda: self.config_view.catalog.resumable_services
         )
         gevent.spawn(
             suspect_sharing.run_publisher,
@@ -301,8 +272,7 @@
         status_pages.serve(self.cfg.peer_listen, application)
         self._datagrams.bind(self.cfg.peer_listen)
         gevent.spawn(self._datagrams.run, self._handle_datagram)
-        gevent.spawn(self._version_notes.run)
-        gevent.spawn(self._plan_agreement.run)
+        self._versions.start_exchange()
         gevent.spawn(self._pace_sharing.run)
         gevent.spawn(
             relay_discovery.run,
@@ -314,8 +284,7 @@
         )
 
     def _handle_datagram(self, data, address):
-        self._version_notes.handle(data, address)
-        self._plan_agreement.handle(data, address)
+        self._versions.handle(data, address)
         self._pace_sharing.handle(data, address)
 
     def is_ready(self):
@@ -430,7 +399,7 @@
             **self._gauges(),
             'money': self.budget_manager.dump(),
             'poison': self.poison_detector.dump(),
-            'versions': self._version_record.dump(),
+            'versions': self._versions.record.dump(),
             'targets': {
                 target_id: status_pages.dump_target(directory.get(target_id))
                 for target_id in directory.list_ids()
--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -26,9 +26,6 @@
 
 # The kind of the store objects, one for each service.
 KIND = 'softwareversions'
-UPDATE_INTERVAL_S = 0.1
-# Added for each router, so that they don't all write at the same time.
-UPDATE_SPREAD_S = 0.002
 # A version without targets is removed after this long.  It is longer than
 # streams can be resumed, because others may notice later that it has ended.
 KEEP_MS = 2 * stream_versions.MAX_STREAM_AGE_MS
@@ -368,59 +365,3 @@
 
     def _make_key(self, service):
         return f'{self._store.scope(KIND)}/{service}'
-
-
-def update_from_view(record, service, target_view):
-    """Record what the entries of a service's targets say now.
-
-    A router that can't follow the targets changes no plan.  Raises the store's
-    errors.
-    """
-    counts = None
-    if not target_view.is_stale():
-        counts = target_view.count_versions(service)
-    record.update(
-        service,
-        target_view.directory.list_versions(service) | set(counts or ()),
-        counts,
-        target_view.watcher.revision,
-    )
-
-
-def run_updates(record, list_services, target_view, get_router_count, journal):
-    """Keep the record up to date; never returns.
-
-    `list_services()` returns the services whose streams may be resumed, and
-    `target_view` is the TargetView.
-    """
-    is_failing = False
-    logged_plans = {}
-    while True:
-        spread_s = UPDATE_SPREAD_S * get_router_count()
-        gevent.sleep(UPDATE_INTERVAL_S + random.uniform(0, spread_s))
-        try:
-            for service in list_services():
-                update_from_view(record, service, target_view)
-                plan = record.get_plan(service)
-                if plan != logged_plans.get(service):
-                    logged_plans[service] = plan
-                    _log_plan(journal, service, plan, target_view.watcher)
-            is_failing = False
-        except (base.StoreError, base.OutcomeUnknown) as exc:
-            if not is_failing:
-                journal.note('versions.unrecorded', why=str(exc))
-            is_failing = True
-
-
-def _log_plan(journal, service, plan, watcher):
-    """Log a plan that this router follows from now on."""
-    journal.note(
-        'versions.plan',
-        service=service,
-        number=plan.number,
-        shares=plan.shares,
-        since_ms=plan.since_ms,
-        plan_revision=plan.view_revision,
-        view_revision=watcher.revision,
-        view_confirmed_at=watcher.confirmed_at,
-    )
--- /dev/null
+++ b/galenaspoke/edge/streams/version_tracking.py
@@ -0,0 +1,144 @@
+"""Everything that a router does about the software versions of streams.
+
+Example::
+
+    tracking = VersionTracking(store, members, target_view, send, clock,
+                               journal)
+    tracking.start(lambda: catalog.resumable_services)
+    tracking.resumption.resolve(context)
+    tracking.handle(data, '10.2.0.29:7340')     # a datagram
+"""
+
+import random
+
+import gevent
+
+from galenaspoke.edge.streams import plan_agreement
+from galenaspoke.edge.streams import resumption
+from galenaspoke.edge.streams import stream_versions
+from galenaspoke.edge.streams import version_notes
+from galenaspoke.edge.streams import version_record
+from galenaspoke.store import base
+
+UPDATE_INTERVAL_S = 0.1
+# Added for each router, so that they don't all write at the same time.
+UPDATE_SPREAD_S = 0.002
+
+
+class VersionTracking:
+    """One router's record, notes and plans of versions.
+
+    `members` are the Members of the fleet, `target_view` is the TargetView,
+    and `send(address, data)` sends a datagram.
+    """
+
+    __slots__ = (
+        'record',
+        'notes',
+        'agreement',
+        'resumption',
+        '_routers',
+        '_target_view',
+        '_journal',
+    )
+
+    def __init__(self, store, members, target_view, send, clock, journal):
+        self._routers = members.routers
+        self._target_view = target_view
+        self._journal = journal
+        streams = stream_versions.StreamVersions(clock)
+        self.record = version_record.VersionRecord(
+            store, clock, members.is_registered
+        )
+        self.notes = version_notes.VersionNotes(
+            streams,
+            self.record,
+            members.routers,
+            send,
+            clock,
+            target_view.is_stale,
+        )
+        self.agreement = plan_agreement.PlanAgreement(
+            self.record,
+            store,
+            members.list_others,
+            members.routers,
+            send,
+            clock,
+            journal,
+        )
+        self.resumption = resumption.Resumption(
+            self.record,
+            streams,
+            self.notes,
+            target_view.directory,
+            clock,
+            journal,
+        )
+
+    def start(self, list_services):
+        """Keep the record of versions up to date.
+
+        `list_services()` returns the services whose streams may be resumed.
+        """
+        gevent.spawn(self._run_updates, list_services)
+
+    def start_exchange(self):
+        """Begin to talk to other routers; datagrams can be sent now."""
+        gevent.spawn(self.notes.run)
+        gevent.spawn(self.agreement.run)
+
+    def handle(self, data, address):
+        """Handle a datagram of another router; ignore other kinds."""
+        self.notes.handle(data, address)
+        self.agreement.handle(data, address)
+
+    def _run_updates(self, list_services):
+        is_failing = False
+        logged_plans = {}
+        while True:
+            spread_s = UPDATE_SPREAD_S * self._routers.get_count()
+            gevent.sleep(UPDATE_INTERVAL_S + random.uniform(0, spread_s))
+            try:
+                for service in list_services():
+                    self.update(service)
+                    self._log_plan(service, logged_plans)
+                is_failing = False
+            except (base.StoreError, base.OutcomeUnknown) as exc:
+                if not is_failing:
+                    self._journal.note('versions.unrecorded', why=str(exc))
+                is_failing = True
+
+    def update(self, service):
+        """Record what the entries of a service's targets say now.
+
+        A router that can't follow the targets changes no plan.  Raises the
+        store's errors.
+        """
+        counts = None
+        if not self._target_view.is_stale():
+            counts = self._target_view.count_versions(service)
+        known = self._target_view.directory.list_versions(service)
+        self.record.update(
+            service,
+            known | set(counts or ()),
+            counts,
+            self._target_view.watcher.revision,
+        )
+
+    def _log_plan(self, service, logged_plans):
+        """Log a plan that this router follows from now on."""
+        plan = self.record.get_plan(service)
+        if plan == logged_plans.get(service):
+            return
+        logged_plans[service] = plan
+        self._journal.note(
+            'versions.plan',
+            service=service,
+            number=plan.number,
+            shares=plan.shares,
+            since_ms=plan.since_ms,
+            plan_revision=plan.view_revision,
+            view_revision=self._target_view.watcher.revision,
+            view_confirmed_at=self._target_view.watcher.confirmed_at,
+        )
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -20,11 +20,7 @@
 from galenaspoke.edge.serving import admission
 from galenaspoke.edge.serving import request_handler
 from galenaspoke.edge.serving import retries
-from galenaspoke.edge.streams import plan_agreement
-from galenaspoke.edge.streams import resumption
-from galenaspoke.edge.streams import stream_versions
-from galenaspoke.edge.streams import version_notes
-from galenaspoke.edge.streams import version_record
+from galenaspoke.edge.streams import version_tracking
 from galenaspoke.edge.targets import directory
 from galenaspoke.edge.views import target_view as target_views
 from galenaspoke.http import messages
@@ -156,6 +152,21 @@
     return routers
 
 
+class LoneMember:
+    """The only router of a fleet, as `members.Members` shows it."""
+
+    def __init__(self, routers):
+        self.routers = routers
+
+    def is_registered(self):
+        """Return that it is in the list of routers."""
+        return True
+
+    def list_others(self):
+        """Return the other routers: none."""
+        return {}
+
+
 class Desk:
     """One service with scripted engines, and a router's handler before it."""
 
@@ -210,30 +221,14 @@
             routers.get_share,
         )
         self._get_share = routers.get_share
-        streams = stream_versions.StreamVersions(self.clock)
-        store = store or fakes.FakeStore()
-        self.version_record = version_record.VersionRecord(
-            store,
-            self.clock,
-            members.is_registered if members else lambda: True,
-        )
-        self.plan_agreement = plan_agreement.PlanAgreement(
-            self.version_record,
-            store,
-            members.list_others if members else dict,
-            routers,
+        self.versions = version_tracking.VersionTracking(
+            store or fakes.FakeStore(),
+            members or LoneMember(routers),
+            self.target_view,
             send_datagram,
             self.clock,
             self.journal,
         )
-        self.version_notes = version_notes.VersionNotes(
-            streams,
-            self.version_record,
-            routers,
-            send_datagram,
-            self.clock,
-            self.target_view.is_stale,
-        )
         self.targets = collections.OrderedDict()
         for name, engine in engines.items():
             self.add_target(name, engine)
@@ -248,14 +243,7 @@
             None,
             retries.RetryBudget(cfg, self.clock, routers.get_count),
             self.detector,
-            resumption.Resumption(
-                self.version_record,
-                streams,
-                self.version_notes,
-                self.target_view.directory,
-                self.clock,
-                self.journal,
-            ),
+            self.versions.resumption,
             headers,
             reports,
             self.clock,
@@ -274,9 +262,7 @@
 
     def record_versions(self):
         """Record the versions of the targets in the store."""
-        version_record.update_from_view(
-            self.version_record, 'pool', self.target_view
-        )
+        self.versions.update('pool')
 
     def request(self, caller=None, pairs=(), body=b'', request_id=REQUEST_ID):
         """Handle one request; return the Caller that got the response.
--- a/tests/edge/test_plan_agreement.py
+++ b/tests/edge/test_plan_agreement.py
@@ -41,7 +41,7 @@
         # The engine, the plan and that it is settled.
         self.assertEqual(before + 3, self.fleet.store.writes)
         for desk in self.fleet.desks.values():
-            self.assertTrue(desk.version_record.is_settled('pool'))
+            self.assertTrue(desk.versions.record.is_settled('pool'))
 
     # Guards against plans that stay open, so that streams are refused, because
     # the router that wrote the last one has died.
@@ -131,11 +131,11 @@
         author = next(
             desk
             for desk in self.fleet.desks.values()
-            if desk.version_record.is_author('pool')
+            if desk.versions.record.is_author('pool')
         )
         self.fleet.store.down = True
-        author.plan_agreement.poll()
-        author.plan_agreement.poll()
+        author.versions.agreement.poll()
+        author.versions.agreement.poll()
         lines = [event for event, _ in author.journal.lines]
         self.assertEqual(1, lines.count('versions.unsettled'))
         self.fleet.store.down = False
@@ -145,8 +145,8 @@
     def test_what_is_no_question_is_ignored(self):
         desk = self.fleet.desks['front-0']
         for data in (b'', b'\xff' * 9, b'\x94\xa6follow\xa4pool\x00\xa1x'):
-            desk.plan_agreement.handle(data, 'front-1')
-        desk.plan_agreement.handle(
+            desk.versions.agreement.handle(data, 'front-1')
+        desk.versions.agreement.handle(
             b'\x94\xa9following\xa4pool\x00\x63', 'front-1'
         )
         self.assertTrue(self.read_record().is_settled())
--- a/tests/edge/test_streams_after_moves.py
+++ b/tests/edge/test_streams_after_moves.py
@@ -32,7 +32,7 @@
             for name in 'ab':
                 fleet.add_engine(f'{service}-{name}', version, service=service)
         for desk in fleet.desks.values():
-            desk.version_record.update('other', {'v2'}, {'v2': 2})
+            desk.versions.record.update('other', {'v2'}, {'v2': 2})
         fleet.clock.advance(SETTLED_MS)
         return fleet
 
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -185,8 +185,7 @@
     def _deliver(self, sender, address, data):
         desk = self.desks.get(address)
         if desk is not None:
-            desk.version_notes.handle(data, sender)
-            desk.plan_agreement.handle(data, sender)
+            desk.versions.handle(data, sender)
 
     def cut_off(self, name):
         """Lose everything from and to a router."""
@@ -256,7 +255,7 @@
     def send_notes(self):
         """Let all routers send their notes, and receive them."""
         for desk in self.desks.values():
-            desk.version_notes.send_notes()
+            desk.versions.notes.send_notes()
         base.settle()
 
     def exchange(self):
@@ -268,7 +267,7 @@
             for name, desk in list(self.desks.items()):
                 if name not in self.network.cut_off_names:
                     desk.record_versions()
-                    desk.plan_agreement.poll()
+                    desk.versions.agreement.poll()
             base.settle()
 
     def deliver_listing(self, name, listing):
