Incarnations: only a report or an open connection tells who answers

Change: the entry alone never vouches. Also: a record of one service that can't be read doesn't keep the others from being updated.

--- a/galenaspoke/core/clock.py
+++ b/galenaspoke/core/clock.py
@@ -25,10 +25,6 @@
         """Return the milliseconds of a monotonic clock."""
         return time.monotonic_ns() // 1_000_000
 
-    def boot(self):
-        """Return the same, but counting the time while suspended."""
-        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
-
     def wall(self):
         """Return milliseconds since 1970, for logs and identifiers."""
         return time.time_ns() // 1_000_000
@@ -37,11 +33,10 @@
 class ManualClock(Clock):
     """A clock that moves only when `advance` is called."""
 
-    __slots__ = ('_now', '_suspended_ms')
+    __slots__ = ('_now',)
 
     def __init__(self, now=0):
         self._now = now
-        self._suspended_ms = 0
 
     def now(self):
         return self._now
@@ -49,13 +44,6 @@
     def wall(self):
         return self._now
 
-    def boot(self):
-        return self._now + self._suspended_ms
-
     def advance(self, ms):
         """Move the clock forward by `ms` milliseconds."""
         self._now += ms
-
-    def suspend(self, ms):
-        """Let `ms` milliseconds pass while the machine is suspended."""
-        self._suspended_ms += ms
--- a/galenaspoke/edge/serving/attempt_recorder.py
+++ b/galenaspoke/edge/serving/attempt_recorder.py
@@ -84,7 +84,7 @@
             return False
         if outcome.reached:
             return False
-        _record_lost(target, is_silent=not outcome.refused)
+        target.incarnation.record_silence()
         is_ejected = target.health.record_failure(self._clock.now(), True)
         if outcome.refused:
             self._target_view.record_down(target)
@@ -93,7 +93,8 @@
 
     def _record_unknown(self, context, target, outcome, events):
         """Return whether the target is ejected."""
-        _record_lost(target, is_silent=not outcome.cut_off)
+        if not outcome.cut_off:
+            target.incarnation.record_silence()
         is_ejected = target.health.record_failure(self._clock.now())
         if outcome.cut_off and events <= poison.MAX_SUSPECT_EVENTS:
             self._poison_detector.record_cut_off(
@@ -107,11 +108,3 @@
         target.health.record_failure(self._clock.now(), True)
         self._target_view.record_down(target)
         self._poison_detector.record_target_down(target.entry.identity())
-
-
-def _record_lost(target, is_silent):
-    """Record that a target's process may have ended."""
-    if is_silent:
-        target.incarnation.record_silence()
-    else:
-        target.incarnation.record_end()
--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -115,7 +115,6 @@
         self._resumption = resumption
         self._incarnation_checker = incarnations.IncarnationChecker(
             report_codec,
-            target_view.is_in_step,
             target_view.record_replaced,
             clock,
             metrics,
--- a/galenaspoke/edge/streams/version_tracking.py
+++ b/galenaspoke/edge/streams/version_tracking.py
@@ -40,12 +40,18 @@
         '_routers',
         '_target_view',
         '_journal',
+        '_failing',
+        '_logged_plans',
     )
 
     def __init__(self, store, members, target_view, send, clock, journal):
         self._routers = members.routers
         self._target_view = target_view
         self._journal = journal
+        # The services whose record could not be updated, and the plan by
+        # service that was logged last.
+        self._failing = set()
+        self._logged_plans = {}
         streams = stream_versions.StreamVersions(clock)
         self.record = version_record.VersionRecord(
             store, clock, members.is_registered
@@ -94,20 +100,28 @@
         self.agreement.handle(data, address)
 
     def _run_updates(self, list_services):
-        is_failing = False
-        logged_plans = {}
         while True:
             spread_s = UPDATE_SPREAD_S * self._routers.get_count()
             gevent.sleep(UPDATE_INTERVAL_S + random.uniform(0, spread_s))
-            try:
-                for service in list_services():
-                    self.update(service)
-                    self._log_plan(service, logged_plans)
-                is_failing = False
-            except (base.StoreError, base.OutcomeUnknown) as exc:
-                if not is_failing:
-                    self._journal.note('versions.unrecorded', why=str(exc))
-                is_failing = True
+            for service in list_services():
+                self._try_update(service)
+
+    def _try_update(self, service):
+        """Update the record of a service; log the first of several failures.
+
+        The records of other services don't depend on it.
+        """
+        try:
+            self.update(service)
+        except (base.StoreError, base.OutcomeUnknown) as exc:
+            if service not in self._failing:
+                self._journal.note(
+                    'versions.unrecorded', service=service, why=str(exc)
+                )
+            self._failing.add(service)
+            return
+        self._failing.discard(service)
+        self._log_plan(service)
 
     def update(self, service):
         """Record what the entries of a service's targets say now.
@@ -126,12 +140,12 @@
             self._target_view.watcher.revision,
         )
 
-    def _log_plan(self, service, logged_plans):
+    def _log_plan(self, service):
         """Log a plan that this router follows from now on."""
         plan = self.record.get_plan(service)
-        if plan == logged_plans.get(service):
+        if plan == self._logged_plans.get(service):
             return
-        logged_plans[service] = plan
+        self._logged_plans[service] = plan
         self._journal.note(
             'versions.plan',
             service=service,
--- a/galenaspoke/edge/targets/directory.py
+++ b/galenaspoke/edge/targets/directory.py
@@ -91,7 +91,7 @@
                 and conn.is_open_and_empty()
             ):
                 return conn
-            self._close_idle(conn, now)
+            conn.close()
         return self.connect()
 
     def _pop_idle(self, request_id):
@@ -104,13 +104,6 @@
                 return self._idle.pop(index)
         return None
 
-    def _close_idle(self, conn, now):
-        """Close a connection; note if the target did so before its time."""
-        is_early = now - conn.idle_since < conn.idle_timeout_ms
-        if is_early and not conn.is_open_and_empty():
-            self.incarnation.record_end()
-        conn.close()
-
     def connect(self):
         """Return a new connection; raise NotSent on failure."""
         return connections.connect(
@@ -140,7 +133,7 @@
             if now - conn.idle_since < conn.idle_timeout_ms - IDLE_MARGIN_MS:
                 kept.append(conn)
             else:
-                self._close_idle(conn, now)
+                conn.close()
         self._idle = kept
 
     def mark_removed(self):
--- a/galenaspoke/edge/targets/incarnations.py
+++ b/galenaspoke/edge/targets/incarnations.py
@@ -7,11 +7,11 @@
 holds:
 
 - a report on it said so;
-- another such connection is still open after it was opened;
-- nothing has shown since the last report that the process may have ended, and
-  this router follows the targets' entries without delay.
+- another such connection is still open after it was opened.
 
-Else the target is asked for a report on that very connection.
+Else the target is asked for a report on that very connection.  That this
+router follows the targets' entries tells too little: a target that can't reach
+the store doesn't write its new one.
 
 Example::
 
@@ -37,13 +37,12 @@
     `born` is that of the target's entry, 0 if it states none.
     """
 
-    __slots__ = ('born', 'checks', '_may_have_ended', '_confirmed')
+    __slots__ = ('born', 'checks', '_confirmed')
 
     def __init__(self, born):
         self.born = born
         # Held during a check, so that one check serves all that wait.
         self.checks = lock.BoundedSemaphore()
-        self._may_have_ended = False
         # The connections that lead to it for certain.
         self._confirmed = []
 
@@ -55,37 +54,25 @@
         """Record that the target's reports don't state `born`."""
         self.born = 0
 
-    def record_end(self):
-        """Record that a connection ended in a way that a crash explains."""
-        self._may_have_ended = True
-
     def record_silence(self):
         """Record that the target was silent.
 
         Connections may then seem to be open although the process has ended.
         """
-        self._may_have_ended = True
         self._confirmed = []
 
     def confirm(self, conn):
-        """Record that a connection leads to it, so it has not ended."""
-        self._may_have_ended = False
+        """Record that a connection leads to it."""
         self._confirmed = [
             known for known in self._confirmed if not known.is_closed()
         ]
         self._confirmed.append(conn)
 
-    def is_reached_by(self, conn, is_in_step):
-        """Return whether an open connection leads to it for certain.
-
-        `is_in_step()` says whether the targets' entries are followed without
-        delay.
-        """
+    def is_reached_by(self, conn):
+        """Return whether an open connection leads to it for certain."""
         if conn in self._confirmed:
             return True
-        is_alive = any(
-            known.is_open_and_empty() for known in self._confirmed
-        ) or (not self._may_have_ended and is_in_step())
+        is_alive = any(known.is_open_and_empty() for known in self._confirmed)
         # It may have ended since the connection was made.
         if not is_alive or not conn.is_open_and_empty():
             return False
@@ -96,22 +83,19 @@
 class IncarnationChecker:
     """Opens connections and asks targets for reports where that is needed.
 
-    `report_codec` translates the platform's reports.  `is_in_step` is as in
-    `Incarnation.is_reached_by`.  `on_replaced` is called with a target and the
-    `born` of the incarnation that was found in its place.
+    `report_codec` translates the platform's reports.  `on_replaced` is called
+    with a target and the `born` of the incarnation that was found in place.
     """
 
     __slots__ = (
         '_report_codec',
-        '_is_in_step',
         '_on_replaced',
         '_clock',
         '_metrics',
     )
 
-    def __init__(self, report_codec, is_in_step, on_replaced, clock, metrics):
+    def __init__(self, report_codec, on_replaced, clock, metrics):
         self._report_codec = report_codec
-        self._is_in_step = is_in_step
         self._on_replaced = on_replaced
         self._clock = clock
         self._metrics = metrics
@@ -152,7 +136,7 @@
         if target.is_removed:
             raise connections.NotSent('the target was replaced or removed')
         return not incarnation.is_comparable() or incarnation.is_reached_by(
-            conn, self._is_in_step
+            conn
         )
 
     def _check_in_turn(self, target, conn, timeout_s):
--- a/galenaspoke/edge/views/target_view.py
+++ b/galenaspoke/edge/views/target_view.py
@@ -19,11 +19,6 @@
 # used once it has lasted this long: the store removes it sooner unless the
 # target lives and writes it again.
 HOLD_MS = 6_000
-# The entries are followed without delay if they were confirmed within this
-# time, in which a feed is answered.  A cut may go unnoticed for as long.
-CONFIRMATION_TTL_MS = 1_500
-# If the sweep is late by more, the process stood still.
-MAX_SWEEP_INTERVAL_MS = 1_000
 
 
 class TargetView:
@@ -54,9 +49,6 @@
         '_held',
         '_era',
         '_era_began_at',
-        '_first_listed_at',
-        '_swept_at',
-        '_stood_still_until',
         '_on_target_down',
     )
 
@@ -96,11 +88,6 @@
         # era was first listed after another one.
         self._era = None
         self._era_began_at = None
-        self._first_listed_at = None
-        # When the last sweep was, in ms since the machine's start, and when
-        # the process last went on after it had stood still.
-        self._swept_at = None
-        self._stood_still_until = None
         self.watcher = watchers.Watcher(
             lambda: entry_codec.KIND,
             store,
@@ -122,40 +109,6 @@
         """Return whether the targets can't be followed at the moment."""
         return self.watcher.failing_since is not None
 
-    def is_in_step(self):
-        """Return whether the targets are followed without delay.
-
-        While that is so, a target's entry is that of the process at its
-        address, but for a moment after a start.
-        """
-        now = self._clock.now()
-        self._notice_pause()
-        if self.is_stale() or self.watcher.confirmed_at is None:
-            return False
-        if now - self.watcher.confirmed_at >= CONFIRMATION_TTL_MS:
-            return False
-        if now - self._get_regained_at() < RECOVERY_WINDOW_MS:
-            return False
-        return (
-            self._stood_still_until is None
-            or self.watcher.asked_at > self._stood_still_until
-        )
-
-    def _notice_pause(self):
-        """Note if process or machine stood still since the last sweep."""
-        if self._swept_at is None:
-            return
-        if self._clock.boot() - self._swept_at > MAX_SWEEP_INTERVAL_MS:
-            self._stood_still_until = self._clock.now()
-
-    def _get_regained_at(self):
-        """Return since when entries that were lost may be written again."""
-        return max(
-            self._first_listed_at or 0,
-            self.watcher.recovered_at or 0,
-            self._era_began_at or 0,
-        )
-
     def count_versions(self, service):
         """Return how many targets of each version accept requests.
 
@@ -239,8 +192,6 @@
         while True:
             gevent.sleep(SWEEP_INTERVAL_S)
             now = self._clock.now()
-            self._notice_pause()
-            self._swept_at = self._clock.boot()
             for target_id in self.directory.remove_missing(now):
                 self._journal.note(
                     'target.gone',
@@ -260,8 +211,6 @@
 
     def _on_list(self, items):
         now = self._clock.now()
-        if self._first_listed_at is None:
-            self._first_listed_at = now
         is_new_era = self.watcher.era != self._era
         if is_new_era and self._era is not None:
             self._era_began_at = now
--- a/galenaspoke/edge/views/watchers.py
+++ b/galenaspoke/edge/views/watchers.py
@@ -53,7 +53,6 @@
         'era',
         'revision',
         'confirmed_at',
-        'asked_at',
         'failing_since',
         'recovered_at',
         '_get_kind',
@@ -87,8 +86,6 @@
         # The latest time at which the reported state is certain to have been
         # current, None if never.
         self.confirmed_at = None
-        # When the latest call that succeeded was made, None if none has.
-        self.asked_at = None
         # Since when calls to the store fail, None while they succeed; and when
         # they last succeeded again.
         self.failing_since = None
@@ -149,7 +146,7 @@
         """List all objects of the kind; raise the store's errors."""
         started_at = self._clock.now()
         listing = self._store.list(self._get_kind())
-        self._record_success(started_at)
+        self._record_success()
         if (listing.era, listing.revision) >= (self.era, self.revision):
             self.era = listing.era
             self.revision = listing.revision
@@ -166,7 +163,6 @@
         # that the objects are listed again, rather than resume over another
         # path.
         era = self.era
-        started_at = self._clock.now()
         self._waiting_task = gevent.getcurrent()
         try:
             revision, changes = self._store.watch(
@@ -178,7 +174,7 @@
             )
         finally:
             self._waiting_task = None
-        self._record_success(started_at)
+        self._record_success()
         if (era, revision) < (self.era, self.revision):
             return
         for change in changes:
@@ -208,8 +204,7 @@
                 'store.lost', kind=self._get_kind(), why=str(exc)
             )
 
-    def _record_success(self, asked_at):
-        self.asked_at = asked_at
+    def _record_success(self):
         if self.failing_since is not None:
             now = self._clock.now()
             self._journal.note(
