Streams: other routers are told of streams before a second version comes, and after a cut

Cause: no notes were sent while a service had a single version, so a router that stood still or died as the release began had told nobody; and notes that were sent during a cut were lost and counted as sent. Change: notes are always sent; those of a time in which the store couldn't be followed, and 2 s before, are sent again once it can.

--- a/galenaspoke/edge/streams/version_notes.py
+++ b/galenaspoke/edge/streams/version_notes.py
@@ -3,12 +3,12 @@
 A caller may resume a stream at another router, after the one that began it
 has died.  So each router notes its streams at a few others, which consistent
 hashing of the request's id names.  Notes are datagrams and may be lost: what
-nobody knows is refused, see `resumption`.  While a service has a single
-version there is nothing to tell, and no notes are sent.
+nobody knows is refused, see `resumption`.  They are sent while a service has
+a single version too: the next may come just as the router dies.
 
 Example::
 
-    notes = VersionNotes(streams, record, routers, send, clock, is_stale)
+    notes = VersionNotes(streams, routers, send, clock, is_stale)
     gevent.spawn(notes.run)
     notes.add('9c41', Origin('pool', 'v1'))
     notes.ask('9c42')     # Origin('pool', 'v2'), told by another router
@@ -29,6 +29,8 @@
 HOLDER_COUNT = 2
 ASKED_COUNT = 4
 NOTE_INTERVAL_S = 0.05
+# How late a router notices that it can't follow the store.
+STALE_LAG_MS = 2_000
 # An unanswered question is sent this often, so long after each other.
 ASK_ATTEMPTS = 2
 ASK_TIMEOUT_S = 0.06
@@ -74,43 +76,44 @@
 class VersionNotes:
     """Tells other routers of streams, and asks them.
 
-    `streams` are this router's StreamVersions and `record` the VersionRecord,
-    `routers` the RouterList; `send(address, data)` sends a datagram, and
-    `is_stale()` says whether the store can't be followed at the moment.
+    `streams` are this router's StreamVersions and `routers` the RouterList;
+    `send(address, data)` sends a datagram, and `is_stale()` says whether the
+    store can't be followed at the moment.  Then the others may be out of reach
+    as well, so notes are sent again afterwards.
     """
 
     __slots__ = (
         '_streams',
-        '_record',
         '_routers',
         '_send',
         '_clock',
         '_is_stale',
+        '_was_stale',
         '_unsent',
+        '_doubtful',
         '_inquiries',
         '_numbers',
     )
 
-    def __init__(self, streams, record, routers, send, clock, is_stale):
+    def __init__(self, streams, routers, send, clock, is_stale):
         self._streams = streams
-        self._record = record
         self._routers = routers
         self._send = send
         self._clock = clock
         self._is_stale = is_stale
-        # By service: triples of key, version and when it was added, of
-        # the streams of which no note was sent, the oldest first.
-        self._unsent = collections.defaultdict(
-            lambda: collections.deque(maxlen=stream_versions.MAX_STREAMS)
-        )
+        self._was_stale = False
+        # The streams of which no note was sent, and those of which it may have
+        # been lost, the oldest first: key, service, version and when it began.
+        self._unsent = collections.deque(maxlen=stream_versions.MAX_STREAMS)
+        self._doubtful = collections.deque(maxlen=stream_versions.MAX_STREAMS)
         self._inquiries = {}
         self._numbers = itertools.count()
 
     def add(self, key, origin):
         """Remember a stream that has begun here; note it elsewhere soon."""
         self._streams.remember(key, origin)
-        self._unsent[origin.service].append(
-            (key, origin.version, self._clock.now())
+        self._unsent.append(
+            (key, origin.service, origin.version, self._clock.now())
         )
 
     def run(self):
@@ -120,31 +123,33 @@
             self.send_notes()
 
     def send_notes(self):
-        """Send the notes that other routers may need."""
+        """Send the notes that are due."""
         now = self._clock.now()
+        is_stale = self._is_stale()
+        due = list(self._unsent)
+        self._unsent.clear()
+        keep_ms = stream_versions.MAX_STREAM_AGE_MS
+        if not is_stale and self._was_stale:
+            _remove_older(self._doubtful, now - keep_ms)
+            due = list(self._doubtful) + due
+            self._doubtful.clear()
+        if not is_stale:
+            keep_ms = STALE_LAG_MS
+        self._was_stale = is_stale
+        self._doubtful.extend(due)
+        _remove_older(self._doubtful, now - keep_ms)
+        self._send_all(due)
+
+    def _send_all(self, streams):
         notes = collections.defaultdict(list)
-        for service, unsent in self._unsent.items():
-            self._remove_expired(unsent, now)
-            if not unsent or not self._is_needed(service):
-                continue
-            for key, version, _ in unsent:
-                for address in self._routers.list_holders(key, HOLDER_COUNT):
-                    notes[address].append((key, service, version))
-            unsent.clear()
-        for address, streams in notes.items():
-            for begin in range(0, len(streams), NOTES_PER_DATAGRAM):
-                note = Note(streams[begin : begin + NOTES_PER_DATAGRAM])
+        for key, service, version, _ in streams:
+            for address in self._routers.list_holders(key, HOLDER_COUNT):
+                notes[address].append((key, service, version))
+        for address, listed in notes.items():
+            for begin in range(0, len(listed), NOTES_PER_DATAGRAM):
+                note = Note(listed[begin : begin + NOTES_PER_DATAGRAM])
                 self._send(address, msgspec.msgpack.encode(note))
 
-    def _remove_expired(self, unsent, now):
-        begin = now - stream_versions.MAX_STREAM_AGE_MS
-        while unsent and unsent[0][2] < begin:
-            unsent.popleft()
-
-    def _is_needed(self, service):
-        """Return whether a router may not know a version by itself."""
-        return len(self._record.list_known(service)) != 1 or self._is_stale()
-
     def ask(self, key):
         """Return the Origin of a stream if another router knows it, or None.
 
@@ -200,3 +205,9 @@
         inquiry.answers[address] = answer.origin
         if answer.origin or set(inquiry.answers) == inquiry.expected:
             inquiry.is_done.set()
+
+
+def _remove_older(streams, begin):
+    """Remove the streams that began before a time."""
+    while streams and streams[0][3] < begin:
+        streams.popleft()
--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -108,10 +108,6 @@
             if (service, version) not in self._missing
         }
 
-    def list_known(self, service):
-        """Return the versions in the record when it was last read."""
-        return set(self._get_appearances(service))
-
     def list_services(self):
         """Return the services whose record was read in the present era."""
         return [name for name in self._views if self._is_current(name)]
--- a/galenaspoke/edge/streams/version_tracking.py
+++ b/galenaspoke/edge/streams/version_tracking.py
@@ -58,7 +58,6 @@
         )
         self.notes = version_notes.VersionNotes(
             streams,
-            self.record,
             members.routers,
             send,
             clock,
