Fix: a report on a connection doesn't end the request

Callers would see: every stream that may be resumed, and whose target is in doubt, ends with a closed connection.

Why it works: the report is counted as a request, so the connection was used when the request after it is sent; was_used says before that whether another request came before the report.

--- a/galenaspoke/edge/targets/incarnations.py
+++ b/galenaspoke/edge/targets/incarnations.py
@@ -179,8 +179,7 @@
         ) as exc:
             self._metrics.count('incarnations.unreadable')
             raise connections.NotSent(f'report: {exc}') from exc
-        was_used, conn.was_used = conn.was_used, True
-        if not born and was_used:
+        if not born and conn.was_used:
             # It may be a second response to the request before.
             return False
         if not born:
