Fix: a late settlement doesn't vouch for plans that were removed

Callers would see: a stream of a plan that a router still follows goes on at another version, after more than 48 plans.

Cause: the record drops the oldest plan when there are too many, also one that hasn't ended, and then takes no past for known. The news that an even earlier plan is settled, which was late, made it known again.

Evidence: test_late_settlement_of_a_plan_that_was_removed, before: 'AssertionError: 10000 is not None'.

Why it works: the past counts as known only once all follow a plan that is no earlier than the first one left, hence later than all that were removed.

--- a/galenaspoke/edge/streams/service_versions.py
+++ b/galenaspoke/edge/streams/service_versions.py
@@ -96,7 +96,9 @@
         for name in set(answered) & set(self.silent):
             del self.silent[name]
             is_changed = True
-        if self.complete_since_ms is None:
+        # A router may follow a plan that was removed before it had ended.
+        covers_removed = not self.plans or number >= self.plans[0].number
+        if self.complete_since_ms is None and covers_removed:
             self.complete_since_ms = wall_ms
             is_changed = True
         for index, plan in enumerate(self.plans):
--- a/tests/edge/test_version_plans.py
+++ b/tests/edge/test_version_plans.py
@@ -98,6 +98,29 @@
         self.assertEqual({'v2', None}, found)
 
 
+class ManyPlansTest(unittest.TestCase):
+    """More plans than the record holds."""
+
+    # Guards against a plan that counts as ended since it was removed, though a
+    # router may follow it: the news that an earlier one is settled came late.
+    def test_late_settlement_of_a_plan_that_was_removed(self):
+        versions = service_versions.ServiceVersions({'v1': 1, 'v2': 1})
+        versions.add_plan({'v1': 16}, 1, 0)
+        versions.settle(1, 0)
+        for number in range(service_versions.MAX_PLANS + 5):
+            units = 1 + number % 2
+            versions.add_plan(
+                {'v1': units, 'v2': 16 - units}, number + 2, number
+            )
+        self.assertIsNone(versions.complete_since_ms)
+        self.assertGreater(versions.plans[0].number, 3)
+        # A router may still follow the plan 3.
+        versions.settle(2, 10_000)
+        self.assertIsNone(versions.complete_since_ms)
+        versions.settle(versions.plan_count, 20_000)
+        self.assertEqual(20_000, versions.complete_since_ms)
+
+
 class RecordedPlansTest(test_version_record.RecordTestCase):
     """The plans in the store's record."""
 
