Fix: a datagram about a service without a record is ignored

Callers would see: streams that are refused, since the router receives no datagrams any more: no notes, no answers, no news of plans.

Cause: Settled with the number 0, for a service whose record this router has not read, raised a KeyError and ended the greenlet. Routers send no such number; what comes in a datagram may be anything.

Evidence: test_odd_statement_that_a_plan_is_settled, before: KeyError: 'unknown', in mark_settled.

Why it works: plans have numbers from 1 on, and a service without a record has none.

--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -149,7 +149,7 @@
 
     def mark_settled(self, service, number):
         """Take another router's word that all follow a plan."""
-        if number == self.get_plan_number(service):
+        if number > 0 and number == self.get_plan_number(service):
             self._views[service].is_settled = True
 
     def find_version(self, versions, key, max_age_ms):
--- a/tests/edge/test_plan_agreement.py
+++ b/tests/edge/test_plan_agreement.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from galenaspoke.edge.streams import plan_agreement
 from galenaspoke.edge.streams import service_versions
 from galenaspoke.edge.streams import version_record
@@ -109,6 +111,16 @@
         self.fleet.exchange()
         self.assertEqual({}, self.read_record().silent)
 
+    # Guards against a datagram that ends the greenlet which receives them.
+    def test_odd_statement_that_a_plan_is_settled(self):
+        desk = self.fleet.desks['front-0']
+        for number in (0, -1, 7):
+            message = plan_agreement.Settled('unknown', 0, number)
+            desk.plan_agreement.handle(
+                msgspec.msgpack.encode(message), 'front-1'
+            )
+        self.assertTrue(self.read_record().is_settled())
+
     # Guards against an author that waits for ever for a router that has left.
     def test_router_that_has_stopped_is_not_asked(self):
         self.fleet.members['front-2'].unregister()
