Fix: a router that restarts stays in the list of routers

Callers would see: a stream that goes on at another version, where the router that began it is cut off: nobody asks that one which plan it follows.

Cause: a router that stops removes itself from the list. The store may do that write seconds later. The next process under that name found the old record, wrote nothing, and took itself for registered; then the write removed it, and nothing added it again. It also kept the address of the process before.

Evidence: test_router_that_restarts_while_its_removal_is_late, before: "AssertionError: 'front-2' not found in {'front-1': 'front-1'}".

Why it works: the new process replaces the record by its own, which differs by the name of the holder, so the condition of the late write doesn't hold any more. It costs a write for each start that finds an old record.

--- a/galenaspoke/edge/membership/members.py
+++ b/galenaspoke/edge/membership/members.py
@@ -251,10 +251,13 @@
     def _add(self, shard, earlier):
         """Add this router; return UNCHANGED if it is in the shard already.
 
-        `earlier` is this instance's record in an earlier era, or None.
+        The record of an earlier process is replaced, so that a late write with
+        which that one removes itself comes to nothing.  `earlier` is this
+        instance's record in an earlier era, or None.
         """
         member = shard.members.get(self._name)
-        if member is not None and not self._store.has_eras:
+        is_own = member is not None and member.holder == self.holder_name
+        if is_own and not self._store.has_eras:
             return base.UNCHANGED
         if member is not None and member.holder != self.holder_name:
             self._has_predecessor = True
