Fix: a router that answers again isn't taken for silent for good

Callers would see: a stream that goes on at another version, which a router that was cut off for some seconds began by an old plan.

Cause: routers that don't answer for 10 s are on record with the time, and nobody waits for one that has been there for 40 minutes. Its name was removed only when the plan was settled, and then only if it hadn't been there for 40 minutes. While a lost machine keeps a plan open for that long, each router that is silent for 10 s once stays on record; from then on the next cut of 10 s ended its plan.

Evidence: test_router_that_was_silent_once_is_waited_for, before: 'AssertionError: True is not false' (settled while front-1 begins streams).

Why it works: a router whose name has been there for over 5 minutes removes it in the same change by which it takes over what the record says. So one that is still there after 40 minutes has read nothing for 35, and begins no streams after 30. It costs a write for each such router once.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -153,7 +153,7 @@
         )
         streams = stream_versions.StreamVersions(self.clock)
         self._version_record = version_record.VersionRecord(
-            store, self.clock, self._members.is_registered
+            store, self.clock, self._members.is_registered, cfg.name
         )
         # Bound by `start`.
         self._datagrams = datagrams.Datagrams()
--- a/galenaspoke/edge/streams/service_versions.py
+++ b/galenaspoke/edge/streams/service_versions.py
@@ -23,6 +23,9 @@
 # A plan that was replaced this long ago has ended, even if a router has never
 # said that it follows a later one.
 PLAN_EXPIRY_MS = MAX_UNREAD_MS + 600_000
+# A router that reads the record and has been on record as silent for so long
+# says that it isn't.  It is far less than PLAN_EXPIRY_MS - MAX_UNREAD_MS.
+MAX_SILENCE_MS = 300_000
 
 
 class ServiceVersions(msgspec.Struct):
@@ -75,6 +78,18 @@
             self.silent.setdefault(name, wall_ms)
         return len(self.silent) > before
 
+    def end_silence(self, name, wall_ms):
+        """Record that a router reads the record; return whether that is news.
+
+        Without that, one which answers again would stay on record as silent
+        while another one keeps the plan open.
+        """
+        since_ms = self.silent.get(name)
+        if since_ms is None or wall_ms - since_ms <= MAX_SILENCE_MS:
+            return False
+        del self.silent[name]
+        return True
+
     def list_unused(self, wall_ms):
         """Return the routers that certainly begin no streams.
 
--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -66,13 +66,15 @@
 
     `is_registered()` returns whether this router is in the list of routers.
     Until then it doesn't read the record, because nobody would ask it which
-    plan it follows.  Times are in ms of the clock.
+    plan it follows.  `name` is the router's in that list.  Times are in ms of
+    the clock.
     """
 
     __slots__ = (
         '_store',
         '_clock',
         '_is_registered',
+        '_name',
         '_views',
         '_missing',
         '_wanted',
@@ -80,10 +82,11 @@
         '_wall_offset_ms',
     )
 
-    def __init__(self, store, clock, is_registered=lambda: True):
+    def __init__(self, store, clock, is_registered=lambda: True, name=''):
         self._store = store
         self._clock = clock
         self._is_registered = is_registered
+        self._name = name
         # The wall clock may step and the monotonic one stops while the machine
         # is suspended; both together bound the time.
         self._wall_offset_ms = clock.wall() - clock.now()
@@ -340,11 +343,17 @@
             era = self._store.era
             return self._make_key(service)
 
+        def change_and_speak(versions):
+            _, latest_ms = self._bound_wall_ms()
+            is_news = versions.end_silence(self._name, latest_ms)
+            result = change(versions)
+            return True if is_news else result
+
         _, versions = base.update(
             self._store,
             make_key,
             service_versions.ServiceVersions,
-            change,
+            change_and_speak,
         )
         view = _View(era, versions, read_at)
         # Another task may have read a later plan meanwhile.
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -216,6 +216,7 @@
             store,
             self.clock,
             members.is_registered if members else lambda: True,
+            members._name if members else '',
         )
         self.plan_agreement = plan_agreement.PlanAgreement(
             self.version_record,
