Fix: what is meant for one era of the store changes nothing in the next

Callers would see: streams that go on at another version, or none that begin or go on, after the store came back from a copy.

Cause: the key of the record is computed anew for each try of a change, so a change that waits for the store while the era rises goes on in the new era's record. A settlement ended plans there by the number of another era; a router that wasn't in the new list of routers yet took a plan over, of which nobody asked it; and a plan had a revision of the former era, which is higher than those that come. Questions about a plan went on as those about the plan with the same number in the new era, and all answers to them were ignored.

Why it works: the change is left out if the era differs from that in which it was called, and the era belongs to what a round is about. Before the first response of the store nothing of another era can be meant.

--- a/galenaspoke/edge/streams/plan_agreement.py
+++ b/galenaspoke/edge/streams/plan_agreement.py
@@ -96,6 +96,10 @@
         self.send_at = now
         self.listed_at = now
 
+    def is_about(self, era, number):
+        """Return whether it is about the plan with a number in an era."""
+        return (self.era, self.number) == (era, number)
+
     def record_answer(self, address):
         """Record that the router at an address follows the plan."""
         self.pending = {
@@ -165,7 +169,7 @@
             self._rounds.pop(service, None)
             return
         current = self._rounds.get(service)
-        if current is None or current.number != number:
+        if current is None or not current.is_about(self._store.era, number):
             if not self._is_turn(service, number):
                 return
             current = self._begin_round(service, number)
--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -328,14 +328,20 @@
             return True if is_changed else base.UNCHANGED
 
         versions = self._change(service, change)
-        if versions.plan_count > plans_before['count']:
+        count_before = plans_before.get('count', versions.plan_count)
+        if versions.plan_count > count_before:
             self._own_numbers[service] = versions.plan_count
         for version in returned | ended:
             self._missing.pop((service, version), None)
 
     def _change(self, service, change):
-        """Change the record, and take over what it says then; return it."""
+        """Change the record, and take over what it says then; return it.
+
+        What was meant for an era that has ended changes nothing.
+        """
         era = None
+        # None until the store has stated one.
+        began_in = self._store.era if self._store.has_eras else None
         read_at = (self._clock.now(), self._clock.wall())
 
         def make_key():
@@ -344,6 +350,8 @@
             return self._make_key(service)
 
         def change_and_speak(versions):
+            if began_in not in (None, era):
+                return base.UNCHANGED
             _, latest_ms = self._bound_wall_ms()
             is_news = versions.end_silence(self._name, latest_ms)
             result = change(versions)
@@ -358,7 +366,8 @@
         view = _View(era, versions, read_at)
         # Another task may have read a later plan meanwhile.
         is_later = view.get_number() >= self.get_plan_number(service)
-        if era == self._store.era and is_later:
+        is_same_era = began_in in (None, era) and era == self._store.era
+        if is_same_era and is_later:
             self._views[service] = view
         return versions
 
--- a/tests/edge/test_late_removals.py
+++ b/tests/edge/test_late_removals.py
@@ -1,4 +1,4 @@
-"""Routers that restart while the end of their last process is being written."""
+"""Routers that restart while the end of their last process is written."""
 
 import itertools
 import unittest
@@ -48,4 +48,3 @@
             return decode(*args)
 
         return run
-
--- a/tests/edge/test_silent_routers.py
+++ b/tests/edge/test_silent_routers.py
@@ -57,4 +57,3 @@
         self.wait_for_silent(plan_agreement.RELIST_MS + 1)
         self.assertTrue(self.fleet.begin('front-1', 1).events)
         self.assertFalse(self.read_record().is_settled())
-
