Fix: an event that comes in many pieces costs its bytes once

Callers would see: all requests of a router late, while a faulty target drips a long event.

Cause: each piece made the splitter search everything that was pending.

--- a/galenaspoke/edge/streams/sse.py
+++ b/galenaspoke/edge/streams/sse.py
@@ -11,6 +11,7 @@
 import re
 
 _BLANK_LINE = re.compile(rb'\r?\n\r?\n|\r\r')
+_MAX_BLANK_LINE_BYTES = 4
 # An id that contains NUL is ignored.
 _ID_LINE = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n\0]*)(?=[\r\n])')
 _DATA_LINE = re.compile(rb'(?:^|[\r\n])data[:\r\n]')
@@ -41,10 +42,12 @@
 
     def feed(self, data):
         """Add bytes; return the events that are complete now."""
+        # What was pending holds no blank line, but maybe the start of one.
+        begin = max(0, len(self._pending) - _MAX_BLANK_LINE_BYTES + 1)
         self._pending += data
         events = []
         start = 0
-        for match in _BLANK_LINE.finditer(self._pending):
+        for match in _BLANK_LINE.finditer(self._pending, begin):
             raw = self._pending[start : match.end()]
             ids = _ID_LINE.findall(raw)
             events.append(Event(raw, ids[-1].decode('latin-1') if ids else ''))
