--- a/tests/edge/test_streams_after_moves.py
+++ b/tests/edge/test_streams_after_moves.py
@@ -99,3 +99,20 @@
             fleet.streams.append(stream)
             streams.append(stream)
         self.resume_all(fleet, streams)
+
+    # Guards against a stream that a router which is cut off begins at the old
+    # service, long after the others have learned of the move.
+    def test_router_that_does_not_learn_of_the_move(self):
+        fleet = self.make_fleet(('pool', 1.0))
+        behind = fleet.desks['front-0'].config_view.catalog
+        fleet.network.cut_off('front-0')
+        self.configure(fleet, ('other', 1.0))
+        fleet.desks['front-0'].config_view.catalog = behind
+        # The others learn of the move, and for how long callers wait.
+        fleet.begin('front-1')
+        fleet.begin('front-2')
+        fleet.clock.advance(OVER_MS)
+        fleet.exchange()
+        streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
+        self.assertTrue(all(stream.events for stream in streams))
+        self.resume_all(fleet, streams)
--- a/tests/edge/test_streams_after_power_loss.py
+++ b/tests/edge/test_streams_after_power_loss.py
@@ -198,6 +198,15 @@
         fleet.timeout_ms = LONG_WAIT_MS
         self.resume_all(fleet, streams, names_request=False)
 
+    # Guards against the same where the others have less time left by then than
+    # that caller had.
+    def test_one_caller_waits_for_less_than_others_have_left(self):
+        fleet, streams = self.begin_before_release(LONG_WAIT_MS - 10_000)
+        fleet.timeout_ms = version_fleets.TIMEOUT_MS
+        self.begin_streams(fleet)
+        fleet.timeout_ms = LONG_WAIT_MS
+        self.resume_all(fleet, streams, names_request=False)
+
     def test_callers_were_heard_of(self):
         fleet, streams = self.begin_before_release(15_000)
         later = self.begin_streams(fleet)
