Fix: a connection that only seems to be open doesn't vouch for a new one

Callers would see: a stream that begins or goes on at another version, at a router that doesn't follow the store.

Cause: a new connection was taken for one to the incarnation in the entry if an earlier one was still open. If the link was cut when that process ended, its close arrives only when it is sent again, up to the keepalive's 3 s later; a new connection reaches the next process before that.

Why it works: bytes that came after the new connection was opened show that the process lived then. While the entries are followed without delay all is as it was.

--- a/galenaspoke/edge/targets/incarnations.py
+++ b/galenaspoke/edge/targets/incarnations.py
@@ -7,7 +7,9 @@
 holds:
 
 - a report on it said so;
-- another such connection is still open after it was opened;
+- another such connection is still open, and either this router follows the
+  targets' entries without delay, or it has brought something since this one
+  was opened: after a cut of the link it may seem to be open for a while;
 - nothing has shown since the last report that the process may have ended, and
   this router follows the targets' entries without delay.
 
@@ -83,9 +85,12 @@
         """
         if conn in self._confirmed:
             return True
-        is_alive = any(
-            known.is_open_and_empty() for known in self._confirmed
-        ) or (not self._may_have_ended and is_in_step())
+        is_followed = is_in_step()
+        is_alive = (is_followed and not self._may_have_ended) or any(
+            (is_followed or known.has_received_since(conn.opened_at))
+            and known.is_open_and_empty()
+            for known in self._confirmed
+        )
         # It may have ended since the connection was made.
         if not is_alive or not conn.is_open_and_empty():
             return False
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -56,6 +56,8 @@
 
     __slots__ = (
         'parser',
+        'opened_at',
+        'received_at',
         'idle_since',
         'idle_timeout_ms',
         'request_count',
@@ -71,6 +73,10 @@
 
     def __init__(self, sock, max_body_bytes=messages.MAX_BODY_BYTES):
         self.parser = messages.ResponseParser(max_body_bytes)
+        # When it was made, and when bytes were received last, None if never;
+        # on the monotonic clock in s.
+        self.opened_at = time.monotonic()
+        self.received_at = None
         # How many requests were sent here.
         self.request_count = 0
         # The ids of the requests that were sent here, see `can_carry`; its
@@ -192,6 +198,7 @@
         if not data:
             self.parser.feed_eof()
             return False
+        self.received_at = time.monotonic()
         self._unyielded_bytes += len(data)
         if self._unyielded_bytes >= YIELD_BYTES:
             self._unyielded_bytes = 0
@@ -254,6 +261,10 @@
         """Return whether an idle connection is open with nothing to read."""
         return is_open_and_empty(self._sock)
 
+    def has_received_since(self, opened_at):
+        """Return whether bytes were received after a time."""
+        return self.received_at is not None and self.received_at >= opened_at
+
     def is_closed(self):
         """Return whether `close` was called."""
         return self._sock.fileno() < 0
