Fix: updates of the record go on where a new era has no plan yet

Callers would see: streams that are refused at a router until it is restarted, after the store came back from a copy.

Cause: the log line about the plan in force was also written when a plan was followed by none: the first author in the new era couldn't follow the targets, so it wrote versions only. AttributeError ended the greenlet.

Evidence: test_updates_go_on_where_there_is_no_plan_yet, before: "'NoneType' object has no attribute 'number'", 'True is not false'.

Why it works: no line is written where there is no plan.

--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -420,7 +420,7 @@
             for service in list_services():
                 update_from_view(record, service, target_view)
                 plan = record.get_plan(service)
-                if plan != logged_plans.get(service):
+                if plan and plan != logged_plans.get(service):
                     logged_plans[service] = plan
                     _log_plan(journal, service, plan, target_view.watcher)
             is_failing = False
--- a/tests/edge/test_plans_of_other_eras.py
+++ b/tests/edge/test_plans_of_other_eras.py
@@ -1,7 +1,9 @@
 """Plans of versions around the moment at which the store changes its era."""
 
 import unittest
+from unittest import mock
 
+import gevent
 import msgspec
 
 from galenaspoke.edge.membership import router_list
@@ -123,3 +125,32 @@
         """Let the second router put a service's first plan in force."""
         self.store.objects.clear()
         self.second.update('pool', {'v1'}, {'v1': 2}, 1)
+
+    # Guards against updates that end for good because the record of a new era
+    # has no plan yet: its first author couldn't follow the targets.
+    def test_updates_go_on_where_there_is_no_plan_yet(self):
+        view = mock.Mock()
+        view.is_stale.return_value = False
+        view.watcher.revision = 9
+        view.count_versions.return_value = {'v1': 1}
+        view.directory.list_versions.return_value = {'v1'}
+        with mock.patch.object(version_record, 'UPDATE_INTERVAL_S', 0.001):
+            task = gevent.spawn(
+                version_record.run_updates,
+                self.second,
+                lambda: ['pool'],
+                view,
+                lambda: 0,
+                base.Recorder(),
+            )
+            self.addCleanup(task.kill)
+            base.wait_until(lambda: self.second.get_plan('pool'))
+            view.is_stale.return_value = True
+            self.store.era = 2
+            base.wait_until(lambda: self.second.list_services())
+            gevent.sleep(0.02)
+            self.assertIsNone(self.second.get_plan('pool'))
+            view.is_stale.return_value = False
+            gevent.sleep(0.02)
+            self.assertFalse(task.dead)
+            self.assertIsNotNone(self.second.get_plan('pool'))
