--- a/galenaspoke/edge/membership/members.py
+++ b/galenaspoke/edge/membership/members.py
@@ -141,6 +141,11 @@
         self._wake = event.Event()
         store.add_era_listener(self._begin_era)
 
+    @property
+    def name(self):
+        """The name of this router."""
+        return self._name
+
     def may_draw(self):
         """Return whether this router may draw tokens from the ledger."""
         if not self._store.has_eras:
@@ -251,10 +256,13 @@
     def _add(self, shard, earlier):
         """Add this router; return UNCHANGED if it is in the shard already.
 
-        `earlier` is this instance's record in an earlier era, or None.
+        The record of an earlier process is replaced, so that a late write with
+        which that one removes itself comes to nothing.  `earlier` is this
+        instance's record in an earlier era, or None.
         """
         member = shard.members.get(self._name)
-        if member is not None and not self._store.has_eras:
+        is_own = member is not None and member.holder == self.holder_name
+        if is_own and not self._store.has_eras:
             return base.UNCHANGED
         if member is not None and member.holder != self.holder_name:
             self._has_predecessor = True
--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -66,13 +66,15 @@
 
     `reached` is false if nothing was sent to the target; `refused` is true if
     that is because nothing listens at its address.  `misdirected` is true if
-    another target has the address now.
+    another target has the address now, `unidentified` if it didn't say in time
+    which one it is.
     """
 
     why: str
     reached: bool = True
     misdirected: bool = False
     refused: bool = False
+    unidentified: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/galenaspoke/edge/serving/admission.py
+++ b/galenaspoke/edge/serving/admission.py
@@ -11,6 +11,7 @@
 
 from galenaspoke.edge import outcomes
 from galenaspoke.edge.serving import request_context
+from galenaspoke.edge.streams import resumption
 from galenaspoke.edge.streams import stream_versions
 
 # Bounds of random retry-after times.
@@ -18,7 +19,7 @@
 POISON_RETRY_AFTER_MS = (20_000, 30_000)
 # Streams that began by a configuration which was replaced longer ago aren't
 # resumed any more.
-KEEP_CATALOG_MS = 2 * stream_versions.MAX_STREAM_AGE_MS
+KEEP_CATALOG_MS = resumption.CONFIG_LAG_MS + stream_versions.MAX_STREAM_AGE_MS
 
 _SPLIT_POINT_BYTES = 8
 
--- a/galenaspoke/edge/serving/attempt_recorder.py
+++ b/galenaspoke/edge/serving/attempt_recorder.py
@@ -84,8 +84,11 @@
             return False
         if outcome.reached:
             return False
-        target.incarnation.record_silence()
-        is_ejected = target.health.record_failure(self._clock.now(), True)
+        # Other requests may be served where a report is slow.
+        is_certain = not outcome.unidentified
+        is_ejected = target.health.record_failure(
+            self._clock.now(), is_certain
+        )
         if outcome.refused:
             self._target_view.record_down(target)
             self._poison_detector.record_target_down(target.entry.identity())
@@ -93,8 +96,6 @@
 
     def _record_unknown(self, context, target, outcome, events):
         """Return whether the target is ejected."""
-        if not outcome.cut_off:
-            target.incarnation.record_silence()
         is_ejected = target.health.record_failure(self._clock.now())
         if outcome.cut_off and events <= poison.MAX_SUSPECT_EVENTS:
             self._poison_detector.record_cut_off(
--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -90,6 +90,7 @@
                 str(exc),
                 reached=False,
                 misdirected=isinstance(exc, incarnations.OtherIncarnation),
+                unidentified=isinstance(exc, incarnations.Unidentified),
                 refused=isinstance(exc, connections.Refused),
             )
         response = None
--- a/galenaspoke/edge/streams/resumption.py
+++ b/galenaspoke/edge/streams/resumption.py
@@ -30,7 +30,7 @@
 PLAN_WAIT_MS = 500
 PLAN_POLL_INTERVAL_S = 0.05
 # How much later than this router others may learn of a configuration.
-CONFIG_LAG_MS = 2_000
+CONFIG_LAG_MS = 120_000
 
 _KEY_BYTES = 12
 
--- a/galenaspoke/edge/streams/version_plans.py
+++ b/galenaspoke/edge/streams/version_plans.py
@@ -22,8 +22,9 @@
 # A plan states shares in units of 1/SHARE_UNITS.  Few units mean that a
 # release that replaces many targets changes the plan only so many times.
 SHARE_UNITS = 16
-# How much the wall clocks of two routers may differ, steps aside.
-CLOCK_ERROR_MS = 1_000
+# How much the wall clocks of two routers may differ, also if one of them
+# stepped before its router started.
+CLOCK_ERROR_MS = 3_000
 _KEY_BYTES = 12
 
 
--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -63,13 +63,15 @@
 
     `is_registered()` returns whether this router is in the list of routers.
     Until then it doesn't read the record, because nobody would ask it which
-    plan it follows.  Times are in ms of the clock.
+    plan it follows.  `name` is the router's in that list.  Times are in ms of
+    the clock.
     """
 
     __slots__ = (
         '_store',
         '_clock',
         '_is_registered',
+        '_name',
         '_views',
         '_missing',
         '_wanted',
@@ -77,10 +79,11 @@
         '_wall_offset_ms',
     )
 
-    def __init__(self, store, clock, is_registered=lambda: True):
+    def __init__(self, store, clock, is_registered=lambda: True, name=''):
         self._store = store
         self._clock = clock
         self._is_registered = is_registered
+        self._name = name
         # The wall clock may step and the monotonic one stops while the machine
         # is suspended; both together bound the time.
         self._wall_offset_ms = clock.wall() - clock.now()
@@ -142,7 +145,7 @@
 
     def mark_settled(self, service, number):
         """Take another router's word that all follow a plan."""
-        if number == self.get_plan_number(service):
+        if number > 0 and number == self.get_plan_number(service):
             self._views[service].is_settled = True
 
     def find_version(self, versions, key, max_age_ms):
@@ -318,14 +321,20 @@
             return True if is_changed else base.UNCHANGED
 
         versions = self._change(service, change)
-        if versions.plan_count > plans_before['count']:
+        count_before = plans_before.get('count', versions.plan_count)
+        if versions.plan_count > count_before:
             self._own_numbers[service] = versions.plan_count
         for version in returned | ended:
             self._missing.pop((service, version), None)
 
     def _change(self, service, change):
-        """Change the record, and take over what it says then; return it."""
+        """Change the record, and take over what it says then; return it.
+
+        What was meant for an era that has ended changes nothing.
+        """
         era = None
+        # None until the store has stated one.
+        began_in = self._store.era if self._store.has_eras else None
         read_at = (self._clock.now(), self._clock.wall())
 
         def make_key():
@@ -333,16 +342,26 @@
             era = self._store.era
             return self._make_key(service)
 
+        def change_and_speak(versions):
+            if began_in not in (None, era):
+                return base.UNCHANGED
+            _, latest_ms = self._bound_wall_ms()
+            is_news = versions.end_silence(self._name, latest_ms)
+            result = change(versions)
+            return True if is_news else result
+
         _, versions = base.update(
             self._store,
             make_key,
             service_versions.ServiceVersions,
-            change,
+            change_and_speak,
         )
+        self._wanted.pop(service, None)
         view = _View(era, versions, read_at)
         # Another task may have read a later plan meanwhile.
         is_later = view.get_number() >= self.get_plan_number(service)
-        if era == self._store.era and is_later:
+        is_same_era = began_in in (None, era) and era == self._store.era
+        if is_same_era and is_later:
             self._views[service] = view
         return versions
 
--- a/galenaspoke/edge/streams/version_tracking.py
+++ b/galenaspoke/edge/streams/version_tracking.py
@@ -54,7 +54,7 @@
         self._logged_plans = {}
         streams = stream_versions.StreamVersions(clock)
         self.record = version_record.VersionRecord(
-            store, clock, members.is_registered
+            store, clock, members.is_registered, members.name
         )
         self.notes = version_notes.VersionNotes(
             streams,
@@ -142,7 +142,7 @@
     def _log_plan(self, service):
         """Log a plan that this router follows from now on."""
         plan = self.record.get_plan(service)
-        if plan == self._logged_plans.get(service):
+        if plan is None or plan == self._logged_plans.get(service):
             return
         self._logged_plans[service] = plan
         self._journal.note(
--- a/galenaspoke/edge/targets/directory.py
+++ b/galenaspoke/edge/targets/directory.py
@@ -2,7 +2,6 @@
 
 from galenaspoke.edge.targets import cold_start
 from galenaspoke.edge.targets import health
-from galenaspoke.edge.targets import incarnations
 from galenaspoke.edge.targets import pace
 from galenaspoke.edge.targets import rate_limits
 from galenaspoke.edge.targets import wait_estimates
@@ -27,7 +26,7 @@
 
     __slots__ = (
         'entry',
-        'incarnation',
+        'is_identifiable',
         'health',
         'wait_estimator',
         'pace',
@@ -41,7 +40,8 @@
 
     def __init__(self, entry, get_share):
         self.entry = entry
-        self.incarnation = incarnations.Incarnation(entry.born)
+        # Whether a report could show that another incarnation has its address.
+        self.is_identifiable = entry.born != 0
         self.health = health.Health()
         self.wait_estimator = wait_estimates.WaitEstimator()
         self.pace = pace.Pace()
--- a/galenaspoke/edge/targets/incarnations.py
+++ b/galenaspoke/edge/targets/incarnations.py
@@ -3,15 +3,11 @@
 A target may start again under its id and address, with other software, before
 this router learns of it.  No response names the incarnation that made it, but
 a report does, and a connection doesn't outlive the process at its other end.
-So a connection leads to the incarnation in the target's entry if one of these
-holds:
-
-- a report on it said so;
-- another such connection is still open after it was opened.
-
-Else the target is asked for a report on that very connection.  That this
-router follows the targets' entries tells too little: a target that can't reach
-the store doesn't write its new one.
+So each connection is asked for a report before it carries the first stream
+whose version matters.  That this router follows the targets' entries, or that
+another connection seems to be open, tells too little: a target that can't
+reach the store doesn't write its new entry, and the end of a connection may be
+lost with a link.
 
 Example::
 
@@ -19,8 +15,6 @@
     conn.send(request)
 """
 
-from gevent import lock
-
 from galenaspoke.http import connections
 
 # How long a target may take to send a report.
@@ -31,53 +25,8 @@
     """Another incarnation has the target's address: nothing was sent."""
 
 
-class Incarnation:
-    """What is known of the process at a target's address.
-
-    `born` is that of the target's entry, 0 if it states none.
-    """
-
-    __slots__ = ('born', 'checks', '_confirmed')
-
-    def __init__(self, born):
-        self.born = born
-        # Held during a check, so that one check serves all that wait.
-        self.checks = lock.BoundedSemaphore()
-        # The connections that lead to it for certain.
-        self._confirmed = []
-
-    def is_comparable(self):
-        """Return whether a report could show that it is another one."""
-        return self.born != 0
-
-    def record_unstated(self):
-        """Record that the target's reports don't state `born`."""
-        self.born = 0
-
-    def record_silence(self):
-        """Record that the target was silent.
-
-        Connections may then seem to be open although the process has ended.
-        """
-        self._confirmed = []
-
-    def confirm(self, conn):
-        """Record that a connection leads to it."""
-        self._confirmed = [
-            known for known in self._confirmed if not known.is_closed()
-        ]
-        self._confirmed.append(conn)
-
-    def is_reached_by(self, conn):
-        """Return whether an open connection leads to it for certain."""
-        if conn in self._confirmed:
-            return True
-        is_alive = any(known.is_open_and_empty() for known in self._confirmed)
-        # It may have ended since the connection was made.
-        if not is_alive or not conn.is_open_and_empty():
-            return False
-        self.confirm(conn)
-        return True
+class Unidentified(connections.NotSent):
+    """The target didn't say which incarnation it is: nothing was sent."""
 
 
 class IncarnationChecker:
@@ -87,12 +36,7 @@
     with a target and the `born` of the incarnation that was found in place.
     """
 
-    __slots__ = (
-        '_report_codec',
-        '_on_replaced',
-        '_clock',
-        '_metrics',
-    )
+    __slots__ = ('_report_codec', '_on_replaced', '_clock', '_metrics')
 
     def __init__(self, report_codec, on_replaced, clock, metrics):
         self._report_codec = report_codec
@@ -109,48 +53,29 @@
         """
         timeout_s = min(timeout_ms, CHECK_TIMEOUT_MS) / 1000
         conn = target.acquire_connection(self._clock.now(), request_id)
-        if self._confirm(target, conn, timeout_s):
+        if self._identify(target, conn, timeout_s):
             return conn
         conn = target.connect()
-        if self._confirm(target, conn, timeout_s):
+        if self._identify(target, conn, timeout_s):
             return conn
-        raise connections.NotSent('each report ended its connection')
+        raise Unidentified('each report ended its connection')
 
-    def _confirm(self, target, conn, timeout_s):
+    def _identify(self, target, conn, timeout_s):
         """Return whether a connection can be used; close it if it can't.
 
         It can't if the report on it was the last that it carries.
         """
         is_usable = False
         try:
-            is_usable = self._is_confirmed(
-                target, conn
-            ) or self._check_in_turn(target, conn, timeout_s)
+            if target.is_removed:
+                raise connections.NotSent('the target was replaced or removed')
+            is_known = conn.is_identified or not target.is_identifiable
+            is_usable = is_known or self._check(target, conn, timeout_s)
         finally:
             if not is_usable:
                 conn.close()
         return is_usable
 
-    def _is_confirmed(self, target, conn):
-        incarnation = target.incarnation
-        if target.is_removed:
-            raise connections.NotSent('the target was replaced or removed')
-        return not incarnation.is_comparable() or incarnation.is_reached_by(
-            conn
-        )
-
-    def _check_in_turn(self, target, conn, timeout_s):
-        """Check a connection, unless a check of another one tells."""
-        checks = target.incarnation.checks
-        if not checks.acquire(timeout=timeout_s):
-            raise connections.NotSent('another report is awaited')
-        try:
-            return self._is_confirmed(target, conn) or self._check(
-                target, conn, timeout_s
-            )
-        finally:
-            checks.release()
-
     def _check(self, target, conn, timeout_s):
         """Ask for a report; return whether the connection can be used."""
         self._metrics.count('incarnations.checked')
@@ -162,17 +87,19 @@
             ValueError,
         ) as exc:
             self._metrics.count('incarnations.unreadable')
-            raise connections.NotSent(f'report: {exc}') from exc
+            raise Unidentified(f'report: {exc}') from exc
         if not born and conn.was_used:
             # It may be a second response to the request before.
             return False
         if not born:
-            target.incarnation.record_unstated()
-        elif born != target.incarnation.born:
+            # Nothing can be compared.
+            target.is_identifiable = False
+        elif born != target.entry.born:
             self._on_replaced(target, born)
             raise OtherIncarnation(f'report: born {born}')
-        else:
-            target.incarnation.confirm(conn)
+        if target.is_removed:
+            raise connections.NotSent('the target was replaced or removed')
+        conn.is_identified = True
         return conn.is_reusable(response)
 
     def _read_report(self, conn, timeout_s):
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -60,6 +60,7 @@
         'idle_timeout_ms',
         'request_count',
         'request_ids',
+        'is_identified',
         '_sock',
         '_read_until',
         '_unyielded_bytes',
@@ -76,6 +77,8 @@
         # The ids of the requests that were sent here, see `can_carry`; its
         # users add them.
         self.request_ids = set()
+        # Whether the peer has said here that it is the expected process.
+        self.is_identified = False
         self.idle_since = 0
         # How long the peer keeps the connection open while it is idle.
         self.idle_timeout_ms = 0
@@ -254,10 +257,6 @@
         """Return whether an idle connection is open with nothing to read."""
         return is_open_and_empty(self._sock)
 
-    def is_closed(self):
-        """Return whether `close` was called."""
-        return self._sock.fileno() < 0
-
     def interrupt(self, why):
         """Make a greenlet that waits for the peer fail at once.
 
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -156,6 +156,7 @@
     """The only router of a fleet, as `members.Members` shows it."""
 
     def __init__(self, routers):
+        self.name = ''
         self.routers = routers
 
     def is_registered(self):
