--- a/galenaspoke/edge/streams/plan_agreement.py
+++ b/galenaspoke/edge/streams/plan_agreement.py
@@ -39,31 +39,24 @@
 TAKEOVER_MS = 2_000
 
 
-class Follow(msgspec.Struct, tag='follow', array_like=True):
-    """Asks whether a router follows the plan `number` of a service.
-
-    The plan is in the store in that era.
-    """
+class _PlanMessage(msgspec.Struct, array_like=True):
+    """Names a plan of a service, which is in the store in that era."""
 
     service: str
     era: int
     number: int
 
 
-class Following(msgspec.Struct, tag='following', array_like=True):
-    """The plan that a router follows in an era of the store, 0 for none."""
+class Follow(_PlanMessage, tag='follow'):
+    """Asks whether a router follows the plan, or a later one."""
 
-    service: str
-    era: int
-    number: int
 
+class Following(_PlanMessage, tag='following'):
+    """The plan that a router follows; `number` is 0 if there is none."""
 
-class Settled(msgspec.Struct, tag='settled', array_like=True):
-    """States that all routers follow the plan `number` of a service."""
 
-    service: str
-    era: int
-    number: int
+class Settled(_PlanMessage, tag='settled'):
+    """States that all routers follow the plan."""
 
 
 Message = Follow | Following | Settled
--- a/tests/edge/test_plan_agreement.py
+++ b/tests/edge/test_plan_agreement.py
@@ -7,7 +7,6 @@
 from galenaspoke.edge.streams import plan_agreement
 from galenaspoke.edge.streams import service_versions
 from galenaspoke.edge.streams import version_record
-from galenaspoke.store import base as store_base
 from tests.edge import version_fleets
 
 ROUTER_COUNT = 4
@@ -23,21 +22,14 @@
         self.addCleanup(self.fleet.close)
         self.fleet.exchange()
 
-    def read_record(self):
-        """Return what the store has on record."""
-        key = 'softwareversions/pool'
-        return store_base.decode(
-            self.fleet.store.get(key), service_versions.ServiceVersions
-        )
-
     def test_first_plan_is_settled_once_all_have_started(self):
-        self.assertTrue(self.read_record().is_settled())
+        self.assertTrue(self.fleet.read_record().is_settled())
 
     def test_one_router_settles_and_the_others_write_nothing(self):
         before = self.fleet.store.writes
         self.fleet.add_engine('c', 'v2')
         self.fleet.exchange()
-        record = self.read_record()
+        record = self.fleet.read_record()
         self.assertTrue(record.is_settled())
         self.assertEqual(2, len(record.plans))
         # The engine, the plan and that it is settled.
@@ -51,14 +43,14 @@
         self.fleet.add_engine('c', 'v2', routers=('front-3',))
         self.fleet.kill('front-3')
         self.fleet.read_targets()
-        self.assertFalse(self.read_record().is_settled())
+        self.assertFalse(self.fleet.read_record().is_settled())
         # A process that is started again answers for the one before.
         self.fleet.start('front-3')
         for _ in range(ROUTER_COUNT):
             self.fleet.exchange()
             self.fleet.clock.advance(plan_agreement.TAKEOVER_MS)
         self.fleet.exchange()
-        self.assertTrue(self.read_record().is_settled())
+        self.assertTrue(self.fleet.read_record().is_settled())
 
     # Guards against a plan that counts as ended while a router that doesn't
     # answer may follow it.
@@ -68,31 +60,24 @@
         for _ in range(10):
             self.fleet.exchange()
             self.fleet.clock.advance(plan_agreement.RELIST_MS)
-        self.assertFalse(self.read_record().is_settled())
+        self.assertFalse(self.fleet.read_record().is_settled())
         self.fleet.network.heal()
         self.fleet.exchange()
         self.fleet.clock.advance(plan_agreement.MAX_RETRY_MS)
         self.fleet.exchange()
-        self.assertTrue(self.read_record().is_settled())
+        self.assertTrue(self.fleet.read_record().is_settled())
 
     # Guards against plans that stay open for long after each change, because a
     # machine that was lost for good stays in the list of routers.
     def test_router_that_is_lost_for_good_delays_the_end_once(self):
         self.fleet.kill('front-2')
         self.fleet.add_engine('c', 'v2')
-        self.wait_for_silent(service_versions.PLAN_EXPIRY_MS)
-        self.assertTrue(self.read_record().is_settled())
-        self.assertEqual({'front-2'}, set(self.read_record().silent))
+        self.fleet.wait_for_silent(service_versions.PLAN_EXPIRY_MS)
+        self.assertTrue(self.fleet.read_record().is_settled())
+        self.assertEqual({'front-2'}, set(self.fleet.read_record().silent))
         self.fleet.add_engine('d', 'v2')
-        self.wait_for_silent(plan_agreement.RELIST_MS)
-        self.assertTrue(self.read_record().is_settled())
-
-    def wait_for_silent(self, wait_ms):
-        """Let time pass for a router that doesn't answer."""
-        for _ in range(3):
-            self.fleet.exchange()
-            self.fleet.clock.advance(wait_ms)
-        self.fleet.exchange()
+        self.fleet.wait_for_silent(plan_agreement.RELIST_MS)
+        self.assertTrue(self.fleet.read_record().is_settled())
 
     # Guards against a router that goes on without the record after the others
     # have ceased to wait for it.
@@ -100,8 +85,8 @@
         self.fleet.network.cut_off('front-2')
         routers = ('front-0', 'front-1', 'front-3')
         self.fleet.add_engine('c', 'v2', routers=routers)
-        self.wait_for_silent(service_versions.PLAN_EXPIRY_MS)
-        self.assertTrue(self.read_record().is_settled())
+        self.fleet.wait_for_silent(service_versions.PLAN_EXPIRY_MS)
+        self.assertTrue(self.fleet.read_record().is_settled())
         self.assertEqual([], self.fleet.begin('front-2', 1).events)
         self.fleet.network.heal()
         self.fleet.read_targets('front-2')
@@ -109,7 +94,7 @@
         self.assertEqual(1, len(self.fleet.begin('front-2', 1).events))
         self.fleet.add_engine('d', 'v2')
         self.fleet.exchange()
-        self.assertEqual({}, self.read_record().silent)
+        self.assertEqual({}, self.fleet.read_record().silent)
 
     # Guards against a datagram that ends the greenlet which receives them.
     def test_odd_statement_that_a_plan_is_settled(self):
@@ -119,7 +104,7 @@
             desk.versions.agreement.handle(
                 msgspec.msgpack.encode(message), 'front-1'
             )
-        self.assertTrue(self.read_record().is_settled())
+        self.assertTrue(self.fleet.read_record().is_settled())
 
     # Guards against an author that waits for ever for a router that has left.
     def test_router_that_has_stopped_is_not_asked(self):
@@ -127,7 +112,7 @@
         self.fleet.kill('front-2')
         self.fleet.add_engine('c', 'v2')
         self.fleet.exchange()
-        self.assertTrue(self.read_record().is_settled())
+        self.assertTrue(self.fleet.read_record().is_settled())
 
     # Guards against a router that begins streams by a plan of which nobody
     # asks it, because it isn't in the list of routers yet.
@@ -152,7 +137,7 @@
         self.assertEqual(1, lines.count('versions.unsettled'))
         self.fleet.store.down = False
         self.fleet.exchange()
-        self.assertTrue(self.read_record().is_settled())
+        self.assertTrue(self.fleet.read_record().is_settled())
 
     def test_what_is_no_question_is_ignored(self):
         desk = self.fleet.desks['front-0']
@@ -161,4 +146,4 @@
         desk.versions.agreement.handle(
             b'\x94\xa9following\xa4pool\x00\x63', 'front-1'
         )
-        self.assertTrue(self.read_record().is_settled())
+        self.assertTrue(self.fleet.read_record().is_settled())
--- a/tests/edge/test_silent_routers.py
+++ b/tests/edge/test_silent_routers.py
@@ -3,9 +3,7 @@
 import unittest
 
 from galenaspoke.edge.streams import plan_agreement
-from galenaspoke.edge.streams import service_versions
 from galenaspoke.edge.streams import version_record
-from galenaspoke.store import base as store_base
 from tests.edge import version_fleets
 
 ROUTER_COUNT = 4
@@ -23,20 +21,6 @@
         self.addCleanup(self.fleet.close)
         self.fleet.exchange()
 
-    def read_record(self):
-        """Return what the store has on record."""
-        key = 'softwareversions/pool'
-        return store_base.decode(
-            self.fleet.store.get(key), service_versions.ServiceVersions
-        )
-
-    def wait_for_silent(self, wait_ms):
-        """Let time pass for a router that doesn't answer."""
-        for _ in range(3):
-            self.fleet.exchange()
-            self.fleet.clock.advance(wait_ms)
-        self.fleet.exchange()
-
     # Guards against a plan that counts as ended though a router still begins
     # streams by it: it was silent once while another was lost for good.
     def test_router_that_was_silent_once_is_waited_for(self):
@@ -44,16 +28,16 @@
         self.fleet.kill('front-2')
         self.fleet.network.cut_off('front-1')
         self.fleet.add_engine('c', 'v2', routers=others)
-        self.wait_for_silent(plan_agreement.RELIST_MS + 1)
+        self.fleet.wait_for_silent(plan_agreement.RELIST_MS + 1)
         self.fleet.network.heal()
         for _ in range(45):
             self.fleet.read_targets()
             self.fleet.exchange()
             self.fleet.clock.advance(version_record.REREAD_MS + 1)
         self.fleet.exchange()
-        self.assertTrue(self.read_record().is_settled())
+        self.assertTrue(self.fleet.read_record().is_settled())
         self.fleet.network.cut_off('front-1')
         self.fleet.add_engine('d', 'v2', routers=others)
-        self.wait_for_silent(plan_agreement.RELIST_MS + 1)
+        self.fleet.wait_for_silent(plan_agreement.RELIST_MS + 1)
         self.assertTrue(self.fleet.begin('front-1', 1).events)
-        self.assertFalse(self.read_record().is_settled())
+        self.assertFalse(self.fleet.read_record().is_settled())
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -24,7 +24,9 @@
 
 from galenaspoke.core import catalog
 from galenaspoke.edge.serving import caller_connections
+from galenaspoke.edge.streams import service_versions
 from galenaspoke.http import messages
+from galenaspoke.store import base as store_base
 from tests.edge import base
 from tests.edge import handlers
 from tests import fakes
@@ -270,6 +272,20 @@
                     desk.versions.agreement.poll()
             base.settle()
 
+    def wait_for_silent(self, wait_ms):
+        """Let time pass three times for routers that don't answer."""
+        for _ in range(3):
+            self.exchange()
+            self.clock.advance(wait_ms)
+        self.exchange()
+
+    def read_record(self):
+        """Return what the store has on record of the service."""
+        return store_base.decode(
+            self.store.get('softwareversions/pool'),
+            service_versions.ServiceVersions,
+        )
+
     def deliver_listing(self, name, listing):
         """Let a router read an old list of targets."""
         store = self.store
