Fix: a response from the store goes on while it moves, whatever else fails

Cause: `StorePath.call` bounded the whole call, 0.8 s for a list and 1.3 s for a feed, where silence was meant; and any call's failure on a path interrupted the transfer that had delayed it. A try that had been given up began at the first byte, on a way round, and filled the link again.

Change: a time-out bounds the wait for the head. After it, a response may pause for 0.8 s and be as slow as 16 KB/s on average. A path that has just carried a part of a response hasn't failed because another call got no answer in time; connections get 0.8 s in place of 0.25 s while a response moves. A response that has begun is never interrupted. Feeders pass a large change on however long it took, and let nobody join a watch that is older than its bound; late responses without news are dropped as before. `store.path_busy`, `store.slow_response`, bytes in the text of a loss and a counter `feeds.failed` tell slow from silent.

What serves calls for other processes moved to store/relaying.py as it was.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -42,6 +42,7 @@
 from galenaspoke.platform import target_entries
 from galenaspoke.store import feeds
 from galenaspoke.store import paths as store_paths
+from galenaspoke.store import relaying
 from galenaspoke.store import relays
 from galenaspoke.store import unreadable
 
@@ -81,9 +82,12 @@
             self.clock,
             self.journal,
         )
-        self._relayed_calls = store_paths.RelayedCalls()
+        self._relayed_calls = relaying.RelayedCalls()
         self._feeds = feeds.Feeds(
-            cfg.name, self.clock, lambda: self._members.routers.get_count()
+            cfg.name,
+            self.clock,
+            lambda: self._members.routers.get_count(),
+            self._paths.live,
         )
         store = platform_store.Client(
             self._paths,
@@ -256,7 +260,7 @@
             self._unreadable_suspects.note(item.key, 'no suspects')
 
     def _serve_peers(self):
-        relay_app = store_paths.make_relay_app(
+        relay_app = relaying.make_relay_app(
             self._paths, (platform_store.ERA_HEADER,), self._relayed_calls
         )
         lending_app = loan_protocol.make_lending_app(self.budget_manager)
--- a/galenaspoke/edge/relay_main.py
+++ b/galenaspoke/edge/relay_main.py
@@ -21,6 +21,7 @@
 from galenaspoke.platform import store as platform_store
 from galenaspoke.store import feeds
 from galenaspoke.store import paths as store_paths
+from galenaspoke.store import relaying
 from galenaspoke.store import relays
 
 # How long a stop waits for writes, whose senders don't wait much longer.
@@ -43,7 +44,7 @@
     # the process.
     gevent.signal_handler(signal.SIGHUP, journal.note, 'reload')
     address = edge_settings.split_address(cfg.peer_listen)
-    calls = store_paths.RelayedCalls()
+    calls = relaying.RelayedCalls()
     application = _make_app(paths, calls)
     pywsgi.WSGIServer(address, application, log=None).start()
     # This process is dedicated: it serves no callers.
@@ -59,7 +60,7 @@
 def _make_app(paths, calls):
     """Return the application that relays calls and shares watches."""
     headers = (platform_store.ERA_HEADER,)
-    relay_app = store_paths.make_relay_app(paths, headers, calls)
+    relay_app = relaying.make_relay_app(paths, headers, calls)
     feed_app = feeds.make_feed_app(paths.call_direct, headers)
 
     def application(environ, start_response):
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -61,6 +61,8 @@
         'request_count',
         'request_ids',
         'is_identified',
+        'heard_at',
+        'received_bytes',
         '_sock',
         '_read_until',
         '_unyielded_bytes',
@@ -79,6 +81,11 @@
         self.request_ids = set()
         # Whether the peer has said here that it is the expected process.
         self.is_identified = False
+        # When the peer was last heard, on the monotonic clock in s; the
+        # connection itself was made by it.
+        self.heard_at = time.monotonic()
+        # How many bytes have come in all.
+        self.received_bytes = 0
         self.idle_since = 0
         # How long the peer keeps the connection open while it is idle.
         self.idle_timeout_ms = 0
@@ -195,6 +202,8 @@
         if not data:
             self.parser.feed_eof()
             return False
+        self.heard_at = time.monotonic()
+        self.received_bytes += len(data)
         self._unyielded_bytes += len(data)
         if self._unyielded_bytes >= YIELD_BYTES:
             self._unyielded_bytes = 0
--- a/galenaspoke/platform/store.py
+++ b/galenaspoke/platform/store.py
@@ -202,8 +202,11 @@
         response = self._feeds.call(
             _watch_url_path(kind, since, feeds.FEED_WAIT_MS)
         )
-        if response is not None and response.status in _STORE_STATUSES:
-            self._metrics.count(f'feeds.{kind.rstrip("0123456789")}')
+        name = kind.rstrip('0123456789')
+        if response is None:
+            self._metrics.count(f'feeds.failed.{name}')
+        elif response.status in _STORE_STATUSES:
+            self._metrics.count(f'feeds.{name}')
             self._record_era(response, sent_at - feeds.MAX_RESPONSE_AGE_MS)
         return response
 
--- a/galenaspoke/store/feeds.py
+++ b/galenaspoke/store/feeds.py
@@ -7,7 +7,9 @@
 
 A feeder may be paused or cut off without anybody noticing.  So a feed answers
 within `FEED_WAIT_MS` in any case, and a router that gets no answer in time
-asks the store itself.  A response that was delayed in the feeder is dropped.
+asks the store itself.  A response without news that was delayed in the feeder
+is dropped, since it would pass for current.  News are never too late, and a
+large object takes its time on a thin link.
 
 Example::
 
@@ -24,6 +26,7 @@
 
 from galenaspoke.http import connections
 from galenaspoke.store import paths
+from galenaspoke.store import relaying
 from galenaspoke.utils import rendezvous
 
 # URL prefix under which a process shares watches.
@@ -34,6 +37,8 @@
 FEED_SLACK_MS = 300
 # A feeder that failed is not asked again within this time.
 FEEDER_BACKOFF_MS = 5_000
+# A response of this size or more has news; it may be late because it is large.
+MIN_LARGE_BYTES = 16_384
 # How many routers share a feeder.
 ROUTERS_PER_FEEDER = 32
 # A router tries one feeder for each watch, of this many that it prefers.
@@ -53,14 +58,16 @@
     """The feeders that one router uses.
 
     `get_router_count` returns the number of routers, 0 while it isn't known.
+    `live` is the process's Liveness.
     """
 
-    __slots__ = ('_name', '_clock', '_get_router_count', '_paths')
+    __slots__ = ('_name', '_clock', '_get_router_count', '_live', '_paths')
 
-    def __init__(self, name, clock, get_router_count):
+    def __init__(self, name, clock, get_router_count, live=None):
         self._name = name
         self._clock = clock
         self._get_router_count = get_router_count
+        self._live = live
         # StorePath by the feeder's address.
         self._paths = {}
 
@@ -68,7 +75,7 @@
         """Replace the feeders by those at `addresses`."""
         self._paths = {
             address: self._paths.get(address)
-            or paths.StorePath(address, FEED_PREFIX)
+            or paths.StorePath(address, FEED_PREFIX, self._live)
             for address in addresses
         }
 
@@ -112,6 +119,16 @@
         return None
 
 
+class _SharedWatch:
+    """A watch that is under way; `started_at` is in s of the boot clock."""
+
+    __slots__ = ('started_at', 'result')
+
+    def __init__(self, started_at):
+        self.started_at = started_at
+        self.result = event.AsyncResult()
+
+
 class SharedWatches:
     """The watches that a feeder has under way, by URL path.
 
@@ -125,6 +142,7 @@
     def __init__(self, call_direct, read_clock=None):
         self._call_direct = call_direct
         self._read_clock = read_clock or _read_boot_clock
+        # _SharedWatch by URL path.
         self._under_way = {}
 
     def call(self, url_path):
@@ -132,18 +150,19 @@
 
         Raises NotSent, ResponseLost or ReadTimeout.
         """
+        now = self._read_clock()
         shared = self._under_way.get(url_path)
-        if shared is None:
-            shared = self._under_way[url_path] = event.AsyncResult()
+        if shared is None or now - shared.started_at > _TIMEOUT_S:
+            shared = self._under_way[url_path] = _SharedWatch(now)
             gevent.spawn(self._run, url_path, shared)
-        return shared.get()
+        return shared.result.get()
 
     def _run(self, url_path, shared):
-        started_at = self._read_clock()
         result = None
         try:
             result = self._call_direct('GET', url_path, b'', _TIMEOUT_S)
-            if self._read_clock() - started_at > _TIMEOUT_S:
+            is_late = self._read_clock() - shared.started_at > _TIMEOUT_S
+            if is_late and len(result.body) < MIN_LARGE_BYTES:
                 raise connections.ResponseLost('this process was paused')
         except (
             connections.NotSent,
@@ -153,11 +172,12 @@
             result = exc
         finally:
             # Later requests begin a new watch.
-            del self._under_way[url_path]
+            if self._under_way.get(url_path) is shared:
+                del self._under_way[url_path]
             if isinstance(result, Exception):
-                shared.set_exception(result)
+                shared.result.set_exception(result)
             else:
-                shared.set(result)
+                shared.result.set(result)
 
 
 def make_feed_app(call_direct, relayed_headers):
@@ -170,7 +190,7 @@
     def call(_, url_path, __):
         return watches.call(url_path)
 
-    return paths.make_call_app(FEED_PREFIX, call, relayed_headers)
+    return relaying.make_call_app(FEED_PREFIX, call, relayed_headers)
 
 
 def _read_boot_clock():
--- /dev/null
+++ b/galenaspoke/store/liveness.py
@@ -0,0 +1,46 @@
+"""Tells a slow path to the store from a silent one, by the bytes that arrive.
+
+All paths of a process share one `Liveness`, since they share its link.  While
+a response moves, the link is busy: other calls are slow, and a call without an
+answer says nothing against the path that the response comes by.
+
+Example::
+
+    live = Liveness()
+    with live.transfer(conn):
+        live.is_busy()              # True while bytes arrive
+"""
+
+import contextlib
+import time
+
+# A response moves if its latest bytes are no older than this.
+MOVING_TTL_S = 0.4
+
+
+class Liveness:
+    """When a process heard from its peers, on the monotonic clock in s."""
+
+    __slots__ = ('_transfers',)
+
+    def __init__(self):
+        # Connections with a response that has begun and isn't complete.
+        self._transfers = set()
+
+    @contextlib.contextmanager
+    def transfer(self, conn):
+        """Count a connection as one whose response has begun."""
+        self._transfers.add(conn)
+        try:
+            yield
+        finally:
+            self._transfers.discard(conn)
+
+    def is_busy(self):
+        """Return whether a response moves on any path."""
+        return any(was_just_heard(conn.heard_at) for conn in self._transfers)
+
+
+def was_just_heard(heard_at):
+    """Return whether bytes that came at `heard_at` show that a path works."""
+    return time.monotonic() - heard_at < MOVING_TTL_S
--- a/galenaspoke/store/paths.py
+++ b/galenaspoke/store/paths.py
@@ -4,6 +4,10 @@
 is not, so every process relays calls for others.  A relay keeps no state and
 decides nothing; the store alone accepts or refuses each write.
 
+A call's time-out bounds the wait for its response.  Once that has begun, the
+call goes on as long as the response moves, however large it is, and no other
+call's failure ends it: on a thin link a large object takes seconds.
+
 Example::
 
     paths = StorePaths('10.200.1.7:8223', '/objects/relays', clock, journal)
@@ -11,16 +15,27 @@
     paths.call('GET', '/objects/ledger/0003', b'', timeout_s=0.8).status
 """
 
+import math
+import time
+
 import gevent
 
 from galenaspoke.http import connections
 from galenaspoke.http import messages
 from galenaspoke.store import base
+from galenaspoke.store import liveness
 
 CONNECT_TIMEOUT_S = 0.25
+# The same while a response moves on this process's link.
+BUSY_CONNECT_TIMEOUT_S = 0.8
+# A response that has begun is given up after a pause of this length, or once
+# it is slower than this on average.
+PAUSE_TIMEOUT_S = 0.8
+MIN_BYTES_PER_S = 16_000
 MAX_IDLE_CONNECTIONS = 4
 # A call with a longer timeout, such as a watch, is interrupted when its path
-# fails.  Others end soon by themselves, and their response may be on its way.
+# fails before its response has begun.  Others end soon by themselves, and
+# their response may be on its way.
 MIN_INTERRUPTED_TIMEOUT_S = 1.0
 # Backoff of a failed path; it doubles with each further failure.
 MIN_BACKOFF_MS = 400
@@ -38,65 +53,65 @@
 MIN_ERROR_STATUS = 400
 # A relay's status for a call that may or may not have taken effect.
 OUTCOME_UNKNOWN_STATUS = 504
+# A response of which this much came slowly is logged.
+SLOW_RESPONSE_BYTES = 65_536
+SLOW_RESPONSE_MS = 1_000
 # URL prefix under which a process relays calls to the store.
 RELAY_PREFIX = '/store'
-# Must exceed the longest call that is relayed, a watch of
-# `edge.watchers.WATCH_WAIT_MS`.
-RELAYED_CALL_TIMEOUT_S = 31.0
-STOP_POLL_INTERVAL_S = 0.02
+
+
+class LostByRelay(connections.PeerClosed):
+    """A relay says that it lost the store's response."""
 
 
 class StorePath:
-    """One network path to the store, with a pool of idle connections."""
+    """One network path to the store, with a pool of idle connections.
+
+    `live` is the process's Liveness.
+    """
 
     __slots__ = (
         'address',
         'prefix',
         'backoff_until',
+        '_live',
         '_backoff_ms',
+        '_heard_at',
         '_idle_connections',
         '_waiting_connections',
+        '_transfers',
     )
 
-    def __init__(self, address, prefix):
+    def __init__(self, address, prefix, live=None):
         self.address = address
+        # Empty if the path leads to the store itself.
         self.prefix = prefix
         # Time on the process's clock until which the path is not tried.
         self.backoff_until = 0
+        self._live = live or liveness.Liveness()
         self._backoff_ms = MIN_BACKOFF_MS
+        # When a call last ended that had got bytes, see Connection.heard_at.
+        self._heard_at = -math.inf
         self._idle_connections = []
-        # Those of calls that may take long.
+        # Those of calls that may take long, until their response begins.
         self._waiting_connections = set()
+        # Those whose response has begun.
+        self._transfers = set()
 
     def call(self, method, url_path, body, timeout_s):
         """Make one call; return the response.
 
-        Raises NotSent or ResponseLost.
+        `timeout_s` bounds the wait for the head of the response.  Raises
+        NotSent or ResponseLost.
         """
-        host, _, port = self.address.rpartition(':')
-        head = messages.encode_head(
-            f'{method} {self.prefix}{url_path} HTTP/1.1'.encode(),
-            [
-                (b'Host', self.address.encode()),
-                (b'Content-Type', b'application/json'),
-                (b'Content-Length', b'%d' % len(body)),
-            ],
-        )
-        conn = self._take_idle_connection()
-        if conn is None:
-            conn = connections.connect(
-                host, int(port), CONNECT_TIMEOUT_S, MAX_RESPONSE_BYTES
-            )
+        is_long = timeout_s > MIN_INTERRUPTED_TIMEOUT_S
+        conn = self._take_idle_connection() or self._connect()
+        received_before = conn.received_bytes
         reusable = False
-        if timeout_s > MIN_INTERRUPTED_TIMEOUT_S:
-            self._waiting_connections.add(conn)
         try:
-            with gevent.Timeout(
-                timeout_s, connections.ResponseLost('no response in time')
-            ):
-                conn.set_read_timeout(timeout_s)
-                conn.send(head + body)
-                response = conn.read_response()
+            conn.set_read_timeout(timeout_s)
+            conn.send(self._encode_head(method, url_path, body) + body)
+            response = self._read_response(conn, is_long)
             # Nothing ties a response to its call, so a copy of a refusal would
             # pass for the refusal of the next call.
             reusable = (
@@ -105,13 +120,39 @@
                 and len(self._idle_connections) < MAX_IDLE_CONNECTIONS
             )
             return response
+        except connections.ReadTimeout as exc:
+            received = conn.received_bytes - received_before
+            raise connections.ResponseLost(
+                f'no response in time, after {received} bytes'
+            ) from exc
         finally:
-            self._waiting_connections.discard(conn)
+            if conn.received_bytes > received_before:
+                self._heard_at = max(self._heard_at, conn.heard_at)
             if reusable:
                 self._idle_connections.append(conn)
             else:
                 conn.close()
 
+    def _encode_head(self, method, url_path, body):
+        fields = [
+            (b'Host', self.address.encode()),
+            (b'Content-Type', b'application/json'),
+            (b'Content-Length', b'%d' % len(body)),
+        ]
+        return messages.encode_head(
+            f'{method} {self.prefix}{url_path} HTTP/1.1'.encode(), fields
+        )
+
+    def _connect(self):
+        host, _, port = self.address.rpartition(':')
+        is_busy = self._live.is_busy()
+        return connections.connect(
+            host,
+            int(port),
+            BUSY_CONNECT_TIMEOUT_S if is_busy else CONNECT_TIMEOUT_S,
+            MAX_RESPONSE_BYTES,
+        )
+
     def _take_idle_connection(self):
         while self._idle_connections:
             conn = self._idle_connections.pop()
@@ -120,28 +161,74 @@
             conn.close()
         return None
 
+    def _read_response(self, conn, is_long):
+        if is_long:
+            self._waiting_connections.add(conn)
+        try:
+            response = conn.read_head()
+        finally:
+            self._waiting_connections.discard(conn)
+        self._transfers.add(conn)
+        try:
+            with self._live.transfer(conn):
+                _read_body(conn, response)
+        finally:
+            self._transfers.discard(conn)
+        return response
+
+    def is_moving(self):
+        """Return whether the path has just carried a part of a response."""
+        heard = [self._heard_at, *(conn.heard_at for conn in self._transfers)]
+        return liveness.was_just_heard(max(heard))
+
     def record_success(self):
         """End the backoff, after a call on this path got a response."""
         self.backoff_until = 0
         self._backoff_ms = MIN_BACKOFF_MS
 
     def record_failure(self, now):
-        """Back off, and interrupt the long calls in progress on this path."""
+        """Back off, and interrupt the long calls in progress on this path.
+
+        A response that has begun is left to end by itself.
+        """
         self.backoff_until = now + self._backoff_ms
         self._backoff_ms = min(MAX_BACKOFF_MS, 2 * self._backoff_ms)
         for conn in self._waiting_connections:
             conn.interrupt('the path was given up')
 
 
+def _read_body(conn, response):
+    """Read a response to its end, as long as it moves."""
+    started_at = time.monotonic()
+    while not response.is_complete:
+        allowed_s = len(response.body) / MIN_BYTES_PER_S
+        spent_s = time.monotonic() - started_at
+        conn.set_read_timeout(
+            min(PAUSE_TIMEOUT_S, PAUSE_TIMEOUT_S + allowed_s - spent_s)
+        )
+        if not conn.receive() and not response.is_complete:
+            raise connections.PeerClosed(
+                'connection closed in the middle of the response'
+            )
+
+
+def _is_silence(exc):
+    """Return whether a call failed only because nothing came in time."""
+    is_closed = isinstance(exc, (connections.Refused, connections.PeerClosed))
+    return not is_closed
+
+
 class StorePaths:
     """The network paths of one process to the store, the direct one first.
 
     After the direct path has failed, only relays are used if there are any.  A
     background task reads `probe_url_path`, which is cheap to serve, over the
-    direct path until the direct path works again.
+    direct path until the direct path works again.  A path that carries a
+    response meanwhile hasn't failed: it is busy.
     """
 
     __slots__ = (
+        'live',
         '_direct',
         '_relays',
         '_clock',
@@ -151,7 +238,8 @@
     )
 
     def __init__(self, address, probe_url_path, clock, journal):
-        self._direct = StorePath(address, '')
+        self.live = liveness.Liveness()
+        self._direct = StorePath(address, '', self.live)
         self._relays = {}
         self._clock = clock
         self._journal = journal
@@ -162,7 +250,7 @@
         """Replace the relays by those at `addresses`, the preferred first."""
         self._relays = {
             address: self._relays.get(address)
-            or StorePath(address, RELAY_PREFIX)
+            or StorePath(address, RELAY_PREFIX, self.live)
             for address in addresses
         }
 
@@ -188,17 +276,15 @@
         why = 'no path is known to work'
         for path in self._list_candidates()[:MAX_ATTEMPTS]:
             try:
-                response = path.call(method, url_path, body, timeout_s)
-                if response.status == OUTCOME_UNKNOWN_STATUS:
-                    raise connections.ResponseLost(
-                        'response lost by the relay'
-                    )
+                response = self._call_path(
+                    path, method, url_path, body, timeout_s
+                )
             except connections.NotSent as exc:
-                self._handle_failure(path, str(exc))
+                self._handle_loss(path, exc)
                 why = str(exc)
                 continue
-            except (connections.ResponseLost, connections.ReadTimeout) as exc:
-                self._handle_failure(path, str(exc))
+            except connections.ResponseLost as exc:
+                self._handle_loss(path, exc)
                 why = str(exc)
                 if method == 'GET' and retry:
                     continue
@@ -211,6 +297,24 @@
             return response
         raise base.StoreUnavailable(f'store: {why}')
 
+    def _call_path(self, path, method, url_path, body, timeout_s):
+        """Make a call on one path; log a response that came slowly."""
+        started_at = self._clock.now()
+        response = path.call(method, url_path, body, timeout_s)
+        if response.status == OUTCOME_UNKNOWN_STATUS:
+            raise LostByRelay('response lost by the relay')
+        ms = self._clock.now() - started_at
+        if len(response.body) >= SLOW_RESPONSE_BYTES and (
+            ms >= SLOW_RESPONSE_MS
+        ):
+            self._journal.note(
+                'store.slow_response',
+                path=path.address,
+                bytes=len(response.body),
+                ms=ms,
+            )
+        return response
+
     def _list_candidates(self):
         """Return the paths to try.
 
@@ -228,6 +332,15 @@
             min(usable_paths, key=lambda path: path.backoff_until)
         ]
 
+    def _handle_loss(self, path, exc):
+        """Handle a call that got no response."""
+        if path.is_moving() and _is_silence(exc):
+            self._journal.note(
+                'store.path_busy', path=path.address, why=str(exc)
+            )
+        else:
+            self._handle_failure(path, str(exc))
+
     def _handle_failure(self, path, why):
         path.record_failure(self._clock.now())
         if path is self._direct and not self._is_direct_down:
@@ -243,11 +356,7 @@
                 response = self._direct.call(
                     'GET', self._probe_url_path, b'', PROBE_TIMEOUT_S
                 )
-            except (
-                connections.NotSent,
-                connections.ResponseLost,
-                connections.ReadTimeout,
-            ):
+            except (connections.NotSent, connections.ResponseLost):
                 continue
             if response.status not in NOT_APPLIED_STATUSES:
                 break
@@ -255,91 +364,3 @@
         self._is_direct_down = False
         after_ms = self._clock.now() - lost_at
         self._journal.note('store.path_regained', after_ms=after_ms)
-
-
-class RelayedCalls:
-    """The calls that a process relays for others."""
-
-    __slots__ = ('_write_count',)
-
-    def __init__(self):
-        # How many writes are under way.
-        self._write_count = 0
-
-    def run(self, call, method, url_path, body):
-        """Return what `call` returns for the other arguments."""
-        if method == 'GET':
-            return call(method, url_path, body)
-        self._write_count += 1
-        try:
-            return call(method, url_path, body)
-        finally:
-            self._write_count -= 1
-
-    def wait_for_writes(self, timeout_s):
-        """Wait until no write is under way, before the process ends.
-
-        Reads are not waited for, as those who sent them repeat them.  Calls
-        that come meanwhile are not refused: a router would take the path for
-        failed, and give up its own writes on it.
-        """
-        with gevent.Timeout(timeout_s, False):
-            while self._write_count:
-                gevent.sleep(STOP_POLL_INTERVAL_S)
-
-
-def make_relay_app(paths, relayed_headers, calls=None):
-    """Return a WSGI application that relays calls to the store.
-
-    It answers 503 to a call that certainly had no effect, and 504 to one that
-    may have taken effect.  Of the store's response headers it passes on those
-    named in `relayed_headers`, in lower case.  `calls` are the RelayedCalls
-    of the process.
-    """
-    calls = calls or RelayedCalls()
-
-    def call_store(method, url_path, body):
-        return paths.call_direct(
-            method, url_path, body, RELAYED_CALL_TIMEOUT_S
-        )
-
-    def call(method, url_path, body):
-        return calls.run(call_store, method, url_path, body)
-
-    return make_call_app(RELAY_PREFIX, call, relayed_headers)
-
-
-def make_call_app(prefix, call, relayed_headers):
-    """Return a WSGI application that makes a call for each request.
-
-    `call` takes the method, the URL path without `prefix` and the body, and
-    returns the store's response or raises NotSent, ResponseLost or
-    ReadTimeout.
-    """
-
-    def application(environ, start_response):
-        url_path = environ['PATH_INFO'][len(prefix) :]
-        query = environ['QUERY_STRING']
-        if query:
-            url_path = f'{url_path}?{query}'
-        body = environ['wsgi.input'].read()
-        try:
-            response = call(environ['REQUEST_METHOD'], url_path, body)
-            status, content = response.status, bytes(response.body)
-            headers = [
-                (name.decode('latin-1'), value.decode('latin-1'))
-                for name, value in response.headers
-                if name in relayed_headers
-            ]
-        except connections.NotSent:
-            status, content, headers = 503, b'', []
-        except (connections.ResponseLost, connections.ReadTimeout):
-            status, content, headers = OUTCOME_UNKNOWN_STATUS, b'', []
-        headers += [
-            ('Content-Type', 'application/json'),
-            ('Content-Length', str(len(content))),
-        ]
-        start_response(f'{status} -', headers)
-        return [content]
-
-    return application
--- /dev/null
+++ b/galenaspoke/store/relaying.py
@@ -0,0 +1,105 @@
+"""Serves calls to the store for other processes, as a relay or a feeder.
+
+Example::
+
+    app = make_relay_app(store_paths, (b'store-era',))
+    pywsgi.WSGIServer(address, app).start()
+"""
+
+import gevent
+
+from galenaspoke.http import connections
+from galenaspoke.store import paths
+
+# Must exceed the longest call that is relayed, a watch of
+# `edge.watchers.WATCH_WAIT_MS`.
+RELAYED_CALL_TIMEOUT_S = 31.0
+STOP_POLL_INTERVAL_S = 0.02
+
+
+class RelayedCalls:
+    """The calls that a process relays for others."""
+
+    __slots__ = ('_write_count',)
+
+    def __init__(self):
+        # How many writes are under way.
+        self._write_count = 0
+
+    def run(self, call, method, url_path, body):
+        """Return what `call` returns for the other arguments."""
+        if method == 'GET':
+            return call(method, url_path, body)
+        self._write_count += 1
+        try:
+            return call(method, url_path, body)
+        finally:
+            self._write_count -= 1
+
+    def wait_for_writes(self, timeout_s):
+        """Wait until no write is under way, before the process ends.
+
+        Reads are not waited for, as those who sent them repeat them.  Calls
+        that come meanwhile are not refused: a router would take the path for
+        failed, and give up its own writes on it.
+        """
+        with gevent.Timeout(timeout_s, False):
+            while self._write_count:
+                gevent.sleep(STOP_POLL_INTERVAL_S)
+
+
+def make_relay_app(store_paths, relayed_headers, calls=None):
+    """Return a WSGI application that relays calls to the store.
+
+    It answers 503 to a call that certainly had no effect, and 504 to one that
+    may have taken effect.  Of the store's response headers it passes on those
+    named in `relayed_headers`, in lower case.  `calls` are the RelayedCalls
+    of the process.
+    """
+    calls = calls or RelayedCalls()
+
+    def call_store(method, url_path, body):
+        return store_paths.call_direct(
+            method, url_path, body, RELAYED_CALL_TIMEOUT_S
+        )
+
+    def call(method, url_path, body):
+        return calls.run(call_store, method, url_path, body)
+
+    return make_call_app(paths.RELAY_PREFIX, call, relayed_headers)
+
+
+def make_call_app(prefix, call, relayed_headers):
+    """Return a WSGI application that makes a call for each request.
+
+    `call` takes the method, the URL path without `prefix` and the body, and
+    returns the store's response or raises NotSent, ResponseLost or
+    ReadTimeout.
+    """
+
+    def application(environ, start_response):
+        url_path = environ['PATH_INFO'][len(prefix) :]
+        query = environ['QUERY_STRING']
+        if query:
+            url_path = f'{url_path}?{query}'
+        body = environ['wsgi.input'].read()
+        try:
+            response = call(environ['REQUEST_METHOD'], url_path, body)
+            status, content = response.status, bytes(response.body)
+            headers = [
+                (name.decode('latin-1'), value.decode('latin-1'))
+                for name, value in response.headers
+                if name in relayed_headers
+            ]
+        except connections.NotSent:
+            status, content, headers = 503, b'', []
+        except (connections.ResponseLost, connections.ReadTimeout):
+            status, content, headers = paths.OUTCOME_UNKNOWN_STATUS, b'', []
+        headers += [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(content))),
+        ]
+        start_response(f'{status} -', headers)
+        return [content]
+
+    return application
--- a/tests/edge/test_store_from_copy.py
+++ b/tests/edge/test_store_from_copy.py
@@ -23,6 +23,7 @@
 from galenaspoke.platform import target_entries
 from galenaspoke.store import base as store_base
 from galenaspoke.store import paths
+from galenaspoke.store import relaying
 from galenaspoke.store import relays
 from tests.edge import base
 from tests.edge import test_store_outage
@@ -142,7 +143,7 @@
                 return self.path.call(*args)
 
         received = []
-        app = paths.make_relay_app(Direct(), (platform_store.ERA_HEADER,))
+        app = relaying.make_relay_app(Direct(), (platform_store.ERA_HEADER,))
         environ = {
             'PATH_INFO': '/store/objects/config',
             'QUERY_STRING': '',
--- a/tests/edge/test_store_partition.py
+++ b/tests/edge/test_store_partition.py
@@ -18,6 +18,7 @@
 from galenaspoke.http import connections
 from galenaspoke.store import base as store_base
 from galenaspoke.store import paths
+from galenaspoke.store import relaying
 from galenaspoke.store import relays
 from tests.edge import base
 from tests import fakes
@@ -128,7 +129,7 @@
             'REQUEST_METHOD': 'PUT',
             'wsgi.input': types.SimpleNamespace(read=lambda: b'{}'),
         }
-        paths.make_relay_app(direct, ())(
+        relaying.make_relay_app(direct, ())(
             environ, lambda status, _: statuses.append(status)
         )
         return statuses[0].split()[0]
@@ -147,8 +148,8 @@
     def setUp(self):
         self.may_finish = event.Event()
         direct = types.SimpleNamespace(call_direct=self.call_store)
-        self.calls = paths.RelayedCalls()
-        self.app = paths.make_relay_app(direct, (), self.calls)
+        self.calls = relaying.RelayedCalls()
+        self.app = relaying.make_relay_app(direct, (), self.calls)
         self.sent = []
 
     def call_store(self, method, *_):
