Fix: one silent connection tells of the others that rested with it

Cause: time-outs added up. A watch through a feeder failed after 1.3 s; the watch at the store that followed went out on a kept connection, as silent, and waited there for 3 s more; so did calls on relays, 0.8 s each.

Change: a call that may take long uses a kept connection only if it was heard within 0.4 s, and else connects. A call that got nothing in time makes kept connections that weren't heard since unusable, on all paths of the process.

--- a/galenaspoke/store/liveness.py
+++ b/galenaspoke/store/liveness.py
@@ -2,13 +2,17 @@
 
 All paths of a process share one `Liveness`, since they share its link.  While
 a response moves, the link is busy: other calls are slow, and a call without an
-answer says nothing against the path that the response comes by.
+answer says nothing against the path that the response comes by.  A connection
+that was found silent, on the other hand, may have become so together with all
+that were open then.
 
 Example::
 
     live = Liveness()
     with live.transfer(conn):
         live.is_busy()              # True while bytes arrive
+    live.record_silence()
+    live.is_sound(kept_conn)        # False if it was heard before that
 """
 
 import contextlib
@@ -21,11 +25,13 @@
 class Liveness:
     """When a process heard from its peers, on the monotonic clock in s."""
 
-    __slots__ = ('_transfers',)
+    __slots__ = ('_transfers', '_silence_found_at')
 
     def __init__(self):
         # Connections with a response that has begun and isn't complete.
         self._transfers = set()
+        # When a connection was last found silent.
+        self._silence_found_at = 0
 
     @contextlib.contextmanager
     def transfer(self, conn):
@@ -40,6 +46,14 @@
         """Return whether a response moves on any path."""
         return any(was_just_heard(conn.heard_at) for conn in self._transfers)
 
+    def record_silence(self):
+        """Note that a connection got no answer in time."""
+        self._silence_found_at = time.monotonic()
+
+    def is_sound(self, conn):
+        """Return whether a connection was heard after the last silence."""
+        return conn.heard_at >= self._silence_found_at
+
 
 def was_just_heard(heard_at):
     """Return whether bytes that came at `heard_at` show that a path works."""
--- a/galenaspoke/store/paths.py
+++ b/galenaspoke/store/paths.py
@@ -105,7 +105,7 @@
         NotSent or ResponseLost.
         """
         is_long = timeout_s > MIN_INTERRUPTED_TIMEOUT_S
-        conn = self._take_idle_connection() or self._connect()
+        conn = self._take_idle_connection(is_long) or self._connect()
         received_before = conn.received_bytes
         reusable = False
         try:
@@ -121,6 +121,7 @@
             )
             return response
         except connections.ReadTimeout as exc:
+            self._live.record_silence()
             received = conn.received_bytes - received_before
             raise connections.ResponseLost(
                 f'no response in time, after {received} bytes'
@@ -153,13 +154,24 @@
             MAX_RESPONSE_BYTES,
         )
 
-    def _take_idle_connection(self):
-        while self._idle_connections:
+    def _take_idle_connection(self, is_long):
+        """Return a kept connection, None if there is none that may be used.
+
+        A connection that rested may have gone silent.  A call that may take
+        long would wait there in vain for that long.
+        """
+        rested = []
+        found = None
+        while self._idle_connections and found is None:
             conn = self._idle_connections.pop()
-            if conn.is_open_and_empty():
-                return conn
-            conn.close()
-        return None
+            if not (self._live.is_sound(conn) and conn.is_open_and_empty()):
+                conn.close()
+            elif is_long and not liveness.was_just_heard(conn.heard_at):
+                rested.append(conn)
+            else:
+                found = conn
+        self._idle_connections += rested
+        return found
 
     def _read_response(self, conn, is_long):
         if is_long:
