Fix: processes of the system compress large responses of the store

Cause: the way round, by feeders and relays, carries the same 385 KB as the direct one, so that each retry costs a thin link as much again.

Change: relays and feeders compress responses of 16 KB and more for callers that say that they accept it (gzip, level 1; routers that share a watch share the work). A kind whose list was large when it was last read is listed through a relay first. Damaged or endless compressed responses count as lost.

--- a/galenaspoke/platform/store.py
+++ b/galenaspoke/platform/store.py
@@ -30,6 +30,9 @@
 CALL_TIMEOUT_S = 0.8
 # A watch has failed if it takes this much longer than the requested wait.
 WATCH_SLACK_S = 0.7
+# A kind whose list has a response of this size is read through relays, which
+# compress it.
+LARGE_RESPONSE_BYTES = 65_536
 # Statuses that only the store itself sends; a relay has some others.
 _STORE_STATUSES = (200, 201, 404, 409, 410, 413)
 _SCOPED_KIND = re.compile(r'[a-z]+?(\d*)\Z')
@@ -66,6 +69,7 @@
         '_clock',
         '_journal',
         '_unreadable',
+        '_large_kinds',
         '_era',
         '_era_listeners',
     )
@@ -88,6 +92,8 @@
         self._unreadable = unreadable.UnreadableObjects(
             'store.unreadable', journal
         )
+        # Kinds whose list was large when it was last read.
+        self._large_kinds = set()
         # None until the store's first response.
         self._era = None
         self._era_listeners = []
@@ -137,7 +143,11 @@
             query = [f'After={parse.quote(after, safe="")}'] if after else []
             if stale:
                 query.append(_STALE_QUERY)
-            response = self._read(f'/objects/{kind}?{"&".join(query)}')
+            response = self._read(
+                f'/objects/{kind}?{"&".join(query)}', kind in self._large_kinds
+            )
+            if len(response.body) >= LARGE_RESPONSE_BYTES:
+                self._large_kinds.add(kind)
             if era not in (None, self.era):
                 raise base.EraChanged(f'{kind}: the era rose while listing')
             era = self.era
@@ -236,9 +246,11 @@
         """Delete the object if it has `version`; raise like `put`."""
         self._write('DELETE', f'/objects/{key}?Rev={version}', b'')
 
-    def _read(self, url_path):
+    def _read(self, url_path, is_large=False):
         try:
-            response = self._call('GET', url_path, b'', CALL_TIMEOUT_S)
+            response = self._call(
+                'GET', url_path, b'', CALL_TIMEOUT_S, is_large=is_large
+            )
         except base.OutcomeUnknown as exc:
             raise base.StoreUnavailable(str(exc)) from exc
         if response.status not in (200, 404):
@@ -266,7 +278,9 @@
             raise base.OutcomeUnknown(f'store: status {response.status}')
         return response
 
-    def _call(self, method, url_path, body, timeout_s, retry=True):
+    def _call(
+        self, method, url_path, body, timeout_s, retry=True, is_large=False
+    ):
         """Make one call; return the response.
 
         Raises StoreUnavailable if it certainly did nothing, OutcomeUnknown if
@@ -277,7 +291,9 @@
             f'store.{method.lower()}.{kind.rstrip("0123456789")}'
         )
         sent_at = self._clock.now()
-        response = self._paths.call(method, url_path, body, timeout_s, retry)
+        response = self._paths.call(
+            method, url_path, body, timeout_s, retry, is_large
+        )
         if response.status in _STORE_STATUSES:
             # A stale response says nothing about the time of the call.
             is_stale = _STALE_QUERY in url_path
--- a/galenaspoke/store/paths.py
+++ b/galenaspoke/store/paths.py
@@ -17,6 +17,7 @@
 
 import math
 import time
+import zlib
 
 import gevent
 
@@ -53,6 +54,10 @@
 MIN_ERROR_STATUS = 400
 # A relay's status for a call that may or may not have taken effect.
 OUTCOME_UNKNOWN_STATUS = 504
+# The encoding of compressed responses between processes of the system, and
+# what zlib adds to its window bits for it.
+COMPRESSED_ENCODING = 'gzip'
+GZIP_FORMAT = 16
 # A response of which this much came slowly is logged.
 SLOW_RESPONSE_BYTES = 65_536
 SLOW_RESPONSE_MS = 1_000
@@ -67,7 +72,8 @@
 class StorePath:
     """One network path to the store, with a pool of idle connections.
 
-    `live` is the process's Liveness.
+    `live` is the process's Liveness.  A path with a prefix leads to another
+    process of the system, which may compress responses.
     """
 
     __slots__ = (
@@ -119,7 +125,7 @@
                 and conn.is_reusable(response)
                 and len(self._idle_connections) < MAX_IDLE_CONNECTIONS
             )
-            return response
+            return _decompress(response)
         except connections.ReadTimeout as exc:
             self._live.record_silence()
             received = conn.received_bytes - received_before
@@ -140,6 +146,8 @@
             (b'Content-Type', b'application/json'),
             (b'Content-Length', b'%d' % len(body)),
         ]
+        if self.prefix:
+            fields.append((b'Accept-Encoding', COMPRESSED_ENCODING.encode()))
         return messages.encode_head(
             f'{method} {self.prefix}{url_path} HTTP/1.1'.encode(), fields
         )
@@ -224,6 +232,24 @@
             )
 
 
+def _decompress(response):
+    """Undo the compression of a response's body, if there is one.
+
+    Raises ResponseLost if the body is damaged or too long.
+    """
+    if response.header(b'content-encoding') != COMPRESSED_ENCODING:
+        return response
+    inflator = zlib.decompressobj(zlib.MAX_WBITS | GZIP_FORMAT)
+    try:
+        body = inflator.decompress(bytes(response.body), MAX_RESPONSE_BYTES)
+    except zlib.error as exc:
+        raise connections.ResponseLost(f'compressed response: {exc}') from exc
+    if not inflator.eof:
+        raise connections.ResponseLost('compressed response: cut or too long')
+    response.body = bytearray(body)
+    return response
+
+
 def _is_silence(exc):
     """Return whether a call failed only because nothing came in time."""
     is_closed = isinstance(exc, (connections.Refused, connections.PeerClosed))
@@ -273,11 +299,14 @@
         """
         return self._direct.call(method, url_path, body, timeout_s)
 
-    def call(self, method, url_path, body, timeout_s, retry=True):
+    def call(
+        self, method, url_path, body, timeout_s, retry=True, is_large=False
+    ):
         """Make a call on the first path that works; return the response.
 
         If a response is lost, a read is sent again on the next path (unless
-        `retry` is False) and a write is not.
+        `retry` is False) and a write is not.  A relay is tried first if
+        `is_large` says that the response will be, since it compresses it.
 
         Raises OutcomeUnknown if the response to a call that is not sent again
         was lost, and StoreUnavailable if no path gave a usable response; the
@@ -286,7 +315,7 @@
         """
         response = None
         why = 'no path is known to work'
-        for path in self._list_candidates()[:MAX_ATTEMPTS]:
+        for path in self._list_candidates(is_large)[:MAX_ATTEMPTS]:
             try:
                 response = self._call_path(
                     path, method, url_path, body, timeout_s
@@ -327,7 +356,7 @@
             )
         return response
 
-    def _list_candidates(self):
+    def _list_candidates(self, is_large=False):
         """Return the paths to try.
 
         If all are backing off, that is only the one whose backoff ends first.
@@ -340,6 +369,8 @@
             else [self._direct, *relays]
         )
         ready = [path for path in usable_paths if path.backoff_until <= now]
+        if is_large and len(ready) > 1 and ready[0] is self._direct:
+            ready[:2] = [ready[1], ready[0]]
         return ready or [
             min(usable_paths, key=lambda path: path.backoff_until)
         ]
--- a/galenaspoke/store/relaying.py
+++ b/galenaspoke/store/relaying.py
@@ -1,11 +1,18 @@
 """Serves calls to the store for other processes, as a relay or a feeder.
 
+Large responses are compressed for those that accept it: routers on thin links
+read a configuration in a fraction of the time, and share the link with their
+callers meanwhile.
+
 Example::
 
     app = make_relay_app(store_paths, (b'store-era',))
     pywsgi.WSGIServer(address, app).start()
 """
 
+import functools
+import gzip
+
 import gevent
 
 from galenaspoke.http import connections
@@ -15,6 +22,12 @@
 # `edge.watchers.WATCH_WAIT_MS`.
 RELAYED_CALL_TIMEOUT_S = 31.0
 STOP_POLL_INTERVAL_S = 0.02
+# Smaller responses take too little time on any link.
+MIN_COMPRESSED_BYTES = 16_384
+# The fastest; objects are JSON and mostly repeat the names of fields.
+COMPRESSION_LEVEL = 1
+# Responses that are kept in their compressed form for those who ask next.
+SHARED_RESPONSES = 2
 
 
 class RelayedCalls:
@@ -95,6 +108,9 @@
             status, content, headers = 503, b'', []
         except (connections.ResponseLost, connections.ReadTimeout):
             status, content, headers = paths.OUTCOME_UNKNOWN_STATUS, b'', []
+        if _may_compress(environ, content):
+            content = _compress(content)
+            headers.append(('Content-Encoding', paths.COMPRESSED_ENCODING))
         headers += [
             ('Content-Type', 'application/json'),
             ('Content-Length', str(len(content))),
@@ -103,3 +119,17 @@
         return [content]
 
     return application
+
+
+def _may_compress(environ, content):
+    accepted = environ.get('HTTP_ACCEPT_ENCODING', '')
+    return (
+        len(content) >= MIN_COMPRESSED_BYTES
+        and paths.COMPRESSED_ENCODING in accepted
+    )
+
+
+@functools.lru_cache(maxsize=SHARED_RESPONSES)
+def _compress(content):
+    """Return compressed bytes; routers that share a watch share the work."""
+    return gzip.compress(content, COMPRESSION_LEVEL, mtime=0)
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -152,7 +152,9 @@
         self.is_silent = False
         self.faults = []
 
-    def call(self, method, url_path, body, timeout_s, retry=True):
+    def call(
+        self, method, url_path, body, timeout_s, retry=True, is_large=False
+    ):
         """Make a call, as `StorePaths.call` does."""
         gevent.sleep(0)
         if self.is_cut:
