Fix: a response that a target writes into its own stream isn't relayed

Cause: an event without an id that is a number is relayed as it is, and nothing looked at what its lines are.

Change: a target whose stream contains the head of a response has failed; its events before that count, and the stream goes on elsewhere.

--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -57,6 +57,9 @@
         """
         selected = []
         for event in events:
+            if event.has_head():
+                self.fault = 'a response within a stream'
+                break
             number = _parse_id(event.id)
             if number is None:
                 is_wanted = self._check_unnumbered(event)
--- a/galenaspoke/edge/streams/sse.py
+++ b/galenaspoke/edge/streams/sse.py
@@ -15,6 +15,12 @@
 # An id that contains NUL is ignored.
 _ID_LINE = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n\0]*)(?=[\r\n])')
 _DATA_LINE = re.compile(rb'(?:^|[\r\n])data[:\r\n]')
+# The head of a response, which may follow a line that was cut.  Text that a
+# model makes is followed by a field of an event.
+_HEAD = re.compile(
+    rb'(?:^|[\r\n])HTTP/1\.\d \d{3}'
+    rb'|HTTP/1\.\d \d{3}[^\r\n]*\r\n(?!data:|id:|event:|retry:)[\w-]+:'
+)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -31,6 +37,10 @@
         """Return whether a client sees the event; it ignores others."""
         return bool(_DATA_LINE.search(self.raw))
 
+    def has_head(self):
+        """Return whether the target began a response within its stream."""
+        return bool(_HEAD.search(self.raw))
+
 
 class EventSplitter:
     """Splits the bytes of a stream into complete events."""
