--- a/tests/edge/test_rolling_restart.py
+++ b/tests/edge/test_rolling_restart.py
@@ -8,16 +8,14 @@
 from unittest import mock
 
 import gevent
-from gevent import event
 from gevent import socket
 
 from galenaspoke.core import catalog
 from galenaspoke.core import clock
 from galenaspoke.edge import main
 from galenaspoke.edge.serving import caller_connections
-from galenaspoke.http import listening
 from tests.edge import base
-from tests.edge import handlers
+from tests.edge import stopping
 
 RAW_REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 
@@ -108,47 +106,11 @@
         self.assertEqual('/', self.caller.next_request(self.limits).path)
 
 
-class StopUnderLoadTest(unittest.TestCase):
+class StopUnderLoadTest(stopping.StopTestCase):
     """A router that stops while callers send on kept connections."""
 
     IDLE_COUNT = 200
     BUSY_COUNT = 20
-    REQUEST = (
-        b'POST /a/x HTTP/1.1\r\nHost: desk\r\nX-Request-Id: %s\r\n'
-        b'Content-Length: 0\r\n\r\n' % handlers.REQUEST_ID
-    )
-
-    def setUp(self):
-        # The event loop polls for bytes after each batch of greenlets, as it
-        # does when many of them have to run on a slow processor.
-        switch_interval_s = gevent.getswitchinterval()
-        gevent.setswitchinterval(1e-9)
-        self.addCleanup(gevent.setswitchinterval, switch_interval_s)
-        self.started = []
-        self.may_finish = event.Event()
-        self.desk = handlers.Desk({'i-1': self.run_engine}, timeout_ms=30_000)
-        cfg = base.make_edge_settings(grace_ms=main.GRACE_MARGIN_MS + 30_000)
-        # A journal of its own would make the output of the run non-blocking.
-        with mock.patch.object(main.journals, 'Journal'):
-            self.router = main.EdgeRouter(cfg, 0)
-        self.router.admission = self.desk.admission
-        self.router.request_handler = self.desk.handler
-        self.router.config_view = self.desk.config_view
-        self.router.budget_manager = mock.Mock()
-        self.router._members = mock.Mock()
-        self.router._server = listening.serve(
-            '127.0.0.1', 0, self.router._handle_connection
-        )
-
-    def tearDown(self):
-        self.router._server.close()
-        self.desk.close()
-
-    def run_engine(self, remote, _):
-        """Answer once `may_finish` is set."""
-        self.started.append(remote)
-        self.may_finish.wait()
-        remote.sendall(handlers.encode_response())
 
     def connect(self, count):
         """Return connections that have carried a request and are kept."""
