Fix: the agents' calls to the store go on while their response moves

The same cause as in the edge fleet, found by looking for it elsewhere: one time-out (1 s) bounded the wait for a response and its transfer, so an object of 394 KB at 300 KB/s was never read (the new test failed before: 'no response in time'). The time-out bounds the wait for the head now, and then each piece of 16 KB. A response that stops or is cut is lost as before; two tests.

--- a/galenaspoke/store/client.py
+++ b/galenaspoke/store/client.py
@@ -22,6 +22,7 @@
 from galenaspoke.utils import decoding
 
 MAX_CONNECTIONS = 8
+PIECE_BYTES = 16_384
 
 # Re-exported for callers of this client.
 StoreError = base.StoreError
@@ -67,16 +68,33 @@
         )
 
     def _call(self, http_client, method, path, body=b'', headers=None):
-        """Return (response, body); raises one of `_TRANSPORT_ERRORS`."""
+        """Return (response, body); raises one of `_TRANSPORT_ERRORS`.
+
+        The time-out bounds the wait for the response; it may take longer to
+        come in.
+        """
         timeout_s = self._cfg.timeout_ms / 1000
         if http_client is self._watch_client:
             timeout_s += self._cfg.watch_ms / 1000
         with gevent.Timeout(timeout_s, TimeoutError('no response in time')):
             resp = http_client.request(method, path, body, headers or {})
-            try:
-                return resp, bytes(resp.read())
-            finally:
-                resp.release()
+        try:
+            return resp, self._read_body(resp)
+        finally:
+            resp.release()
+
+    def _read_body(self, resp):
+        """Read a response as long as it moves: each piece in a call's time."""
+        body = bytearray()
+        while True:
+            with gevent.Timeout(
+                self._cfg.timeout_ms / 1000,
+                TimeoutError('the response stopped'),
+            ):
+                piece = resp.read(PIECE_BYTES)
+            if not piece:
+                return bytes(body)
+            body += piece
 
     def _read(self, path, http_client=None):
         self._metrics.count('store.reads')
--- a/tests/store/test_large_objects.py
+++ b/tests/store/test_large_objects.py
@@ -10,9 +10,11 @@
 
 import gevent
 
+from galenaspoke.conf import definitions
 from galenaspoke.core import clock as clocks
 from galenaspoke.platform import store as platform_store
 from galenaspoke.store import base as store_base
+from galenaspoke.store import client as store_client
 from galenaspoke.store import feeds
 from galenaspoke.store import paths
 from tests.edge import base
@@ -154,3 +156,35 @@
         watches = feeds.SharedWatches(store.make_path().call)
         response = watches.call('/objects/config?Watch=1&WaitMs=1000')
         self.assertGreater(len(response.body), thin_store.OBJECT_BYTES)
+
+
+class AgentFleetTest(unittest.TestCase):
+    """The agents' fleet's client, whose calls may be silent for 1 s."""
+
+    def make_client(self, store):
+        """Return the client of a process."""
+        self.addCleanup(store.stop)
+        cfg = definitions.StoreSettings(url=f'http://{store.address}')
+        return store_client.Client(cfg, base.Recorder())
+
+    # Guards against a bound on a whole transfer.
+    def test_object_takes_longer_than_a_call_may_be_silent(self):
+        store = thin_store.ThinStore(THIN, fields=b'Version: 7\r\n')
+        item = self.make_client(store).get('config/head')
+        self.assertGreater(len(item.value), thin_store.OBJECT_BYTES)
+
+    # Guards against a transfer that is waited for without an end.
+    def test_transfer_that_stops_is_given_up(self):
+        store = thin_store.ThinStore(THIN, fields=b'Version: 7\r\n')
+        store.pause_after = 100_000
+        started_at = time.monotonic()
+        with self.assertRaises(store_base.StoreUnavailable):
+            self.make_client(store).get('config/head')
+        self.assertLess(time.monotonic() - started_at, 3.0)
+
+    # Guards against half an object that passes for whole.
+    def test_transfer_that_is_cut_is_lost(self):
+        store = thin_store.ThinStore(100 * THIN, fields=b'Version: 7\r\n')
+        store.cut_after = 100_000
+        with self.assertRaises(store_base.StoreUnavailable):
+            self.make_client(store).get('config/head')
--- a/tests/store/thin_store.py
+++ b/tests/store/thin_store.py
@@ -48,16 +48,19 @@
     """Lists and watches return a large object, at `rate` bytes a second.
 
     URL paths that contain `silent_on` get no answer.  `pause_after` is the
-    number of bytes after which a response stops for good, None for never.
+    number of bytes after which a response stops for good, None for never;
+    `cut_after` that after which its connection closes.
     Connections in `silenced` get no answer any more.  With `waits` a watch is
-    answered at the end of its wait.
+    answered at the end of its wait.  `fields` are more headers of responses.
     """
 
-    def __init__(self, rate, waits=False):
+    def __init__(self, rate, waits=False, fields=b''):
         self.rate = rate
         self.silent_on = b'no path'
         self.pause_after = None
+        self.cut_after = None
         self.waits = waits
+        self.fields = fields
         self.silenced = set()
         self.open = set()
         # The first lines of all requests.
@@ -102,10 +105,13 @@
         if sock in self.silenced:
             return
         body = make_large_event() if wait else make_large_body()
-        head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
-        sock.sendall(head)
+        length = b'Content-Length: %d\r\n\r\n' % len(body)
+        sock.sendall(b'HTTP/1.1 200 OK\r\n' + self.fields + length)
         for start in range(0, len(body), PIECE_BYTES):
             if self.pause_after is not None and start > self.pause_after:
                 return
+            if self.cut_after is not None and start > self.cut_after:
+                sock.close()
+                return
             sock.sendall(body[start : start + PIECE_BYTES])
             gevent.sleep(PIECE_BYTES / self.rate)
