Fix: a closed connection says nothing against a feeder

Cause: one reset of a kept connection made a router pass over its feeder for 5 s and watch at the store itself, where large objects aren't compressed.

Change: a watch whose connection was closed is made once more at the same feeder, and at the second one if a feeder fails at once. After a silent feeder the store is asked, as before, since the time of the watch is spent.

Evidence: two tests that failed before.

--- a/galenaspoke/store/feeds.py
+++ b/galenaspoke/store/feeds.py
@@ -41,7 +41,7 @@
 MIN_LARGE_BYTES = 16_384
 # How many routers share a feeder.
 ROUTERS_PER_FEEDER = 32
-# A router tries one feeder for each watch, of this many that it prefers.
+# A router asks this many feeders, those that it prefers.
 MAX_FEEDERS = 2
 # How old the state may be that a response tells of.
 MAX_RESPONSE_AGE_MS = 2 * (FEED_WAIT_MS + FEED_SLACK_MS)
@@ -83,25 +83,29 @@
         """Return the response to a shared watch.
 
         Returns None if no feeder answered: the caller has to ask the store.
+        One that is silent takes the time of the whole watch, so no other is
+        asked after it.
         """
-        path = self._choose_path()
-        if path is None:
-            return None
-        try:
-            response = path.call('GET', url_path, b'', _TIMEOUT_S)
-        except (
-            connections.NotSent,
-            connections.ResponseLost,
-            connections.ReadTimeout,
-        ):
-            response = None
-        if response is None or response.status in _FAILED_STATUSES:
-            path.backoff_until = self._clock.now() + FEEDER_BACKOFF_MS
-            return None
-        return response
+        for path in self._list_usable():
+            try:
+                response = _call_path(path, url_path)
+            except (connections.NotSent, connections.PeerClosed):
+                response = None
+            except connections.ResponseLost:
+                self._back_off(path)
+                return None
+            if response is not None and (
+                response.status not in _FAILED_STATUSES
+            ):
+                return response
+            self._back_off(path)
+        return None
 
-    def _choose_path(self):
-        """Return the preferred feeder's path, None if there is none.
+    def _back_off(self, path):
+        path.backoff_until = self._clock.now() + FEEDER_BACKOFF_MS
+
+    def _list_usable(self):
+        """Return the preferred feeders' paths, without those that failed.
 
         Routers of one group prefer the same feeders.
         """
@@ -113,10 +117,20 @@
             key=lambda address: rendezvous.weigh(f'{group}/', address),
         )
         now = self._clock.now()
-        for address in ranked[:MAX_FEEDERS]:
-            if self._paths[address].backoff_until <= now:
-                return self._paths[address]
-        return None
+        preferred = [self._paths[address] for address in ranked[:MAX_FEEDERS]]
+        return [path for path in preferred if path.backoff_until <= now]
+
+
+def _call_path(path, url_path):
+    """Return a feeder's response.
+
+    A connection may be closed under a watch while its feeder is well, so that
+    is tried once more.
+    """
+    try:
+        return path.call('GET', url_path, b'', _TIMEOUT_S)
+    except connections.PeerClosed:
+        return path.call('GET', url_path, b'', _TIMEOUT_S)
 
 
 class _SharedWatch:
--- a/tests/edge/test_store_calls.py
+++ b/tests/edge/test_store_calls.py
@@ -169,11 +169,15 @@
     def __init__(self, result):
         self.backoff_until = 0
         self.result = result
+        # What the next calls raise.
+        self.failures = []
         self.calls = 0
 
     def call(self, *_):
         """Return the response or raise the exception."""
         self.calls += 1
+        if self.failures:
+            raise self.failures.pop(0)
         if isinstance(self.result, Exception):
             raise self.result
         return self.result
@@ -235,6 +239,34 @@
         self.assertIsNotNone(found.call('/x'))
         self.assertEqual(1, len(rested))
 
+    # Guards against watches at the store itself, for seconds after one
+    # connection to a feeder was reset.
+    def test_closed_connection_says_nothing_against_the_feeder(self):
+        found = self.make_feeds(results=[make_response()])
+        (feeder,) = found._paths.values()
+        feeder.failures = [connections.PeerClosed('reset')]
+        self.assertIsNotNone(found.call('/x'))
+        self.assertEqual(2, feeder.calls)
+        self.assertEqual(0, feeder.backoff_until)
+
+    def test_second_feeder_is_asked_if_the_first_fails_at_once(self):
+        for failure in (
+            connections.PeerClosed('reset'),
+            connections.Refused('refused'),
+            make_response(503),
+        ):
+            for results in ([failure, make_response()],) * 2:
+                found = self.make_feeds(results=results)
+                self.assertIsNotNone(found.call('/x'))
+                results.reverse()
+
+    def test_store_is_asked_after_a_silent_feeder(self):
+        silent = connections.ResponseLost('silent')
+        found = self.make_feeds(results=[silent, silent])
+        self.assertIsNone(found.call('/x'))
+        calls = [feeder.calls for feeder in found._paths.values()]
+        self.assertEqual([0, 1], sorted(calls))
+
     def test_410_is_an_answer(self):
         found = self.make_feeds(results=[make_response(410)])
         self.assertEqual(410, found.call('/x').status)
