Fix: those who read the configuration at the same time share one listing

Cause: a request on an unknown route lists the configuration, 385 KB, beside the listing that is under way already; each takes the thin link from the other, and while the configuration isn't confirmed every such request starts one more.

Evidence: a test that failed before (two listings in place of one).

--- a/galenaspoke/edge/views/config_view.py
+++ b/galenaspoke/edge/views/config_view.py
@@ -95,11 +95,7 @@
         that fails or takes longer than CONFIRM_TIMEOUT_S.  Requests that wait
         at the same time share one read.
         """
-        confirmed_at = self.watcher.confirmed_at
-        if (
-            confirmed_at is not None
-            and self._clock.now() - confirmed_at < CONFIRMATION_TTL_MS
-        ):
+        if self._was_confirmed():
             return True
         if self._pending_read is None:
             self._pending_read = event.AsyncResult()
@@ -109,10 +105,18 @@
         except gevent.Timeout:
             return False
 
+    def _was_confirmed(self):
+        confirmed_at = self.watcher.confirmed_at
+        return (
+            confirmed_at is not None
+            and self._clock.now() - confirmed_at < CONFIRMATION_TTL_MS
+        )
+
     def _read(self, result):
         try:
             self.watcher.read()
-            result.set(True)
+            # The listing may have begun earlier.
+            result.set(self._was_confirmed())
         except (store_base.StoreError, store_base.OutcomeUnknown):
             result.set(False)
         finally:
--- a/galenaspoke/edge/views/watchers.py
+++ b/galenaspoke/edge/views/watchers.py
@@ -9,6 +9,7 @@
 import random
 
 import gevent
+from gevent import event
 
 from galenaspoke.store import base as store_base
 
@@ -64,6 +65,7 @@
         '_history_gone_error',
         '_relist_after_failure',
         '_is_listed',
+        '_listing',
         '_backoff_s',
         '_waiting_task',
     )
@@ -100,6 +102,8 @@
         self._relist_after_failure = relist_after_failure
         # Whether the watch can resume at the position.
         self._is_listed = False
+        # The AsyncResult of the listing that is being read, None if none is.
+        self._listing = None
         self._backoff_s = INITIAL_BACKOFF_S
         # The greenlet that waits for a change, None while there is none.
         self._waiting_task = None
@@ -143,7 +147,26 @@
             self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
 
     def read(self):
-        """List all objects of the kind; raise the store's errors."""
+        """List all objects of the kind; raise the store's errors.
+
+        Those who read at the same time share one listing, since a second one
+        would take the link from the first.
+        """
+        if self._listing is not None:
+            self._listing.get()
+            return
+        self._listing = event.AsyncResult()
+        listing = self._listing
+        try:
+            self._read()
+            listing.set(None)
+        except BaseException as exc:
+            listing.set_exception(exc)
+            raise
+        finally:
+            self._listing = None
+
+    def _read(self):
         started_at = self._clock.now()
         listing = self._store.list(self._get_kind())
         self._record_success()
--- a/tests/edge/test_store_outage.py
+++ b/tests/edge/test_store_outage.py
@@ -7,6 +7,7 @@
 import unittest
 
 import gevent
+from gevent import event
 import msgspec
 
 from galenaspoke.core import catalog
@@ -69,6 +70,21 @@
         return response
 
 
+class SlowStore(ScriptedStore):
+    """A store that responds once `may_respond` is set."""
+
+    def __init__(self, *responses):
+        super().__init__(*responses)
+        self.may_respond = event.Event()
+        self.listings = 0
+
+    def list(self, _):
+        """Return the next listing."""
+        self.listings += 1
+        self.may_respond.wait()
+        return self._next()
+
+
 DOWN = store_base.StoreUnavailable('down')
 GONE = platform_store.HistoryGone('gone')
 
@@ -251,6 +267,40 @@
         view.watcher._store = ScriptedStore(DOWN)
         self.assertFalse(view.confirm())
 
+    # Guards against listings that take a thin link from each other.
+    def test_those_who_read_at_the_same_time_share_a_listing(self):
+        view = self.make_view(store_base.Listing(5, [make_config_item(7)]))
+        self.clock.advance(config_views.CONFIRMATION_TTL_MS)
+        store = SlowStore(store_base.Listing(6, [make_config_item(8)]))
+        view.watcher._store = store
+        readers = [gevent.spawn(view.watcher.read) for _ in range(2)]
+        requests = [gevent.spawn(view.confirm) for _ in range(3)]
+        gevent.sleep(0.01)
+        store.may_respond.set()
+        gevent.joinall([*readers, *requests], raise_error=True)
+        self.assertEqual([True] * 3, [request.value for request in requests])
+        self.assertEqual(1, store.listings)
+        self.assertEqual(8, view.catalog.generation)
+
+    def test_failure_reaches_those_who_share_a_listing(self):
+        view = self.make_view(store_base.Listing(5, [make_config_item(7)]))
+        self.clock.advance(config_views.CONFIRMATION_TTL_MS)
+        view.watcher._store = store = SlowStore(DOWN)
+        requests = [gevent.spawn(view.confirm) for _ in range(2)]
+        reader = gevent.spawn(self.read, view)
+        gevent.sleep(0.01)
+        store.may_respond.set()
+        gevent.joinall([*requests, reader], raise_error=True)
+        self.assertEqual([False] * 2, [request.value for request in requests])
+        self.assertIs(DOWN, reader.value)
+
+    def read(self, view):
+        """Return the error of a listing."""
+        try:
+            view.watcher.read()
+        except store_base.StoreError as exc:
+            return exc
+
     def test_no_configuration_while_the_store_is_down(self):
         view = self.make_view(DOWN)
         self.assertFalse(view.has_config())
