Fix: slow responses are logged by their transfer alone

A connection that the kernel finds dead (ETIMEDOUT) didn't count as silent either, while one that times out here did.

Change: the Liveness, which sees each transfer, notes those that take over 0.5 s from their head on, of feeders too; a loss that no peer has caused counts as silence.

--- a/galenaspoke/store/liveness.py
+++ b/galenaspoke/store/liveness.py
@@ -20,14 +20,20 @@
 
 # A response moves if its latest bytes are no older than this.
 MOVING_TTL_S = 0.4
+# A response that takes this long to come in is logged.
+SLOW_RESPONSE_S = 0.5
 
 
 class Liveness:
-    """When a process heard from its peers, on the monotonic clock in s."""
+    """When a process heard from its peers, on the monotonic clock in s.
 
-    __slots__ = ('_transfers', '_silence_found_at')
+    Slow responses are noted in `journal`, if there is one.
+    """
 
-    def __init__(self):
+    __slots__ = ('_journal', '_transfers', '_silence_found_at')
+
+    def __init__(self, journal=None):
+        self._journal = journal
         # Connections with a response that has begun and isn't complete.
         self._transfers = set()
         # When a connection was last found silent.
@@ -36,11 +42,25 @@
     @contextlib.contextmanager
     def transfer(self, conn):
         """Count a connection as one whose response has begun."""
+        started_at = time.monotonic()
+        received_before = conn.received_bytes
         self._transfers.add(conn)
         try:
             yield
         finally:
             self._transfers.discard(conn)
+            self._note_if_slow(
+                time.monotonic() - started_at,
+                conn.received_bytes - received_before,
+            )
+
+    def _note_if_slow(self, spent_s, received_bytes):
+        if self._journal is not None and spent_s >= SLOW_RESPONSE_S:
+            self._journal.note(
+                'store.slow_response',
+                bytes=received_bytes,
+                ms=int(1000 * spent_s),
+            )
 
     def is_busy(self):
         """Return whether a response moves on any path."""
--- a/galenaspoke/store/paths.py
+++ b/galenaspoke/store/paths.py
@@ -58,9 +58,6 @@
 # what zlib adds to its window bits for it.
 COMPRESSED_ENCODING = 'gzip'
 GZIP_FORMAT = 16
-# A response of which this much came slowly is logged.
-SLOW_RESPONSE_BYTES = 65_536
-SLOW_RESPONSE_MS = 1_000
 # URL prefix under which a process relays calls to the store.
 RELAY_PREFIX = '/store'
 
@@ -132,6 +129,10 @@
             raise connections.ResponseLost(
                 f'no response in time, after {received} bytes'
             ) from exc
+        except connections.ResponseLost as exc:
+            if _is_silence(exc):
+                self._live.record_silence()
+            raise
         finally:
             if conn.received_bytes > received_before:
                 self._heard_at = max(self._heard_at, conn.heard_at)
@@ -256,6 +257,14 @@
     return not is_closed
 
 
+def _call_path(path, method, url_path, body, timeout_s):
+    """Make a call on one path; raise LostByRelay if the relay says so."""
+    response = path.call(method, url_path, body, timeout_s)
+    if response.status == OUTCOME_UNKNOWN_STATUS:
+        raise LostByRelay('response lost by the relay')
+    return response
+
+
 class StorePaths:
     """The network paths of one process to the store, the direct one first.
 
@@ -276,7 +285,7 @@
     )
 
     def __init__(self, address, probe_url_path, clock, journal):
-        self.live = liveness.Liveness()
+        self.live = liveness.Liveness(journal)
         self._direct = StorePath(address, '', self.live)
         self._relays = {}
         self._clock = clock
@@ -317,9 +326,7 @@
         why = 'no path is known to work'
         for path in self._list_candidates(is_large)[:MAX_ATTEMPTS]:
             try:
-                response = self._call_path(
-                    path, method, url_path, body, timeout_s
-                )
+                response = _call_path(path, method, url_path, body, timeout_s)
             except connections.NotSent as exc:
                 self._handle_loss(path, exc)
                 why = str(exc)
@@ -338,24 +345,6 @@
             return response
         raise base.StoreUnavailable(f'store: {why}')
 
-    def _call_path(self, path, method, url_path, body, timeout_s):
-        """Make a call on one path; log a response that came slowly."""
-        started_at = self._clock.now()
-        response = path.call(method, url_path, body, timeout_s)
-        if response.status == OUTCOME_UNKNOWN_STATUS:
-            raise LostByRelay('response lost by the relay')
-        ms = self._clock.now() - started_at
-        if len(response.body) >= SLOW_RESPONSE_BYTES and (
-            ms >= SLOW_RESPONSE_MS
-        ):
-            self._journal.note(
-                'store.slow_response',
-                path=path.address,
-                bytes=len(response.body),
-                ms=ms,
-            )
-        return response
-
     def _list_candidates(self, is_large=False):
         """Return the paths to try.
 
--- a/tests/store/test_large_objects.py
+++ b/tests/store/test_large_objects.py
@@ -59,6 +59,12 @@
             len(listing.items[0].value), thin_store.OBJECT_BYTES
         )
 
+    def test_slow_response_is_logged(self):
+        found = self.make_paths(self.start_store())
+        journal = found.live._journal
+        found.call('GET', '/objects/config?', b'', 0.8)
+        self.assertIn('store.slow_response', journal.events())
+
     # Guards against a bound on wait and transfer together.
     def test_change_at_the_end_of_a_watch(self):
         client = self.make_client(self.start_store(waits=True))
