Tests: requests late in the grace, on a busy machine

Traced with prints, beside 12 busy loops: the test's own condition. A router that has accepted no caller yet when it stops ends sooner (3 requests, none before the end), and rounds of 50 ms take 80 to 350 ms (36 to 45 requests). What the rule asks for was met in each.

Change: one request is under way before the stop, so it lasts to its end; a longer grace; in place of a number, requests of each deadline must have been read before and after the time at which all are accepted.

--- a/tests/edge/test_late_in_grace.py
+++ b/tests/edge/test_late_in_grace.py
@@ -21,14 +21,14 @@
     b'POST /a/x HTTP/1.1\r\nHost: desk\r\nX-Request-Id: %04d\r\n'
     b'X-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n'
 )
-GRACE_MS = 1_500
-MARGIN_MS = 300
-ACCEPT_ALL_MS = 400
-BALANCER_DELAY_MS = 350
-# When requests are sent, and how long before the end of the process they must
-# have been sent to get an answer.
+GRACE_MS = 2_400
+MARGIN_MS = 400
+ACCEPT_ALL_MS = 800
+BALANCER_DELAY_MS = 700
+# How often requests are sent.
 INTERVAL_MS = 50
-LAST_MS = 60
+# How much later than it was sent a request may be read.
+SLACK_MS = 60
 DEADLINES_MS = (150, 600, 15_000)
 
 
@@ -36,6 +36,7 @@
 class Sent:
     """A request; `at` is in ms from the start of the stop."""
 
+    number: int
     at: int
     deadline_ms: int
     remote: socket.socket
@@ -64,6 +65,19 @@
             patch.start()
             self.addCleanup(patch.stop)
         self.router.cfg = base.make_edge_settings(grace_ms=GRACE_MS)
+        # The numbers of the requests that the router has read as a whole.
+        self.read = []
+        handle = request_handler.RequestHandler.handle
+
+        def note_and_handle(handler, req, caller):
+            self.read.append(int(req.header(b'x-request-id')))
+            handle(handler, req, caller)
+
+        patch = mock.patch.object(
+            request_handler.RequestHandler, 'handle', note_and_handle
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
 
     def send_one(self, number, deadline_ms, at):
         """Return the Sent, None if the router doesn't listen any more."""
@@ -74,26 +88,31 @@
             remote.sendall(REQUEST % (number, deadline_ms))
         except OSError:
             return None
-        return Sent(at, deadline_ms, remote)
+        return Sent(number, at, deadline_ms, remote)
 
     def stop_under_load(self):
         """Stop the router; return pairs of each Sent and its answer.
 
-        The answer is what had been sent when the process would have ended.
+        Only those are returned that the router has read.  The answer is what
+        had been sent when the process would have ended.
         """
+        # A router that has no caller stops sooner.
+        sent = [self.send_one(0, DEADLINES_MS[-1], 0)]
+        base.wait_until(lambda: self.read == [0])
         clock = self.router.clock
         started_at = clock.now()
         stop = gevent.spawn(self.router.stop)
-        sent = []
         while not stop.ready():
             for deadline_ms in DEADLINES_MS:
                 at = clock.now() - started_at
                 sent.append(self.send_one(len(sent), deadline_ms, at))
             gevent.sleep(INTERVAL_MS / 1000)
         self.assertEqual(main.EXIT_OK, stop.get())
-        last_at = clock.now() - started_at - INTERVAL_MS - LAST_MS
-        found = [s for s in sent if s is not None and s.at <= last_at]
-        self.assertGreater(len(found), 40)
+        found = [s for s in sent if s is not None and s.number in self.read]
+        for deadline_ms in DEADLINES_MS:
+            times = [s.at for s in found if s.deadline_ms == deadline_ms]
+            self.assertLess(min(times), ACCEPT_ALL_MS)
+            self.assertGreater(max(times), ACCEPT_ALL_MS + SLACK_MS)
         return [(one, one.read_answer()) for one in found]
 
     def check_all_answered(self, answers, statuses):
@@ -116,10 +135,10 @@
         late = [
             answer
             for one, answer in answers
-            if one.at > ACCEPT_ALL_MS + LAST_MS
-            and one.at + one.deadline_ms > finish_by + LAST_MS
+            if one.at > ACCEPT_ALL_MS + SLACK_MS
+            and one.at + one.deadline_ms > finish_by + SLACK_MS
         ]
-        self.assertGreater(len(late), 5)
+        self.assertTrue(late)
         for answer in late:
             self.assertIn(b' 503 ', answer)
             self.assertIn(b'Retry-After', answer)
