Fix: a configuration that came in slowly isn't confirmed as the latest

What callers would see: 404 for a route that is there. Found by reading the fix once more: since a transfer may take as long as it moves, the moment at which a change has come in no longer says that it is the latest. An operator may have published the next one meanwhile, and for 1 s a router would deny routes by the one before without asking.

Change: a watch that took over 1.5 s to bring a change confirms only what was current when it began.

Evidence: the new test failed before (confirmed).

--- a/galenaspoke/edge/views/watchers.py
+++ b/galenaspoke/edge/views/watchers.py
@@ -19,6 +19,9 @@
 RECOVERY_WATCH_WAIT_MS = 1
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.6
+# A watch with changes that took longer says only what was current when it
+# began: what it reports may have been on its way for as long.
+MAX_WATCH_MS = 1_500
 # How much of an unexpected error is logged.
 MAX_WHY_CHARS = 200
 
@@ -186,6 +189,7 @@
         # that the objects are listed again, rather than resume over another
         # path.
         era = self.era
+        started_at = self._clock.now()
         self._waiting_task = gevent.getcurrent()
         try:
             revision, changes = self._store.watch(
@@ -203,7 +207,11 @@
         for change in changes:
             self._report(self._on_change, change)
         self.revision = revision
-        self.confirmed_at = self._clock.now()
+        now = self._clock.now()
+        is_slow = bool(changes) and now - started_at > MAX_WATCH_MS
+        self.confirmed_at = max(
+            self.confirmed_at or 0, started_at if is_slow else now
+        )
 
     def _report(self, callback, news):
         """Call a callback; whatever it fails with doesn't end the watch.
--- a/tests/edge/test_store_outage.py
+++ b/tests/edge/test_store_outage.py
@@ -267,6 +267,34 @@
         view.watcher._store = ScriptedStore(DOWN)
         self.assertFalse(view.confirm())
 
+    # Guards against a 404 by a configuration that took seconds to come in
+    # while the next one was published.
+    def test_configuration_that_came_slowly_is_not_confirmed(self):
+        store = ScriptedStore(
+            store_base.Listing(5, [make_config_item(7)]),
+            (6, [platform_store.Change(make_config_item(8), False)]),
+        )
+        self.clock = base.make_manual_clock()
+        watch = store.watch
+
+        def watch_slowly(*args, **kwargs):
+            if store.responses:
+                self.clock.advance(watchers.MAX_WATCH_MS + 1)
+            return watch(*args, **kwargs)
+
+        store.watch = watch_slowly
+        view = config_views.ConfigView(
+            store,
+            self.clock,
+            base.Recorder(),
+            configuration,
+            platform_store.HistoryGone,
+        )
+        gevent.spawn(view.watcher.run).join()
+        self.assertEqual(8, view.catalog.generation)
+        view.watcher._store = ScriptedStore(DOWN)
+        self.assertFalse(view.confirm())
+
     # Guards against listings that take a thin link from each other.
     def test_those_who_read_at_the_same_time_share_a_listing(self):
         view = self.make_view(store_base.Listing(5, [make_config_item(7)]))
