--- a/tests/store/test_relaying.py
+++ b/tests/store/test_relaying.py
@@ -18,6 +18,7 @@
 from galenaspoke.store import paths
 from galenaspoke.store import relaying
 from tests.edge import base
+from tests.store import thin_store
 
 LARGE = b'{"Host":"a.example","PathPrefix":"/b/"},' * 10_000
 TIMEOUT_S = 0.8
@@ -106,6 +107,19 @@
         url_path = '/objects/config?'
         return bytes(path.call('GET', url_path, b'', TIMEOUT_S).body)
 
+    # Guards against a relay whose own transfer passes for silence.
+    def test_relay_on_a_thin_link(self):
+        store = thin_store.ThinStore(rate=300_000)
+        self.addCleanup(store.stop)
+        found = paths.StorePaths(
+            store.address, '/objects/relays', clocks.Clock(), base.Recorder()
+        )
+        app = relaying.make_relay_app(found, ())
+        address = self.start(
+            lambda address, _: pywsgi.WSGIServer(address, app, log=None), None
+        )
+        self.assertGreater(len(self.call(address)), thin_store.OBJECT_BYTES)
+
     def test_round_trip(self):
         self.assertEqual(LARGE, self.call(self.start_relay(LARGE)))
 
