--- a/tests/edge/test_store_outage.py
+++ b/tests/edge/test_store_outage.py
@@ -219,7 +219,10 @@
 
     def make_view(self, *responses):
         """Return a view that has processed the responses of the store."""
-        store = ScriptedStore(*responses)
+        return self.follow(ScriptedStore(*responses))
+
+    def follow(self, store):
+        """Return a view that has processed what a store responds."""
         self.clock = base.make_manual_clock()
         view = config_views.ConfigView(
             store,
@@ -274,7 +277,6 @@
             store_base.Listing(5, [make_config_item(7)]),
             (6, [platform_store.Change(make_config_item(8), False)]),
         )
-        self.clock = base.make_manual_clock()
         watch = store.watch
 
         def watch_slowly(*args, **kwargs):
@@ -283,14 +285,7 @@
             return watch(*args, **kwargs)
 
         store.watch = watch_slowly
-        view = config_views.ConfigView(
-            store,
-            self.clock,
-            base.Recorder(),
-            configuration,
-            platform_store.HistoryGone,
-        )
-        gevent.spawn(view.watcher.run).join()
+        view = self.follow(store)
         self.assertEqual(8, view.catalog.generation)
         view.watcher._store = ScriptedStore(DOWN)
         self.assertFalse(view.confirm())
