Memory: an account of the bytes that a process holds for its peers

Change: buffers.BufferAccount, whose owner that holds most loses its largest share once the sum exceeds a quarter of the process's memory; the platform's settings say how much that is.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -31,6 +31,7 @@
 from galenaspoke.edge.views import evacuation_view
 from galenaspoke.edge.views import target_view as target_views
 from galenaspoke.edge.views import watchers
+from galenaspoke.http import buffers
 from galenaspoke.http import listening
 from galenaspoke.http import messages
 from galenaspoke.platform import configuration
@@ -71,6 +72,9 @@
         self.metrics = edge_metrics.Metrics()
         self.journal = journals.Journal(self.clock)
         self._metrics_port = metrics_port
+        buffers.process_account.limit_bytes = buffers.compute_limit_bytes(
+            cfg.memory_mb
+        )
         self._stopping = event.Event()
         self.poison_detector = poison.PoisonDetector(self.clock, self.journal)
         self._connections = set()
@@ -364,6 +368,8 @@
             'open': self.request_handler.open_request_count,
             'connections': len(self._connections),
             'lines_shed': self.journal.dropped_lines,
+            'held_bytes': buffers.process_account.held_bytes,
+            'held_cut': buffers.process_account.cut_count,
             'generation': self.config_view.catalog.generation,
             'ready': int(self.is_ready()),
         }
--- a/galenaspoke/edge/relay_main.py
+++ b/galenaspoke/edge/relay_main.py
@@ -18,6 +18,7 @@
 from galenaspoke.edge import metrics as edge_metrics
 from galenaspoke.edge import settings as edge_settings
 from galenaspoke.edge import startup
+from galenaspoke.http import buffers
 from galenaspoke.platform import store as platform_store
 from galenaspoke.store import feeds
 from galenaspoke.store import paths as store_paths
@@ -30,6 +31,9 @@
 
 def serve(cfg):
     """Relay calls until a signal requests the shutdown."""
+    buffers.process_account.limit_bytes = buffers.compute_limit_bytes(
+        cfg.memory_mb
+    )
     clock = clocks.Clock()
     journal = journals.Journal(clock)
     metrics = edge_metrics.Metrics()
--- a/galenaspoke/edge/settings.py
+++ b/galenaspoke/edge/settings.py
@@ -15,7 +15,8 @@
     any is in use.  At `peer_listen` the router lends prepaid tokens to other
     routers and relays their calls to the store; if it is empty, it does
     neither.  `evacuation_ms` is how soon an evacuation of a failure domain
-    must be obeyed, 0 if operators evacuate none.
+    must be obeyed, 0 if operators evacuate none.  `memory_mb` is how much
+    memory the process may use, 0 if that isn't known.
     """
 
     name: str
@@ -30,6 +31,7 @@
     ledger_pages: int = 4096
     peer_listen: str = ''
     evacuation_ms: float = 0
+    memory_mb: float = 0
 
 
 def split_address(address):
--- a/galenaspoke/platform/settings.py
+++ b/galenaspoke/platform/settings.py
@@ -116,6 +116,7 @@
         retry_slack=reader.read_number('Bounds.RetrySlack', 0),
         peer_listen=_read_peer_address(reader),
         evacuation_ms=reader.read_number('Bounds.EvacuateMs', 0),
+        memory_mb=reader.read_number('Limits.MemoryMb', 0),
     )
 
 
--- /dev/null
+++ b/tests/http/test_buffers.py
@@ -0,0 +1,55 @@
+"""The bound on the bytes that a process holds for its peers."""
+
+import unittest
+
+from galenaspoke.http import buffers
+
+LIMIT_BYTES = 1_000
+
+
+class BufferAccountTest(unittest.TestCase):
+    """Shares of several owners."""
+
+    def setUp(self):
+        self.account = buffers.BufferAccount(LIMIT_BYTES)
+        self.cut = []
+
+    def open(self, name, owner):
+        """Return a share that notes under `name` that it was cut."""
+        return self.account.open(owner, lambda: self.cut.append(name))
+
+    # Guards against a bound on each connection that is no bound on their sum.
+    def test_sum_stays_within_the_limit(self):
+        for number in range(50):
+            self.open(number, 'i-1').resize(90)
+            self.assertLessEqual(self.account.held_bytes, LIMIT_BYTES)
+        self.assertEqual(39, len(self.cut))
+        self.assertEqual(39, self.account.cut_count)
+
+    # Guards against a peer that pays for what another one holds.
+    def test_owner_that_holds_most_loses_its_largest_share(self):
+        self.open('well', 'i-1').resize(400)
+        for number in range(6):
+            self.open(number, 'i-2').resize(90 + number)
+        self.open('last', 'i-1').resize(100)
+        self.assertEqual([5], self.cut)
+
+    def test_shares_that_are_cut_or_closed_count_for_nothing(self):
+        first = self.open('first', 'i-1')
+        first.resize(1_001)
+        self.assertTrue(first.is_cut)
+        self.assertEqual(0, self.account.held_bytes)
+        first.resize(500)
+        self.assertEqual(0, self.account.held_bytes)
+        second = self.open('second', 'i-1')
+        second.resize(900)
+        second.close()
+        second.close()
+        self.assertEqual(0, self.account.held_bytes)
+        self.assertEqual(['first'], self.cut)
+
+    def test_limit_follows_from_the_memory(self):
+        self.assertEqual(40_000_000, buffers.compute_limit_bytes(160))
+        self.assertEqual(
+            buffers.DEFAULT_LIMIT_BYTES, buffers.compute_limit_bytes(0)
+        )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -55,6 +55,17 @@
         self.assertIn('other.yaml', fields['why'])
 
 
+class MemoryTest(unittest.TestCase):
+    """How much memory the process may use."""
+
+    def test_stated(self):
+        cfg = load(VALID + 'Limits: {MemoryMb: 160}\n')
+        self.assertEqual(160, cfg.memory_mb)
+
+    def test_not_stated(self):
+        self.assertEqual(0, load(VALID).memory_mb)
+
+
 class SettingsTest(unittest.TestCase):
     """Settings are accepted completely or refused with all problems."""
 
