Edge router: say what showed that a response without a length has ended

Now ends.proved.most counts streams that brought all output that their request allows, ends.proved.alive the other responses, which rest on a target that lives and doesn't work on the request any more. The line answered names the proof as well. What is told callers is as before.

Events without data don't count for it (piece_count): clients ignore them.

--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -48,16 +48,28 @@
     retry_after_ms: int | None = None
 
 
+class Proof(enum.Enum):
+    """What shows that a response without a length has ended.
+
+    MOST: all output that the request allows has come.  ALIVE: its target lives
+    and doesn't work on the request any more.
+    """
+
+    MOST = 'most'
+    ALIVE = 'alive'
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Served:
     """The caller has received the target's complete response.
 
-    `is_framed` is false if only the end of the connection ended it, and the
-    target's word that it had.
+    `is_framed` is false if only the end of the connection ended it; `proof`
+    then says what shows that it had.
     """
 
     status: int
     is_framed: bool = True
+    proof: Proof | None = dataclasses.field(default=None, compare=False)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -1,6 +1,7 @@
 """Attempts: send a request to one target and relay its response."""
 
 from galenaspoke.edge import outcomes
+from galenaspoke.edge.serving import stream_ends
 from galenaspoke.edge.streams import sse
 from galenaspoke.edge.targets import incarnations
 from galenaspoke.http import connections
@@ -25,8 +26,8 @@
 class Attempt:
     """One attempt to have a target serve a request.
 
-    `context` is the RequestContext, which holds the state that outlives the
-    attempt.  `header_codec` translates the platform's headers.  `on_response`
+    `cfg` are the EdgeSettings.  `context` is the RequestContext, which holds
+    the state that outlives the attempt.  `header_codec` translates the platform's headers.  `on_response`
     is called with the target, the ResponseMetadata of each of its responses,
     and when the request was sent, 0 if that isn't known.  `on_begin` is called
     with the context and the target before the first event of a stream is
@@ -38,6 +39,7 @@
     """
 
     __slots__ = (
+        '_cfg',
         '_context',
         '_target',
         '_caller',
@@ -56,6 +58,7 @@
 
     def __init__(
         self,
+        cfg,
         context,
         target,
         caller,
@@ -68,6 +71,7 @@
         acquire,
         end_checker,
     ):
+        self._cfg = cfg
         self._context = context
         self._target = target
         self._caller = caller
@@ -247,19 +251,20 @@
             self._header_codec.build_caller_headers(response),
             body,
         )
-        return outcomes.Served(response.status, response.is_framed)
+        proof = None if response.is_framed else outcomes.Proof.ALIVE
+        return outcomes.Served(response.status, response.is_framed, proof)
 
     def _relay_stream(self, conn, response, end_check):
         """Relay events as they arrive, each only once it is complete."""
         splitter = sse.EventSplitter()
         order = self._context.event_order
         order.begin_run()
-        has_events = False
+        run = stream_ends.Run()
         is_open = True
         while True:
             read_at = self._clock.now()
             events = splitter.feed(response.take_body())
-            has_events = has_events or bool(events)
+            run.record(events)
             undelivered = order.select(events)
             if undelivered:
                 self._relay_events(response, undelivered)
@@ -276,7 +281,7 @@
                 conn.set_read_timeout(self._timeout_s)
             is_open = self._receive_more(conn, response)
         # A stream that goes on may have had no more events.
-        has_begun = has_events or bool(self._context.last_event_id)
+        has_begun = run.has_events or bool(self._context.last_event_id)
         if not response.is_framed and not has_begun:
             raise connections.PeerClosed('connection closed before any event')
         if splitter.remainder():
@@ -287,8 +292,13 @@
             )
             raise error('the last event is incomplete')
         self._confirm_end(end_check)
+        proof = None
+        if not response.is_framed:
+            proof = stream_ends.find_proof(
+                self._cfg, self._context, self._target, run
+            )
         self._send_body(response, messages.LAST_CHUNK)
-        return outcomes.Served(response.status, response.is_framed)
+        return outcomes.Served(response.status, response.is_framed, proof)
 
     def _confirm_end(self, end_check):
         """Raise ResponseLost if a response may have been cut off."""
--- a/galenaspoke/edge/serving/request_context.py
+++ b/galenaspoke/edge/serving/request_context.py
@@ -32,6 +32,7 @@
         'stream_version',
         'first_byte_ms',
         'event_count',
+        'piece_count',
         'last_event_at',
         'event_times',
         'read_tokens',
@@ -76,6 +77,8 @@
         self.first_byte_ms = None
         # The number of events that were sent to the caller.
         self.event_count = 0
+        # How many of them clients see; they ignore events without data.
+        self.piece_count = 0
         self.last_event_at = None
         # When the present attempt's events came, at most MAX_EVENT_TIMES.
         self.event_times = []
@@ -148,6 +151,7 @@
         if len(self.event_times) < MAX_EVENT_TIMES:
             self.event_times.extend([now] * len(events))
         self.event_count += len(events)
+        self.piece_count += sum(event.has_data() for event in events)
 
     def consumed_tokens(self):
         """Return the tokens that the request used of its account's budget.
--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -350,6 +350,7 @@
                 context, started_at, context.metadata
             )
         attempt = attempts.Attempt(
+            self._cfg,
             context,
             target,
             caller,
@@ -384,8 +385,14 @@
             self._clock.now() - started_at,
             context.event_count - events_before,
         )
+        self._count_end(outcome)
         return outcome
 
+    def _count_end(self, outcome):
+        """Count what showed that a response without a length has ended."""
+        if isinstance(outcome, outcomes.Served) and outcome.proof:
+            self._metrics.count(f'ends.proved.{outcome.proof.value}')
+
     def _acquire(self, context, target, timeout_ms):
         """Return a connection to a target; raise NotSent on failure.
 
--- a/galenaspoke/edge/serving/responses.py
+++ b/galenaspoke/edge/serving/responses.py
@@ -35,8 +35,9 @@
         if isinstance(result, outcomes.Served):
             if not result.is_framed:
                 self._metrics.count('answers.unframed')
+            proof = result.proof and result.proof.value
             self._log_result(
-                req, context, result.status, None, result.is_framed
+                req, context, result.status, None, result.is_framed, proof
             )
             return
         if caller.response_started:
@@ -69,12 +70,15 @@
         )
         caller.send_response(refusal.status, headers, body)
 
-    def _log_result(self, req, context, status, result, is_framed=True):
+    def _log_result(
+        self, req, context, status, result, is_framed=True, proof=None
+    ):
         now = self._clock.now()
         self._metrics.count(f'answers.{status}')
         fields = {'status': status, 'ms': now - req.arrived_at}
         if not is_framed:
             fields['framed'] = False
+            fields['proof'] = proof
         if context is not None:
             kind = context.route.kind.value
             if context.first_byte_ms is not None:
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -186,6 +186,7 @@
         conn, remote = base.make_connection_pair()
         self.target = FakeTarget(conn)
         attempt = attempts.Attempt(
+            base.make_edge_settings(),
             self.context,
             self.target,
             self.caller,
@@ -440,6 +441,7 @@
 
         target = Connecting(None)
         attempt = attempts.Attempt(
+            base.make_edge_settings(),
             self.context,
             target,
             self.caller,
