--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -26,15 +26,15 @@
 class Attempt:
     """One attempt to have a target serve a request.
 
-    `cfg` are the EdgeSettings.  `context` is the RequestContext, which holds
-    the state that outlives the attempt.  `header_codec` translates the platform's headers.  `on_response`
-    is called with the target, the ResponseMetadata of each of its responses,
-    and when the request was sent, 0 if that isn't known.  `on_begin` is called
-    with the context and the target before the first event of a stream is
-    relayed, and `on_events` with both when events come.  `may_retry`
-    returns whether another target may be tried after this one.  `acquire`
-    takes how long the target may take to respond, in ms, and returns a
-    connection to it; it raises NotSent on failure.
+    `cfg` are the EdgeSettings. `context` is the RequestContext, which holds
+    the state that outlives the attempt. `header_codec` translates the
+    platform's headers. `on_response` is called with the target, the
+    ResponseMetadata of each of its responses, and when the request was sent, 0
+    if that isn't known. `on_begin` is called with the context and the target
+    before the first event of a stream is relayed, and `on_events` with both
+    when events come. `may_retry` returns whether another target may be tried
+    after this one. `acquire` takes how long the target may take to respond, in
+    ms, and returns a connection to it; it raises NotSent on failure.
     `end_checker` is the EndChecker.
     """
 
