--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -181,13 +181,16 @@
         store=None,
         send_datagram=lambda address, data: None,
         members=None,
+        settings=None,
         **route_options,
     ):
         self.clock = clock or clocks.Clock()
         if routers is None:
             routers = make_lone_router()
         self.journal = base.Recorder()
-        cfg = base.make_edge_settings(retry_slack=50)
+        cfg = base.make_edge_settings(
+            **{'retry_slack': 50, **(settings or {})}
+        )
         options = {
             'max_attempts': 2,
             'priority': 0,
