Edge router: a stream that a living target closes is not whole without a proof

Cause: the end of the connection, and a target that lives and doesn't work on the request any more, passed for the end of the stream. Targets that are emptied, flap or reach the end of their grace close streams before that.

Now such a stream is whole if, besides (EndCheck passes as before), - all output that the request allows has come: events with data times the most tokens of an event reach the request's output tokens. Not for requests that resume: what came before isn't known; - or another target than the one that brought the last event, which doesn't leave, was asked to go on there and sent no event at all that clients see. Else the attempt ends as outcomes.Closed: it is retried like a cut stream (retry budget, max_attempts, versions), at an untried target, else at another one than that of the last event, else at the same. A framed second run decides by itself. Without a retry the stream is broken. Closed costs no health, no lost target, no crash, no suspect; counter ends.closed.

The proof by the most output adds to EndCheck and doesn't replace it: events may hold fewer tokens than the most, and the tests of EndCheck stay as strict.

Changed tests, assertions word for word: requests of EndingTestCase.ask allow EVENT_COUNT tokens, so that a stream of EVENT_COUNT events has this proof; as strict, since EndCheck still has to pass, and cut streams have 5 events. The same for test_crash_checks and test_interrupted_streams. ResumedEndTest has two engines: of one alone nothing tells an empty rest from a stream that is closed at once.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -1,5 +1,6 @@
 """galenaspoke-edge: the edge router, on the data path of a platform."""
 
+import dataclasses
 import math
 import signal
 import sys
@@ -397,9 +398,17 @@
     default=0,
     help='The port for /metrics, /ready and /state; 0 for none.',
 )
-def main(settings, metrics_port):
+@click.option(
+    '--accept-closed-streams/--no-accept-closed-streams',
+    default=False,
+    help='Take a stream without a length as whole if its target closes it.',
+)
+def main(settings, metrics_port, accept_closed_streams):
     """Run the edge router."""
-    cfg = startup.load_settings_or_exit(settings)
+    cfg = dataclasses.replace(
+        startup.load_settings_or_exit(settings),
+        accept_closed_streams=accept_closed_streams,
+    )
     sys.exit(EdgeRouter(cfg, metrics_port, settings).run())
 
 
--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -51,11 +51,13 @@
 class Proof(enum.Enum):
     """What shows that a response without a length has ended.
 
-    MOST: all output that the request allows has come.  ALIVE: its target lives
-    and doesn't work on the request any more.
+    Its target lives and doesn't work on the request any more.  MOST: all
+    output that the request allows has come.  SECOND_RUN: another target, asked
+    to go on after the last event, has nothing to add.  ALIVE: nothing else.
     """
 
     MOST = 'most'
+    SECOND_RUN = 'second_run'
     ALIVE = 'alive'
 
 
@@ -109,6 +111,13 @@
     cut_off: bool = False
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Closed:
+    """The target lives and has closed a stream whose end nothing proves."""
+
+    why: str = 'closed, without a length: nothing shows that it was the end'
+
+
 def random_delay_ms(bounds_ms):
     """Return a random time in ms between two bounds.
 
--- a/galenaspoke/edge/serving/attempt_recorder.py
+++ b/galenaspoke/edge/serving/attempt_recorder.py
@@ -53,6 +53,9 @@
         elif isinstance(outcome, outcomes.Unknown):
             is_ejected = self._record_unknown(context, target, outcome, events)
             why = outcome.why
+        elif isinstance(outcome, outcomes.Closed):
+            # It lives, and nothing says that it has failed.
+            why = outcome.why
         else:
             target.health.record_success()
             why = f'status {outcome.response.status}'
--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -297,6 +297,9 @@
             proof = stream_ends.find_proof(
                 self._cfg, self._context, self._target, run
             )
+            if proof is None:
+                self._context.record_closed(self._target)
+                return outcomes.Closed()
         self._send_body(response, messages.LAST_CHUNK)
         return outcomes.Served(response.status, response.is_framed, proof)
 
@@ -334,7 +337,7 @@
             self._context.record_first_byte(now)
             self._context.stream_version = self._target.entry.version
             self._on_begin(self._context, self._target)
-        self._context.record_events(undelivered, now)
+        self._context.record_events(undelivered, now, self._target)
         self._on_events(self._context, self._target)
         data = messages.encode_chunk(
             b''.join(event.raw for event in undelivered)
--- a/galenaspoke/edge/serving/refusals.py
+++ b/galenaspoke/edge/serving/refusals.py
@@ -57,6 +57,10 @@
             outcomes.Reason.TARGET_FAILED,
             outcome.why,
         )
+    if isinstance(outcome, outcomes.Closed):
+        return outcomes.Refusal(
+            502, outcomes.Reason.TARGET_FAILED, outcome.why
+        )
     if context.may_have_run:
         return outcomes.Refusal(502, outcomes.Reason.TARGET_FAILED)
     retry_after_ms = pause_ms + outcomes.random_delay_ms(
--- a/galenaspoke/edge/serving/request_context.py
+++ b/galenaspoke/edge/serving/request_context.py
@@ -30,6 +30,7 @@
         'may_have_run',
         'event_order',
         'stream_version',
+        'last_source_id',
         'first_byte_ms',
         'event_count',
         'piece_count',
@@ -73,6 +74,9 @@
         # The software version of the target that began the stream, None while
         # no event has come.
         self.stream_version = None
+        # The id of the target that brought the last event; if none came, of
+        # the first one that closed the stream.  Empty if there is none.
+        self.last_source_id = ''
         # How long the caller waited for the first byte of the response.
         self.first_byte_ms = None
         # The number of events that were sent to the caller.
@@ -142,8 +146,12 @@
         if self.first_byte_ms is None:
             self.first_byte_ms = now - self.arrived_at
 
-    def record_events(self, events, now):
-        """Record events that are sent to the caller."""
+    def record_closed(self, target):
+        """Record that a target closed a stream whose end nothing proves."""
+        self.last_source_id = self.last_source_id or target.entry.id
+
+    def record_events(self, events, now, target):
+        """Record events of a target that are sent to the caller."""
         if self.last_event_at is not None:
             gap_ms = now - self.last_event_at
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
@@ -151,7 +159,10 @@
         if len(self.event_times) < MAX_EVENT_TIMES:
             self.event_times.extend([now] * len(events))
         self.event_count += len(events)
-        self.piece_count += sum(event.has_data() for event in events)
+        pieces = sum(event.has_data() for event in events)
+        self.piece_count += pieces
+        if pieces:
+            self.last_source_id = target.entry.id
 
     def consumed_tokens(self):
         """Return the tokens that the request used of its account's budget.
--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -253,7 +253,7 @@
         """Try targets until one succeeds or no further one may be tried."""
         outcome = None
         while True:
-            target = self._choose_target(context)
+            target = self._choose_target(context, outcome)
             if target is None:
                 break
             # It may be known to crash targets only since it was admitted.
@@ -273,15 +273,34 @@
         )
         return refusals.from_last_outcome(context, outcome, pause_ms)
 
-    def _choose_target(self, context):
+    def _choose_target(self, context, last_outcome):
+        """Return the target of the next attempt, None if there is none.
+
+        A stream that was closed goes on at a target that was tried if there is
+        no other, and at the one that brought its last event only at last.
+        """
         now = self._clock.now()
         if context.remaining_ms(now) < MIN_REMAINING_MS:
             return None
+        target = self._choose_among(self._list_untried(context), context, now)
+        if target is None and isinstance(last_outcome, outcomes.Closed):
+            accepting = self._list_accepting(context)
+            others = [
+                target
+                for target in accepting
+                if target.entry.id != context.last_source_id
+            ]
+            target = self._choose_among(
+                others, context, now
+            ) or self._choose_among(accepting, context, now)
+        return target
+
+    def _choose_among(self, targets, context, now):
         service_speeds = self._speeds[context.service]
         differed = service_speeds.differ
         target = placement.choose_target(
             context.metadata,
-            self._list_untried(context),
+            targets,
             now,
             self._cfg.domain,
             self._isolations[context.service],
@@ -392,6 +411,8 @@
         """Count what showed that a response without a length has ended."""
         if isinstance(outcome, outcomes.Served) and outcome.proof:
             self._metrics.count(f'ends.proved.{outcome.proof.value}')
+        elif isinstance(outcome, outcomes.Closed):
+            self._metrics.count('ends.closed')
 
     def _acquire(self, context, target, timeout_ms):
         """Return a connection to a target; raise NotSent on failure.
--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -42,7 +42,23 @@
     """
     if _has_most(context):
         return outcomes.Proof.MOST
-    return outcomes.Proof.ALIVE
+    if _is_confirmation(context, target, run):
+        return outcomes.Proof.SECOND_RUN
+    if cfg.accept_closed_streams:
+        return outcomes.Proof.ALIVE
+    return None
+
+
+def _is_confirmation(context, target, run):
+    """Return whether a run shows that nothing comes after the last event.
+
+    A target that leaves closes streams early, and none confirms its own end.
+    One that sends events again may have stopped among those.
+    """
+    source_id = context.last_source_id
+    is_other = bool(source_id) and source_id != target.entry.id
+    is_leaving = target.entry.leaving or target.is_removed
+    return is_other and not is_leaving and not run.has_pieces
 
 
 def _has_most(context):
--- a/galenaspoke/edge/settings.py
+++ b/galenaspoke/edge/settings.py
@@ -16,7 +16,9 @@
     routers and relays their calls to the store; if it is empty, it does
     neither.  `evacuation_ms` is how soon an evacuation of a failure domain
     must be obeyed, 0 if operators evacuate none.  `memory_mb` is how much
-    memory the process may use, 0 if that isn't known.
+    memory the process may use, 0 if that isn't known.  With
+    `accept_closed_streams` a stream without a length that its target closes is
+    whole if the target lives.
     """
 
     name: str
@@ -32,6 +34,7 @@
     peer_listen: str = ''
     evacuation_ms: float = 0
     memory_mb: float = 0
+    accept_closed_streams: bool = False
 
 
 def split_address(address):
--- a/galenaspoke/edge/startup.py
+++ b/galenaspoke/edge/startup.py
@@ -1,5 +1,6 @@
 """Reading the settings, at the start of a program and while it runs."""
 
+import dataclasses
 import gc
 import sys
 
@@ -26,11 +27,14 @@
     """Log whether the settings file at `path` differs from `cfg`.
 
     `path` is None for the platform's default.  Changes take effect when the
-    process is restarted.
+    process is restarted.  What the command line states isn't compared.
     """
     try:
         new_cfg = platform_settings.load(path)
     except platform_settings.SettingsInvalid as exc:
         journal.note('reload.refused', why=str(exc))
         return
+    new_cfg = dataclasses.replace(
+        new_cfg, accept_closed_streams=cfg.accept_closed_streams
+    )
     journal.note('reload', changed=new_cfg != cfg)
--- a/tests/edge/test_closed_streams.py
+++ b/tests/edge/test_closed_streams.py
@@ -6,29 +6,10 @@
 from galenaspoke.edge import outcomes
 from galenaspoke.http import messages
 from tests.edge import base
-from tests.edge import handlers
 from tests.edge import test_endings
 
-# The output that a request for all pieces allows, one token each.
-WHOLE_USAGE = b'9,%d' % test_endings.EVENT_COUNT
 
-
-class ClosedStreamTestCase(test_endings.EndingTestCase):
-    """A base class whose requests state how much output they allow."""
-
-    def ask(self, desk, caller=None, usage=WHOLE_USAGE, pairs=()):
-        """Make a request; return the Caller, and if its response is whole."""
-        caller = caller or handlers.Caller()
-        headers = [*pairs, (b'x-token-usage', usage)]
-        real_request = desk.request
-        desk.request = lambda caller: real_request(caller, headers)
-        try:
-            return super().ask(desk, caller)
-        finally:
-            desk.request = real_request
-
-
-class ProofCountTest(ClosedStreamTestCase):
+class ProofCountTest(test_endings.EndingTestCase):
     """What the router logs of a response without a length."""
 
     # Guards against logs that say that there was a proof, but not which.
@@ -38,7 +19,7 @@
         self.assertIn('ends.proved.most', desk.journal.events())
 
 
-class BodyProofTest(ClosedStreamTestCase):
+class BodyProofTest(test_endings.EndingTestCase):
     """The same for other responses."""
 
     kind = catalog.RequestKind.IDEMPOTENT
@@ -51,7 +32,7 @@
         self.assertIn(name, desk.journal.events())
 
 
-class EarlyCloseTest(ClosedStreamTestCase):
+class EarlyCloseTest(test_endings.EndingTestCase):
     """Engines that close a stream at a piece in the middle, once, and live."""
 
     def make_closing_desk(self, count=1, **options):
@@ -186,7 +167,7 @@
         self.assertFalse(self.ask(desk)[1])
 
 
-class AcceptedStreamTest(ClosedStreamTestCase):
+class AcceptedStreamTest(test_endings.EndingTestCase):
     """Routers whose operator says that closed streams count as whole."""
 
     # Guards against whole streams of a route that may not be resumed that
--- a/tests/edge/test_crash_checks.py
+++ b/tests/edge/test_crash_checks.py
@@ -157,7 +157,9 @@
         keys = crash_suspects.make_keys(fingerprint, ())
         desk.detector.record_cut_off(keys, ('i-0', 1))
         desk.detector.record_target_down(('i-0', 1))
-        self.assertEqual(200, desk.request().status)
+        # All the output that it allows has come, one token an event.
+        usage = [(b'x-token-usage', b'9,%d' % event_count)]
+        self.assertEqual(200, desk.request(pairs=usage).status)
         return not desk.detector.has_suspects()
 
 
--- a/tests/edge/test_endings.py
+++ b/tests/edge/test_endings.py
@@ -22,6 +22,8 @@
 
 EVENT_COUNT = 20
 CUT_AFTER = 6
+# The input, and the output that all pieces are, one token each.
+WHOLE_USAGE = b'9,%d' % EVENT_COUNT
 BORN = 1_000
 MAX_UNREAD_MS = 150
 HEAD = (
@@ -188,11 +190,14 @@
             engine.cut_at = cut_at
             engine.cut = functools.partial(kill, engine)
 
-    def ask(self, desk, caller=None):
-        """Make a request; return the Caller, and if its response is whole."""
+    def ask(self, desk, caller=None, usage=WHOLE_USAGE, pairs=()):
+        """Make a request; return the Caller, and if its response is whole.
+
+        `usage` says how much output it allows.
+        """
         caller = caller or handlers.Caller()
         try:
-            desk.request(caller)
+            desk.request(caller, [*pairs, (b'x-token-usage', usage)])
         except caller_connections.CallerDisconnected:
             return caller, False
         return caller, caller.status == 200
--- a/tests/edge/test_endings_review.py
+++ b/tests/edge/test_endings_review.py
@@ -185,7 +185,7 @@
     # Guards against a resumed stream that has nothing left to send: the check
     # tells whether it was cut off, not how many events it has.
     def test_rest_that_is_empty_is_whole(self):
-        desk, _ = self.make_desk(resumable=True)
+        desk, _ = self.make_desk(count=2, resumable=True)
         caller = handlers.Caller()
         desk.request(
             caller,
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -96,6 +96,7 @@
         self.health = health.Health()
         self.wait_estimator = wait_estimates.WaitEstimator()
         self.conn = conn
+        self.is_removed = False
         self.released = []
 
     def acquire_connection(self, *_):
@@ -239,6 +240,8 @@
         self.assertIsInstance(outcome, outcomes.Unknown)
 
     def test_unframed_stream_ends_with_its_connection(self):
+        # Two events are all the output that the request allows.
+        self.context.event_tokens = self.context.metadata.output_tokens // 2
         outcome = self.run_attempt(
             UNFRAMED_HEAD, encode_event(1), encode_event(2), read_request=True
         )
