Edge router: the end of a body is proved by when its request was sent

Callers saw: bodies cut and told whole, where a dead process's kernel sent the rest to a router that stood still; and whole ones told cut, their targets ejected, after a release (engines younger than 8 s whose entry states no start) and while the store is down (an entry older than the process).

Cause: EndCheck took the time of the last data for a time at which the process lived, and a start within 8 s of the sending for one after it.

Now the process lived when the request was sent, and no sooner than MIN_RESTART_MS after that can another answer for it. Only a start after the sending (less MIN_RESTART_MS) shows another process at once. A start that is earlier by more than MAX_CLOCK_ERROR_MS (17 s: two clocks that are 8 s off, and a margin) shows the same one, whatever the entry names; so does the start that the entry named when the response began. The answer to a question shows that the process lived when it was asked, not when it came.

Lost by it: a body that takes over a second, of a target that states no start in its entry nor its reports, and that closes as soon as it has sent it, is told cut; the time of its data vouched for it before.

--- a/galenaspoke/edge/targets/end_checks.py
+++ b/galenaspoke/edge/targets/end_checks.py
@@ -27,7 +27,7 @@
 # No target that was killed is back sooner.
 MIN_RESTART_MS = 1_000
 # How much the wall clocks of a router and a target may differ.
-MAX_CLOCK_ERROR_MS = 8_000
+MAX_CLOCK_ERROR_MS = 17_000
 # A target may give up a response that was not read for this long.
 MAX_UNREAD_MS = 2_000
 # How often it is checked that this process doesn't stand still.
@@ -82,11 +82,13 @@
     Since a connection doesn't outlive the process at its other end, an answer
     on the second one after the response proves that the process lives.  On a
     later connection, the time when the process started shows that it is the
-    same one, or that there was no time to start again since it last lived.
+    same one, or that there was no time to start again since it last lived:
+    it lived when the request was sent.  When data came says nothing, since the
+    kernel of a dead process sends the rest once the router has room.
 
     That the target has closed the first one may come late, on a path that
-    holds up or loses packets.  So no process that may have started after the
-    request was sent proves anything.
+    holds up or loses packets.  So no process that says that it has started
+    after the request was sent proves anything.
     """
 
     __slots__ = (
@@ -96,6 +98,7 @@
         '_clock',
         '_metrics',
         '_sent_at_wall',
+        '_listed_born',
         '_has_stalled',
         '_connect_task',
         '_conn',
@@ -117,13 +120,15 @@
         self._metrics = metrics
         # When the request was sent, in ms since 1970.
         self._sent_at_wall = clock.wall() - (clock.now() - sent_at)
+        # When the target's process started, by the entry at this time.
+        self._listed_born = target.entry.born
         self._has_stalled = has_stalled
         # The connection for the next question, None if there is none yet.
         self._conn = None
         # Whether it was made while the response was under way.
         self._is_early = False
         # The latest time at which the process is known to have lived.
-        self._alive_at = -math.inf
+        self._alive_at = sent_at
         # Whether it has answered on an early connection.
         self._has_survived = False
         # Whether such a connection was lost, perhaps with its process.
@@ -170,8 +175,6 @@
         self._conn = self._target.acquire_last_connection(now)
         info = self._response_conn.tcp_info()
         self._is_early = info is not None and not info.is_closed_by_peer
-        data_age_ms = 0 if info is None else info.data_age_ms
-        self._alive_at = max(self._alive_at, now - data_age_ms)
 
     def _ask_until_known(self, request_id):
         self._connect_task.join()
@@ -190,6 +193,7 @@
 
         Raises PeerClosed if the process is gone.
         """
+        asked_at = self._clock.now()
         try:
             if self._conn is None:
                 self._connect()
@@ -201,16 +205,17 @@
             return f'no report: {exc}'
         if report.is_relayed:
             return 'a gateway has no answer of the target'
-        now = self._clock.now()
-        is_soon = now - self._alive_at < MIN_RESTART_MS
-        has_survived = self._is_early or (self._has_survived and is_soon)
-        if report.is_misdirected or self._is_replaced(report, has_survived):
+        if report.is_misdirected or self._is_new(report):
             raise self._make_end('another process has its address')
+        is_soon = self._clock.now() - self._alive_at < MIN_RESTART_MS
+        has_survived = self._is_early or (self._has_survived and is_soon)
         is_soon = is_soon and not self._has_lost_early
         if not (has_survived or is_soon or self._is_known(report)):
+            if report.born and self._listed_born:
+                raise self._make_end('another process has its address')
             return 'nothing shows that its process is the same'
         self._has_survived = has_survived
-        self._alive_at = now
+        self._alive_at = asked_at
         return self._find_work(report, request_id)
 
     def _find_work(self, report, request_id):
@@ -239,20 +244,24 @@
             conn.close()
         return self._report_codec.decode(response.status, body)
 
-    def _is_replaced(self, report, has_survived):
-        """Return whether another process has sent a report.
+    def _is_new(self, report):
+        """Return whether a process says that it started after the sending.
 
-        The target's entry may be older than the process that has survived.
+        The clocks of a known one may differ from this router's.
         """
-        born = self._target.entry.born
-        if not report.born or report.born == born:
+        if not report.born or report.born == self._listed_born:
             return False
-        is_late = report.born > self._sent_at_wall - MAX_CLOCK_ERROR_MS
-        return is_late or (bool(born) and not has_survived)
+        return report.born > self._sent_at_wall - MIN_RESTART_MS
 
     def _is_known(self, report):
-        """Return whether a report names the start of the target's entry."""
-        return bool(report.born) and report.born == self._target.entry.born
+        """Return whether a process was there when the request was sent.
+
+        The target's entry may be older than the process.
+        """
+        if not report.born:
+            return False
+        is_old = report.born < self._sent_at_wall - MAX_CLOCK_ERROR_MS
+        return is_old or report.born == self._listed_born
 
     def _make_end(self, why):
         """Return the error for a process that is gone.
