Edge router: callers that speak HTTP/1.0 get no chunks, and a reset for a cut

Callers of HTTP/1.0 got Transfer-Encoding: chunked, which they don't know, and a stream that was cut ended as one that was whole: with its connection.

Now they get bare events up to the end of the connection (Connection: close, also if they asked to keep it), and a stream that can't be completed ends with a reset (SO_LINGER 0). What says so is the request (takes_chunks); the connection resets if the handling of its request fails once such a response has begun.

New: a whole stream ends without a reset; it wasn't run on the code before.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -300,7 +300,8 @@
             if proof is None:
                 self._context.record_closed(self._target)
                 return outcomes.Closed()
-        self._send_body(response, messages.LAST_CHUNK)
+        is_chunked = self._context.req.takes_chunks
+        self._send_body(response, messages.LAST_CHUNK if is_chunked else b'')
         return outcomes.Served(response.status, response.is_framed, proof)
 
     def _confirm_end(self, end_check):
@@ -339,9 +340,9 @@
             self._on_begin(self._context, self._target)
         self._context.record_events(undelivered, now, self._target)
         self._on_events(self._context, self._target)
-        data = messages.encode_chunk(
-            b''.join(event.raw for event in undelivered)
-        )
+        data = b''.join(event.raw for event in undelivered)
+        if self._context.req.takes_chunks:
+            data = messages.encode_chunk(data)
         self._send_body(response, data)
 
     def _send_body(self, response, data):
--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -1,8 +1,10 @@
 """Connections of callers: read requests, send responses, see disconnects."""
 
 import contextlib
+import struct
 
 import gevent
+from gevent import socket
 
 from galenaspoke.http import connections
 from galenaspoke.http import messages
@@ -10,6 +12,8 @@
 RECEIVE_BYTES = 65_536
 # The event loop's flag for a readable socket.
 _READ_EVENT = 1
+# Makes the close of a connection reset it.
+_LINGER_NOT = struct.pack('ii', 1, 0)
 
 
 class CallerDisconnected(Exception):
@@ -29,6 +33,9 @@
         'response_started',
         'has_active_request',
         'parser',
+        '_takes_chunks',
+        '_ends_by_close',
+        '_must_reset',
         '_is_closed',
         '_sock',
         '_clock',
@@ -47,6 +54,12 @@
         self.response_started = False
         # Whether a request of this connection is being handled.
         self.has_active_request = False
+        # Whether the caller of the current request understands chunks.
+        self._takes_chunks = True
+        # Whether the current response ends with the connection.
+        self._ends_by_close = False
+        # Whether the connection has to end so that the response looks cut.
+        self._must_reset = False
         # Whether this end has closed the connection.
         self._is_closed = False
 
@@ -90,6 +103,7 @@
         req = self.parser.requests.popleft()
         if not req.arrived_at:
             req.arrived_at = self._clock.now()
+        self._takes_chunks = req.takes_chunks
         return req
 
     def _timeout_ms(self, started_at):
@@ -131,7 +145,10 @@
 
     @contextlib.contextmanager
     def cancel_on_disconnect(self):
-        """Raise CallerDisconnected in the block if the caller disconnects."""
+        """Raise CallerDisconnected in the block if the caller disconnects.
+
+        A response that ends with the connection is cut if the block fails.
+        """
         task = gevent.getcurrent()
         watcher = gevent.get_hub().loop.io(self._sock.fileno(), _READ_EVENT)
 
@@ -154,6 +171,9 @@
         watcher.start(check)
         try:
             yield
+        except BaseException:
+            self._must_reset = self._ends_by_close
+            raise
         finally:
             watcher.stop()
             watcher.close()
@@ -169,9 +189,14 @@
         """Return the encoded head of a response of unknown length.
 
         Marks the response as started; the head must be sent together with the
-        first chunk.
+        first chunk.  A caller that takes no chunks gets bare bytes, up to the
+        end of the connection.
         """
         self.response_started = True
+        if not self._takes_chunks:
+            self._ends_by_close = True
+            self.keep_alive = False
+            return self._encode_head(status, list(headers))
         return self._encode_head(
             status, [*headers, (b'Transfer-Encoding', b'chunked')]
         )
@@ -205,6 +230,11 @@
         return self._is_closed
 
     def close(self):
-        """Close the connection."""
+        """Close the connection; reset it if a response was cut."""
         self._is_closed = True
+        if self._must_reset:
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT
+                )
         self._sock.close()
--- a/galenaspoke/http/messages.py
+++ b/galenaspoke/http/messages.py
@@ -80,6 +80,7 @@
         'headers',
         'body',
         'keep_alive',
+        'takes_chunks',
         'expects_continue',
         'is_complete',
         'is_head_complete',
@@ -94,6 +95,8 @@
         self.headers = []
         self.body = bytearray()
         self.keep_alive = True
+        # Whether its caller understands a response in chunks.
+        self.takes_chunks = True
         self.expects_continue = False
         self.is_complete = False
         self.is_head_complete = False
@@ -197,6 +200,7 @@
         if names.count(b'host') != 1:
             raise BadRequest(400, 'exactly one Host header is required')
         version = self._parser.get_http_version()
+        req.takes_chunks = version == '1.1'
         for name, value in req.headers:
             if name == b'transfer-encoding':
                 if value.lower() != b'chunked' or version != '1.1':
--- a/tests/edge/test_endings_review.py
+++ b/tests/edge/test_endings_review.py
@@ -429,6 +429,37 @@
                 data += piece
         self.assertNotIn(b'chunked', data)
 
+    # The same: a whole one ends with the connection, and without a reset.
+    def test_whole_stream_is_closed(self):
+        desk = handlers.Desk(
+            {'i-1': self._end}, catalog.RequestKind.STREAM, resumable=False
+        )
+        self.addCleanup(desk.close)
+        local, remote = base.make_tcp_pair(self)
+        caller = caller_connections.CallerConnection(
+            local, desk.clock, catalog.Limits
+        )
+        remote.sendall(
+            b'POST /a/x HTTP/1.0\r\nHost: desk\r\nX-Request-Id: 9c41\r\n'
+            b'Connection: keep-alive\r\nContent-Length: 0\r\n\r\n'
+        )
+        desk.handler.handle(caller.next_request(), caller)
+        self.assertFalse(caller.keep_alive)
+        caller.close()
+        data = b''
+        while piece := remote.recv(65_536):
+            data += piece
+        head, _, body = data.partition(b'\r\n\r\n')
+        self.assertNotIn(b'chunked', head)
+        self.assertIn(b'Connection: close', head)
+        self.assertEqual(test_endings.encode_event(1), body)
+
+    def _end(self, remote, number):
+        event = test_endings.encode_event(1)
+        head = test_endings.HEAD % (handlers.REQUEST_ID, b'text/event-stream')
+        length = b'\r\nContent-Length: %d\r\n\r\n' % len(event)
+        remote.sendall(head.replace(b'\r\n\r\n', length) + event)
+
     def _cut(self, remote, number):
         remote.sendall(
             b'HTTP/1.1 200 -\r\nX-Request-Id: 9c41\r\nX-Response-Stamp: s\r\n'
