--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -48,16 +48,30 @@
     retry_after_ms: int | None = None
 
 
+class Proof(enum.Enum):
+    """What shows that a response without a length has ended.
+
+    Its target lives and doesn't work on the request any more.  MOST: all
+    output that the request allows has come.  SECOND_RUN: another target, asked
+    to go on after the last event, has nothing to add.  ALIVE: nothing else.
+    """
+
+    MOST = 'most'
+    SECOND_RUN = 'second_run'
+    ALIVE = 'alive'
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Served:
     """The caller has received the target's complete response.
 
-    `is_framed` is false if only the end of the connection ended it, and the
-    target's word that it had.
+    `is_framed` is false if only the end of the connection ended it; `proof`
+    then says what shows that it had.
     """
 
     status: int
     is_framed: bool = True
+    proof: Proof | None = dataclasses.field(default=None, compare=False)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -97,6 +111,13 @@
     cut_off: bool = False
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Closed:
+    """The target lives and has closed a stream whose end nothing proves."""
+
+    why: str = 'closed, without a length: nothing shows that it was the end'
+
+
 def random_delay_ms(bounds_ms):
     """Return a random time in ms between two bounds.
 
