--- a/tests/edge/test_cold_targets.py
+++ b/tests/edge/test_cold_targets.py
@@ -11,36 +11,23 @@
 
 import gevent
 from gevent import socket
-import msgspec
 
 from galenaspoke.core import catalog
 from galenaspoke.edge.membership import router_list
 from galenaspoke.edge.targets import cold_start
 from galenaspoke.edge.targets import end_checks
-from galenaspoke.edge.views import target_view
 from galenaspoke.http import connections
 from galenaspoke.platform import store as platform_store
-from galenaspoke.platform import target_entries
-from galenaspoke.store import base as store_base
 from tests.edge import base
+from tests.edge import cold_fleets
 from tests.edge import handlers
 
 ALLOWED_SHARE = 1.5
 ALLOWED_EXTRA = 5
 WINDOW_MS = 1_000
-RATE_PER_S = 16.0
-COLD_MS = 3_000
+RATE_PER_S = cold_fleets.RATE_PER_S
+COLD_MS = cold_fleets.COLD_MS
 STEP_MS = 5
-ENTRY = {
-    'Service': 'pool',
-    'Addr': '127.0.0.1:1',
-    'Zone': 'a',
-    'Slots': 64,
-    'State': 'ready',
-    'Seq': 1,
-    'born': 1,
-    'ColdLeftMs': COLD_MS,
-}
 
 
 def count_most_in_window(arrivals):
@@ -306,27 +293,12 @@
 
     def setUp(self):
         self.clock = base.make_manual_clock()
-        self.services = {
-            'pool': catalog.Service(
-                'pool', '/h', 9, cold_start_ms=3000, cold_rate_per_s=16
-            )
-        }
-        self.view = target_view.TargetView(
-            None,
-            self.clock,
-            base.Recorder(),
-            target_entries,
-            lambda: self.services,
-            Exception,
-            lambda identity: None,
-            base.get_whole_share,
-        )
+        self.services = {'pool': cold_fleets.make_service()}
+        self.view = cold_fleets.make_view(self.clock, lambda: self.services)
 
     def receive(self, **fields):
         """Receive a target's entry; return its Target, None if unusable."""
-        item = store_base.Item(
-            'servers/i-1', 1, msgspec.Raw(msgspec.json.encode(ENTRY | fields))
-        )
+        item = cold_fleets.make_item(**fields)
         self.view._on_change(platform_store.Change(item, False))
         return self.view.directory.get('i-1')
 
--- a/tests/edge/test_lost_targets.py
+++ b/tests/edge/test_lost_targets.py
@@ -3,33 +3,22 @@
 import unittest
 
 import gevent
-import msgspec
 
 from galenaspoke.core import catalog
 from galenaspoke.edge.targets import end_checks
-from galenaspoke.edge.views import target_view
 from galenaspoke.http import messages
-from galenaspoke.platform import target_entries
-from galenaspoke.store import base as store_base
 from tests.edge import base
+from tests.edge import cold_fleets
 from tests.edge import handlers
-from tests.edge import test_cold_targets
 
-COLD_MS = test_cold_targets.COLD_MS
-RATE_PER_S = test_cold_targets.RATE_PER_S
+COLD_MS = cold_fleets.COLD_MS
+RATE_PER_S = cold_fleets.RATE_PER_S
 STREAM_HEAD = (
     b'HTTP/1.1 200 -\r\nX-Request-Id: 9c41\r\nX-Response-Stamp: s\r\n'
     b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
 )
 
 
-def make_service():
-    """Return a service that limits cold targets."""
-    return catalog.Service(
-        'pool', '/', 9, cold_start_ms=COLD_MS, cold_rate_per_s=RATE_PER_S
-    )
-
-
 class StreamTest(unittest.TestCase):
     """A target that sends events all the while."""
 
@@ -61,7 +50,7 @@
             resumable=False,
         )
         self.addCleanup(desk.close)
-        desk.config_view.catalog.services['pool'] = make_service()
+        desk.config_view.catalog.services['pool'] = cold_fleets.make_service()
         try:
             caller = handlers.Caller()
             desk.request(caller)
@@ -99,7 +88,7 @@
             resumable=False,
         )
         self.addCleanup(desk.close)
-        desk.config_view.catalog.services['pool'] = make_service()
+        desk.config_view.catalog.services['pool'] = cold_fleets.make_service()
         caller = handlers.Caller()
         try:
             desk.request(caller)
@@ -135,7 +124,7 @@
             resumable=False,
         )
         self.addCleanup(desk.close)
-        desk.config_view.catalog.services['pool'] = make_service()
+        desk.config_view.catalog.services['pool'] = cold_fleets.make_service()
         try:
             desk.request(SlowCaller())
         except Exception as exc:
@@ -149,22 +138,10 @@
 
     def setUp(self):
         self.clock = base.make_manual_clock()
-        self.services = {'pool': make_service()}
-        self.view = target_view.TargetView(
-            None,
-            self.clock,
-            base.Recorder(),
-            target_entries,
-            lambda: self.services,
-            Exception,
-            lambda identity: None,
-            base.get_whole_share,
-        )
+        services = {'pool': cold_fleets.make_service()}
+        self.view = cold_fleets.make_view(self.clock, lambda: services)
         # The entry that a warm target has written long ago.
-        entry = test_cold_targets.ENTRY | {'ColdLeftMs': 0}
-        self.item = store_base.Item(
-            'servers/i-1', 1, msgspec.Raw(msgspec.json.encode(entry))
-        )
+        self.item = cold_fleets.make_item(ColdLeftMs=0)
         self.view._on_list([self.item])
         self.target = self.view.directory.get('i-1')
 
