HTTP: bounds on what a peer may send many of

Cause: the sizes of a head and of a body are bounded, their number isn't. Interim responses and those to other requests were dropped without counting.

Change: 128 headers (and trailer fields), 8 interim responses, 8 responses held or dropped while another is expected, and framing of a body that exceeds the body by 16 KB. Beyond these the parser raises Flood, the connection Flooded; the attempt ends as unknown and its target is ejected at once. A sound target stays far away: 20,000 events of one letter, each in its own chunk, pass (a test).

Tests changed: in test_endless_bytes two tests expected 504 at the deadline (400 ms) for interim responses and responses to other requests; with a bound they get 502 long before a deadline of 120 s, and the failure is counted, which the tests now check as the others of that class do.

--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -89,12 +89,14 @@
     """The request was sent but got no valid response: it may have run.
 
     `timed_out` is true if the target was silent for too long, `cut_off` if
-    its end closed or reset the connection.
+    its end closed or reset the connection, `flooded` if it sent more than any
+    sound target does.
     """
 
     why: str
     timed_out: bool = False
     cut_off: bool = False
+    flooded: bool = False
 
 
 def random_delay_ms(bounds_ms):
--- a/galenaspoke/edge/serving/attempt_recorder.py
+++ b/galenaspoke/edge/serving/attempt_recorder.py
@@ -112,7 +112,9 @@
     def _record_unknown(self, context, target, outcome, events):
         """Return whether the target is ejected."""
         self._target_view.record_lost(target)
-        is_ejected = target.health.record_failure(self._clock.now())
+        is_ejected = target.health.record_failure(
+            self._clock.now(), is_certain=outcome.flooded
+        )
         if outcome.cut_off and events <= poison.MAX_SUSPECT_EVENTS:
             self._poison_detector.record_cut_off(
                 context.crash_keys(), target.entry.identity()
--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -121,7 +121,9 @@
             return outcome
         except connections.ResponseLost as exc:
             return outcomes.Unknown(
-                str(exc), cut_off=isinstance(exc, connections.PeerClosed)
+                str(exc),
+                cut_off=isinstance(exc, connections.PeerClosed),
+                flooded=isinstance(exc, connections.Flooded),
             )
         except connections.ReadTimeout:
             return outcomes.Unknown(
--- a/galenaspoke/edge/targets/health.py
+++ b/galenaspoke/edge/targets/health.py
@@ -58,7 +58,8 @@
     def record_failure(self, now, is_certain=False):
         """Record a failure; return True if it ejects the target.
 
-        An `is_certain` failure, such as a refused connection, does so at once.
+        An `is_certain` failure, such as a refused connection or a flood, does
+        so at once.
         """
         self._record(1.0)
         self.consecutive_failures += 1
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -26,6 +26,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# How many responses to other requests may come before the expected one.
+MAX_OTHER_RESPONSES = 8
 # A connection carries at most this many requests whose ids it remembers.
 MAX_REQUESTS = 256
 
@@ -46,6 +48,10 @@
     """The peer closed or reset the connection before the response ended."""
 
 
+class Flooded(ResponseLost):
+    """The peer sent more of something than any sound one does."""
+
+
 class HeldTooMuch(ResponseLost):
     """This process held too much for its peers, and most for this one."""
 
@@ -224,7 +230,10 @@
         try:
             self.parser.feed(data)
         except messages.BadResponse as exc:
-            self._parse_error = ResponseLost(f'invalid HTTP response: {exc}')
+            is_flood = isinstance(exc, messages.Flood)
+            self._parse_error = (Flooded if is_flood else ResponseLost)(
+                f'invalid HTTP response: {exc}'
+            )
         self._update_share()
         self._raise_if_interrupted()
         return True
@@ -294,9 +303,10 @@
         """Return the next response once its head has been read.
 
         Responses for which `is_expected` returns False belong to other
-        requests: they are read to their end and dropped.
+        requests: they are read to their end and dropped, but not many.
         """
         responses = self.parser.responses
+        dropped = 0
         while True:
             while responses and responses[0].is_head_complete:
                 if is_expected is None or is_expected(responses[0]):
@@ -305,6 +315,9 @@
                 if not responses[0].is_complete:
                     break
                 responses.popleft()
+                dropped += 1
+            if dropped > MAX_OTHER_RESPONSES:
+                raise Flooded('too many responses to other requests')
             if not self.receive():
                 raise PeerClosed('connection closed before the response')
 
--- a/galenaspoke/http/messages.py
+++ b/galenaspoke/http/messages.py
@@ -37,6 +37,14 @@
 MAX_HEAD_BYTES = 65_536
 # The longest body that is held in memory until it is complete.
 MAX_BODY_BYTES = 4_194_304
+# How many headers a response may have, and how many trailer fields.
+MAX_HEADERS = 128
+# How many interim responses may come before a final one.
+MAX_INTERIM_RESPONSES = 8
+# How many responses of a connection are held until they are taken.
+MAX_HELD_RESPONSES = 8
+# By how much the framing of a body may exceed the body.
+MAX_FRAMING_BYTES = 16_384
 # What a header takes in memory beside its bytes.
 HEADER_OBJECT_BYTES = 160
 # The start of a response.  Within the head of another one, that one was cut
@@ -73,6 +81,10 @@
     """A peer sent something that is not a valid HTTP response."""
 
 
+class Flood(BadResponse):
+    """A peer sent more of something than any sound one does."""
+
+
 class Request:
     """A caller's request; `is_complete` once all of it has arrived."""
 
@@ -281,13 +293,17 @@
 
     `responses` holds all responses that have begun and were not taken yet.
     Interim responses (1xx) are dropped.  At most `max_body_bytes` of a body
-    are held at a time.
+    are held at a time.  Numbers are bounded as well, since many small things
+    take more processor time and memory than their bytes.
     """
 
     __slots__ = (
         'responses',
         '_max_body_bytes',
         '_overhead_bytes',
+        '_framing_bytes',
+        '_header_count',
+        '_interim_count',
         '_current',
         '_reason',
         '_parser',
@@ -298,6 +314,12 @@
         self._max_body_bytes = max_body_bytes
         # The bytes since the last head, piece of a body or end of a response.
         self._overhead_bytes = 0
+        # By how much the framing of the current body exceeds it so far.
+        self._framing_bytes = 0
+        # The headers of the current head, or the fields of its trailer.
+        self._header_count = 0
+        # The interim responses since the last final one.
+        self._interim_count = 0
         self._current = None
         # The reason phrase of the current response, as far as it has arrived.
         self._reason = b''
@@ -306,14 +328,22 @@
     def feed(self, data):
         """Parse bytes; raise BadResponse if they violate HTTP or a limit."""
         self._overhead_bytes += len(data)
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
             raise BadResponse('unexpected protocol upgrade') from exc
+        except httptools.HttpParserCallbackError as exc:
+            if isinstance(exc.__context__, BadResponse):
+                raise exc.__context__ from None
+            raise
         except httptools.HttpParserError as exc:
             raise BadResponse(str(exc)) from exc
         if self._overhead_bytes > MAX_HEAD_BYTES:
-            raise BadResponse('the head or the trailer is too long')
+            raise Flood('the head or the trailer is too long')
+        has_body = self._current and self._current.is_head_complete
+        if has_body and self._framing_bytes > MAX_FRAMING_BYTES:
+            raise Flood('the framing exceeds the body')
         body = self._current.body if self._current else b''
         if len(body) > self._max_body_bytes:
             raise BadResponse('the body is too long')
@@ -326,7 +356,10 @@
     # Callbacks of httptools.
 
     def on_message_begin(self):
+        if len(self.responses) >= MAX_HELD_RESPONSES:
+            raise Flood('too many responses')
         self._current = Response()
+        self._header_count = 0
         self._reason = b''
         self.responses.append(self._current)
 
@@ -334,11 +367,16 @@
         self._reason += reason
 
     def on_header(self, name, value):
+        self._header_count += 1
+        if self._header_count > MAX_HEADERS:
+            raise Flood('too many headers')
         if not self._current.is_head_complete:
             self._current.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
         self._overhead_bytes = 0
+        self._framing_bytes = 0
+        self._header_count = 0
         response = self._current
         values = [value for _, value in response.headers]
         if _STATUS_LINE.search(b'\n'.join([self._reason, *values])):
@@ -355,6 +393,8 @@
 
     def on_body(self, data):
         self._overhead_bytes = 0
+        # Once without the piece, and once for the framing that it allows.
+        self._framing_bytes -= 2 * len(data)
         self._current.body += data
 
     def on_message_complete(self):
@@ -363,7 +403,11 @@
         self._current = None
         if response.status < _MIN_FINAL_STATUS:
             self.responses.remove(response)
+            self._interim_count += 1
+            if self._interim_count > MAX_INTERIM_RESPONSES:
+                raise Flood('too many interim responses')
             return
+        self._interim_count = 0
         response.is_complete = True
 
 
--- a/tests/edge/test_endless_bytes.py
+++ b/tests/edge/test_endless_bytes.py
@@ -125,14 +125,12 @@
         self.check_failure(EndlessEngine(start, b'a' * 10_000))
 
     def test_interim_responses(self):
-        engine = EndlessEngine(b'', messages.CONTINUE * 10)
-        desk, caller = self.check(engine, float('inf'))
-        self.assertEqual(504, caller.status)
+        self.check_failure(EndlessEngine(b'', messages.CONTINUE * 10))
 
     def test_responses_to_other_requests(self):
-        engine = EndlessEngine(b'', handlers.encode_response(request_id=b'77'))
-        desk, caller = self.check(engine, float('inf'))
-        self.assertEqual(504, caller.status)
+        self.check_failure(
+            EndlessEngine(b'', handlers.encode_response(request_id=b'77'))
+        )
 
     def test_head_that_comes_byte_by_byte(self):
         engine = EndlessEngine(OK_HEAD + b'A: ', b'a', pause_s=0.01)
--- a/tests/edge/test_floods.py
+++ b/tests/edge/test_floods.py
@@ -23,6 +23,9 @@
 LIMIT_BYTES = 8_000_000
 # Beside what the account counts: copies, sockets' pieces, greenlets.
 OTHER_BYTES = 24_000_000
+# After so much an engine without end has been found out; most of it is what
+# sockets hold.
+MAX_SENT_BYTES = 1_048_576
 TIMEOUT_S = 60
 
 
@@ -145,5 +148,85 @@
         self.assertTrue(desk.targets['i-1'].health.consecutive_failures)
 
 
+class EndlessEngine:
+    """Sends `start` and then `piece` until its peer closes."""
+
+    def __init__(self, start, piece):
+        self._start = start
+        self._piece = piece
+        self.sent_bytes = 0
+
+    def __call__(self, remote, _):
+        remote.sendall(self._start)
+        while True:
+            remote.sendall(self._piece)
+            self.sent_bytes += len(self._piece)
+
+
+class CountTest(FloodTest):
+    """Many small things, of which each is allowed."""
+
+    def check(self, start, piece, why, **options):
+        """Check that the engine is found out soon, and rests at once."""
+        engine = EndlessEngine(start, piece * (8_192 // len(piece) + 1))
+        options = {'timeout_ms': 30_000, **options}
+        desk = self.make_desk(engine, **options)
+        caller = handlers.Caller()
+        with gevent.Timeout(TIMEOUT_S):
+            self.request(desk, caller)
+        line = dict(desk.journal.lines)['attempt.failed']
+        self.assertIn(why, line['why'])
+        self.assertTrue(line['rests'])
+        self.assertLess(engine.sent_bytes, MAX_SENT_BYTES)
+        self.assertNotIn(caller.status, (429, 503))
+
+    # Guards against headers that take far more memory than their bytes.
+    def test_headers(self):
+        self.check(OK_HEAD, b'A: b\r\n', 'too many headers')
+
+    # Guards against headers that take far more memory than their bytes.
+    def test_trailer(self):
+        self.check(CHUNKED + b'0\r\n', b'A: b\r\n', 'too many headers')
+
+    # Guards against processor time without end.
+    def test_interim_responses(self):
+        self.check(b'', messages.CONTINUE, 'too many interim responses')
+
+    # Guards against processor time without end.
+    def test_responses_to_other_requests(self):
+        other = handlers.encode_response(body=b'', request_id=b'77')
+        self.check(b'', other, 'too many responses')
+
+    # Guards against processor time without end.
+    def test_chunks_of_one_byte(self):
+        piece = messages.encode_chunk(b'a')
+        self.check(CHUNKED, piece, 'the framing exceeds the body')
+
+    # Guards against processor time without end.
+    def test_stream_in_chunks_of_one_byte(self):
+        self.check(
+            EVENT_STREAM,
+            messages.encode_chunk(b'a'),
+            'the framing exceeds the body',
+            kind=catalog.RequestKind.STREAM,
+        )
+
+    # Guards against bounds that a sound target would reach.
+    def test_small_events_in_chunks_of_their_own(self):
+        events = [b'id: %d\ndata: a\n\n' % n for n in range(20_000)]
+        chunks = b''.join(messages.encode_chunk(event) for event in events)
+
+        def respond(remote, _):
+            remote.sendall(EVENT_STREAM + chunks + messages.LAST_CHUNK)
+
+        desk = self.make_desk(
+            respond, kind=catalog.RequestKind.STREAM, timeout_ms=30_000
+        )
+        caller = handlers.Caller()
+        self.request(desk, caller)
+        self.assertIn(events[-1], caller.body)
+        self.assertTrue(caller.body.endswith(messages.LAST_CHUNK))
+
+
 if __name__ == '__main__':
     unittest.main()
