Streams: a bound on the events of a run

Cause: an event has a bound, the events of a run had none.

Change: at most 256 events without data in a row; and of a model engine at most as many events as the request allows output tokens, and 16 more. Beyond that the stream is cut and its target ejected at once. The second bound holds only for services with a memory for tokens: what a caller states means nothing to an application, and would make a sound one look faulty (a test).

Open: a stream whose request states no tokens has no such bound.

--- a/galenaspoke/edge/serving/admission.py
+++ b/galenaspoke/edge/serving/admission.py
@@ -200,13 +200,18 @@
 
 
 def _set_service(context, services, name):
-    """Set a request's service, and what its events cost at most."""
+    """Set a request's service, and what its events cost at most.
+
+    Only a model engine is bound to the output tokens that a request states.
+    """
     context.service = name
     service = services.get(name)
     # Without a service that tells, one event may hold the whole output.
     context.event_tokens = (
         service.event_tokens if service else context.metadata.output_tokens
     )
+    if service and service.memory_tokens:
+        context.max_events = context.metadata.output_tokens
 
 
 def refuse_poison(culprit):
--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -1,6 +1,7 @@
 """Attempts: send a request to one target and relay its response."""
 
 from galenaspoke.edge import outcomes
+from galenaspoke.edge.streams import event_limits
 from galenaspoke.edge.streams import sse
 from galenaspoke.edge.targets import incarnations
 from galenaspoke.http import connections
@@ -254,6 +255,7 @@
     def _relay_stream(self, conn, response, end_check):
         """Relay events as they arrive, each only once it is complete."""
         splitter = sse.EventSplitter()
+        limits = event_limits.EventLimits(self._context.max_events)
         order = self._context.event_order
         order.begin_run()
         has_events = False
@@ -261,6 +263,8 @@
         while True:
             read_at = self._clock.now()
             events = splitter.feed(response.take_body())
+            if too_many := limits.exceeded_by(events):
+                raise connections.Flooded(too_many)
             has_events = has_events or bool(events)
             undelivered = order.select(events)
             if undelivered:
--- a/galenaspoke/edge/serving/request_context.py
+++ b/galenaspoke/edge/serving/request_context.py
@@ -22,6 +22,7 @@
         'route',
         'service',
         'event_tokens',
+        'max_events',
         'earlier_services',
         'account',
         'arrived_at',
@@ -54,6 +55,8 @@
         # The maximum number of output tokens in one event of its service, by
         # the configuration that admitted it.
         self.event_tokens = 1
+        # How many events a run may have at most, 0 if that isn't known.
+        self.max_events = 0
         # Pairs of a service at which a stream that is resumed may have begun
         # by an earlier configuration, and until when, in ms of the clock.
         self.earlier_services = []
--- /dev/null
+++ b/galenaspoke/edge/streams/event_limits.py
@@ -0,0 +1,46 @@
+"""A bound on the events of one run of a stream.
+
+Each event of a model engine holds at least one token, so a target that sends
+more events than its request allows tokens is faulty.  So is one that sends
+ever more events without data, such as comments.
+
+Example::
+
+    limits = EventLimits(max_events=60)
+    limits.exceeded_by(events)    # '', or why the stream can't be sound
+"""
+
+# Events beside those that hold tokens, such as one that ends the stream.
+MAX_OTHER_EVENTS = 16
+# Events without data in a row.  A target may send them to show that it lives.
+MAX_EMPTY_EVENTS = 256
+
+
+class EventLimits:
+    """Counts the events of one run.
+
+    `max_events` is how many with tokens the request allows, 0 for any number.
+    """
+
+    __slots__ = ('_left', '_empty_count')
+
+    def __init__(self, max_events):
+        # How many more events with data may come; None for any number.
+        self._left = max_events + MAX_OTHER_EVENTS if max_events else None
+        # The events without data since the last one with data.
+        self._empty_count = 0
+
+    def exceeded_by(self, events):
+        """Count events; return why they are too many, '' if they aren't."""
+        for event in events:
+            if not (event.id or event.has_data()):
+                self._empty_count += 1
+                continue
+            self._empty_count = 0
+            if self._left is not None:
+                self._left -= 1
+        if self._left is not None and self._left < 0:
+            return 'more events than the request allows tokens'
+        if self._empty_count > MAX_EMPTY_EVENTS:
+            return 'too many events without data'
+        return ''
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -181,6 +181,7 @@
         store=None,
         send_datagram=lambda address, data: None,
         members=None,
+        memory_tokens=0,
         **route_options,
     ):
         self.clock = clock or clocks.Clock()
@@ -206,7 +207,11 @@
             timeout_ms=timeout_ms,
             **options,
         )
-        services = [catalog.Service('pool', '/health', 100)]
+        services = [
+            catalog.Service(
+                'pool', '/health', 100, memory_tokens=memory_tokens
+            )
+        ]
         self.config_view = config_view = FakeConfigView(
             catalog.Catalog(1, [route], services, [], {}, catalog.Limits())
         )
--- a/tests/edge/test_floods.py
+++ b/tests/edge/test_floods.py
@@ -57,10 +57,10 @@
         self.addCleanup(desk.close)
         return desk
 
-    def request(self, desk, caller):
+    def request(self, desk, caller, pairs=()):
         """Make a request, whether or not its response can be completed."""
         try:
-            desk.request(caller)
+            desk.request(caller, pairs)
         except handlers.request_handler.caller_connections.CallerDisconnected:
             caller.is_broken_off = True
 
@@ -166,14 +166,14 @@
 class CountTest(FloodTest):
     """Many small things, of which each is allowed."""
 
-    def check(self, start, piece, why, **options):
+    def check(self, start, piece, why, pairs=(), **options):
         """Check that the engine is found out soon, and rests at once."""
         engine = EndlessEngine(start, piece * (8_192 // len(piece) + 1))
         options = {'timeout_ms': 30_000, **options}
         desk = self.make_desk(engine, **options)
         caller = handlers.Caller()
         with gevent.Timeout(TIMEOUT_S):
-            self.request(desk, caller)
+            self.request(desk, caller, pairs)
         line = dict(desk.journal.lines)['attempt.failed']
         self.assertIn(why, line['why'])
         self.assertTrue(line['rests'])
@@ -211,6 +211,55 @@
             kind=catalog.RequestKind.STREAM,
         )
 
+    # Guards against processor time without end.
+    def test_comments_of_a_stream(self):
+        self.check(
+            EVENT_STREAM,
+            messages.encode_chunk(b':\n\n' * 100),
+            'too many events without data',
+            kind=catalog.RequestKind.STREAM,
+        )
+
+    # Guards against streams that go on after all that was asked for.
+    def test_more_events_than_tokens(self):
+        self.check(
+            EVENT_STREAM,
+            messages.encode_chunk(b'data: a\n\n' * 10),
+            'more events than the request allows tokens',
+            kind=catalog.RequestKind.STREAM,
+            pairs=[(b'x-token-usage', b'10,1000')],
+            memory_tokens=100_000,
+        )
+
+    # Guards against callers that make a sound target look faulty.
+    def test_tokens_mean_nothing_to_an_application(self):
+        events = b''.join(b'id: %d\ndata: a\n\n' % n for n in range(1, 61))
+
+        def respond(remote, _):
+            chunk = messages.encode_chunk(events)
+            remote.sendall(EVENT_STREAM + chunk + messages.LAST_CHUNK)
+
+        desk = self.make_desk(respond, kind=catalog.RequestKind.STREAM)
+        caller = handlers.Caller()
+        self.request(desk, caller, [(b'x-token-usage', b'10,1')])
+        self.assertTrue(caller.body.endswith(messages.LAST_CHUNK))
+
+    # Guards against a bound that cuts a stream of all tokens.
+    def test_as_many_events_as_tokens(self):
+        events = b''.join(b'id: %d\ndata: a\n\n' % n for n in range(1, 61))
+        events += b'data: [DONE]\n\n'
+
+        def respond(remote, _):
+            chunk = messages.encode_chunk(b': lives\n\n' * 50 + events)
+            remote.sendall(EVENT_STREAM + chunk + messages.LAST_CHUNK)
+
+        desk = self.make_desk(
+            respond, kind=catalog.RequestKind.STREAM, memory_tokens=100_000
+        )
+        caller = handlers.Caller()
+        self.request(desk, caller, [(b'x-token-usage', b'10,60')])
+        self.assertTrue(caller.body.endswith(messages.LAST_CHUNK))
+
     # Guards against bounds that a sound target would reach.
     def test_small_events_in_chunks_of_their_own(self):
         events = [b'id: %d\ndata: a\n\n' % n for n in range(20_000)]
