Memory: a share that holds nothing keeps its connection alive no longer

Cause: the account knew every share that was opened; a connection that is dropped without being closed stayed in memory by it. Change: the account knows those that hold something. Test: test_shares_that_hold_nothing_are_forgotten failed on the code before.

--- a/galenaspoke/http/buffers.py
+++ b/galenaspoke/http/buffers.py
@@ -39,14 +39,13 @@
         """State how many bytes the connection holds now."""
         if self.is_cut or held_bytes == self.held_bytes:
             return
-        self._account.held_bytes += held_bytes - self.held_bytes
+        difference = held_bytes - self.held_bytes
         self.held_bytes = held_bytes
-        self._account.enforce()
+        self._account.record(self, difference)
 
     def close(self):
         """End the share; it may be closed more than once."""
         self.resize(0)
-        self._account.discard(self)
 
     def cut(self):
         """Take the share away and tell its connection."""
@@ -67,6 +66,8 @@
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
         self.cut_count = 0
+        # Those that hold anything, so that others are forgotten with their
+        # connections.
         self._shares = set()
 
     def open(self, owner, on_cut):
@@ -76,16 +77,15 @@
         common.  `on_cut` is called, from whatever greenlet holds more, when
         the share is taken away; it must not switch greenlets.
         """
-        share = Share(self, owner, on_cut)
-        self._shares.add(share)
-        return share
-
-    def discard(self, share):
-        """Forget a share that holds nothing."""
-        self._shares.discard(share)
-
-    def enforce(self):
-        """Cut shares until the rest is within the limit."""
+        return Share(self, owner, on_cut)
+
+    def record(self, share, difference):
+        """Record that a share has changed; cut some if the sum is too much."""
+        self.held_bytes += difference
+        if share.held_bytes:
+            self._shares.add(share)
+        else:
+            self._shares.discard(share)
         while self.held_bytes > self.limit_bytes:
             share = self._find_largest()
             self.cut_count += 1
--- a/tests/http/test_buffers.py
+++ b/tests/http/test_buffers.py
@@ -1,6 +1,7 @@
 """The bound on the bytes that a process holds for its peers."""
 
 import unittest
+import weakref
 
 from galenaspoke.http import buffers
 
@@ -48,6 +49,15 @@
         self.assertEqual(0, self.account.held_bytes)
         self.assertEqual(['first'], self.cut)
 
+    # Guards against connections that stay in memory because of their shares.
+    def test_shares_that_hold_nothing_are_forgotten(self):
+        share = self.open('first', 'i-1')
+        is_alive = weakref.ref(share._on_cut)
+        share.resize(10)
+        share.resize(0)
+        del share
+        self.assertIsNone(is_alive())
+
     def test_limit_follows_from_the_memory(self):
         self.assertEqual(40_000_000, buffers.compute_limit_bytes(160))
         self.assertEqual(
