Callers: what is refused by its head is refused before its body is read

And callers whose body was refused early (413) got a reset in place of the response if they had sent more of it meanwhile.

Cause: admission ran on whole requests only. A connection was closed with unread bytes, which resets it.

Change: a connection hands on a request once its head is complete. If bytes of the body are still missing, admission checks the head; a refusal (400, 401, 404, 503 for no configuration, an unconfirmed one, or leaving) is sent at once, with `Connection: close` and without 100. An accepted request's body is read, and then it is admitted as before, by the configuration in force then. Poison is judged from the whole body as before. After a response to a request that wasn't read whole the router shuts down its sending side and drops what comes for 2 s or 4 MB at most.

handlers.Desk.make_request now says that its requests are complete, as the parser does.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -289,15 +289,18 @@
     def _serve_requests(self, caller):
         while caller.keep_alive:
             try:
-                req = caller.next_request()
+                req = caller.begin_request()
             except messages.BadRequest as exc:
                 self.metrics.count(f'answers.{exc.status}')
                 caller.keep_alive = False
                 caller.send_response(exc.status, [], str(exc).encode())
+                caller.linger()
                 return
             if req is None:
                 return
             self.request_handler.handle(req, caller)
+        if caller.has_unread_request():
+            caller.linger()
 
     def stop(self):
         """Shut down gracefully; return the exit code.
--- a/galenaspoke/edge/serving/admission.py
+++ b/galenaspoke/edge/serving/admission.py
@@ -63,8 +63,31 @@
         self._catalog = config_view.catalog
         self._replaced = collections.deque()
 
+    def refuse_head(self, req):
+        """Return a Refusal of a request whatever its body is, or None.
+
+        Only its head has to be there.
+        """
+        result = self._check_head(req)
+        return result if isinstance(result, outcomes.Refusal) else None
+
     def admit(self, req):
         """Return the RequestContext of an accepted request, or a Refusal."""
+        context = self._check_head(req)
+        if isinstance(context, outcomes.Refusal):
+            return context
+        culprit = self.find_poison(context)
+        if culprit is not None:
+            if not self._poison_detector.begin_trial(culprit):
+                return refuse_poison(culprit)
+            context.is_trial = True
+        self._record_catalog(req.arrived_at)
+        if context.metadata.is_resumption():
+            context.earlier_services = self._list_earlier_services(context)
+        return context
+
+    def _check_head(self, req):
+        """Return the RequestContext of a request, or a Refusal."""
         if not self._config_view.has_config():
             return outcomes.Refusal(
                 503,
@@ -94,20 +117,8 @@
                     outcomes.RETRY_AFTER_MS
                 ),
             )
-        culprit = self.find_poison(context)
-        if culprit is not None:
-            if not self._poison_detector.begin_trial(culprit):
-                return refuse_poison(culprit)
-            context.is_trial = True
-        point = _split_point(metadata)
-        _set_service(context, services, route.choose_service(point))
-        self._record_catalog(req.arrived_at)
-        if metadata.is_resumption():
-            context.earlier_services = self._list_earlier_services(req, point)
-            if not metadata.affinity_key():
-                context.earlier_services += [
-                    (service, req.arrived_at) for service, _ in route.splits
-                ]
+        service = route.choose_service(_split_point(metadata))
+        _set_service(context, services, service)
         return context
 
     def _record_catalog(self, now):
@@ -119,18 +130,25 @@
         while self._replaced and now - self._replaced[0][1] > KEEP_CATALOG_MS:
             self._replaced.popleft()
 
-    def _list_earlier_services(self, req, point):
+    def _list_earlier_services(self, context):
         """Return which services a request had, and until when."""
-        host, path = _parse_host(req), req.path
+        host, path = _parse_host(context.req), context.req.path
+        point = _split_point(context.metadata)
         routes = (
             (catalog.match(host, path), until)
             for catalog, until in self._replaced
         )
-        return [
+        services = [
             (route.choose_service(point), until)
             for route, until in routes
             if route is not None
         ]
+        if not context.metadata.affinity_key():
+            services += [
+                (service, context.arrived_at)
+                for service, _ in context.route.splits
+            ]
+        return services
 
     def find_poison(self, context):
         """Return what makes a request crash targets, None if it may be sent.
--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -1,6 +1,8 @@
 """Connections of callers: read requests, send responses, see disconnects."""
 
 import contextlib
+import functools
+import socket as std_socket
 
 import gevent
 
@@ -10,6 +12,10 @@
 RECEIVE_BYTES = 65_536
 # The event loop's flag for a readable socket.
 _READ_EVENT = 1
+# How long, and for how many bytes, a connection is read whose response was
+# sent before all of the request had come.
+LINGER_MS = 2_000
+LINGER_BYTES = messages.MAX_BODY_BYTES
 
 
 class CallerDisconnected(Exception):
@@ -30,6 +36,8 @@
         'has_active_request',
         'parser',
         '_is_closed',
+        '_is_reading',
+        '_watch',
         '_sock',
         '_clock',
         '_get_limits',
@@ -49,6 +57,11 @@
         self.has_active_request = False
         # Whether this end has closed the connection.
         self._is_closed = False
+        # Whether the body of the current request has to be read.
+        self._is_reading = False
+        # Starts to watch for a disconnect, None outside of
+        # `cancel_on_disconnect`.
+        self._watch = None
 
     def is_idle(self):
         """Return whether no request is arriving, queued or being handled."""
@@ -60,13 +73,20 @@
         return bool(self.parser.requests)
 
     def next_request(self):
-        """Return the next complete Request.
+        """Return the next Request, complete; see `begin_request`."""
+        req = self.begin_request()
+        if req is not None and not req.is_complete:
+            self.read_body(req)
+        return req
+
+    def begin_request(self):
+        """Return the next Request as soon as its head is complete.
 
-        Returns None if none begins within `idle_timeout_ms`.
-        `header_timeout_ms` limits the time to receive the headers and each
-        pause in the body.  Raises BadRequest for an invalid request or one
-        that arrives too slowly, and CallerDisconnected if the connection is
-        closed or fails.
+        `read_body` reads the rest of one that isn't complete.  Returns None
+        if no request begins within `idle_timeout_ms`.  `header_timeout_ms`
+        limits the time to receive the headers.  Raises BadRequest for an
+        invalid request or one that arrives too slowly, and CallerDisconnected
+        if the connection is closed or fails.
         """
         self.parser.limits = self._get_limits()
         self.response_started = False
@@ -75,23 +95,39 @@
             current = self.parser.current
             if current is not None and not current.arrived_at:
                 current.arrived_at = started_at = self._clock.now()
-            self._send_continue(current)
+            if current is not None and current.is_head_complete:
+                self._is_reading = True
+                return current
             if self._receive(self._timeout_ms(started_at)):
                 continue
-            if current is None:
-                # A longer wait may be allowed meanwhile.
-                if self._timeout_ms(started_at) > 0:
-                    continue
+            if current is not None:
+                raise messages.BadRequest(
+                    408, 'request headers arrived too slowly'
+                )
+            # A longer wait may be allowed meanwhile.
+            if self._timeout_ms(started_at) <= 0:
                 return None
-            part = 'body' if current.is_head_complete else 'headers'
-            raise messages.BadRequest(
-                408, f'request {part} arrived too slowly'
-            )
         req = self.parser.requests.popleft()
         if not req.arrived_at:
             req.arrived_at = self._clock.now()
         return req
 
+    def read_body(self, req):
+        """Read the rest of a request that `begin_request` has returned.
+
+        `header_timeout_ms` limits each pause.  Raises as `begin_request`.
+        """
+        while not req.is_complete:
+            self._send_continue(req)
+            if not self._receive(self.parser.limits.header_timeout_ms):
+                raise messages.BadRequest(
+                    408, 'request body arrived too slowly'
+                )
+        self.parser.requests.popleft()
+        self._is_reading = False
+        if self._watch is not None:
+            self._watch()
+
     def _timeout_ms(self, started_at):
         """Return how much longer to wait for data.
 
@@ -101,12 +137,11 @@
         current = self.parser.current
         if current is None:
             return self._get_limits().idle_timeout_ms - waited_ms
-        timeout_ms = self.parser.limits.header_timeout_ms
-        return timeout_ms - (0 if current.is_head_complete else waited_ms)
+        return self.parser.limits.header_timeout_ms - waited_ms
 
-    def _send_continue(self, current):
-        if current is not None and current.expects_continue:
-            current.expects_continue = False
+    def _send_continue(self, req):
+        if req.expects_continue:
+            req.expects_continue = False
             self._send(messages.CONTINUE)
 
     def _receive(self, timeout_ms):
@@ -151,10 +186,14 @@
                     CallerDisconnected('closed by the caller'), block=False
                 )
 
-        watcher.start(check)
+        # Until the request is complete, reading it shows a disconnect.
+        self._watch = functools.partial(watcher.start, check)
+        if not self._is_reading:
+            self._watch()
         try:
             yield
         finally:
+            self._watch = None
             watcher.stop()
             watcher.close()
 
@@ -204,6 +243,34 @@
             self.close()
         return self._is_closed
 
+    def has_unread_request(self):
+        """Return whether a request has arrived in part."""
+        return self.parser.current is not None
+
+    def linger(self):
+        """Send nothing more, and drop what the caller still sends.
+
+        Closing a connection with unread bytes resets it, and a caller that
+        sends its request first might never see the response.
+        """
+        until = self._clock.now() + LINGER_MS
+        left_bytes = LINGER_BYTES
+        if self.parser.current is not None:
+            self.parser.current.body.clear()
+        try:
+            self._sock.shutdown(std_socket.SHUT_WR)
+            while left_bytes > 0 and self._clock.now() < until:
+                self._sock.settimeout((until - self._clock.now()) / 1000)
+                received = len(self._sock.recv(RECEIVE_BYTES))
+                if not received:
+                    return
+                left_bytes -= received
+                # A caller that sends without a pause lets others run.
+                gevent.sleep(0)
+        except OSError:
+            # The caller has left, or sends nothing more.
+            return
+
     def close(self):
         """Close the connection."""
         self._is_closed = True
--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -151,7 +151,7 @@
         task = gevent.getcurrent()
         self._undecided_tasks.add(task)
         try:
-            result = self._admission.admit(req)
+            result = self._admit(req, caller)
             if isinstance(result, request_context.RequestContext):
                 context = result
                 result = self._resolve_version(context)
@@ -168,10 +168,23 @@
             raise
         finally:
             self._undecided_tasks.discard(task)
-        if self._must_close(caller):
+        if self._must_close(caller) or not req.is_complete:
             caller.keep_alive = False
         self._responder.finish(req, context, caller, result)
 
+    def _admit(self, req, caller):
+        """Return the RequestContext of an accepted request, or a Refusal.
+
+        The body isn't read if the head is refused.  After it was read the
+        configuration in force may be another one.
+        """
+        if not req.is_complete:
+            refusal = self._admission.refuse_head(req)
+            if refusal is not None:
+                return refusal
+            caller.read_body(req)
+        return self._admission.admit(req)
+
     def abandon_open_requests(self):
         """Make all requests whose result isn't known yet end with a refusal.
 
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -276,8 +276,9 @@
         return caller
 
     def make_request(self, pairs=(), body=b'', request_id=REQUEST_ID):
-        """Return a request that a caller sends now."""
+        """Return a whole request that a caller sends now."""
         req = messages.Request()
+        req.is_head_complete = req.is_complete = True
         req.method = b'POST'
         req.url = b'/a/x'
         req.headers = [(b'host', b'desk'), (b'x-request-id', request_id)]
