Callers: one account bounds what the router holds for all of them

Cause: each body is bounded (4 MB), their sum was not.

Change: a caller connection has a share of the process's account: what its parser holds, the request that runs, and a response that its socket doesn't take at once. All callers are one owner, as their addresses tell nothing behind load balancers. A share that is cut: 503 with Retry-After if the request surely hasn't run, 502 if it may have, and a closed connection if the response has begun.

Copies that an attempt makes of a body (encode, unsent rest) aren't counted.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -59,6 +59,8 @@
 # How long writes that are relayed for other routers get to be answered.
 RELAYED_CALLS_TIMEOUT_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
+# When callers may come back to a process that holds too much for them.
+MEMORY_RETRY_AFTER_S = 1
 
 
 class EdgeRouter:
@@ -280,7 +282,10 @@
         self._connections.add(caller)
         try:
             self._serve_requests(caller)
-        except caller_connections.CallerDisconnected:
+        except (
+            caller_connections.CallerDisconnected,
+            caller_connections.OutOfMemory,
+        ):
             pass
         finally:
             self._connections.discard(caller)
@@ -291,10 +296,13 @@
             try:
                 req = caller.begin_request()
             except messages.BadRequest as exc:
-                self.metrics.count(f'answers.{exc.status}')
-                caller.keep_alive = False
-                caller.send_response(exc.status, [], str(exc).encode())
-                caller.linger()
+                self._refuse(caller, exc.status, [], str(exc))
+                return
+            except caller_connections.OutOfMemory as exc:
+                if not caller.is_idle():
+                    pause = b'%d' % MEMORY_RETRY_AFTER_S
+                    headers = [(b'Retry-After', pause)]
+                    self._refuse(caller, 503, headers, str(exc))
                 return
             if req is None:
                 return
@@ -302,6 +310,13 @@
         if caller.has_unread_request():
             caller.linger()
 
+    def _refuse(self, caller, status, headers, detail):
+        """Answer a request that has not been read whole, and read no more."""
+        self.metrics.count(f'answers.{status}')
+        caller.keep_alive = False
+        caller.send_response(status, headers, detail.encode())
+        caller.linger()
+
     def stop(self):
         """Shut down gracefully; return the exit code.
 
--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from galenaspoke.http import buffers
 from galenaspoke.http import connections
 from galenaspoke.http import messages
 
@@ -16,15 +17,26 @@
 # sent before all of the request had come.
 LINGER_MS = 2_000
 LINGER_BYTES = messages.MAX_BODY_BYTES
+# The owner of what is held for callers.  Their addresses tell nothing, as they
+# come through load balancers.
+SHARE_OWNER = 'callers'
+_OUT_OF_MEMORY = 'the process holds too much for its callers'
 
 
 class CallerDisconnected(Exception):
     """The connection to the caller is closed or has to be closed."""
 
 
+class OutOfMemory(Exception):
+    """The process holds too much, and most of it for this caller."""
+
+
 class CallerConnection:
     """The connection of one caller, which carries one request at a time.
 
+    What it holds counts in the account of the process.  If its share is cut,
+    the greenlet that has begun to read a request gets OutOfMemory.
+
     `get_limits` returns the Limits in force.  Those of a request are the ones
     in force when it begins to arrive, or when its turn comes if it had begun
     before.
@@ -38,6 +50,10 @@
         '_is_closed',
         '_is_reading',
         '_watch',
+        '_share',
+        '_task',
+        '_active',
+        '_unsent_bytes',
         '_sock',
         '_clock',
         '_get_limits',
@@ -62,6 +78,13 @@
         # Starts to watch for a disconnect, None outside of
         # `cancel_on_disconnect`.
         self._watch = None
+        self._share = buffers.process_account.open(SHARE_OWNER, self._cut)
+        # The greenlet that serves the connection.
+        self._task = None
+        # The request that was begun last, and the bytes of its response that
+        # the socket has not taken.
+        self._active = None
+        self._unsent_bytes = 0
 
     def is_idle(self):
         """Return whether no request is arriving, queued or being handled."""
@@ -90,6 +113,9 @@
         """
         self.parser.limits = self._get_limits()
         self.response_started = False
+        self._task = gevent.getcurrent()
+        self._active = None
+        self._count_held_bytes()
         started_at = self._clock.now()
         while not self.parser.requests:
             current = self.parser.current
@@ -110,6 +136,7 @@
         req = self.parser.requests.popleft()
         if not req.arrived_at:
             req.arrived_at = self._clock.now()
+        self._active = req
         return req
 
     def read_body(self, req):
@@ -123,7 +150,7 @@
                 raise messages.BadRequest(
                     408, 'request body arrived too slowly'
                 )
-        self.parser.requests.popleft()
+        self._active = self.parser.requests.popleft()
         self._is_reading = False
         if self._watch is not None:
             self._watch()
@@ -159,11 +186,39 @@
             self._sock.settimeout(None)
         if not data:
             raise CallerDisconnected('closed by the caller')
+        if self._share.is_cut:
+            raise OutOfMemory(_OUT_OF_MEMORY)
         if self.parser.current is None:
             self.parser.limits = self._get_limits()
         self.parser.feed(data)
+        self._count_held_bytes()
         return True
 
+    def _count_held_bytes(self):
+        """Update the share; raise OutOfMemory if it is cut."""
+        self._resize_share()
+        if self._share.is_cut:
+            raise OutOfMemory(_OUT_OF_MEMORY)
+
+    def _resize_share(self):
+        if self._is_closed:
+            return
+        held_bytes = self.parser.count_held_bytes() + self._unsent_bytes
+        if self._active is not None:
+            held_bytes += self._active.count_held_bytes()
+        self._share.resize(held_bytes)
+
+    def _cut(self):
+        """Interrupt the greenlet that serves the connection.
+
+        That takes a while where many are to run, so what has arrived of a
+        body is dropped here.  Nothing is read after that.
+        """
+        if self.parser.current is not None:
+            self.parser.current.body = bytearray()
+        if self._task is not None and self._task is not gevent.getcurrent():
+            self._task.kill(OutOfMemory(_OUT_OF_MEMORY), block=False)
+
     @contextlib.contextmanager
     def cancel_on_disconnect(self):
         """Raise CallerDisconnected in the block if the caller disconnects."""
@@ -228,10 +283,30 @@
 
     def _send(self, data):
         try:
-            self._sock.sendall(data)
+            sent = self._send_at_once(data)
+            if sent < len(data):
+                self._send_rest(data, sent)
         except OSError as exc:
             raise CallerDisconnected(f'send: {exc}') from exc
 
+    def _send_at_once(self, data):
+        """Return how many bytes the socket's buffer has taken."""
+        try:
+            return self._sock._sock.send(data)
+        except BlockingIOError:
+            return 0
+
+    def _send_rest(self, data, sent):
+        """Send what is left after `sent` bytes, as the caller reads it."""
+        try:
+            # All of it is held until the last byte is sent.
+            self._unsent_bytes = len(data)
+            self._count_held_bytes()
+            self._sock.sendall(memoryview(data)[sent:])
+        finally:
+            self._unsent_bytes = 0
+            self._resize_share()
+
     def close_if_idle(self):
         """Close the connection, unless there is a request or unread bytes.
 
@@ -257,6 +332,7 @@
         left_bytes = LINGER_BYTES
         if self.parser.current is not None:
             self.parser.current.body.clear()
+        self._share.resize(0)
         try:
             self._sock.shutdown(std_socket.SHUT_WR)
             while left_bytes > 0 and self._clock.now() < until:
@@ -274,4 +350,5 @@
     def close(self):
         """Close the connection."""
         self._is_closed = True
+        self._share.close()
         self._sock.close()
--- a/galenaspoke/edge/serving/refusals.py
+++ b/galenaspoke/edge/serving/refusals.py
@@ -105,3 +105,18 @@
         outcomes.Reason.LEAVING,
         retry_after_ms=outcomes.random_delay_ms(outcomes.RETRY_AFTER_MS),
     )
+
+
+def from_memory_shortage(context, detail):
+    """Return the Refusal for a request that the process can't hold any more.
+
+    `context` is None if the request was not accepted yet.
+    """
+    if context is not None and context.may_have_run:
+        return outcomes.Refusal(502, outcomes.Reason.OVERLOAD, detail)
+    return outcomes.Refusal(
+        503,
+        outcomes.Reason.OVERLOAD,
+        detail,
+        outcomes.random_delay_ms(outcomes.RETRY_AFTER_MS),
+    )
--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -159,6 +159,11 @@
                     result = self._reserve_and_run(context, caller)
         except _Abandoned:
             result = refusals.from_shutdown(context)
+        except caller_connections.OutOfMemory as exc:
+            caller.keep_alive = False
+            # The response must not wait for what it is to release.
+            req.body = bytearray()
+            result = refusals.from_memory_shortage(context, str(exc))
         except messages.BadRequest as exc:
             result = outcomes.Refusal(
                 exc.status, outcomes.Reason.BAD_REQUEST, str(exc)
--- a/galenaspoke/http/messages.py
+++ b/galenaspoke/http/messages.py
@@ -37,6 +37,10 @@
 MAX_HEAD_BYTES = 65_536
 # The longest body that is held in memory until it is complete.
 MAX_BODY_BYTES = 4_194_304
+# Roughly what the objects of a request and of a header take without their
+# bytes.
+_REQUEST_OBJECT_BYTES = 700
+_HEADER_OBJECT_BYTES = 150
 # The start of a response.  Within the head of another one, that one was cut
 # off, and the two can't be told apart.
 _STATUS_LINE = re.compile(rb'HTTP/1\.\d \d{3}')
@@ -109,6 +113,15 @@
         """The path without the query string."""
         return self.url.split(b'?', 1)[0].decode('latin-1')
 
+    def count_held_bytes(self):
+        """Return roughly how much memory it takes."""
+        return (
+            _REQUEST_OBJECT_BYTES
+            + _HEADER_OBJECT_BYTES * len(self.headers)
+            + self.head_bytes
+            + len(self.body)
+        )
+
     def header(self, name, default=''):
         """Return a header's first value; `name` must be in lower case."""
         for header_name, value in self.headers:
@@ -157,6 +170,13 @@
             req.head_bytes += len(data)
         self._check_head_size(req)
 
+    def count_held_bytes(self):
+        """Return roughly how much memory its requests take."""
+        held_bytes = sum(req.count_held_bytes() for req in self.requests)
+        if self.current is not None:
+            held_bytes += self.current.count_held_bytes()
+        return held_bytes
+
     def _check_head_size(self, req):
         if req.head_bytes > self.limits.header_bytes:
             raise BadRequest(431, 'request head too large')
