Callers: requests sent ahead are parsed piece by piece, heads have 128 headers

Callers that sent more than 16 KB of requests at once got 431: the whole read was counted as the head of its last request. A valid request got 400, or no answer, if an invalid one came right behind it.

Cause: all of a read was parsed at once, and an error in it was raised before the requests ahead of it had their turn. Nothing bounded the number of headers.

Change: what was read is parsed in pieces of 8 KB, each once the requests of the pieces before it have been taken. An error counts once those are answered. A 129th header is refused with 431.

--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -11,6 +11,9 @@
 from galenaspoke.http import messages
 
 RECEIVE_BYTES = 65_536
+# What was received is parsed in pieces, each only once the requests of those
+# before it have had their turn.
+PIECE_BYTES = 8_192
 # The event loop's flag for a readable socket.
 _READ_EVENT = 1
 # How long, and for how many bytes, a connection is read whose response was
@@ -54,6 +57,8 @@
         '_task',
         '_active',
         '_unsent_bytes',
+        '_unparsed',
+        '_parse_error',
         '_sock',
         '_clock',
         '_get_limits',
@@ -85,15 +90,20 @@
         # the socket has not taken.
         self._active = None
         self._unsent_bytes = 0
+        # A view of what was received and not parsed yet.
+        self._unparsed = b''
+        # Why what was parsed last isn't valid.  The requests before it still
+        # count.
+        self._parse_error = None
 
     def is_idle(self):
         """Return whether no request is arriving, queued or being handled."""
-        has_request = self.parser.current or self.parser.requests
+        has_request = self.parser.current or self.has_queued_request()
         return not (self.has_active_request or has_request)
 
     def has_queued_request(self):
         """Return whether another request has been read and waits."""
-        return bool(self.parser.requests)
+        return bool(self.parser.requests or self._unparsed)
 
     def next_request(self):
         """Return the next Request, complete; see `begin_request`."""
@@ -118,9 +128,14 @@
         self._count_held_bytes()
         started_at = self._clock.now()
         while not self.parser.requests:
+            if self._parse_error is not None:
+                raise self._parse_error
             current = self.parser.current
             if current is not None and not current.arrived_at:
                 current.arrived_at = started_at = self._clock.now()
+            if self._unparsed:
+                self._parse_piece()
+                continue
             if current is not None and current.is_head_complete:
                 self._is_reading = True
                 return current
@@ -145,6 +160,9 @@
         `header_timeout_ms` limits each pause.  Raises as `begin_request`.
         """
         while not req.is_complete:
+            if self._unparsed:
+                self._parse_piece()
+                continue
             self._send_continue(req)
             if not self._receive(self.parser.limits.header_timeout_ms):
                 raise messages.BadRequest(
@@ -172,7 +190,7 @@
             self._send(messages.CONTINUE)
 
     def _receive(self, timeout_ms):
-        """Read and parse more; return False if nothing arrived in time."""
+        """Read more and parse a piece; return False if none came in time."""
         self._sock.settimeout(max(0.001, timeout_ms / 1000))
         try:
             data = self._sock.recv(RECEIVE_BYTES)
@@ -190,10 +208,24 @@
             raise OutOfMemory(_OUT_OF_MEMORY)
         if self.parser.current is None:
             self.parser.limits = self._get_limits()
-        self.parser.feed(data)
-        self._count_held_bytes()
+        self._unparsed = memoryview(data)
+        self._parse_piece()
         return True
 
+    def _parse_piece(self):
+        """Parse some of what was received."""
+        piece = self._unparsed[:PIECE_BYTES]
+        # An empty view would keep all of the bytes.
+        self._unparsed = self._unparsed[PIECE_BYTES:] or b''
+        try:
+            self.parser.feed(piece)
+        except messages.BadRequest as exc:
+            if not self.parser.requests:
+                raise
+            self._unparsed = b''
+            self._parse_error = exc
+        self._count_held_bytes()
+
     def _count_held_bytes(self):
         """Update the share; raise OutOfMemory if it is cut."""
         self._resize_share()
@@ -203,7 +235,11 @@
     def _resize_share(self):
         if self._is_closed:
             return
-        held_bytes = self.parser.count_held_bytes() + self._unsent_bytes
+        held_bytes = (
+            self.parser.count_held_bytes()
+            + len(self._unparsed)
+            + self._unsent_bytes
+        )
         if self._active is not None:
             held_bytes += self._active.count_held_bytes()
         self._share.resize(held_bytes)
@@ -319,8 +355,12 @@
         return self._is_closed
 
     def has_unread_request(self):
-        """Return whether a request has arrived in part."""
-        return self.parser.current is not None
+        """Return whether more has arrived than was answered."""
+        return bool(
+            self.parser.current
+            or self.has_queued_request()
+            or self._parse_error
+        )
 
     def linger(self):
         """Send nothing more, and drop what the caller still sends.
@@ -332,6 +372,7 @@
         left_bytes = LINGER_BYTES
         if self.parser.current is not None:
             self.parser.current.body.clear()
+        self._unparsed = b''
         self._share.resize(0)
         try:
             self._sock.shutdown(std_socket.SHUT_WR)
--- a/galenaspoke/http/messages.py
+++ b/galenaspoke/http/messages.py
@@ -35,6 +35,8 @@
 # The longest head of a response, and the longest sequence of bytes that adds
 # nothing to its body.
 MAX_HEAD_BYTES = 65_536
+# The most headers of a request; their objects take more than their bytes.
+MAX_REQUEST_HEADERS = 128
 # The longest body that is held in memory until it is complete.
 MAX_BODY_BYTES = 4_194_304
 # Roughly what the objects of a request and of a header take without their
@@ -195,6 +197,8 @@
             # Trailer fields only concern the connection on which they came, so
             # they are not forwarded.
             return
+        if len(req.headers) >= MAX_REQUEST_HEADERS:
+            raise BadRequest(431, 'too many headers')
         req.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
