--- a/galenaspoke/http/messages.py
+++ b/galenaspoke/http/messages.py
@@ -37,7 +37,8 @@
 MAX_HEAD_BYTES = 65_536
 # The longest body that is held in memory until it is complete.
 MAX_BODY_BYTES = 4_194_304
-# How many headers a response may have, and how many trailer fields.
+# How many headers a message may have, and how many trailer fields a response.
+# Their objects take more than their bytes.
 MAX_HEADERS = 128
 # How many interim responses may come before a final one.
 MAX_INTERIM_RESPONSES = 8
@@ -45,7 +46,9 @@
 MAX_HELD_RESPONSES = 8
 # By how much the framing of a body may exceed the body.
 MAX_FRAMING_BYTES = 16_384
-# What a header takes in memory beside its bytes.
+# What the objects of a request and of a header take in memory beside their
+# bytes.
+REQUEST_OBJECT_BYTES = 700
 HEADER_OBJECT_BYTES = 160
 # The start of a response.  Within the head of another one, that one was cut
 # off, and the two can't be told apart.
@@ -123,6 +126,15 @@
         """The path without the query string."""
         return self.url.split(b'?', 1)[0].decode('latin-1')
 
+    def count_held_bytes(self):
+        """Return roughly how much memory it takes."""
+        return (
+            REQUEST_OBJECT_BYTES
+            + HEADER_OBJECT_BYTES * len(self.headers)
+            + self.head_bytes
+            + len(self.body)
+        )
+
     def header(self, name, default=''):
         """Return a header's first value; `name` must be in lower case."""
         for header_name, value in self.headers:
@@ -171,6 +183,13 @@
             req.head_bytes += len(data)
         self._check_head_size(req)
 
+    def count_held_bytes(self):
+        """Return roughly how much memory its requests take."""
+        held_bytes = sum(req.count_held_bytes() for req in self.requests)
+        if self.current is not None:
+            held_bytes += self.current.count_held_bytes()
+        return held_bytes
+
     def _check_head_size(self, req):
         if req.head_bytes > self.limits.header_bytes:
             raise BadRequest(431, 'request head too large')
@@ -189,6 +208,8 @@
             # Trailer fields only concern the connection on which they came, so
             # they are not forwarded.
             return
+        if len(req.headers) >= MAX_HEADERS:
+            raise BadRequest(431, 'too many headers')
         req.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
