--- a/tests/edge/test_endings_review.py
+++ b/tests/edge/test_endings_review.py
@@ -407,11 +407,7 @@
             {'i-1': self._cut}, catalog.RequestKind.STREAM, resumable=False
         )
         self.addCleanup(desk.close)
-        listener = socket.create_server(('127.0.0.1', 0))
-        self.addCleanup(listener.close)
-        remote = socket.create_connection(listener.getsockname())
-        self.addCleanup(remote.close)
-        local, _ = listener.accept()
+        local, remote = base.make_tcp_pair(self)
         caller = caller_connections.CallerConnection(
             local, desk.clock, catalog.Limits
         )
