--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 import socket as std_socket
+import struct
 
 import gevent
 
@@ -16,6 +17,8 @@
 PIECE_BYTES = 8_192
 # The event loop's flag for a readable socket.
 _READ_EVENT = 1
+# Makes the close of a connection reset it.
+_LINGER_NOT = struct.pack('ii', 1, 0)
 # How long, and for how many bytes, a connection is read whose response was
 # sent before all of the request had come.
 LINGER_MS = 2_000
@@ -50,6 +53,8 @@
         'response_started',
         'has_active_request',
         'parser',
+        '_ends_by_close',
+        '_must_reset',
         '_is_closed',
         '_is_reading',
         '_watch',
@@ -76,6 +81,10 @@
         self.response_started = False
         # Whether a request of this connection is being handled.
         self.has_active_request = False
+        # Whether the current response ends with the connection.
+        self._ends_by_close = False
+        # Whether the connection has to end so that the response looks cut.
+        self._must_reset = False
         # Whether this end has closed the connection.
         self._is_closed = False
         # Whether the body of the current request has to be read.
@@ -257,7 +266,10 @@
 
     @contextlib.contextmanager
     def cancel_on_disconnect(self):
-        """Raise CallerDisconnected in the block if the caller disconnects."""
+        """Raise CallerDisconnected in the block if the caller disconnects.
+
+        A response that ends with the connection is cut if the block fails.
+        """
         task = gevent.getcurrent()
         watcher = gevent.get_hub().loop.io(self._sock.fileno(), _READ_EVENT)
 
@@ -283,6 +295,9 @@
             self._watch()
         try:
             yield
+        except BaseException:
+            self._must_reset = self._ends_by_close
+            raise
         finally:
             self._watch = None
             watcher.stop()
@@ -299,9 +314,14 @@
         """Return the encoded head of a response of unknown length.
 
         Marks the response as started; the head must be sent together with the
-        first chunk.
+        first chunk.  A caller that takes no chunks gets bare bytes, up to the
+        end of the connection.
         """
         self.response_started = True
+        if not self._active.takes_chunks:
+            self._ends_by_close = True
+            self.keep_alive = False
+            return self._encode_head(status, list(headers))
         return self._encode_head(
             status, [*headers, (b'Transfer-Encoding', b'chunked')]
         )
@@ -368,6 +388,8 @@
         Closing a connection with unread bytes resets it, and a caller that
         sends its request first might never see the response.
         """
+        if self._must_reset:
+            return
         until = self._clock.now() + LINGER_MS
         left_bytes = LINGER_BYTES
         if self.parser.current is not None:
@@ -389,7 +411,12 @@
             return
 
     def close(self):
-        """Close the connection."""
+        """Close the connection; reset it if a response was cut."""
         self._is_closed = True
+        if self._must_reset:
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(
+                    std_socket.SOL_SOCKET, std_socket.SO_LINGER, _LINGER_NOT
+                )
         self._share.close()
         self._sock.close()
