Memory: large buffers are mapped, so that they are returned once freed

Cause: two. glibc raises the size from which it maps a block by itself to that of the largest freed one, so buffers that grow side by side end in the heap and leave gaps.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -44,6 +44,7 @@
 from galenaspoke.store import paths as store_paths
 from galenaspoke.store import relays
 from galenaspoke.store import unreadable
+from galenaspoke.utils import allocator
 
 EXIT_OK = 0
 # Idle connections stay open this long after the start of the shutdown: a load
@@ -72,6 +73,7 @@
         self.metrics = edge_metrics.Metrics()
         self.journal = journals.Journal(self.clock)
         self._metrics_port = metrics_port
+        allocator.map_large_blocks()
         buffers.process_account.limit_bytes = buffers.compute_limit_bytes(
             cfg.memory_mb
         )
--- a/galenaspoke/edge/relay_main.py
+++ b/galenaspoke/edge/relay_main.py
@@ -24,6 +24,7 @@
 from galenaspoke.store import paths as store_paths
 from galenaspoke.store import relaying
 from galenaspoke.store import relays
+from galenaspoke.utils import allocator
 
 # How long a stop waits for writes, whose senders don't wait much longer.
 STOP_TIMEOUT_S = platform_store.CALL_TIMEOUT_S
@@ -31,6 +32,7 @@
 
 def serve(cfg):
     """Relay calls until a signal requests the shutdown."""
+    allocator.map_large_blocks()
     buffers.process_account.limit_bytes = buffers.compute_limit_bytes(
         cfg.memory_mb
     )
