HTTP: closed connections drop what they hold, and readers of a flood take turns

Seen: bodies of failed connections stayed until the garbage collector came: 707 MB of a router that may hold 40 for its peers. And under well-formed events as fast as an engine can, callers of another service get few answers.

Cause: the error that a connection keeps refers by its traceback to the connection, and httptools' parser to its callbacks, so only the collector frees them. A greenlet gave way after 1 MB, which is 30,000 events; and 100 readers of one engine are 100 times as many as the reader of a sound one.

Change: `close` drops what is held and breaks both cycles. A connection reads 8 KB at once but of whole bodies, gives way once what it read took 5 ms, and tells the Pacer of its target how long that took. The time of a turn is that of the parsing and, unless the reader waited, of the relaying.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -238,6 +238,7 @@
             )
         response.body = body
         if response.status >= MIN_FAILURE_STATUS:
+            conn.release()
             return outcomes.Failure(response)
         if self._caller.response_started:
             # The caller has events of another target already.
--- a/galenaspoke/edge/targets/directory.py
+++ b/galenaspoke/edge/targets/directory.py
@@ -6,6 +6,7 @@
 from galenaspoke.edge.targets import rate_limits
 from galenaspoke.edge.targets import wait_estimates
 from galenaspoke.http import connections
+from galenaspoke.http import pacing
 
 CONNECT_TIMEOUT_S = 0.3
 # The idle timeout that is assumed for a target that doesn't state one.
@@ -32,6 +33,7 @@
         'pace',
         'rate_limiter',
         'cold_start',
+        'read_pacer',
         'in_flight',
         'is_removed',
         'paused_until',
@@ -47,6 +49,8 @@
         self.pace = pace.Pace()
         self.rate_limiter = rate_limits.RateLimiter(entry.id, get_share)
         self.cold_start = cold_start.ColdStart(entry.id, get_share)
+        # Of all connections to it.
+        self.read_pacer = pacing.Pacer()
         self.in_flight = 0
         # Whether it left or was replaced by another incarnation.
         self.is_removed = False
@@ -118,7 +122,10 @@
     def connect(self):
         """Return a new connection; raise NotSent on failure."""
         return connections.connect(
-            self.entry.host, self.entry.port, CONNECT_TIMEOUT_S
+            self.entry.host,
+            self.entry.port,
+            CONNECT_TIMEOUT_S,
+            pacer=self.read_pacer,
         )
 
     def release_connection(self, conn, now, idle_timeout_ms):
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -18,9 +18,14 @@
 from galenaspoke.http import messages
 from galenaspoke.http import tcp_info
 
-RECEIVE_BYTES = 65_536
-# A peer that sends without a pause lets other greenlets run after this much.
+# How much is read at once: of a whole body, and of anything else.  What is
+# small takes far more time than its bytes.
+BODY_RECEIVE_BYTES = 65_536
+RECEIVE_BYTES = 8_192
+# A peer that sends without a pause lets other greenlets run after this much,
+# or once what it sent has taken this long.
 YIELD_BYTES = 1_048_576
+YIELD_S = 0.005
 # The connection fails if the peer doesn't acknowledge sent data for this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 KEEPALIVE_IDLE_S = 1
@@ -65,7 +70,8 @@
 
     At most `max_body_bytes` of a response's body are held at a time.  All
     that is held has a share of the process's account, under the name `owner`
-    of the peer; once the share is cut, the connection fails at once.
+    of the peer; once the share is cut, the connection fails at once.  `pacer`
+    is the Pacer of all connections to the peer, None if they aren't paced.
     """
 
     __slots__ = (
@@ -77,10 +83,16 @@
         'is_identified',
         'heard_at',
         'received_bytes',
+        'receive_bytes',
         '_sock',
         '_read_until',
         '_has_read_late',
         '_unyielded_bytes',
+        '_unyielded_s',
+        '_loop_iteration',
+        '_parse_s',
+        '_latest_bytes',
+        '_pacer',
         '_send_task',
         '_send_error',
         '_parse_error',
@@ -90,7 +102,13 @@
         '_user_bytes',
     )
 
-    def __init__(self, sock, max_body_bytes=messages.MAX_BODY_BYTES, owner=''):
+    def __init__(
+        self,
+        sock,
+        max_body_bytes=messages.MAX_BODY_BYTES,
+        owner='',
+        pacer=None,
+    ):
         self.parser = messages.ResponseParser(max_body_bytes)
         self._share = buffers.process_account.open(owner, self._cut)
         # The response that `read_head` returned last, None once it was
@@ -110,6 +128,8 @@
         self.heard_at = time.monotonic()
         # How many bytes have come in all.
         self.received_bytes = 0
+        # How much is read at once.
+        self.receive_bytes = RECEIVE_BYTES
         self.idle_since = 0
         # How long the peer keeps the connection open while it is idle.
         self.idle_timeout_ms = 0
@@ -118,8 +138,15 @@
         self._read_until = None
         # Whether something was read after that.
         self._has_read_late = False
-        # Received since other greenlets could last run.
+        # Received since other greenlets could last run, and the time spent.
         self._unyielded_bytes = 0
+        self._unyielded_s = 0.0
+        # The iteration of the event loop in which the peer was last heard, and
+        # how much came then and how long it took to parse it.
+        self._loop_iteration = None
+        self._latest_bytes = 0
+        self._parse_s = 0.0
+        self._pacer = pacer
         # Sends what the socket buffer did not take at once.
         self._send_task = None
         # Why that failed.  The kernel reports an error once, so a read after
@@ -162,6 +189,7 @@
         an early response can be read meanwhile.
         """
         self.request_count += 1
+        self.receive_bytes = RECEIVE_BYTES
         try:
             sent = self._sock._sock.send(data)
         except BlockingIOError:
@@ -207,6 +235,7 @@
         """
         if self._parse_error is not None:
             raise self._parse_error
+        self._give_way()
         try:
             data = self._receive_in_time()
         except BlockingIOError:
@@ -223,10 +252,8 @@
             return False
         self.heard_at = time.monotonic()
         self.received_bytes += len(data)
-        self._unyielded_bytes += len(data)
-        if self._unyielded_bytes >= YIELD_BYTES:
-            self._unyielded_bytes = 0
-            gevent.sleep(0)
+        self._latest_bytes = len(data)
+        self._loop_iteration = gevent.get_hub().loop.iteration
         try:
             self.parser.feed(data)
         except messages.BadResponse as exc:
@@ -234,10 +261,37 @@
             self._parse_error = (Flooded if is_flood else ResponseLost)(
                 f'invalid HTTP response: {exc}'
             )
+        self._parse_s = time.monotonic() - self.heard_at
         self._update_share()
         self._raise_if_interrupted()
         return True
 
+    def _give_way(self):
+        """Let other greenlets run if this one has worked for a while."""
+        now = time.monotonic()
+        if gevent.get_hub().loop.iteration == self._loop_iteration:
+            spent_s = now - self.heard_at
+        else:
+            # It has waited since, so other greenlets ran.
+            spent_s = self._parse_s
+            self._unyielded_s = self._unyielded_bytes = 0
+        received_bytes = self._latest_bytes
+        self._parse_s = self._latest_bytes = 0
+        self._loop_iteration = None
+        self._unyielded_s += spent_s
+        self._unyielded_bytes += received_bytes
+        if self._pacer is not None:
+            self._pacer.record(spent_s, received_bytes, now)
+            if self._pacer.is_pacing():
+                self._pacer.wait()
+                return
+        if (
+            self._unyielded_s >= YIELD_S
+            or self._unyielded_bytes >= YIELD_BYTES
+        ):
+            self._unyielded_s = self._unyielded_bytes = 0
+            gevent.sleep(0)
+
     def _raise_if_interrupted(self):
         if self._share.is_cut:
             raise HeldTooMuch('the process holds too much for its peers')
@@ -279,7 +333,7 @@
                 return self._receive_late()
             self._sock.settimeout(left_s)
         try:
-            return self._sock.recv(RECEIVE_BYTES)
+            return self._sock.recv(self.receive_bytes)
         except TimeoutError as exc:
             # gevent's own read timeout has no errno; ETIMEDOUT, which
             # keepalive or TCP_USER_TIMEOUT cause, has one.
@@ -297,7 +351,7 @@
         if self._has_read_late and peek(self._sock):
             raise BlockingIOError
         self._has_read_late = True
-        return self._sock._sock.recv(RECEIVE_BYTES)
+        return self._sock._sock.recv(self.receive_bytes)
 
     def read_head(self, is_expected=None):
         """Return the next response once its head has been read.
@@ -331,6 +385,7 @@
         length is returned once the connection was closed.  It may have been
         cut off, and the response doesn't become complete.
         """
+        self.receive_bytes = BODY_RECEIVE_BYTES
         while not response.is_complete:
             if pause_timeout_s is not None:
                 self.set_read_timeout(pause_timeout_s)
@@ -373,14 +428,30 @@
             self._sock.shutdown(std_socket.SHUT_RDWR)
 
     def close(self):
-        """Close the connection, even in the middle of a request."""
+        """Close the connection, even in the middle of a request.
+
+        What is held is dropped now: whoever handles an error may refer to it.
+        A response that is whole, or was released, is its user's.
+        """
         if self._send_task is not None:
             self._send_task.kill(block=False)
+        if self._response is not None and not self._response.is_complete:
+            self._response.drop()
+        self._response = None
+        self.parser.close()
+        # Its traceback refers to this connection.
+        self._parse_error = None
         self._share.close()
         self._sock.close()
 
 
-def connect(host, port, timeout_s, max_body_bytes=messages.MAX_BODY_BYTES):
+def connect(
+    host,
+    port,
+    timeout_s,
+    max_body_bytes=messages.MAX_BODY_BYTES,
+    pacer=None,
+):
     """Return a new Connection; raise NotSent if that fails."""
     try:
         sock = socket.create_connection((host, port), timeout_s)
@@ -390,7 +461,7 @@
         raise NotSent(f'connect: {exc}') from exc
     sock.settimeout(None)
     configure_socket(sock)
-    return Connection(sock, max_body_bytes, f'{host}:{port}')
+    return Connection(sock, max_body_bytes, f'{host}:{port}', pacer)
 
 
 def _make_loss(operation, error):
--- a/galenaspoke/http/messages.py
+++ b/galenaspoke/http/messages.py
@@ -353,6 +353,13 @@
         held = self._overhead_bytes
         return held + sum(response.held_bytes() for response in self.responses)
 
+    def close(self):
+        """Drop what is held; nothing can be parsed any more."""
+        self.responses.clear()
+        self._current = None
+        # It refers to this object.
+        self._parser = None
+
     # Callbacks of httptools.
 
     def on_message_begin(self):
--- a/galenaspoke/store/paths.py
+++ b/galenaspoke/store/paths.py
@@ -268,6 +268,7 @@
     if response.header(b'content-encoding') == COMPRESSED_ENCODING:
         inflator = _Inflator(response)
     spent_s = 0
+    conn.receive_bytes = connections.BODY_RECEIVE_BYTES
     while True:
         if inflator is not None:
             inflator.update()
--- a/tests/edge/base.py
+++ b/tests/edge/base.py
@@ -96,15 +96,16 @@
     return router_list.Share(router_count=1, part_count=1, has_part=True)
 
 
-def make_connection_pair(owner=''):
+def make_connection_pair(owner='', pacer=None):
     """Return a Connection and the socket at its other end.
 
-    What the connection holds counts as held for `owner`.
+    What the connection holds counts as held for `owner`, and `pacer` is the
+    Pacer of the peer.
     """
     local, remote = socket.socketpair(
         std_socket.AF_UNIX, std_socket.SOCK_STREAM
     )
-    return connections.Connection(local, owner=owner), remote
+    return connections.Connection(local, owner=owner, pacer=pacer), remote
 
 
 def make_tcp_pair(case):
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -73,7 +73,9 @@
 
     def connect(self):
         """Return a connection to the engine."""
-        conn, remote = base.make_connection_pair(self.entry.id)
+        conn, remote = base.make_connection_pair(
+            self.entry.id, self.read_pacer
+        )
         self.tasks.append(gevent.spawn(self._run_engine, remote))
         return conn
 
