Targets: one that floods is left alone while it rests

Seen: 100 callers of a faulty engine that sends comments without end leave the callers of another service 11 of 51 answers, though it is ejected at once.

Cause: if no other target is available, requests go to an ejected one.

Change: a target that floods is paused until its ejection ends, as if it had asked for that: callers are refused with 503 and told when to come back.

CountTest.test_lone_target_rests fails on the code before (502).

--- a/galenaspoke/edge/serving/attempt_recorder.py
+++ b/galenaspoke/edge/serving/attempt_recorder.py
@@ -115,6 +115,9 @@
         is_ejected = target.health.record_failure(
             self._clock.now(), is_certain=outcome.flooded
         )
+        if outcome.flooded:
+            # It is not sent requests even if no other target is available.
+            target.pause(target.health.ejected_until)
         if outcome.cut_off and events <= poison.MAX_SUSPECT_EVENTS:
             self._poison_detector.record_cut_off(
                 context.crash_keys(), target.entry.identity()
--- a/tests/edge/test_floods.py
+++ b/tests/edge/test_floods.py
@@ -180,6 +180,17 @@
         self.assertLess(engine.sent_bytes, MAX_SENT_BYTES)
         self.assertNotIn(caller.status, (429, 503))
 
+    # Guards against floods that go on since no other target is available.
+    def test_lone_target_rests(self):
+        engine = EndlessEngine(b'', messages.CONTINUE * 100)
+        desk = self.make_desk(engine)
+        self.request(desk, handlers.Caller())
+        caller = handlers.Caller()
+        self.request(desk, caller)
+        self.assertEqual(503, caller.status)
+        self.assertGreater(caller.retry_after_ms(), 300)
+        self.assertEqual([1], desk.count_requests())
+
     # Guards against headers that take far more memory than their bytes.
     def test_headers(self):
         self.check(OK_HEAD, b'A: b\r\n', 'too many headers')
