Memory: a body that is handed to its caller is held, and counted, once

Change: the target's connection releases a body when the caller's begins to send it, and a large body is sent after its head, without a copy. Blocks are mapped from 128 KB on, so that the buffers of single reads (64 KB) aren't. The account's enforce is public again, as its test uses it.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -250,6 +250,8 @@
                 f'status {response.status} in the middle of a stream'
             )
         self._context.record_first_byte(self._clock.now())
+        # From here on the connection to the caller counts the body.
+        conn.release()
         self._caller.send_response(
             response.status,
             self._header_codec.build_caller_headers(response),
--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -15,6 +15,8 @@
 # What was received is parsed in pieces, each only once the requests of those
 # before it have had their turn.
 PIECE_BYTES = 8_192
+# A body up to this length is sent together with its head, which copies it.
+MAX_JOINED_BYTES = 65_536
 # The event loop's flag for a readable socket.
 _READ_EVENT = 1
 # Makes the close of a connection reset it.
@@ -308,7 +310,11 @@
         self.response_started = True
         headers = [*headers, (b'Content-Length', b'%d' % len(body))]
         head = self._encode_head(status, headers)
-        self._send(head + body)
+        if len(body) <= MAX_JOINED_BYTES:
+            self._send(head + body)
+            return
+        self._send(head)
+        self._send(body)
 
     def start_chunked_response(self, status, headers):
         """Return the encoded head of a response of unknown length.
--- a/galenaspoke/http/buffers.py
+++ b/galenaspoke/http/buffers.py
@@ -86,6 +86,10 @@
             self._shares.add(share)
         else:
             self._shares.discard(share)
+        self.enforce()
+
+    def enforce(self):
+        """Cut shares until the rest is within the limit."""
         while self.held_bytes > self.limit_bytes:
             share = self._find_largest()
             self.cut_count += 1
--- a/galenaspoke/utils/allocator.py
+++ b/galenaspoke/utils/allocator.py
@@ -12,7 +12,8 @@
 import ctypes
 
 # From this size on a block is mapped by itself, and returned once it is freed.
-MIN_MAPPED_BYTES = 65_536
+# Buffers that single reads fill are smaller.
+MIN_MAPPED_BYTES = 131_072
 # The number of the parameter in glibc's malloc.h.
 _M_MMAP_THRESHOLD = -3
 
