Soak: engines that close a response without a length early, and live on

The platform lets a body end with its connection, so a body that a living engine closes early isn't MIXED; a stream is ORDER. Other ends are checked as before.

--- a/bench/edge_checks.py
+++ b/bench/edge_checks.py
@@ -4,7 +4,8 @@
   twice or joins two versions, or events came with a gap.
 - MIXED: a success without the stamp of a run of its request, with another
   body than the engine's whole one, a response to another request, or bytes
-  after a response.
+  after a response.  A body without a length ends with its connection, so one
+  that a living engine closes early is whole by the platform's rules.
 - TWICE: an attempt that may not be repeated ran more than once.
 - REFUSED: an attempt that may not be repeated ran and was promised not to.
 - ENDED: a router or relay ended though no fault ended it.
@@ -41,15 +42,24 @@
     """The violations by rule, and counts of what was reached.
 
     `ends` counts, by the framing of the last run of an attempt, how that run
-    ended and the outcome that its caller was told, those attempts.
+    ended and the outcome that its caller was told, those attempts.  `unframed`
+    counts those without a length by route, end and outcome.
     """
 
-    __slots__ = ('violations', 'outcomes', 'ends', 'faults', 'restarts')
+    __slots__ = (
+        'violations',
+        'outcomes',
+        'ends',
+        'unframed',
+        'faults',
+        'restarts',
+    )
 
     def __init__(self):
         self.violations = {rule: [] for rule in RULES}
         self.outcomes = collections.Counter()
         self.ends = collections.Counter()
+        self.unframed = collections.Counter()
         self.faults = collections.Counter()
         self.restarts = {}
 
@@ -75,6 +85,7 @@
             'violations': self.violations,
             'outcomes': dict(self.outcomes),
             'ends': {' '.join(key): n for key, n in self.ends.items()},
+            'unframed': {' '.join(key): n for key, n in self.unframed.items()},
             'faults': dict(self.faults),
             'restarts': dict(self.restarts),
         }
@@ -114,6 +125,9 @@
             last = own_runs[-1]
             key = (last.framing, last.how, attempt.outcome)
             findings.ends[key] += 1
+            if last.framing == 'none':
+                key = (req.prefix, last.how, attempt.outcome)
+                findings.unframed[key] += 1
         _check_runs(findings, req, attempt, own_runs)
         _check_identity(findings, attempt, own_runs)
         if attempt.outcome == 'whole' and req.kind != 'stream':
@@ -148,6 +162,8 @@
 
 
 def _check_body(findings, req, attempt, runs):
+    if runs and (runs[-1].framing, runs[-1].how) == ('none', 'closed'):
+        return
     bodies = [
         edge_bodies.make_body(req.key, run.version, req.pieces) for run in runs
     ]
--- a/tests/bench/test_edge_checks.py
+++ b/tests/bench/test_edge_checks.py
@@ -124,6 +124,29 @@
             self.add_attempt(req, 'whole', body=taken)
             self.assertEqual(self.find(req), rules)
 
+    def test_body_that_a_living_engine_closed(self):
+        """Only without a length is it whole, as the platform's rules say."""
+        body = edge_bodies.make_body('k', 'v1', PIECES)[:-4]
+        cases = (
+            ('none', 'closed', []),
+            ('none', 'reset', ['MIXED']),
+            ('none', 'killed', ['MIXED']),
+            ('chunked', 'closed', ['MIXED']),
+        )
+        for framing, how, rules in cases:
+            self.runs.clear()
+            req = edge_callers.Request('k', ASK, PIECES)
+            self.add_attempt(req, 'whole', body=body)
+            self.runs['k.0'][0].framing = framing
+            self.runs['k.0'][0].how = how
+            self.assertEqual(self.find(req), rules)
+
+    def test_stream_that_a_living_engine_closed(self):
+        """ORDER: it must not look whole, whatever its framing."""
+        req = self.make_stream([(1, 'v1'), (2, 'v1')])
+        self.runs['k.0'][0].how = 'closed'
+        self.assertEqual(self.find(req), ['ORDER'])
+
     def test_response_of_another_request(self):
         """MIXED: a response has the id or the stamp of another request."""
         body = edge_bodies.make_body('k', 'v1', PIECES)
@@ -159,6 +182,7 @@
         findings = edge_checks.check([req], self.runs)
         self.assertEqual(findings.count_ends('none', 'killed'), 1)
         self.assertEqual(findings.count_ends('none', 'killed', 'whole'), 0)
+        self.assertEqual({(TELL, 'killed', 'cut'): 1}, findings.unframed)
 
 
 class LogTest(unittest.TestCase):
