--- a/standins/edge_engine.py
+++ b/standins/edge_engine.py
@@ -16,6 +16,7 @@
 import select
 import socket
 import sys
+import time
 
 import click
 import gevent
@@ -24,6 +25,7 @@
 from galenaspoke.core import clock as clocks
 from standins import common
 from standins import edge_bodies
+from standins import edge_floods
 from standins import platform_store
 from standins import raw_http
 
@@ -43,6 +45,8 @@
 ENDINGS = ('reset', 'closed', 'left', 'exit')
 ENDING_WEIGHTS = (0.4, 0.3, 0.2, 0.1)
 SPLIT_EVENT_SHARE = 0.05
+# How long an engine floods that does so from its start.
+ENDLESS_S = 3_600
 
 
 class EarlyEnd(Exception):
@@ -109,6 +113,16 @@
         self._runs = {}
         self._reported_runs = []
         self._connections = 0
+        self._max_connections = MAX_CONNECTIONS
+        # The case of edge_floods that answers requests, until when.
+        self._flood = None
+        self._flood_until = 0.0
+
+    def flood(self, case, seconds, max_connections=MAX_CONNECTIONS):
+        """Answer requests without end for some seconds."""
+        self._flood = case
+        self._flood_until = time.monotonic() + seconds
+        self._max_connections = max_connections
 
     def run(self, listen):
         """Serve until SIGTERM."""
@@ -152,7 +166,7 @@
     # Connections and requests.
 
     def _serve(self, sock, _peer):
-        if self._connections >= MAX_CONNECTIONS:
+        if self._connections >= self._max_connections:
             raw_http.reset(sock)
             return
         self._connections += 1
@@ -178,6 +192,9 @@
             refusal = raw_http.encode_response(421, b'', echo)
             conn.sock.sendall(refusal)
             return True
+        flood = self._get_flood()
+        if path == '/health' and flood == edge_floods.HEALTH:
+            return self._send_flood(conn, 'health', 'health', 1)
         if path == '/health' or (path == '/report' and self._is_model):
             make = self._make_health if path == '/health' else self._report
             conn.sock.sendall(make())
@@ -186,8 +203,30 @@
             headers = [('X-Not-Run', '1')]
             conn.sock.sendall(raw_http.encode_response(400, b'', headers))
             return True
+        if flood not in (None, edge_floods.HEALTH):
+            key = json.loads(body)['key']
+            first = int(message.get('last-event-id') or 0) + 1
+            return self._send_flood(conn, request_id, key, first)
         return self._admit(conn, message, body, echo)
 
+    def _get_flood(self):
+        """Return the case that the engine is in, None for none."""
+        return self._flood if time.monotonic() < self._flood_until else None
+
+    def _send_flood(self, conn, request_id, key, first):
+        stamp = edge_bodies.make_stamp(
+            self._instance, self._entry['born'], request_id
+        )
+        answer = edge_floods.Answer(
+            request_id, stamp, key, self._entry['Version'], first
+        )
+        left_s = self._flood_until - time.monotonic()
+        try:
+            edge_floods.send(conn.sock, self._flood, answer, left_s)
+        finally:
+            raw_http.reset(conn.sock)
+        return False
+
     def _make_health(self):
         status = 200 if self._entry['State'] == 'ready' else 503
         headers = [('X-Instance-Id', self._instance)]
@@ -343,6 +382,8 @@
 @click.option('--slots', default=8)
 @click.option('--seed', default=1)
 @click.option('--early', default=0.08, help='The share that ends early.')
+@click.option('--flood', default=None, help='A case of edge_floods.')
+@click.option('--connections', default=MAX_CONNECTIONS)
 def main(
     listen,
     announce,
@@ -355,6 +396,8 @@
     slots,
     seed,
     early,
+    flood,
+    connections,
 ):
     """Serve a service whose name begins with `model` or not, on LISTEN."""
     entry = {
@@ -376,4 +419,6 @@
         random.Random(seed),
         early,
     )
+    if flood:
+        engine.flood(flood, ENDLESS_S, connections)
     sys.exit(engine.run(listen))
--- a/standins/platform_documents.py
+++ b/standins/platform_documents.py
@@ -13,6 +13,8 @@
 ZONES = ('zone-a', 'zone-b')
 GRACE_S = 8
 INPUT_TOKENS = 100
+# What a router's or relay's process may take at most.
+MEMORY_MB = 160
 FRONT_PORT = 8227
 READY_PORT = 8220
 CONTROL_PORT = 8229
@@ -69,6 +71,7 @@
         'Entry': 'vip',
         'HeartbeatMs': platform_store.HEARTBEAT_MS,
         'Bounds': bounds,
+        'Limits': {'MemoryMb': MEMORY_MB},
         'Platform': {
             'Addr': store,
             'form': 'objects',
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -153,6 +153,13 @@
     return message.status, json.loads(raw) if raw else None
 
 
+def connect(address, timeout_s=1.0):
+    """Return a socket that is connected and then waits without a limit."""
+    sock = socket.create_connection(parse(address), timeout_s)
+    sock.settimeout(None)
+    return sock
+
+
 def reset(sock):
     """Close a connection with a reset."""
     try:
