Soak: faults on machines, and floods, with limits of memory and of starving

Change: engines' clocks are up to 6 s apart from the routers' (which can't be shifted), two engines swap their services and take each other's place 2 to 2.6 s after they ended, 2 in 100 responses are garbled (no response, a bad chunk, bytes or the same response once more after a whole one, the same where the next one is due), all processes are killed at once while the store is silent, and engines or callers flood. New rules: ROUTE, MEMORY (VmHWM of each router and relay against MemoryMb 160, read every 0.1 s) and STARVED: after the faults routers are flooded one at a time, in windows of 2.5 s between windows without a flood; who gets less than half of the lower of these, twice in a row, starves. Too few answers without a flood (under 10) judge nothing. The engine's stand-in and the fleet are split (edge_plans, edge_responses, edge_machines). Left out: the store's clock, since the stand-in states no time; a loss of power leaves the kernel, so peers get a FIN or reset at once.

--- a/bench/edge_callers.py
+++ b/bench/edge_callers.py
@@ -32,6 +32,8 @@
 SLOW_BUFFER_BYTES = 2_048
 # The share of callers that resume without naming the request before.
 NAMELESS_SHARE = 0.2
+# A caller leaves a response whose body is longer.
+MAX_BODY_BYTES = 500_000
 # How much of the body of a refusal is kept.
 WHY_BYTES = 100
 # Statuses which promise that the request has not run and never will.
@@ -246,6 +248,9 @@
             attempt.body += data
             if req.kind == 'stream' and attempt.status == 200:
                 _take_events(attempt)
+            if _has_too_much(req, attempt):
+                attempt.outcome, attempt.why = 'left', 'more than asked for'
+                return False
             if leave_after is not None and count > leave_after:
                 attempt.outcome = 'left'
                 return False
@@ -277,6 +282,14 @@
         return raw_http.encode(first, headers, json.dumps(body).encode())
 
 
+def _has_too_much(req, attempt):
+    """Return whether an engine that floods sent more than was asked for."""
+    return (
+        req.count_events() + len(attempt.events) > req.pieces
+        or len(attempt.body) > MAX_BODY_BYTES
+    )
+
+
 def _take_events(attempt):
     """Take the complete events from the start of the body."""
     *raw_events, attempt.body = attempt.body.split(b'\n\n')
--- a/bench/edge_checks.py
+++ b/bench/edge_checks.py
@@ -8,6 +8,10 @@
   that a living engine closes early is whole by the platform's rules.
 - TWICE: an attempt that may not be repeated ran more than once.
 - REFUSED: an attempt that may not be repeated ran and was promised not to.
+- ROUTE: an engine of another service than the route's ran a request.
+- MEMORY: a router or relay took more memory than it may.
+- STARVED: while callers or an engine flooded a router, callers of a service
+  that is well got less than half of the answers that they get otherwise.
 - ENDED: a router or relay ended though no fault ended it.
 """
 
@@ -18,7 +22,16 @@
 from standins import edge_bodies
 from standins import platform_documents
 
-RULES = ('ORDER', 'MIXED', 'TWICE', 'REFUSED', 'ENDED')
+RULES = (
+    'ORDER',
+    'MIXED',
+    'TWICE',
+    'REFUSED',
+    'ROUTE',
+    'MEMORY',
+    'STARVED',
+    'ENDED',
+)
 
 
 class Run:
@@ -27,7 +40,15 @@
     `how` is how it ended: 'killed' if the log doesn't say.
     """
 
-    __slots__ = ('at', 'framing', 'instance', 'born', 'version', 'how')
+    __slots__ = (
+        'at',
+        'framing',
+        'instance',
+        'born',
+        'version',
+        'service',
+        'how',
+    )
 
     def __init__(self, entry):
         self.at = entry['at']
@@ -35,6 +56,7 @@
         self.instance = entry['instance']
         self.born = entry['born']
         self.version = entry['version']
+        self.service = entry['service']
         self.how = 'killed'
 
 
@@ -43,7 +65,9 @@
 
     `ends` counts, by the framing of the last run of an attempt, how that run
     ended and the outcome that its caller was told, those attempts.  `unframed`
-    counts those without a length by route, end and outcome.
+    counts those without a length by route, end and outcome.  `peaks_mb` has
+    the most memory that a process took, by its machine's name, and `floods`
+    the FloodResults.
     """
 
     __slots__ = (
@@ -53,6 +77,8 @@
         'unframed',
         'faults',
         'restarts',
+        'peaks_mb',
+        'floods',
     )
 
     def __init__(self):
@@ -62,6 +88,8 @@
         self.unframed = collections.Counter()
         self.faults = collections.Counter()
         self.restarts = {}
+        self.peaks_mb = {}
+        self.floods = []
 
     def add(self, rule, text):
         """Add a violation."""
@@ -88,6 +116,8 @@
             'unframed': {' '.join(key): n for key, n in self.unframed.items()},
             'faults': dict(self.faults),
             'restarts': dict(self.restarts),
+            'peaks_mb': self.peaks_mb,
+            'floods': [result.describe() for result in self.floods],
         }
 
 
@@ -116,6 +146,26 @@
     return findings
 
 
+def check_memory(findings, peaks_mb, limit_mb):
+    """Check what processes took, by machine and process id."""
+    for (name, pid), peak_mb in peaks_mb.items():
+        if peak_mb > limit_mb:
+            findings.add(
+                'MEMORY',
+                f'{name}, process {pid}: {peak_mb:.0f} MB of {limit_mb}',
+            )
+        previous_mb = findings.peaks_mb.get(name, 0.0)
+        findings.peaks_mb[name] = max(previous_mb, round(peak_mb, 1))
+
+
+def check_floods(findings, results):
+    """Check what others got while a router was flooded."""
+    findings.floods += results
+    for result in results:
+        if result.is_starved():
+            findings.add('STARVED', result.describe())
+
+
 def check_request(findings, req, runs):
     """Check one request with all its attempts."""
     for attempt in req.attempts:
@@ -129,6 +179,7 @@
                 key = (req.prefix, last.how, attempt.outcome)
                 findings.unframed[key] += 1
         _check_runs(findings, req, attempt, own_runs)
+        _check_services(findings, req, attempt, own_runs)
         _check_identity(findings, attempt, own_runs)
         if attempt.outcome == 'whole' and req.kind != 'stream':
             _check_body(findings, req, attempt, own_runs)
@@ -145,6 +196,15 @@
         findings.add('REFUSED', f'{attempt.id} ran, but got {attempt.status}')
 
 
+def _check_services(findings, req, attempt, runs):
+    expected = platform_documents.ROUTES[req.prefix][1]
+    for run in runs:
+        if run.service != expected:
+            findings.add(
+                'ROUTE', f'{attempt.id} for {expected} ran at {run.service}'
+            )
+
+
 def _check_identity(findings, attempt, runs):
     """Check that a response belongs to the attempt."""
     request_id = attempt.headers.get(platform_documents.REQUEST_ID, attempt.id)
--- a/bench/edge_faults.py
+++ b/bench/edge_faults.py
@@ -1,11 +1,17 @@
-"""Faults of the edge fleet, in series that overlap, drawn from a seed."""
+"""Faults of the edge fleet, in series that overlap, drawn from a seed.
+
+A loss of power ends processes and leaves the kernel, so peers learn of it at
+once, which a real one doesn't grant them.
+"""
 
 import random
 import signal
 
 import gevent
 
-from bench import edge_fleet
+from bench import edge_machines
+from bench import flood_callers
+from standins import edge_floods
 from standins import platform_documents
 
 SERIES = 3
@@ -24,6 +30,13 @@
 TIMEOUTS_MS = (7_000, 8_000, 9_000)
 MAX_EXTRA_ROUTES = 5
 RELEASE_SHARE = 0.5
+# How long an address stays without an engine before one of another service
+# takes it.
+REUSE_S = (2.0, 2.6)
+# How long the store doesn't answer after a loss of power.
+POWER_STORE_S = (0.2, 2.0)
+FLOOD_S = (0.5, 2.5)
+FLOOD_CALLERS = 20
 
 
 class Faults:
@@ -37,6 +50,9 @@
         self._weights = {
             self._kill_engine: 6,
             self._drain_engine: 2,
+            self._hand_over: 2,
+            self._flood_engine: 2,
+            self._flood_router: 1,
             self._freeze_engine: 2,
             self._release: 1,
             self._kill_router: 2,
@@ -48,6 +64,7 @@
             self._harm_link: 4,
             self._cut_store_link: 2,
             self._harm_store: 1,
+            self._lose_power: 0.4,
         }
         self._tasks = []
         self._is_stopping = False
@@ -133,11 +150,58 @@
                 machine.end(number, platform_documents.GRACE_S)
                 gevent.sleep(rng.uniform(0, 0.3))
 
+    def _hand_over(self, rng):
+        """Swap the services of two machines whose engines end for good."""
+        pair = [
+            rng.choice(self._fleet.models),
+            rng.choice(self._fleet.applications),
+        ]
+        if not all(machine.is_steady() for machine in pair):
+            return
+        services = [machine.service for machine in reversed(pair)]
+        for machine, service in zip(pair, services):
+            self._note('hand_over', machine.name, service=service)
+            machine.hand_over(
+                service,
+                rng.uniform(*REUSE_S),
+                rng.choice((signal.SIGTERM, signal.SIGKILL)),
+                platform_documents.GRACE_S,
+            )
+
+    def _lose_power(self, rng):
+        """End all processes at once; the store keeps what it has."""
+        self._note('lose_power', 'all')
+        store = self._fleet.store
+        store.is_down = True
+        for machine in self._fleet.machines:
+            machine.end(signal.SIGKILL)
+        gevent.sleep(rng.uniform(*POWER_STORE_S))
+        store.is_down = False
+
+    # Bytes without end.
+
+    def _flood_engine(self, rng):
+        machine = rng.choice(self._fleet.engines)
+        case = rng.choice(list(edge_floods.CASES))
+        seconds = rng.uniform(*FLOOD_S)
+        self._note('flood_engine', machine.name, case=case, s=seconds)
+        machine.flood(case, seconds)
+
+    def _flood_router(self, rng):
+        machine = rng.choice(self._fleet.routers)
+        case = rng.choice(list(flood_callers.CASES))
+        seconds = rng.uniform(*FLOOD_S)
+        self._note('flood_router', machine.name, case=case, s=seconds)
+        callers = flood_callers.start(
+            machine, case, seconds, FLOOD_CALLERS, self._fleet.directory
+        )
+        callers.popen.wait()
+
     # Settings and configurations.
 
     def _reload_router(self, rng):
         machine = rng.choice(self._fleet.routers)
-        if not edge_fleet.is_ready(machine):
+        if not edge_machines.is_ready(machine):
             # A process that is starting doesn't handle the signal yet, which
             # is a known fault.
             return
--- a/bench/edge_fleet.py
+++ b/bench/edge_fleet.py
@@ -19,20 +19,19 @@
 import random
 import sys
 import time
-import urllib.request
 
 import gevent
 
+from bench import edge_machines
 from bench import processes
 from standins import common
 from standins import faulty_link
 from standins import platform_documents
 from standins import platform_store
 
-ENGINE_PORT = 8300
-PROXY_PORT = 8301
 STORE_PORT = 8223
-SLOTS = 8
+MODEL = platform_documents.MODEL_SERVICE
+APPLICATION = platform_documents.APPLICATION_SERVICE
 START_TIMEOUT_S = 60
 RESTART_DELAY_S = (0.1, 1.2)
 SUPERVISE_INTERVAL_S = 0.05
@@ -44,8 +43,9 @@
 class FleetOptions:
     """The size of a fleet and the seed of all that is drawn.
 
-    `product` is the folder that holds the galenaspoke package to run, and
-    `early` the share of responses that engines end early.
+    `product` is the folder that holds the galenaspoke package to run, `early`
+    the share of responses that engines end early, `garbled` of those that they
+    garble, and `skew_ms` how far engines' clocks are ahead or behind at most.
     """
 
     __slots__ = (
@@ -56,6 +56,8 @@
         'applications',
         'product',
         'early',
+        'garbled',
+        'skew_ms',
     )
 
     def __init__(
@@ -67,6 +69,8 @@
         applications=3,
         product=None,
         early=0.08,
+        garbled=0.02,
+        skew_ms=6_000,
     ):
         self.seed = seed
         self.routers = routers
@@ -75,53 +79,8 @@
         self.applications = applications
         self.product = product or str(pathlib.Path(__file__).parents[1])
         self.early = early
-
-
-class Machine:
-    """A machine and its process.
-
-    `may_end` says that a fault is about to end the process; `ended_alone`
-    lists the exit codes of a process that ended though no fault did that.
-    """
-
-    __slots__ = (
-        'name',
-        'ip',
-        'zone',
-        'link',
-        'process',
-        'is_down',
-        'may_end',
-        'kill_at',
-        'ended_alone',
-        'version',
-        'prepare',
-    )
-
-    def __init__(self, name, ip, zone, link):
-        self.name = name
-        self.ip = ip
-        self.zone = zone
-        # The link in front of the engine, or between a router and the store.
-        self.link = link
-        self.process = None
-        # Whether the process has ended and is about to be started again.
-        self.is_down = False
-        self.may_end = False
-        # When a process that was asked to stop is killed, None for never.
-        self.kill_at = None
-        self.ended_alone = []
-        # The version of an engine's software from its next start on.
-        self.version = 'v1'
-        # Called before each start.
-        self.prepare = lambda: None
-
-    def end(self, number, grace_s=None):
-        """Send the process a signal that ends it, killing it after a grace."""
-        self.may_end = True
-        if grace_s is not None:
-            self.kill_at = time.monotonic() + grace_s
-        self.process.signal(number)
+        self.garbled = garbled
+        self.skew_ms = skew_ms
 
 
 class Fleet:
@@ -150,20 +109,36 @@
             self._make_client_of_store('relay', number)
             for number in range(options.relays)
         ]
-        self.models = [
-            self._make_engine('model', number)
+        models = [
+            self._make_engine('model', number, MODEL)
             for number in range(options.engines)
         ]
-        self.applications = [
-            self._make_engine('application', number)
+        applications = [
+            self._make_engine('application', number, APPLICATION)
             for number in range(options.applications)
         ]
+        self.engines = [*models, *applications]
+        # Engines of services of their own, which only floods are asked for.
+        self.flooding = [
+            self._make_flooding_engine(service)
+            for service in platform_documents.FAULTY_SERVICES
+        ]
         self._supervisor = None
 
     @property
-    def engines(self):
-        """Return the machines of all engines."""
-        return [*self.models, *self.applications]
+    def models(self):
+        """Return the machines whose engine serves models now."""
+        return self._list_engines(MODEL)
+
+    @property
+    def applications(self):
+        """Return the machines whose engine is an application now."""
+        return self._list_engines(APPLICATION)
+
+    def _list_engines(self, service):
+        return [
+            machine for machine in self.engines if machine.service == service
+        ]
 
     @property
     def links(self):
@@ -173,7 +148,8 @@
     @property
     def machines(self):
         """Return all machines."""
-        return [*self.engines, *self.relays, *self.routers]
+        engines = [*self.engines, *self.flooding]
+        return [*engines, *self.relays, *self.routers]
 
     def _new_ip(self):
         self._hosts += 1
@@ -183,17 +159,34 @@
         ip = self._new_ip()
         link = faulty_link.FaultyLink(f'{ip}:{STORE_PORT}', self.store.address)
         zone = platform_documents.ZONES[number % 2]
-        return Machine(f'{role}-{number}', ip, zone, link)
+        return edge_machines.Machine(f'{role}-{number}', ip, zone, link)
 
-    def _make_engine(self, kind, number):
+    def _make_engine(self, kind, number, service):
         ip = self._new_ip()
         link = None
         if self._rng.random() < LINKED_SHARE:
             link = faulty_link.FaultyLink(
-                f'{ip}:{PROXY_PORT}', f'{ip}:{ENGINE_PORT}'
+                f'{ip}:{edge_machines.PROXY_PORT}',
+                f'{ip}:{edge_machines.ENGINE_PORT}',
             )
         zone = platform_documents.ZONES[number % 2]
-        return Machine(f'{kind}-{number}', ip, zone, link)
+        skew_ms = self._options.skew_ms
+        return edge_machines.Machine(
+            f'{kind}-{number}',
+            ip,
+            zone,
+            link,
+            service,
+            self._rng.randint(-skew_ms, skew_ms),
+        )
+
+    def _make_flooding_engine(self, service):
+        zone = platform_documents.ZONES[0]
+        machine = edge_machines.Machine(
+            f'flooding-{service}', self._new_ip(), zone, None, service
+        )
+        machine.floods = True
+        return machine
 
     # Starting and stopping.
 
@@ -201,11 +194,15 @@
         """Start all processes; return once the routers are ready."""
         self.store.start()
         self.publish()
-        for machine in self.engines:
+        for machine in [*self.engines, *self.flooding]:
             self._start_engine(machine)
         for machine in [*self.relays, *self.routers]:
             self._start_client_of_store(machine)
         self._supervisor = gevent.spawn(self.supervise)
+        self.wait_until_up()
+
+    def wait_until_up(self):
+        """Return once all engines are listed and all routers ready."""
         deadline = time.monotonic() + START_TIMEOUT_S
         while not self._is_up():
             if time.monotonic() > deadline:
@@ -214,8 +211,9 @@
 
     def _is_up(self):
         count = self.store.count(platform_store.KIND_OF_ENTRIES)
-        return count >= len(self.engines) and all(
-            is_ready(machine) for machine in self.routers
+        expected = len(self.engines) + len(self.flooding)
+        return count >= expected and all(
+            edge_machines.is_ready(machine) for machine in self.routers
         )
 
     def stop(self):
@@ -228,28 +226,24 @@
 
     def _start_engine(self, machine):
         log = self.directory / f'{machine.name}.runs'
-        service = (
-            platform_documents.MODEL_SERVICE
-            if machine in self.models
-            else platform_documents.APPLICATION_SERVICE
+        argv = edge_machines.make_engine_argv(
+            machine, self.store.address, log, self._options
         )
-        port = PROXY_PORT if machine.link else ENGINE_PORT
-        argv = [sys.executable, '-m', 'standins', 'edge-engine']
-        argv += ['--listen', f'{machine.ip}:{ENGINE_PORT}']
-        argv += ['--announce', f'{machine.ip}:{port}']
-        argv += ['--store', self.store.address, '--service', service]
-        argv += ['--zone', machine.zone, '--log', str(log)]
-        argv += ['--slots', str(SLOTS), '--early', str(self._options.early)]
         instance = self._draw_instance()
 
         def make_argv():
             seed = str(self._rng.getrandbits(32))
             last = ['--version', machine.version, '--seed', seed]
+            last += ['--service', machine.service]
             return [*argv, '--instance', instance, *last]
 
         def prepare():
             nonlocal instance
-            if self._rng.random() >= SAME_ID_SHARE:
+            if machine.next_service:
+                machine.service = machine.next_service
+                machine.next_service = None
+                instance = self._draw_instance()
+            elif self._rng.random() >= SAME_ID_SHARE:
                 instance = self._draw_instance()
             machine.process.argv = make_argv()
 
@@ -302,7 +296,7 @@
         """Publish a new version of the configuration."""
         self._config_version += self._rng.randint(1, 3)
         config = platform_documents.make_config(
-            self._config_version, SLOTS, timeout_ms, extra_routes
+            self._config_version, edge_machines.SLOTS, timeout_ms, extra_routes
         )
         self.store.put(
             platform_documents.CONFIG_KIND,
@@ -320,9 +314,7 @@
                 elif not machine.is_down:
                     self._record_end(machine)
                     gevent.spawn_later(
-                        self._rng.uniform(*RESTART_DELAY_S),
-                        self._restart,
-                        machine,
+                        self._choose_delay_s(machine), self._restart, machine
                     )
             gevent.sleep(SUPERVISE_INTERVAL_S)
 
@@ -339,19 +331,15 @@
             machine.ended_alone.append(code)
         self.restarts[machine.name.partition('-')[0]] += 1
 
+    def _choose_delay_s(self, machine):
+        if machine.restart_after_s is not None:
+            return machine.restart_after_s
+        return self._rng.uniform(*RESTART_DELAY_S)
+
     def _restart(self, machine):
+        machine.restart_after_s = None
         machine.may_end = False
         machine.kill_at = None
         machine.prepare()
         machine.process.start()
         machine.is_down = False
-
-
-def is_ready(machine):
-    """Return whether a router says that callers may be sent to it."""
-    url = f'http://{machine.ip}:{platform_documents.READY_PORT}/ready'
-    try:
-        with urllib.request.urlopen(url, timeout=1) as response:
-            return response.status == 200
-    except OSError:
-        return False
--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -25,9 +25,12 @@
 from bench import edge_checks  # noqa: E402
 from bench import edge_faults  # noqa: E402
 from bench import edge_fleet  # noqa: E402
+from bench import flood_windows  # noqa: E402
+from bench import memory  # noqa: E402
 from standins import platform_documents  # noqa: E402
 
 MAX_PRINTED = 5
+MAX_FLOODS = len(flood_windows.CASES)
 # How a run ends whose engine's process ends.
 SUDDEN_ENDS = ('killed', 'exit')
 # How long runs may take to be logged once all callers have ended.
@@ -35,8 +38,8 @@
 EXIT_STOPPED = 143
 
 
-def run(options, seconds, caller_count, directory):
-    """Run a soak; return its Findings."""
+def run(options, seconds, caller_count, floods, directory):
+    """Run a soak with some floods at its end; return its Findings."""
     fleet = edge_fleet.Fleet(options, directory)
     requests = []
     callers = [
@@ -56,6 +59,8 @@
     )
     try:
         fleet.start()
+        watch = memory.MemoryWatch([*fleet.routers, *fleet.relays])
+        watching = gevent.spawn(watch.run)
         tasks = [gevent.spawn(caller.run) for caller in callers]
         faults.start()
         gevent.sleep(seconds)
@@ -64,9 +69,27 @@
             caller.is_stopping = True
         gevent.joinall(tasks, raise_error=True)
         gevent.sleep(SETTLE_S)
+        results = _flood(fleet, options.seed, floods)
+        watching.kill()
+        watch.read()
     finally:
         fleet.stop()
-    return _check(fleet, requests)
+    findings = _check(fleet, requests)
+    edge_checks.check_floods(findings, results)
+    edge_checks.check_memory(
+        findings, watch.peaks_mb, platform_documents.MEMORY_MB
+    )
+    return findings
+
+
+def _flood(fleet, seed, count):
+    """Flood routers that are otherwise left alone; return the results."""
+    rng = random.Random(f'{seed} floods')
+    cases = rng.sample(flood_windows.CASES, min(count, MAX_FLOODS))
+    return [
+        flood_windows.play(fleet, rng.choice(fleet.routers), case)
+        for case in cases
+    ]
 
 
 def _check(fleet, requests):
@@ -113,6 +136,9 @@
     )
     print(f'without a length, engine gone: {dict(ended)}, told whole: {whole}')
     _print_closed(findings)
+    print(f'most memory in MB: {dict(sorted(findings.peaks_mb.items()))}')
+    for result in findings.floods:
+        print(f'flood: {result.describe()}')
     for rule, texts in findings.violations.items():
         print(f'{rule}: {len(texts)}')
         for text in texts[:MAX_PRINTED]:
@@ -153,14 +179,17 @@
 @click.option('--applications', default=3, help='Application engines.')
 @click.option('--callers', default=24, help='Concurrent callers.')
 @click.option('--early', default=0.08, help='Responses that end early.')
+@click.option('--garbled', default=0.02, help='Responses that are garbled.')
+@click.option('--skew-ms', default=6_000, help="Of engines' clocks, at most.")
+@click.option('--floods', default=2, help='Cases of floods at the end.')
 @click.option('--product', default=None, help='Where galenaspoke is.')
 @click.option('--report', default=None, help='A file for the counts as JSON.')
 @click.option('--keep/--no-keep', default=False, help='Keep all logs.')
-def main(seconds, callers, report, keep, **fields):
+def main(seconds, callers, floods, report, keep, **fields):
     """Run callers and faults drawn from SEED, and check what happened."""
     options = edge_fleet.FleetOptions(**fields)
     directory = tempfile.mkdtemp(prefix=f'galenaspoke-edge-{options.seed}-')
-    findings = run(options, seconds, callers, directory)
+    findings = run(options, seconds, callers, floods, directory)
     print_findings(options.seed, findings)
     if report:
         document = json.dumps(findings.to_document())
--- a/bench/flood_callers.py
+++ b/bench/flood_callers.py
@@ -1,6 +1,6 @@
 """Callers of a faulty engine, and callers that flood a router themselves.
 
-A process of its own, so that it takes no time from who measures::
+A process of its own, so that it takes no time from those who measure::
 
     python -m bench.flood_callers --router 127.1.2.3:8227 --case caller-body
 
@@ -12,21 +12,20 @@
 monkey.patch_all()
 
 import json  # noqa: E402
+import pathlib  # noqa: E402
 import socket  # noqa: E402
+import sys  # noqa: E402
 import time  # noqa: E402
 
 import click  # noqa: E402
 import gevent  # noqa: E402
 
+from bench import processes  # noqa: E402
 from standins import edge_floods  # noqa: E402
 from standins import platform_documents  # noqa: E402
 from standins import raw_http  # noqa: E402
 
-# Where the faulty engine answers, by whether it sends streams.
-PREFIXES = {True: '/stream/talk/', False: '/faulty/'}
-# A route that a key is needed for.
-KEYED_PREFIX = '/keyed/'
-KEY = 'a-known-key'
+ROOT = pathlib.Path(__file__).parents[1]
 PIECES = 1_000
 PAUSE_S = 0.02
 DEADLINE_MS = 8_000
@@ -83,8 +82,14 @@
 def _make_asking(is_stream):
     """Return what asks the faulty engine and drops what comes."""
 
+    prefix = (
+        platform_documents.FAULTY_STREAM
+        if is_stream
+        else platform_documents.FAULTY_PLAIN
+    )
+
     def ask(sock, name):
-        sock.sendall(_encode(PREFIXES[is_stream], name))
+        sock.sendall(_encode(prefix, name))
         while sock.recv(raw_http.RECEIVE_BYTES):
             pass
         gevent.sleep(PAUSE_S)
@@ -97,7 +102,12 @@
 
     def withhold(sock, name):
         headers = [('Api-Key', key)]
-        head = _encode(KEYED_PREFIX, name, headers=headers, length=BODY_BYTES)
+        head = _encode(
+            platform_documents.FAULTY_KEYED,
+            name,
+            headers=headers,
+            length=BODY_BYTES,
+        )
         sock.sendall(head + b'x' * (BODY_BYTES - UNSENT_BYTES))
         sock.recv(raw_http.RECEIVE_BYTES)
         gevent.sleep(PAUSE_S)
@@ -106,7 +116,7 @@
 
 
 def _send_endless_head(sock, name):
-    head = _encode(PREFIXES[False], name)[:-2]
+    head = _encode(platform_documents.FAULTY_PLAIN, name)[:-2]
     sock.sendall(head.split(b'\r\n\r\n')[0] + b'\r\nX-Long: ')
     sock.sendall(b'x' * HEAD_BYTES)
     sock.recv(raw_http.RECEIVE_BYTES)
@@ -118,7 +128,7 @@
     body = json.dumps({'key': name, 'pieces': 1}).encode()
     body += b' ' * (REQUEST_BYTES - len(body))
     requests = [
-        _encode(PREFIXES[False], f'{name}.{number}', body)
+        _encode(platform_documents.FAULTY_PLAIN, f'{name}.{number}', body)
         for number in range(REQUESTS)
     ]
     writing = gevent.spawn(_send_quietly, sock, b''.join(requests))
@@ -139,13 +149,13 @@
 def _leave_unread(sock, name):
     """Read nothing of a stream that the engine writes without end."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BUFFER_BYTES)
-    sock.sendall(_encode(PREFIXES[True], name))
+    sock.sendall(_encode(platform_documents.FAULTY_STREAM, name))
     gevent.sleep(DEADLINE_MS / 1000)
 
 
 # What floods a router without a fault of an engine.
 CASES = {
-    'caller-body': _make_withholding(KEY),
+    'caller-body': _make_withholding(platform_documents.KEY),
     'caller-body-unknown': _make_withholding('unknown'),
     'caller-head': _send_endless_head,
     'caller-requests': _send_many_requests,
@@ -155,6 +165,16 @@
 ENGINE_CASES = {'caller-unread': 'events'}
 
 
+def start(machine, case, seconds, callers, directory):
+    """Start callers of a router as a process, and return that."""
+    front = f'{machine.ip}:{platform_documents.FRONT_PORT}'
+    argv = [sys.executable, '-m', 'bench.flood_callers', '--router', front]
+    argv += ['--case', case, '--seconds', str(seconds)]
+    # Its ids differ from those of others at the same time.
+    argv += ['--callers', str(callers), '--name', f'f{time.monotonic_ns()}-']
+    return processes.Process(f'callers-{case}', argv, directory, cwd=ROOT)
+
+
 @click.command()
 @click.option('--router', required=True)
 @click.option('--case', required=True)
--- a/bench/memory.py
+++ b/bench/memory.py
@@ -1,4 +1,4 @@
-"""The memory of a process, as the kernel states it.
+"""The memory of processes, as the kernel states it.
 
 Example::
 
@@ -7,8 +7,11 @@
 
 import pathlib
 
+import gevent
+
 BYTES_PER_KB = 1_024
 BYTES_PER_MB = 1_000_000
+POLL_INTERVAL_S = 0.1
 
 
 class MemoryUsage:
@@ -42,3 +45,33 @@
     if value is None:
         return 0.0
     return int(value.split()[0]) * BYTES_PER_KB / BYTES_PER_MB
+
+
+class MemoryWatch:
+    """The most memory that each process of some machines has taken.
+
+    `peaks_mb` has it by the machine's name and the process's id.
+    """
+
+    __slots__ = ('peaks_mb', '_machines')
+
+    def __init__(self, machines):
+        self.peaks_mb = {}
+        self._machines = machines
+
+    def run(self):
+        """Read it again and again; never returns."""
+        while True:
+            self.read()
+            gevent.sleep(POLL_INTERVAL_S)
+
+    def read(self):
+        """Read it once.  A process that has just ended is passed over."""
+        for machine in self._machines:
+            pid = machine.process.popen.pid
+            try:
+                peak_mb = read(pid).peak_mb
+            except OSError:
+                continue
+            key = (machine.name, pid)
+            self.peaks_mb[key] = max(peak_mb, self.peaks_mb.get(key, 0.0))
--- a/standins/edge_engine.py
+++ b/standins/edge_engine.py
@@ -4,8 +4,11 @@
 it started and what it works on, as of up to 200 ms ago.  An application engine
 answers with bodies in pieces and has no reports.
 
-Each response is framed by its length, in chunks, or not at all, and a share of
-them ends early: reset, closed, left without another word, or with the process.
+Each response is framed by its length, in chunks, or not at all.  A share of
+them ends early: reset, closed, left without another word, or with the process;
+a share is garbled.  `POST /faults/flood` on the engine's own port has it flood
+for a while.  Its clock may be apart from those of others.
+
 The log has, by request id, each run, the incarnation, the version, and how the
 run ended.  A run without an end in the log was killed.
 """
@@ -26,87 +29,37 @@
 from standins import common
 from standins import edge_bodies
 from standins import edge_floods
+from standins import edge_plans
+from standins import edge_responses
 from standins import platform_store
 from standins import raw_http
 
-PIECE_INTERVAL_S = 0.03
-FIRST_PIECE_S = 0.05
 REPORT_INTERVAL_S = 0.2
 MAX_CONNECTIONS = 64
 MAX_QUEUED = 16
 # A leaving engine serves for this long after the store has accepted it.
 DRAIN_S = 2.3
-# How long a response that is left keeps its connection.
-LEFT_S = 20
 RETRY_AFTER_S = 0.2
 HEARTBEAT_PAUSE_S = platform_store.HEARTBEAT_MS / 1000
-FRAMINGS = ('length', 'chunked', 'none')
-FRAMING_WEIGHTS = (0.2, 0.35, 0.45)
-ENDINGS = ('reset', 'closed', 'left', 'exit')
-ENDING_WEIGHTS = (0.4, 0.3, 0.2, 0.1)
-SPLIT_EVENT_SHARE = 0.05
+# Where the soak has an engine flood; routers never ask for it.
+FLOOD_PATH = '/faults/flood'
 # How long an engine floods that does so from its start.
 ENDLESS_S = 3_600
 
 
-class EarlyEnd(Exception):
-    """A response ends early, in the way that its plan says."""
-
-
-class Plan:
-    """How a run's response is framed and how it ends.
-
-    `ending` is 'whole' or one of ENDINGS, which comes before piece `at`.
-    """
-
-    __slots__ = ('framing', 'ending', 'at')
-
-    def __init__(self, rng, first, last, early_share):
-        self.framing = rng.choices(FRAMINGS, FRAMING_WEIGHTS)[0]
-        self.ending = 'whole'
-        if rng.random() < early_share:
-            self.ending = rng.choices(ENDINGS, ENDING_WEIGHTS)[0]
-        self.at = rng.randint(first, max(first, last))
-
-
-class Run:
-    """A request that the engine works on."""
-
-    __slots__ = ('id', 'key', 'first', 'last', 'plan', 'is_stream', 'sent')
-
-    def __init__(self, message, body, rng, early_share, is_stream):
-        document = json.loads(body)
-        self.id = message.get('x-request-id')
-        self.key = document['key']
-        self.first = int(message.get('last-event-id') or 0) + 1
-        self.last = document['pieces']
-        self.plan = Plan(rng, self.first, self.last, early_share)
-        self.is_stream = is_stream
-        self.sent = 0
-
-    def list_pieces(self, version):
-        """Return the pieces of the response."""
-        make = (
-            edge_bodies.make_event if self.is_stream else edge_bodies.make_line
-        )
-        numbers = range(self.first, self.last + 1)
-        pieces = [make(self.key, version, number) for number in numbers]
-        return pieces if self.is_stream else [*pieces, edge_bodies.END_LINE]
-
-
 class EdgeEngine:
     """One incarnation of an engine.
 
     `entry` is what it writes to the store at `store`, under `instance`.
     """
 
-    def __init__(self, instance, entry, store, log, rng, early_share):
+    def __init__(self, instance, entry, store, log, rng, shares):
         self._instance = instance
         self._entry = entry
         self._store = store
         self._log = log
         self._rng = rng
-        self._early_share = early_share
+        self._shares = shares
         self._is_model = entry['Service'].startswith('model')
         self._slots = lock.BoundedSemaphore(entry['Slots'])
         self._queued = 0
@@ -114,6 +67,9 @@
         self._reported_runs = []
         self._connections = 0
         self._max_connections = MAX_CONNECTIONS
+        # Responses that come once more where the next one is due, by their
+        # connection.
+        self._late_responses = {}
         # The case of edge_floods that answers requests, until when.
         self._flood = None
         self._flood_until = 0.0
@@ -179,6 +135,7 @@
             pass
         finally:
             self._connections -= 1
+            self._late_responses.pop(conn, None)
             sock.close()
 
     def _handle(self, conn, message):
@@ -187,6 +144,11 @@
         path = message.first.split(' ')[1]
         request_id = message.get('x-request-id')
         echo = [('X-Request-Id', request_id)] if request_id else []
+        if path == FLOOD_PATH:
+            order = json.loads(body)
+            self.flood(order['case'], order['seconds'])
+            conn.sock.sendall(raw_http.encode_response(200))
+            return True
         expected = message.get('x-expect-instance', self._instance)
         if expected != self._instance:
             refusal = raw_http.encode_response(421, b'', echo)
@@ -203,9 +165,12 @@
             headers = [('X-Not-Run', '1')]
             conn.sock.sendall(raw_http.encode_response(400, b'', headers))
             return True
+        conn.sock.sendall(self._late_responses.pop(conn, b''))
         if flood not in (None, edge_floods.HEALTH):
             key = json.loads(body)['key']
             first = int(message.get('last-event-id') or 0) + 1
+            if flood != edge_floods.REFUSAL:
+                self._log_run(message, request_id, edge_floods.FRAMING)
             return self._send_flood(conn, request_id, key, first)
         return self._admit(conn, message, body, echo)
 
@@ -214,17 +179,19 @@
         return self._flood if time.monotonic() < self._flood_until else None
 
     def _send_flood(self, conn, request_id, key, first):
-        stamp = edge_bodies.make_stamp(
-            self._instance, self._entry['born'], request_id
-        )
         answer = edge_floods.Answer(
-            request_id, stamp, key, self._entry['Version'], first
+            request_id,
+            self._make_stamp(request_id),
+            key,
+            self._entry['Version'],
+            first,
         )
         left_s = self._flood_until - time.monotonic()
         try:
             edge_floods.send(conn.sock, self._flood, answer, left_s)
         finally:
             raw_http.reset(conn.sock)
+            self._log.write(what='end', id=request_id, how=edge_floods.FRAMING)
         return False
 
     def _make_health(self):
@@ -268,12 +235,13 @@
         try:
             if _has_ended(conn.sock):
                 return False
-            run = Run(
+            path = message.first.split(' ')[1]
+            run = edge_plans.Run(
                 message,
                 body,
                 self._rng,
-                self._early_share,
-                message.first.split(' ')[1].startswith('/stream'),
+                self._shares,
+                path.startswith('/stream'),
             )
             return self._run(conn, message, run, echo)
         finally:
@@ -285,22 +253,12 @@
         """Run a request, and log how that ended."""
         token = object()
         self._runs[token] = run
-        self._log.write(
-            what='run',
-            id=run.id,
-            key=run.key,
-            path=message.first.split(' ')[1],
-            first=run.first,
-            framing=run.plan.framing,
-            instance=self._instance,
-            born=self._entry['born'],
-            version=self._entry['Version'],
-        )
+        self._log_run(message, run.id, run.plan.framing)
         how = 'cancelled'
         try:
-            self._respond(conn.sock, run, echo)
-            how = 'whole'
-        except EarlyEnd:
+            self._respond(conn, run, echo)
+            how = edge_plans.WHOLE
+        except edge_responses.EarlyEnd:
             how = run.plan.ending
         finally:
             self._log.write(what='end', id=run.id, how=how, pieces=run.sent)
@@ -309,56 +267,35 @@
             if how in ('reset', 'left'):
                 raw_http.reset(conn.sock)
             del self._runs[token]
-        return how == 'whole' and run.plan.framing != 'none'
+        return how == edge_plans.WHOLE and run.plan.framing != 'none'
 
-    def _respond(self, sock, run, echo):
-        version = self._entry['Version']
-        pieces = run.list_pieces(version)
-        stamp = edge_bodies.make_stamp(
-            self._instance, self._entry['born'], run.id
+    def _log_run(self, message, request_id, framing):
+        self._log.write(
+            what='run',
+            id=request_id,
+            path=message.first.split(' ')[1],
+            framing=framing,
+            instance=self._instance,
+            born=self._entry['born'],
+            version=self._entry['Version'],
+            service=self._entry['Service'],
         )
+
+    def _respond(self, conn, run, echo):
         headers = [
-            ('X-Response-Stamp', stamp),
+            ('X-Response-Stamp', self._make_stamp(run.id)),
             ('X-Weight-Versions', '1'),
             *echo,
-            _make_framing_header(run.plan.framing, pieces),
         ]
-        kind = 'text/event-stream' if run.is_stream else 'text/plain'
-        headers.append(('Content-Type', kind))
-        gevent.sleep(FIRST_PIECE_S)
-        sock.sendall(raw_http.encode('HTTP/1.1 200 OK', headers))
-        for number, piece in enumerate(pieces, run.first):
-            if run.plan.ending != 'whole' and number >= run.plan.at:
-                self._end_early(sock, run.plan.ending)
-            gevent.sleep(PIECE_INTERVAL_S)
-            self._send_piece(sock, run.plan.framing, piece)
-            run.sent += 1
-        if run.plan.framing == 'chunked':
-            sock.sendall(b'0\r\n\r\n')
-
-    def _end_early(self, sock, ending):
-        if ending == 'left':
-            select.select([sock], [], [], LEFT_S)
-        raise EarlyEnd
-
-    def _send_piece(self, sock, framing, piece):
-        data = piece
-        if framing == 'chunked':
-            data = b'%x\r\n%s\r\n' % (len(piece), piece)
-        if self._rng.random() < SPLIT_EVENT_SHARE:
-            half = len(data) // 2
-            sock.sendall(data[:half])
-            gevent.sleep(PIECE_INTERVAL_S)
-            data = data[half:]
-        sock.sendall(data)
-
-
-def _make_framing_header(framing, pieces):
-    if framing == 'length':
-        return 'Content-Length', str(sum(map(len, pieces)))
-    if framing == 'chunked':
-        return 'Transfer-Encoding', 'chunked'
-    return 'Connection', 'close'
+        writer = edge_responses.Writer(conn.sock, self._rng)
+        writer.write_response(run, self._entry['Version'], headers)
+        if run.plan.extra == edge_plans.LATE:
+            self._late_responses[conn] = b''.join(writer.written)
+
+    def _make_stamp(self, request_id):
+        return edge_bodies.make_stamp(
+            self._instance, self._entry['born'], request_id
+        )
 
 
 def _has_ended(sock):
@@ -382,6 +319,8 @@
 @click.option('--slots', default=8)
 @click.option('--seed', default=1)
 @click.option('--early', default=0.08, help='The share that ends early.')
+@click.option('--garbled', default=0.0, help='The share that is garbled.')
+@click.option('--clock-ms', default=0, help='How far its clock is ahead.')
 @click.option('--flood', default=None, help='A case of edge_floods.')
 @click.option('--connections', default=MAX_CONNECTIONS)
 def main(
@@ -396,6 +335,8 @@
     slots,
     seed,
     early,
+    garbled,
+    clock_ms,
     flood,
     connections,
 ):
@@ -409,7 +350,7 @@
         'State': 'ready',
         'ColdLeftMs': 0,
         'Seq': 0,
-        'born': clocks.Clock().wall(),
+        'born': clocks.Clock().wall() + clock_ms,
     }
     engine = EdgeEngine(
         instance,
@@ -417,7 +358,7 @@
         store,
         common.EventLog(log),
         random.Random(seed),
-        early,
+        edge_plans.Shares(early, garbled),
     )
     if flood:
         engine.flood(flood, ENDLESS_S, connections)
--- a/standins/edge_floods.py
+++ b/standins/edge_floods.py
@@ -163,6 +163,10 @@
 _PAUSES_S = {'body-slow': 0.016, 'event-slow': 0.08}
 # A faulty engine sends this in place of its health, and answers all else.
 HEALTH = 'health'
+# A refusal says that the request didn't run; all others have it begin.
+REFUSAL = 'refusal'
+# What the log says of a response that is a flood, in place of its framing.
+FRAMING = 'flood'
 # These begin as streams of events do.
 STREAM_CASES = ('event-slow', 'event', 'comments', 'events')
 
--- a/standins/platform_documents.py
+++ b/standins/platform_documents.py
@@ -32,6 +32,21 @@
     '/plain/ask/': ('idempotent', APPLICATION_SERVICE, False, 3),
     '/plain/book/': ('non_idempotent', APPLICATION_SERVICE, False, 2),
 }
+# The services of engines that flood, and their routes.
+FAULTY_MODEL_SERVICE = 'model-faulty'
+FAULTY_SERVICE = 'faulty'
+FAULTY_SERVICES = (FAULTY_MODEL_SERVICE, FAULTY_SERVICE)
+FAULTY_STREAM = '/stream/faulty/'
+FAULTY_PLAIN = '/faulty/'
+# A route that takes a key.
+FAULTY_KEYED = '/keyed/'
+FAULTY_ROUTES = {
+    FAULTY_STREAM: ('stream', FAULTY_MODEL_SERVICE, True, 3),
+    FAULTY_PLAIN: ('idempotent', FAULTY_SERVICE, False, 3),
+    FAULTY_KEYED: ('idempotent', FAULTY_SERVICE, False, 3),
+}
+FAULTY_CONNECTIONS = 370
+KEY = 'a-known-key'
 _BOUNDS = {
     'StableWindowMs': 3000,
     'DrainMs': 2000,
@@ -87,7 +102,7 @@
     """Return a configuration.  Extra routes lead to the application."""
     routes = [
         _make_route(prefix, *fields, timeout_ms)
-        for prefix, fields in ROUTES.items()
+        for prefix, fields in {**ROUTES, **FAULTY_ROUTES}.items()
     ]
     for number in range(extra_routes):
         extra = ('idempotent', APPLICATION_SERVICE, False, 1)
@@ -99,8 +114,12 @@
         'Services': [
             _make_service(MODEL_SERVICE, Engine=model),
             _make_service(APPLICATION_SERVICE),
+            _make_service(
+                FAULTY_MODEL_SERVICE, Engine=model, MaxConns=FAULTY_CONNECTIONS
+            ),
+            _make_service(FAULTY_SERVICE, MaxConns=FAULTY_CONNECTIONS),
         ],
-        'Tenants': [],
+        'Tenants': [{'Name': 'keyed', 'ApiKeys': [KEY]}],
         'Limits': {
             'MaxHeaderBytes': 16_384,
             'MaxBodyBytes': 4_194_304,
@@ -149,7 +168,7 @@
         'Priority': 1,
         'Service': service,
         'MaxAttempts': attempts,
-        'Public': True,
+        'Public': prefix != FAULTY_KEYED,
         'Sticky': kind == 'stream',
         'Resumable': is_resumable,
         'GapTargetMs': 400,
--- a/tests/bench/test_edge_checks.py
+++ b/tests/bench/test_edge_checks.py
@@ -7,7 +7,9 @@
 
 from bench import edge_callers
 from bench import edge_checks
+from bench import flood_windows
 from standins import edge_bodies
+from standins import platform_documents
 
 TALK = '/stream/talk/'
 TELL = '/stream/tell/'
@@ -27,8 +29,10 @@
 
     def setUp(self):
         self.runs = {}
+        # Where the runs of the request that is being made take place.
+        self.service = platform_documents.MODEL_SERVICE
 
-    def add_run(self, attempt_id, how='whole', version='v1'):
+    def add_run(self, attempt_id, how='whole', version='v1', service=None):
         """Have an engine run an attempt; return the headers it answers."""
         run = edge_checks.Run(
             {
@@ -37,6 +41,7 @@
                 'instance': 'i-1',
                 'born': 7,
                 'version': version,
+                'service': service or self.service,
             }
         )
         run.how = how
@@ -50,6 +55,7 @@
         `events` are pairs of a number and a version.
         """
         number = len(req.attempts)
+        self.service = platform_documents.ROUTES[req.prefix][1]
         attempt = edge_callers.Attempt(f'k.{number}', FakeRouter(), 1)
         attempt.outcome = outcome
         attempt.status = status
@@ -174,6 +180,14 @@
             self.add_attempt(req, 'refused', status=503)
             self.assertEqual(self.find(req), rules)
 
+    def test_run_at_another_service(self):
+        """ROUTE: an engine that has the address of another one ran it."""
+        req = edge_callers.Request('k', TALK, PIECES)
+        self.add_attempt(req, 'cut')
+        self.assertEqual(self.find(req), [])
+        self.runs['k.0'][0].service = platform_documents.APPLICATION_SERVICE
+        self.assertEqual(self.find(req), ['ROUTE'])
+
     def test_counts_of_ends(self):
         """It is counted how the last run ended and what the caller heard."""
         req = edge_callers.Request('k', TELL, PIECES)
@@ -185,6 +199,49 @@
         self.assertEqual({(TELL, 'killed', 'cut'): 1}, findings.unframed)
 
 
+class MemoryTest(unittest.TestCase):
+    """What processes may take."""
+
+    def test_peaks(self):
+        """MEMORY: each process that took more than the limit counts."""
+        findings = edge_checks.Findings()
+        peaks_mb = {('r-0', 7): 160.0, ('r-0', 8): 161.0, ('r-1', 9): 400.0}
+        edge_checks.check_memory(findings, peaks_mb, 160)
+        self.assertEqual(len(findings.violations['MEMORY']), 2)
+        self.assertEqual({'r-0': 161.0, 'r-1': 400.0}, findings.peaks_mb)
+        self.assertFalse(findings.is_clean())
+
+
+class FloodTest(unittest.TestCase):
+    """What callers of a service that is well get beside a flood."""
+
+    def find(self, quiet, flooded):
+        """Return whether these answers break the rule."""
+        result = flood_windows.FloodResult('body', 'r-0')
+        result.quiet = quiet
+        result.flooded = flooded
+        findings = edge_checks.Findings()
+        edge_checks.check_floods(findings, [result])
+        self.assertEqual(findings.floods, [result])
+        return bool(findings.violations['STARVED'])
+
+    def test_less_than_half(self):
+        """STARVED: less than half of the lower count without a flood."""
+        self.assertFalse(self.find([60, 40], [20]))
+        self.assertTrue(self.find([60, 40], [19]))
+
+    def test_flood_that_is_played_again(self):
+        """Both floods have to starve the callers."""
+        self.assertFalse(self.find([60, 40, 50], [0, 30]))
+        self.assertTrue(self.find([60, 40, 50], [0, 10]))
+
+    def test_busy_machine(self):
+        """Where callers get little without a flood nothing is judged."""
+        least = flood_windows.MIN_QUIET_ANSWERS
+        self.assertFalse(self.find([least - 1, 60], [0]))
+        self.assertTrue(self.find([least, 60], [0]))
+
+
 class LogTest(unittest.TestCase):
     """Runs as they are read from engines' logs."""
 
@@ -198,6 +255,7 @@
             'instance': 'i-1',
             'born': 7,
             'version': 'v1',
+            'service': 'desk',
         }
         other = {**run, 'id': 'k.1'}
         end = {'what': 'end', 'id': 'k.1', 'how': 'reset', 'at': 6}
--- a/tests/bench/test_memory.py
+++ b/tests/bench/test_memory.py
@@ -1,6 +1,8 @@
 """The memory of processes, as read from /proc."""
 
 import os
+import subprocess
+import types
 import unittest
 
 from bench import memory
@@ -26,3 +28,23 @@
         usage = memory.read(os.getpid())
         self.assertGreater(usage.resident_mb, 1)
         self.assertGreaterEqual(usage.peak_mb, usage.resident_mb - 1)
+
+
+class WatchTest(unittest.TestCase):
+    """The most that processes took."""
+
+    def test_processes(self):
+        """One that lives has a peak, one that was waited for has none."""
+        gone = subprocess.Popen(['true'])
+        gone.wait()
+        own = types.SimpleNamespace(pid=os.getpid())
+        machines = [
+            types.SimpleNamespace(
+                name=name, process=types.SimpleNamespace(popen=popen)
+            )
+            for name, popen in (('own', own), ('gone', gone))
+        ]
+        watch = memory.MemoryWatch(machines)
+        watch.read()
+        self.assertEqual([('own', os.getpid())], list(watch.peaks_mb))
+        self.assertGreater(watch.peaks_mb['own', os.getpid()], 1)
