Soak: the control path between routers, cut one way

Cause: routers reached each other directly, so the soak could cut a router off from the store or stop it, but never from the others alone. Change: each router has a relay in front of its address for others, in the soak's process, for datagrams and connections; the links to the store exchange the two addresses on the way, so the others use the relay. A fault drops what goes to or comes from one router for up to 5 s; callers' path is well meanwhile. `--no-control-path` leaves the relays out, `--only FAULT` draws from some faults alone. A router that reads the store by way of another one may learn of a direct address; then that path isn't cut.

--- a/bench/edge_checks.py
+++ b/bench/edge_checks.py
@@ -77,6 +77,7 @@
         'unframed',
         'faults',
         'restarts',
+        'datagrams',
         'peaks_mb',
         'floods',
     )
@@ -88,6 +89,7 @@
         self.unframed = collections.Counter()
         self.faults = collections.Counter()
         self.restarts = {}
+        self.datagrams = {}
         self.peaks_mb = {}
         self.floods = []
 
@@ -116,6 +118,7 @@
             'unframed': {' '.join(key): n for key, n in self.unframed.items()},
             'faults': dict(self.faults),
             'restarts': dict(self.restarts),
+            'datagrams': dict(self.datagrams),
             'peaks_mb': self.peaks_mb,
             'floods': [result.describe() for result in self.floods],
         }
--- a/bench/edge_faults.py
+++ b/bench/edge_faults.py
@@ -25,6 +25,7 @@
 DELAY_S = (0.02, 0.3)
 BYTES_PER_S = (2_000, 20_000)
 STORE_S = (0.5, 5.0)
+CONTROL_CUT_S = (0.5, 5.0)
 STORE_SLOW_S = (0.05, 0.6)
 RETRY_SLACKS = (40, 58, 80)
 TIMEOUTS_MS = (7_000, 8_000, 9_000)
@@ -44,7 +45,8 @@
 
     __slots__ = ('_fleet', '_seed', '_weights', '_tasks', '_is_stopping')
 
-    def __init__(self, fleet, seed):
+    def __init__(self, fleet, seed, only=()):
+        """Draw from all faults, or from those that `only` names."""
         self._fleet = fleet
         self._seed = seed
         self._weights = {
@@ -63,9 +65,16 @@
             self._publish: 1,
             self._harm_link: 4,
             self._cut_store_link: 2,
+            self._cut_control_path: 2,
             self._harm_store: 1,
             self._lose_power: 0.4,
         }
+        if only:
+            self._weights = {
+                fault: weight
+                for fault, weight in self._weights.items()
+                if fault.__name__.lstrip('_') in only
+            }
         self._tasks = []
         self._is_stopping = False
 
@@ -82,6 +91,8 @@
         gevent.joinall(self._tasks, raise_error=True)
 
     def _run(self, rng):
+        if not self._weights:
+            return
         faults, weights = zip(*self._weights.items())
         while not self._is_stopping:
             rng.choices(faults, weights)[0](rng)
@@ -226,6 +237,19 @@
         machine = rng.choice(self._fleet.routers)
         self._harm('store_link', machine.link, rng)
 
+    def _cut_control_path(self, rng):
+        """Cut a router off from others, one way; callers reach it."""
+        path = self._fleet.control_path
+        if path is None:
+            return
+        machine = rng.choice(self._fleet.routers)
+        name = rng.choice(('drops_to', 'drops_from'))
+        seconds = rng.uniform(*CONTROL_CUT_S)
+        self._note(f'{name}_control_path', machine.name, s=seconds)
+        setattr(path.relays[machine.ip], name, True)
+        gevent.sleep(seconds)
+        setattr(path.relays[machine.ip], name, False)
+
     def _harm(self, fault, link, rng):
         how = rng.choice(('delay', 'limit', 'reset', 'close', 'silence'))
         self._note(f'{how}_{fault}', link.listen)
--- a/bench/edge_fleet.py
+++ b/bench/edge_fleet.py
@@ -25,6 +25,7 @@
 from bench import edge_machines
 from bench import processes
 from standins import common
+from standins import control_path
 from standins import faulty_link
 from standins import platform_documents
 from standins import platform_store
@@ -46,6 +47,7 @@
     `product` is the folder that holds the galenaspoke package to run, `early`
     the share of responses that engines end early, `garbled` of those that they
     garble, and `skew_ms` how far engines' clocks are ahead or behind at most.
+    With `control_path` the path between routers can be harmed.
     """
 
     __slots__ = (
@@ -58,6 +60,7 @@
         'early',
         'garbled',
         'skew_ms',
+        'control_path',
     )
 
     def __init__(
@@ -71,6 +74,7 @@
         early=0.08,
         garbled=0.02,
         skew_ms=6_000,
+        control_path=True,
     ):
         self.seed = seed
         self.routers = routers
@@ -81,6 +85,7 @@
         self.early = early
         self.garbled = garbled
         self.skew_ms = skew_ms
+        self.control_path = control_path
 
 
 class Fleet:
@@ -101,12 +106,17 @@
         self.store = platform_store.PlatformStore(
             f'{self._new_ip()}:{STORE_PORT}'
         )
+        router_ips = [self._new_ip() for _ in range(options.routers)]
+        # The path between routers; None if they reach each other directly.
+        self.control_path = None
+        if options.control_path:
+            self.control_path = control_path.ControlPath(router_ips)
         self.routers = [
-            self._make_client_of_store('router', number)
-            for number in range(options.routers)
+            self._make_client_of_store('router', number, ip)
+            for number, ip in enumerate(router_ips)
         ]
         self.relays = [
-            self._make_client_of_store('relay', number)
+            self._make_client_of_store('relay', number, self._new_ip())
             for number in range(options.relays)
         ]
         models = [
@@ -155,9 +165,14 @@
         self._hosts += 1
         return f'{self._net}.{self._hosts}'
 
-    def _make_client_of_store(self, role, number):
-        ip = self._new_ip()
-        link = faulty_link.FaultyLink(f'{ip}:{STORE_PORT}', self.store.address)
+    def _make_client_of_store(self, role, number, ip):
+        changes = ()
+        if self.control_path:
+            path = self.control_path
+            changes = (path.show_others(ip), path.hide())
+        link = faulty_link.FaultyLink(
+            f'{ip}:{STORE_PORT}', self.store.address, *changes
+        )
         zone = platform_documents.ZONES[number % 2]
         return edge_machines.Machine(f'{role}-{number}', ip, zone, link)
 
@@ -193,6 +208,8 @@
     def start(self):
         """Start all processes; return once the routers are ready."""
         self.store.start()
+        if self.control_path:
+            self.control_path.start()
         self.publish()
         for machine in [*self.engines, *self.flooding]:
             self._start_engine(machine)
--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -38,8 +38,11 @@
 EXIT_STOPPED = 143
 
 
-def run(options, seconds, caller_count, floods, directory):
-    """Run a soak with some floods at its end; return its Findings."""
+def run(options, seconds, caller_count, floods, only, directory):
+    """Run a soak with some floods at its end; return its Findings.
+
+    `only` names the faults that are drawn, all if it is empty.
+    """
     fleet = edge_fleet.Fleet(options, directory)
     requests = []
     callers = [
@@ -51,7 +54,7 @@
         )
         for number in range(caller_count)
     ]
-    faults = edge_faults.Faults(fleet, options.seed)
+    faults = edge_faults.Faults(fleet, options.seed, only)
     # A soak that is stopped ends its processes, too.
     main_task = gevent.getcurrent()
     gevent.signal_handler(
@@ -103,6 +106,8 @@
         if entry['what'] == 'fault':
             findings.faults[entry['fault'].partition('_v')[0]] += 1
     findings.restarts = fleet.restarts
+    if fleet.control_path:
+        findings.datagrams = fleet.control_path.counts
     _write_timelines(fleet.directory / 'requests.log', requests)
     return findings
 
@@ -124,6 +129,7 @@
     """Print the counts and the first violations of each rule."""
     print(f'seed {seed}: faults {dict(sorted(findings.faults.items()))}')
     print(f'restarts: {dict(findings.restarts)}')
+    print(f'datagrams between routers: {dict(findings.datagrams)}')
     print('attempts by route and outcome:')
     for name, count in sorted(findings.outcomes.items()):
         print(f'  {count:6} {name}')
@@ -181,15 +187,21 @@
 @click.option('--early', default=0.08, help='Responses that end early.')
 @click.option('--garbled', default=0.02, help='Responses that are garbled.')
 @click.option('--skew-ms', default=6_000, help="Of engines' clocks, at most.")
+@click.option(
+    '--control-path/--no-control-path',
+    default=True,
+    help='Whether routers reach each other by relays that can be cut.',
+)
 @click.option('--floods', default=2, help='Cases of floods at the end.')
+@click.option('--only', multiple=True, help='A fault; all if none is given.')
 @click.option('--product', default=None, help='Where galenaspoke is.')
 @click.option('--report', default=None, help='A file for the counts as JSON.')
 @click.option('--keep/--no-keep', default=False, help='Keep all logs.')
-def main(seconds, callers, floods, report, keep, **fields):
+def main(seconds, callers, floods, only, report, keep, **fields):
     """Run callers and faults drawn from SEED, and check what happened."""
     options = edge_fleet.FleetOptions(**fields)
     directory = tempfile.mkdtemp(prefix=f'galenaspoke-edge-{options.seed}-')
-    findings = run(options, seconds, callers, floods, directory)
+    findings = run(options, seconds, callers, floods, only, directory)
     print_findings(options.seed, findings)
     if report:
         document = json.dumps(findings.to_document())
--- a/standins/faulty_link.py
+++ b/standins/faulty_link.py
@@ -44,12 +44,19 @@
     """A proxy from `listen` to `to`.
 
     `delay_s` and `bytes_per_s` apply to each piece of data, 0 for neither.
+    `drops_to_near` and `drops_to_far` drop what goes one way, after which that
+    connection is silent.  `change_to_near` and `change_to_far` are functions
+    that change what goes there, None for none.
     """
 
-    def __init__(self, listen, to):
+    def __init__(self, listen, to, change_to_near=None, change_to_far=None):
         self.listen = listen
         self.delay_s = 0.0
         self.bytes_per_s = 0
+        self.drops_to_near = False
+        self.drops_to_far = False
+        self._change_to_near = change_to_near
+        self._change_to_far = change_to_far
         self._to = to
         self._pairs = set()
         self._clock = clocks.Clock()
@@ -105,8 +112,7 @@
                 if source is pair.far:
                     pair.observe(data)
                 self._hold_up(len(data))
-                if not pair.is_silent:
-                    sink.sendall(data)
+                self._forward(pair, sink, data)
             self._hold_up(0)
             if not pair.is_silent:
                 sink.shutdown(socket.SHUT_WR)
@@ -114,6 +120,16 @@
             if not pair.is_silent:
                 pair.reset()
 
+    def _forward(self, pair, sink, data):
+        is_to_near = sink is pair.near
+        if self.drops_to_near if is_to_near else self.drops_to_far:
+            # What follows would not fit to what came before.
+            pair.is_silent = True
+        if pair.is_silent:
+            return
+        change = self._change_to_near if is_to_near else self._change_to_far
+        sink.sendall(change(data) if change else data)
+
     def _hold_up(self, size):
         delay_s = self.delay_s
         if self.bytes_per_s:
--- a/standins/platform_documents.py
+++ b/standins/platform_documents.py
@@ -19,6 +19,7 @@
 READY_PORT = 8220
 CONTROL_PORT = 8229
 METRICS_PORT = 7999
+PEER_PORT = 7340
 CONFIG_KIND = 'config'
 CONFIG_NAME = 'main'
 # Headers of responses.
@@ -79,7 +80,7 @@
         'Region': 'region',
         'Zones': dict.fromkeys(ZONES, 'region'),
         'Listen': listen if is_router else {},
-        'PortRange': [7340, 7355],
+        'PortRange': [PEER_PORT, PEER_PORT],
         'SeedAddrs': [],
         'FirstStart': True,
         'Discovery': 'platform',
