--- a/bench/edge_checks.py
+++ b/bench/edge_checks.py
@@ -187,7 +187,7 @@
         if attempt.outcome == 'whole' and req.kind != 'stream':
             _check_body(findings, req, attempt, own_runs)
     if req.kind == 'stream':
-        _check_events(findings, req)
+        _check_events(findings, req, runs)
 
 
 def _check_runs(findings, req, attempt, runs):
@@ -238,7 +238,7 @@
         )
 
 
-def _check_events(findings, req):
+def _check_events(findings, req, runs):
     """Check the events of a stream over all its attempts."""
     events = [event for attempt in req.attempts for event in attempt.events]
     if any(event.key != req.key for event in events):
@@ -256,5 +256,12 @@
         findings.add(
             'ORDER',
             f'{last.id} ended as whole with {len(events)} of {req.pieces}'
-            f' events, {edge_callers.describe(last)}',
+            f' events, {edge_callers.describe(last)}'
+            f' {_describe_last_run(runs.get(last.id))}',
         )
+
+
+def _describe_last_run(runs):
+    if not runs:
+        return '(no run)'
+    return f'(its last run: {runs[-1].framing}, {runs[-1].how})'
