Soak: floods that outlast their windows, tests of callers that flood

Change: the flood lasts until its engine is ended, and the configuration states the 128 slots that the entry states.

--- a/bench/edge_machines.py
+++ b/bench/edge_machines.py
@@ -12,9 +12,14 @@
 ENGINE_PORT = 8300
 PROXY_PORT = 8301
 SLOTS = 8
-# Of an engine that floods, so that all callers reach it.
-FLOODING_SLOTS = 128
-FLOODING_CONNECTIONS = 370
+FLOODING_OPTIONS = (
+    '--early',
+    '0',
+    '--slots',
+    str(platform_documents.FAULTY_SLOTS),
+    '--connections',
+    str(platform_documents.FAULTY_CONNECTIONS),
+)
 
 
 class Machine:
@@ -111,8 +116,7 @@
     argv += ['--zone', machine.zone, '--log', str(log)]
     argv += ['--clock-ms', str(machine.clock_ms)]
     if machine.floods:
-        argv += ['--slots', str(FLOODING_SLOTS), '--early', '0']
-        return [*argv, '--connections', str(FLOODING_CONNECTIONS)]
+        return [*argv, *FLOODING_OPTIONS]
     argv += ['--slots', str(SLOTS), '--early', str(options.early)]
     return [*argv, '--garbled', str(options.garbled)]
 
--- a/bench/flood_windows.py
+++ b/bench/flood_windows.py
@@ -32,6 +32,8 @@
 RETRY_S = 0.2
 MAX_RETRIES = 50
 HEARD_S = 0.3
+# So that a flood outlasts its window; the engine is ended then.
+SPARE_S = 5.0
 _numbers = itertools.count()
 
 
@@ -111,7 +113,7 @@
     engine_case = flood_callers.ENGINE_CASES.get(case, case)
     seconds = START_S + WINDOW_S
     if engine_case in edge_floods.CASES:
-        _order(engine, engine_case, seconds)
+        _order(engine, engine_case, seconds + SPARE_S)
     callers = flood_callers.start(
         router, case, seconds, FLOOD_CALLERS, fleet.directory
     )
--- a/bench/floods.py
+++ b/bench/floods.py
@@ -37,6 +37,7 @@
 NONE = 'none'
 CASES = (NONE, *edge_floods.CASES, *flood_callers.CASES)
 CONFIG_VERSION = 1
+WELL_OPTIONS = ('--early', '0', '--slots', str(edge_machines.SLOTS))
 READY_TIMEOUT_S = 30
 # How long the router runs quietly before and after.
 QUIET_S = 1.5
@@ -91,7 +92,7 @@
         """Start all of it; return once the router is ready."""
         self.store.start()
         config = platform_documents.make_config(
-            CONFIG_VERSION, edge_machines.FLOODING_SLOTS
+            CONFIG_VERSION, edge_machines.SLOTS
         )
         self.store.put(
             platform_documents.CONFIG_KIND,
@@ -116,15 +117,12 @@
             if is_stream
             else platform_documents.FAULTY_SERVICE
         )
-        options = ['--slots', str(edge_machines.FLOODING_SLOTS)]
-        options += ['--connections', str(edge_machines.FLOODING_CONNECTIONS)]
+        options = list(edge_machines.FLOODING_OPTIONS)
         if case in edge_floods.CASES:
             options += ['--flood', case]
         self._start_engine('faulty', service, 3, options)
         well = platform_documents.APPLICATION_SERVICE
-        self._start_engine(
-            'well', well, 4, ['--slots', str(edge_machines.SLOTS)]
-        )
+        self._start_engine('well', well, 4, WELL_OPTIONS)
 
     def _start_engine(self, name, service, host, options):
         address = f'{self._net}.{host}:{edge_machines.ENGINE_PORT}'
@@ -132,7 +130,7 @@
         argv += ['--listen', address, '--announce', address]
         argv += ['--store', self.store.address, '--service', service]
         argv += ['--zone', self.router.zone, '--instance', f'i-{name}']
-        argv += ['--version', 'v1', '--early', '0']
+        argv += ['--version', 'v1']
         argv += ['--log', str(self._directory / f'{name}.runs'), *options]
         engine = processes.Process(name, argv, self._directory, cwd=ROOT)
         self._engines.append(engine)
--- a/standins/platform_documents.py
+++ b/standins/platform_documents.py
@@ -46,6 +46,8 @@
     FAULTY_PLAIN: ('idempotent', FAULTY_SERVICE, False, 3),
     FAULTY_KEYED: ('idempotent', FAULTY_SERVICE, False, 3),
 }
+# So many that all callers of a flood reach one engine.
+FAULTY_SLOTS = 128
 FAULTY_CONNECTIONS = 370
 KEY = 'a-known-key'
 _BOUNDS = {
@@ -109,6 +111,7 @@
         extra = ('idempotent', APPLICATION_SERVICE, False, 1)
         routes.append(_make_route(f'/extra{number}/', *extra, timeout_ms))
     model = {'Slots': slots, 'KvCapacity': 100_000, 'Stride': 1}
+    faulty_model = {**model, 'Slots': FAULTY_SLOTS}
     return {
         'Version': version,
         'Routes': routes,
@@ -116,7 +119,9 @@
             _make_service(MODEL_SERVICE, Engine=model),
             _make_service(APPLICATION_SERVICE),
             _make_service(
-                FAULTY_MODEL_SERVICE, Engine=model, MaxConns=FAULTY_CONNECTIONS
+                FAULTY_MODEL_SERVICE,
+                Engine=faulty_model,
+                MaxConns=FAULTY_CONNECTIONS,
             ),
             _make_service(FAULTY_SERVICE, MaxConns=FAULTY_CONNECTIONS),
         ],
