--- a/standins/edge_engine.py
+++ b/standins/edge_engine.py
@@ -83,13 +83,17 @@
     def run(self, listen):
         """Serve until SIGTERM."""
         gevent.signal_handler(15, gevent.spawn, self._leave)
-        raw_http.listen(listen, self._serve)
+        self.listen(listen)
         gevent.spawn(self._renew_report)
         while True:
             if self._entry['State'] == 'ready':
                 self._write_entry()
             gevent.sleep(HEARTBEAT_PAUSE_S)
 
+    def listen(self, address):
+        """Start to answer requests; return the server."""
+        return raw_http.listen(address, self._serve)
+
     def _write_entry(self):
         self._entry['Seq'] += 1
         path = f'/entries/{self._instance}'
@@ -261,7 +265,13 @@
         except edge_responses.EarlyEnd:
             how = run.plan.ending
         finally:
-            self._log.write(what='end', id=run.id, how=how, pieces=run.sent)
+            self._log.write(
+                what='end',
+                id=run.id,
+                how=how,
+                pieces=run.sent,
+                extra=run.plan.extra,
+            )
             if how == 'exit':
                 os._exit(1)
             if how in ('reset', 'left'):
