--- a/tests/bench/test_edge_soak.py
+++ b/tests/bench/test_edge_soak.py
@@ -13,6 +13,8 @@
 TIMEOUT_S = 150
 # So many responses without a length have to be cut off by kills, at least.
 MIN_CUT_BY_KILLS = 3
+# So many floods are played after the faults.
+FLOODS = 2
 
 
 class EdgeSoakTest(unittest.TestCase):
@@ -20,11 +22,12 @@
 
     # Guards against responses that look whole though their engine was killed.
     def test_engines_killed_while_they_respond(self):
-        """No rule is broken, and kills cut off responses without a length."""
+        """No rule is broken; kills cut off responses, floods are played."""
         with tempfile.TemporaryDirectory() as directory:
             path = pathlib.Path(directory) / 'report.json'
             command = [sys.executable, '-m', 'bench.edge_soak']
             command += ['--seed', str(SEED), '--seconds', str(SECONDS)]
+            command += ['--floods', str(FLOODS)]
             done = subprocess.run(
                 [*command, '--report', str(path)],
                 cwd=ROOT,
@@ -40,3 +43,4 @@
             for outcome in ('cut', 'failed')
         )
         self.assertGreaterEqual(cut, MIN_CUT_BY_KILLS, done.stdout)
+        self.assertEqual(FLOODS, len(report['floods']), done.stdout)
