Agents: an exchange with a target is bounded in bytes and in time

An agent that calls a faulty engine or application keeps what it is sent, however large that is, and waits as long as single bytes come.

Cause: utils/http.py reads with geventhttpclient, which bounds neither a head, a field, interim responses, a body nor a line, and whose time-out is for pauses alone.

Change: utils/bounded_http.py is the library's client on sockets that count. The time-out of an exchange bounds all of it.

--- a/galenaspoke/application/client.py
+++ b/galenaspoke/application/client.py
@@ -2,9 +2,12 @@
 
 import msgspec
 
+from galenaspoke.utils import bounded_http
 from galenaspoke.utils import decoding
 from galenaspoke.utils import http
 
+ANSWER_LIMITS = bounded_http.Limits(body_bytes=4_194_304)
+
 
 class _Answer(msgspec.Struct):
     answer: str
@@ -18,5 +21,5 @@
     body = msgspec.json.encode(
         {'id': dispatch, 'key': req.key, 'prompt': req.prompt}
     )
-    with http.exchange(url, '/call', body, timeout_s) as resp:
+    with http.exchange(url, '/call', body, timeout_s, ANSWER_LIMITS) as resp:
         return decoding.decode_json(resp.read(), _Answer).answer
--- a/galenaspoke/ctl/state_dumps.py
+++ b/galenaspoke/ctl/state_dumps.py
@@ -1,9 +1,11 @@
 """State dumps of routers and agents, as they give them to operators."""
 
+from galenaspoke.utils import bounded_http
 from galenaspoke.utils import decoding
 from galenaspoke.utils import http
 
 STATE_TIMEOUT_S = 2.0
+STATE_LIMITS = bounded_http.Limits(body_bytes=16_777_216)
 
 
 def fetch(address):
@@ -13,7 +15,10 @@
     """
     try:
         with http.exchange(
-            f'http://{address}', '/state', timeout_s=STATE_TIMEOUT_S
+            f'http://{address}',
+            '/state',
+            timeout_s=STATE_TIMEOUT_S,
+            limits=STATE_LIMITS,
         ) as resp:
             return decoding.decode_json(resp.read())
     except http.TargetFailed as exc:
--- a/galenaspoke/utils/http.py
+++ b/galenaspoke/utils/http.py
@@ -6,12 +6,16 @@
 
 import contextlib
 
-import geventhttpclient
 from geventhttpclient import response
 
+from galenaspoke.core import clock as clocks
+from galenaspoke.utils import bounded_http
 from galenaspoke.utils import decoding
 
 CONNECT_TIMEOUT_S = 1.0
+DEFAULT_LIMITS = bounded_http.Limits(body_bytes=1_048_576)
+
+_clock = clocks.Clock()
 
 
 class TargetFailed(Exception):
@@ -46,25 +50,47 @@
     return last.rpartition(',')[2].strip().lower() == 'chunked'
 
 
+class Answer:
+    """The response of an exchange, which is read in its context."""
+
+    __slots__ = ('_client', '_resp')
+
+    def __init__(self, client, resp):
+        self._client = client
+        self._resp = resp
+
+    def read(self):
+        """Return the whole body."""
+        return self._resp.read()
+
+    def read_line(self):
+        """Return the next line, empty at the end of the body."""
+        return self._client.read_line(self._resp)
+
+
 @contextlib.contextmanager
-def exchange(url, path, body=b'', timeout_s=5.0):
-    """Context manager: POST `body` (GET if empty) and yield the response.
+def exchange(url, path, body=b'', timeout_s=5.0, limits=DEFAULT_LIMITS):
+    """Context manager: POST `body` (GET if empty) and yield the Answer.
+
+    All of it may take `timeout_s` and have the size of `limits`.
 
     Raises TargetFailed on any failure, including reads inside the block, and
     if what was read there is Unreadable: a body without a length may be cut
     off, but then it isn't a JSON document.
     """
-    http_client = geventhttpclient.HTTPClient.from_url(
+    http_client = bounded_http.Client.from_url(
         url,
-        connection_timeout=CONNECT_TIMEOUT_S,
+        connection_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
         network_timeout=timeout_s,
+        limits=limits,
+        deadline_ms=_clock.now() + timeout_s * 1000,
     )
     try:
         resp = http_client.request('POST' if body else 'GET', path, body)
         if resp.status_code != 200:
             detail = f'{path}: status {resp.status_code}'
             raise TargetFailed(detail, resp.status_code >= 500)
-        yield resp
+        yield Answer(http_client, resp)
     except ConnectionRefusedError as exc:
         raise TargetFailed(f'{path}: {exc!r}', False) from exc
     except (*TRANSPORT_ERRORS, decoding.Unreadable) as exc:
