--- a/galenaspoke/agent/main.py
+++ b/galenaspoke/agent/main.py
@@ -19,6 +19,7 @@
 from galenaspoke.core import records  # noqa: E402
 from galenaspoke.core import runs as run_table  # noqa: E402
 from galenaspoke.fleet import config_manager as configs  # noqa: E402
+from galenaspoke.http import buffers  # noqa: E402
 from galenaspoke.rpc import transport  # noqa: E402
 from galenaspoke.store import client as store_client  # noqa: E402
 from galenaspoke.utils import daemon  # noqa: E402
@@ -36,6 +37,9 @@
 
     def __init__(self, cfg):
         self.cfg = cfg.agent
+        buffers.process_account.limit_bytes = buffers.compute_limit_bytes(
+            self.cfg.memory_mb
+        )
         self.clock = clocks.Clock()
         self.incarnation = daemon.new_incarnation()
         self.metrics = utils_metrics.Metrics(cfg.metrics, cfg.agent.name)
--- a/galenaspoke/conf/definitions.py
+++ b/galenaspoke/conf/definitions.py
@@ -54,6 +54,13 @@
 )
 
 
+_MEMORY_CHECK = _between(0, 1_000_000, 'megabytes; 0 if it is not known')
+_MEMORY_HELP = (
+    'the memory of this process; what peers may make it hold is a quarter of'
+    ' it, 33 MB if it is not known'
+)
+
+
 def _option(check, help_text, default=_REQUIRED):
     metadata = {'check': check, 'help': help_text}
     if default is _REQUIRED:
@@ -202,6 +209,7 @@
         'how long a graceful stop waits for open requests',
         60_000,
     )
+    memory_mb: int = _option(_MEMORY_CHECK, _MEMORY_HELP, 0)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -251,6 +259,7 @@
         'how long a graceful stop waits for runs to end',
         60_000,
     )
+    memory_mb: int = _option(_MEMORY_CHECK, _MEMORY_HELP, 0)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/galenaspoke/router/main.py
+++ b/galenaspoke/router/main.py
@@ -14,6 +14,7 @@
 from galenaspoke.core import clock as clocks  # noqa: E402
 from galenaspoke.core import routing  # noqa: E402
 from galenaspoke.fleet import config_manager  # noqa: E402
+from galenaspoke.http import buffers  # noqa: E402
 from galenaspoke.http import listening  # noqa: E402
 from galenaspoke.router import attempt_executor  # noqa: E402
 from galenaspoke.router import dispatch  # noqa: E402
@@ -46,6 +47,9 @@
 
     def __init__(self, cfg):
         self.cfg = cfg.router
+        buffers.process_account.limit_bytes = buffers.compute_limit_bytes(
+            self.cfg.memory_mb
+        )
         self.clock = clocks.Clock()
         self.metrics = utils_metrics.Metrics(cfg.metrics, cfg.router.name)
         self.store = store_client.Client(cfg.store, self.metrics)
--- a/tests/conf/test_ini.py
+++ b/tests/conf/test_ini.py
@@ -52,6 +52,7 @@
             ('domain = a', 'domain = a\ntries = x', 'from 1 to 10'),
             ('domain = a', 'domain = a\ntries = 99', 'from 1 to 10'),
             ('domain = a', 'domain = a\nspeed = 1', 'unknown option'),
+            ('domain = a', 'domain = a\nmemory_mb = -1', 'from 0 to 1000000'),
             ('[store]', '[shop]', '[shop]: unknown section'),
             ('[store]', '[router]', 'already exists'),
             ('domain = a', 'domain = \xff', 'not UTF-8'),
