Agents' store client: a response is bounded in bytes

Whatever the store, or who answers at its address, sends is kept whole, heads included.

Cause: geventhttpclient has no bound, as with the targets.

Change: the client of utils/bounded_http.py, 16 MB a body, 16 KB a head. Reads fail with StoreUnavailable and writes with OutcomeUnknown, as for a broken connection.

--- a/galenaspoke/store/client.py
+++ b/galenaspoke/store/client.py
@@ -16,16 +16,17 @@
 """
 
 import gevent
-import geventhttpclient
 from geventhttpclient import response as ghc_response
 import msgspec
 
 from galenaspoke.store import base
+from galenaspoke.utils import bounded_http
 from galenaspoke.utils import decoding
 from galenaspoke.utils import http
 
 MAX_CONNECTIONS = 8
 PIECE_BYTES = 16_384
+MAX_RESPONSE_BYTES = 16_777_216
 
 # Re-exported for callers of this client.
 StoreError = base.StoreError
@@ -42,7 +43,7 @@
 UNCHANGED = base.UNCHANGED
 
 
-class _WriteClient(geventhttpclient.HTTPClient):
+class _WriteClient(bounded_http.Client):
     """An HTTP client that sends each request once.
 
     The library repeats a PUT or a DELETE whose connection was closed, once
@@ -76,11 +77,11 @@
         self._metrics = metrics
         timeout_s = cfg.timeout_ms / 1000
         self._read_client = self._make_http_client(
-            geventhttpclient.HTTPClient, timeout_s
+            bounded_http.Client, timeout_s
         )
         self._write_client = self._make_http_client(_WriteClient, timeout_s)
         self._watch_client = self._make_http_client(
-            geventhttpclient.HTTPClient, timeout_s + cfg.watch_ms / 1000
+            bounded_http.Client, timeout_s + cfg.watch_ms / 1000
         )
 
     def _make_http_client(self, client_class, timeout_s):
@@ -89,13 +90,14 @@
             concurrency=MAX_CONNECTIONS,
             connection_timeout=timeout_s,
             network_timeout=timeout_s,
+            limits=bounded_http.Limits(body_bytes=MAX_RESPONSE_BYTES),
         )
 
     def _call(self, http_client, method, path, body=b'', headers=None):
         """Return (response, body); raises one of `_TRANSPORT_ERRORS`.
 
         The time-out bounds the wait for the response; it may take longer to
-        come in.
+        come in.  It may have MAX_RESPONSE_BYTES.
         """
         timeout_s = self._cfg.timeout_ms / 1000
         if http_client is self._watch_client:
--- a/tests/http/test_endless_answers.py
+++ b/tests/http/test_endless_answers.py
@@ -12,10 +12,14 @@
 from gevent import server
 
 from galenaspoke.application import client as application
+from galenaspoke.conf import definitions
 from galenaspoke.ctl import state_dumps
 from galenaspoke.engine import client as engine
 from galenaspoke.roster import client as roster
+from galenaspoke.store import base as store_base
+from galenaspoke.store import client as store_client
 from galenaspoke.utils import http
+from tests.edge import base
 
 OK = b'HTTP/1.1 200 OK\r\n'
 LENGTH = OK + b'Content-Length: 99999999999\r\n\r\n'
@@ -190,3 +194,23 @@
         self.start = OK + b'\r\n'
         self.piece = b'{}\n' * 100
         self.assertEqual([], self.generate())
+
+
+class StoreTest(EndlessServerTestCase):
+    """The agents' fleet's calls to the store."""
+
+    # Guards against an object or a list that is kept however large it is.
+    def test_size(self):
+        cfg = definitions.StoreSettings(url=self.url)
+        client = store_client.Client(cfg, base.Recorder())
+        for kind in ENDLESS:
+            for call in (lambda: client.get('a'), lambda: client.list('a')):
+                with self.subTest(kind):
+                    self.send(kind)
+                    with gevent.Timeout(TIMEOUT_S):
+                        with self.assertRaises(store_base.StoreUnavailable):
+                            call()
+                    self.assertLess(
+                        self.sent_bytes,
+                        store_client.MAX_RESPONSE_BYTES + SOCKET_BYTES,
+                    )
