Router: what a caller sends is bounded, and how long it may take

Cause: pywsgi bounds a line of the request and counts headers, but not a head (100 lines of 64 KB), has no time-out, neither for reading nor for writing, and reads a refused body to its end, however long, to keep the connection.

An unknown service is refused at the end of the head, with the verdict that it had. The agents' state page has the same handler.

tests/router/test_wsgi.py serves with that handler, as the router does; its set-up is a class of its own, and what it asserts is unchanged.

--- a/galenaspoke/router/main.py
+++ b/galenaspoke/router/main.py
@@ -29,6 +29,7 @@
 from galenaspoke.router import wsgi  # noqa: E402
 from galenaspoke.rpc import transport  # noqa: E402
 from galenaspoke.store import client as store_client  # noqa: E402
+from galenaspoke.utils import bounded_wsgi  # noqa: E402
 from galenaspoke.utils import daemon  # noqa: E402
 from galenaspoke.utils import metrics as utils_metrics  # noqa: E402
 
@@ -144,7 +145,10 @@
         )
         host, _, port = self.cfg.listen.rpartition(':')
         self.http_server = pywsgi.WSGIServer(
-            (host, int(port)), application, log=None
+            (host, int(port)),
+            application,
+            log=None,
+            handler_class=bounded_wsgi.Handler,
         )
         self.http_server.start()
         self.peers.start()
--- a/galenaspoke/router/wsgi.py
+++ b/galenaspoke/router/wsgi.py
@@ -17,6 +17,7 @@
 from galenaspoke.core import schema
 from galenaspoke.core import verdicts
 from galenaspoke.rpc import messages
+from galenaspoke.utils import bounded_wsgi
 from galenaspoke.utils import state
 
 MAX_BODY_BYTES = 1_000_000
@@ -98,21 +99,27 @@
             return _reply(start_response, 404, {'error': 'no such page'})
         if environ['REQUEST_METHOD'] != 'POST':
             return _reply(start_response, 400, {'error': 'use POST'})
+        service = path[len(SERVICES_PATH) :]
+        if self._is_unknown(service):
+            return _refuse_unknown(start_response, environ, service)
         try:
-            req = self._parse_request(environ, path[len(SERVICES_PATH) :])
+            req = self._parse_request(environ, service)
         except BadRequest as exc:
             refusal = verdicts.not_run(verdicts.Reason.BAD_REQUEST, str(exc))
             return _refuse(start_response, refusal, '')
         return self._respond(req, start_response)
 
+    def _is_unknown(self, service):
+        """Return whether the configuration in force has no such service."""
+        config = self._config_manager.config
+        return bool(config.generation) and service not in config.services
+
     def _parse_request(self, environ, service):
         length = environ.get('CONTENT_LENGTH') or '0'
         if int(length) > MAX_BODY_BYTES:
             raise BadRequest(f'the body exceeds {MAX_BODY_BYTES} bytes')
         try:
-            body = _BODY_DECODER.decode(
-                environ['wsgi.input'].read(MAX_BODY_BYTES)
-            )
+            body = _BODY_DECODER.decode(_read_body(environ))
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             raise BadRequest(f'body: {exc}') from exc
         key = environ.get('HTTP_IDEMPOTENCY_KEY', '')
@@ -173,6 +180,16 @@
         return _send_full_response(start_response, req, first, events)
 
 
+def _read_body(environ):
+    """Return the body of a request; raises BadRequest."""
+    try:
+        return environ['wsgi.input'].read(MAX_BODY_BYTES)
+    except (bounded_wsgi.RequestTooLarge, TimeoutError) as exc:
+        raise BadRequest(f'body: {exc}') from exc
+    finally:
+        environ[bounded_wsgi.RELEASE_KEY]()
+
+
 def _compute_digest(service, body):
     text = msgspec.json.encode([service, body])
     return hashlib.blake2b(text, digest_size=16).hexdigest()
@@ -213,6 +230,19 @@
     return _reply(start_response, status, document, headers)
 
 
+def _refuse_unknown(start_response, environ, service):
+    """Refuse a request before its body is read.
+
+    Without the service the home can't be found, so an earlier try with its key
+    can't be looked up.
+    """
+    key = environ.get('HTTP_IDEMPOTENCY_KEY', '')
+    make_refusal = verdicts.may_have_run if key else verdicts.not_run
+    detail = f'there is no service {service!r}'
+    refusal = make_refusal(verdicts.Reason.BAD_REQUEST, detail)
+    return _refuse(start_response, refusal, key)
+
+
 def _stream_lines(first, events):
     try:
         for item in _chain(first, events):
--- a/galenaspoke/utils/state.py
+++ b/galenaspoke/utils/state.py
@@ -3,6 +3,8 @@
 from gevent import pywsgi
 import msgspec
 
+from galenaspoke.utils import bounded_wsgi
+
 
 def serve(listen, get_state):
     """Serve the result of `get_state()` at `/state` on `listen` (IP:PORT)."""
@@ -16,7 +18,12 @@
         return [body]
 
     host, _, port = listen.rpartition(':')
-    pywsgi.WSGIServer((host, int(port)), application, log=None).start()
+    pywsgi.WSGIServer(
+        (host, int(port)),
+        application,
+        log=None,
+        handler_class=bounded_wsgi.Handler,
+    ).start()
 
 
 def encode(document):
--- a/tests/router/test_wsgi.py
+++ b/tests/router/test_wsgi.py
@@ -16,6 +16,7 @@
 from galenaspoke.core import verdicts
 from galenaspoke.router import wsgi
 from galenaspoke.rpc import messages
+from galenaspoke.utils import bounded_wsgi
 
 REFUSAL = verdicts.may_have_run(verdicts.Reason.UNREACHABLE, 'gone', 500)
 WHOLE = messages.End(True, 2, 'd', 2, 0)
@@ -29,23 +30,28 @@
     def __init__(self):
         self.events = []
         self.requests = []
+        self.is_closed = False
 
     def serve(self, req):
         """Yield the events."""
         self.requests.append(req)
-        for item in self.events:
-            gevent.sleep(0)
-            if isinstance(item, BaseException):
-                raise item
-            yield item
+        try:
+            for item in self.events:
+                gevent.sleep(0)
+                if isinstance(item, BaseException):
+                    raise item
+                yield item
+        finally:
+            self.is_closed = True
 
 
-class CallerTest(unittest.TestCase):
+class CallerTestCase(unittest.TestCase):
     """Callers on sockets of their own."""
 
     def setUp(self):
         self.dispatcher = Dispatcher()
         config = types.SimpleNamespace(
+            generation=1,
             services={'pool': types.SimpleNamespace(kind=schema.MODEL)},
             accounts={},
         )
@@ -57,7 +63,11 @@
             dict,
         )
         self.server = pywsgi.WSGIServer(
-            ('127.0.0.1', 0), app, log=None, error_log=None
+            ('127.0.0.1', 0),
+            app,
+            log=None,
+            error_log=None,
+            handler_class=bounded_wsgi.Handler,
         )
         self.server.start()
         self.addCleanup(self.server.stop, timeout=0)
@@ -91,6 +101,10 @@
         head = b'Content-Length: %d\r\n' % len(body)
         return self.exchange(version, head, body)
 
+
+class CallerTest(CallerTestCase):
+    """Responses that end early, and requests that do."""
+
     # Guards against a stream that ends properly though its events failed.
     def test_stream_whose_events_fail(self):
         self.dispatcher.events = [messages.Pieces(['a']), OSError('gone')]
