Edge router: an end is confirmed only after another target has stated it

Callers saw (by test): a resumable stream whose engine was killed in the middle, without a length, was told whole with 5 of 20 pieces if the next engine closed the stream before any event, and lived (ORDER).

Cause: the second run confirmed what nobody had stated. The target that brought the last event counted as the first witness, though it was cut off.

Now those targets count that have closed the stream after the last event that the caller has (RequestContext.closer_ids); events that the caller lacked empty the list. A run that only sent earlier events doesn't count. The next attempt prefers targets that haven't closed the stream there.

tests.edge.test_closed_review.SecondRunTest.test_stream_of_a_killed_engine failed on (True is not false) and passes. 118 tests of endings, closed streams, proofs and crash checks pass (17 listed ones skipped).

Price: a stream whose target is killed after its last event needs one target more that closes it there, if its end has no other proof.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -264,8 +264,8 @@
         while True:
             read_at = self._clock.now()
             events = splitter.feed(response.take_body())
-            run.record(events)
             undelivered = order.select(events)
+            run.record(events, undelivered)
             if undelivered:
                 self._relay_events(response, undelivered)
             if end_check is not None:
@@ -298,7 +298,8 @@
                 self._cfg, self._context, self._target, run
             )
             if proof is None:
-                self._context.record_closed(self._target)
+                if run.is_at_end():
+                    self._context.record_closed(self._target)
                 return outcomes.Closed()
         self._send_body(response, messages.LAST_CHUNK)
         return outcomes.Served(response.status, response.is_framed, proof)
@@ -337,7 +338,7 @@
             self._context.record_first_byte(now)
             self._context.stream_version = self._target.entry.version
             self._on_begin(self._context, self._target)
-        self._context.record_events(undelivered, now, self._target)
+        self._context.record_events(undelivered, now)
         self._on_events(self._context, self._target)
         data = messages.encode_chunk(
             b''.join(event.raw for event in undelivered)
--- a/galenaspoke/edge/serving/request_context.py
+++ b/galenaspoke/edge/serving/request_context.py
@@ -30,7 +30,7 @@
         'may_have_run',
         'event_order',
         'stream_version',
-        'last_source_id',
+        'closer_ids',
         'first_byte_ms',
         'event_count',
         'piece_count',
@@ -74,9 +74,9 @@
         # The software version of the target that began the stream, None while
         # no event has come.
         self.stream_version = None
-        # The id of the target that brought the last event; if none came, of
-        # the first one that closed the stream.  Empty if there is none.
-        self.last_source_id = ''
+        # The ids of the targets that have closed the stream, without a proof
+        # that it has ended, after the last event that the caller has.
+        self.closer_ids = set()
         # How long the caller waited for the first byte of the response.
         self.first_byte_ms = None
         # The number of events that were sent to the caller.
@@ -147,11 +147,11 @@
             self.first_byte_ms = now - self.arrived_at
 
     def record_closed(self, target):
-        """Record that a target closed a stream whose end nothing proves."""
-        self.last_source_id = self.last_source_id or target.entry.id
+        """Record that a target closed the stream after the last event."""
+        self.closer_ids.add(target.entry.id)
 
-    def record_events(self, events, now, target):
-        """Record events of a target that are sent to the caller."""
+    def record_events(self, events, now):
+        """Record events that are sent to the caller."""
         if self.last_event_at is not None:
             gap_ms = now - self.last_event_at
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
@@ -162,7 +162,7 @@
         pieces = sum(event.has_data() for event in events)
         self.piece_count += pieces
         if pieces:
-            self.last_source_id = target.entry.id
+            self.closer_ids.clear()
 
     def consumed_tokens(self):
         """Return the tokens that the request used of its account's budget.
--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -277,7 +277,7 @@
         """Return the target of the next attempt, None if there is none.
 
         A stream that was closed goes on at a target that was tried if there is
-        no other, and at the one that brought its last event only at last.
+        no other, and at one that closed it there only at last.
         """
         now = self._clock.now()
         if context.remaining_ms(now) < MIN_REMAINING_MS:
@@ -288,7 +288,7 @@
             others = [
                 target
                 for target in accepting
-                if target.entry.id != context.last_source_id
+                if target.entry.id not in context.closer_ids
             ]
             target = self._choose_among(
                 others, context, now
--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -7,7 +7,7 @@
 Example::
 
     run = stream_ends.Run()
-    run.record(events)
+    run.record(events, undelivered)
     stream_ends.find_proof(cfg, context, target, run)    # Proof.MOST
 """
 
@@ -18,21 +18,32 @@
     """What one target has sent of a stream.
 
     `has_events` is true once a whole event has come, `has_pieces` once one
-    has that clients see.
+    has that clients see, `has_new_pieces` once the caller lacked such a one.
     """
 
-    __slots__ = ('has_events', 'has_pieces')
+    __slots__ = ('has_events', 'has_pieces', 'has_new_pieces')
 
     def __init__(self):
         self.has_events = False
         self.has_pieces = False
+        self.has_new_pieces = False
 
-    def record(self, events):
-        """Record the next events."""
+    def record(self, events, undelivered):
+        """Record the next events, and which of them the caller lacked."""
         self.has_events = self.has_events or bool(events)
-        self.has_pieces = self.has_pieces or any(
-            event.has_data() for event in events
-        )
+        self.has_pieces = self.has_pieces or _have_data(events)
+        self.has_new_pieces = self.has_new_pieces or _have_data(undelivered)
+
+    def is_at_end(self):
+        """Return whether its end is that of what the caller has.
+
+        A run that sent only earlier events may have ended among those.
+        """
+        return self.has_new_pieces or not self.has_pieces
+
+
+def _have_data(events):
+    return any(event.has_data() for event in events)
 
 
 def find_proof(cfg, context, target, run):
@@ -52,13 +63,13 @@
 def _is_confirmation(context, target, run):
     """Return whether a run shows that nothing comes after the last event.
 
-    A target that leaves closes streams early, and none confirms its own end.
-    One that sends events again may have stopped among those.
+    Another target has to have closed the stream there as well: one that was
+    cut off doesn't say that the stream has ended.  A target that leaves closes
+    streams early.  One that sends events again may have stopped among those.
     """
-    source_id = context.last_source_id
-    is_other = bool(source_id) and source_id != target.entry.id
+    is_second = bool(context.closer_ids - {target.entry.id})
     is_leaving = target.entry.leaving or target.is_removed
-    return is_other and not is_leaving and not run.has_pieces
+    return is_second and not is_leaving and not run.has_pieces
 
 
 def _has_most(context):
