Edge router: only a run that was told where to go on confirms an end

Callers saw (by test): a stream without any piece, and one whose events have no numbers, were told whole if two targets closed it and the second sent nothing but a comment (ORDER).

Cause: without an id of an event the second run begins anew. That it has sent no event that clients see says nothing about what comes after the last one.

Now SECOND_RUN needs the id of the last event that the caller has. tests.edge.test_closed_review.SecondRunTest: test_streams_of_comments and test_stream_without_numbers failed on and pass.

--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -65,8 +65,11 @@
 
     Another target has to have closed the stream there as well: one that was
     cut off doesn't say that the stream has ended.  A target that leaves closes
-    streams early.  One that sends events again may have stopped among those.
+    streams early.  One that sends events again may have stopped among those,
+    and so may one that wasn't told where to go on.
     """
+    if not context.last_event_id:
+        return False
     is_second = bool(context.closer_ids - {target.entry.id})
     is_leaving = target.entry.leaving or target.is_removed
     return is_second and not is_leaving and not run.has_pieces
