Edge router: a target that may leave confirms no end

Cause: only the entry's word and the removal counted. What a target says in its responses is kept by the directory, and a target whose entry is gone while the store is down is removed later; some are emptied without saying so.

Now Target.may_leave tells all of it. tests.edge.test_closed_review.

Price: while entries are missing in an outage of the store, no second run confirms an end.

--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -64,15 +64,14 @@
     """Return whether a run shows that nothing comes after the last event.
 
     Another target has to have closed the stream there as well: one that was
-    cut off doesn't say that the stream has ended.  A target that leaves closes
-    streams early.  One that sends events again may have stopped among those,
-    and so may one that wasn't told where to go on.
+    cut off doesn't say that the stream has ended.  A target that leaves may
+    close streams early.  One that sends events again may have stopped among
+    those, and so may one that wasn't told where to go on.
     """
     if not context.last_event_id:
         return False
     is_second = bool(context.closer_ids - {target.entry.id})
-    is_leaving = target.entry.leaving or target.is_removed
-    return is_second and not is_leaving and not run.has_pieces
+    return is_second and not target.may_leave() and not run.has_pieces
 
 
 def _has_most(context):
--- a/galenaspoke/edge/targets/directory.py
+++ b/galenaspoke/edge/targets/directory.py
@@ -34,6 +34,8 @@
         'cold_start',
         'in_flight',
         'is_removed',
+        'is_leaving',
+        'is_missing',
         'paused_until',
         '_idle',
     )
@@ -50,10 +52,21 @@
         self.in_flight = 0
         # Whether it left or was replaced by another incarnation.
         self.is_removed = False
+        # Whether it or its entry has said that it leaves, and whether it has
+        # no entry at present.
+        self.is_leaving = False
+        self.is_missing = False
         # Until when the target asked for no more requests.
         self.paused_until = 0
         self._idle = []
 
+    def may_leave(self):
+        """Return whether it is leaving, or may be without saying so.
+
+        Such a target may close streams early.
+        """
+        return self.is_leaving or self.is_missing or self.is_removed
+
     def pause(self, until):
         """Send no requests until a time, as the target asked."""
         self.paused_until = max(self.paused_until, until)
@@ -215,13 +228,17 @@
             self._leaving[entry.identity()] = now
         known = self._targets.get(entry.id)
         if known is not None:
+            known.is_missing = False
             if known.entry == entry:
                 return False
             if _get_process(known.entry) == _get_process(entry):
                 known.entry = entry
+                known.is_leaving = entry.identity() in self._leaving
                 return True
             known.mark_removed()
-        self._targets[entry.id] = Target(entry, self._get_share)
+        target = Target(entry, self._get_share)
+        target.is_leaving = entry.identity() in self._leaving
+        self._targets[entry.id] = target
         return True
 
     def remove(self, target_id, now):
@@ -242,6 +259,7 @@
         identity = target.entry.identity()
         is_news = identity not in self._leaving
         self._leaving[identity] = now
+        target.is_leaving = True
         return is_news
 
     def is_outdated(self, entry):
@@ -256,7 +274,9 @@
 
     def mark_missing(self, target_id, remove_at):
         """Remove a known target later, unless its entry reappears first."""
-        if target_id in self._targets:
+        target = self._targets.get(target_id)
+        if target is not None:
+            target.is_missing = True
             self._missing.setdefault(target_id, remove_at)
 
     def remove_missing(self, now):
