Edge router: comments have no place in a stream

Callers saw (by test): a stream whose first target sent a comment, and then closed it or was cut off, came whole from the next target, but its end was missed: the second run failed with 'a stream without numbers goes on with numbers', and its target was blamed.

Cause: EventOrder took the comment for an event, so the next target's first number had no place. An older fault, which closed streams reach as well.

BlameTest.test_events_after_a_comment failed on (20 pieces expected, 0 came) and passes.

--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -31,7 +31,7 @@
     def __init__(self, last_id):
         self.last_id = last_id
         self.fault = ''
-        # Whether events of this response were selected.
+        # Whether events that have a place in the stream were selected.
         self._has_events = False
         # Whether it is known where the present target's events belong.
         self._is_placed = False
@@ -69,10 +69,15 @@
                 break
             if is_wanted:
                 selected.append(event)
-                self.last_id = event.id or self.last_id
-        self._has_events = self._has_events or bool(selected)
+                self._record_place(event)
         return selected
 
+    def _record_place(self, event):
+        """Record an event that is relayed; comments have no place."""
+        self.last_id = event.id or self.last_id
+        if not self._has_events:
+            self._has_events = bool(event.id) or event.has_data()
+
     def _check_unnumbered(self, event):
         """Return whether to relay an event whose id is no number."""
         if not self._is_placed and event.has_data():
