Edge router: a closed stream without numbers isn't sent on

Callers saw (by test): each stream without a length whose events have no numbers, and that its target closed, was sent to a second target, whose events have no place: the attempt failed, and the second target was blamed. Two such streams eject a sound target.

Cause: until now only a cut stream came there; now each whole one without another proof does.

Open: a stream without numbers that is cut off is still retried, and blames the next target.

--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -346,6 +346,9 @@
                 return self._retry_budget.take_retry(context.service)
         elif not context.is_repeatable():
             return False
+        elif isinstance(outcome, outcomes.Closed):
+            if not context.event_order.can_go_on():
+                return False
         if context.sent_count >= context.route.max_attempts:
             return False
         if not self._retry_budget.take_retry(context.service):
--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -68,7 +68,7 @@
     close streams early.  One that sends events again may have stopped among
     those, and so may one that wasn't told where to go on.
     """
-    if not context.last_event_id:
+    if not context.last_event_id or not context.event_order.can_go_on():
         return False
     is_second = bool(context.closer_ids - {target.entry.id})
     return is_second and not target.may_leave() and not run.has_pieces
--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -49,6 +49,13 @@
             not self._has_events and _parse_id(self.last_id) is None
         )
 
+    def can_go_on(self):
+        """Return whether another target's events could have a place.
+
+        Only numbers show it once the caller has events.
+        """
+        return not self._has_events or _parse_id(self.last_id) is not None
+
     def select(self, events):
         """Return those of a target's next events that the caller lacks.
 
