Edge router: events without an id are no output

Cause: each event with data counted as output. Output events have increasing ids on the platform.

Price: streams without ids have no proof by the most output.

--- a/galenaspoke/edge/serving/request_context.py
+++ b/galenaspoke/edge/serving/request_context.py
@@ -33,7 +33,7 @@
         'closer_ids',
         'first_byte_ms',
         'event_count',
-        'piece_count',
+        'output_count',
         'last_event_at',
         'event_times',
         'read_tokens',
@@ -81,8 +81,8 @@
         self.first_byte_ms = None
         # The number of events that were sent to the caller.
         self.event_count = 0
-        # How many of them clients see; they ignore events without data.
-        self.piece_count = 0
+        # How many of them are output: they have data and an id.
+        self.output_count = 0
         self.last_event_at = None
         # When the present attempt's events came, at most MAX_EVENT_TIMES.
         self.event_times = []
@@ -159,9 +159,8 @@
         if len(self.event_times) < MAX_EVENT_TIMES:
             self.event_times.extend([now] * len(events))
         self.event_count += len(events)
-        pieces = sum(event.has_data() for event in events)
-        self.piece_count += pieces
-        if pieces:
+        self.output_count += sum(event.is_output() for event in events)
+        if any(event.has_data() for event in events):
             self.closer_ids.clear()
 
     def consumed_tokens(self):
--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -82,5 +82,5 @@
     metadata = context.metadata
     if metadata.is_resumption() or not metadata.output_tokens:
         return False
-    tokens = context.piece_count * context.event_tokens
+    tokens = context.output_count * context.event_tokens
     return tokens >= metadata.output_tokens
--- a/galenaspoke/edge/streams/sse.py
+++ b/galenaspoke/edge/streams/sse.py
@@ -37,6 +37,13 @@
         """Return whether a client sees the event; it ignores others."""
         return bool(_DATA_LINE.search(self.raw))
 
+    def is_output(self):
+        """Return whether the event is a part of what the target makes.
+
+        Events without an id only show that it lives, for example.
+        """
+        return bool(self.id) and self.has_data()
+
     def has_head(self):
         """Return whether the target began a response within its stream."""
         return bool(_HEAD.search(self.raw))
