Edge router: a target that closes a stream and lives has responded

Seen (by test): two failures eject a target, however many streams without a length it has served in between: a closed one counted neither as a failure nor as a success, and on a route that may not be resumed all such streams are closed ones.

--- a/galenaspoke/edge/serving/attempt_recorder.py
+++ b/galenaspoke/edge/serving/attempt_recorder.py
@@ -55,6 +55,7 @@
             why = outcome.why
         elif isinstance(outcome, outcomes.Closed):
             # It lives, and nothing says that it has failed.
+            target.health.record_success()
             why = outcome.why
         else:
             target.health.record_success()
