--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -2,6 +2,7 @@
 
 from galenaspoke.edge import outcomes
 from galenaspoke.edge.serving import stream_ends
+from galenaspoke.edge.streams import event_limits
 from galenaspoke.edge.streams import sse
 from galenaspoke.edge.targets import incarnations
 from galenaspoke.http import connections
@@ -125,7 +126,9 @@
             return outcome
         except connections.ResponseLost as exc:
             return outcomes.Unknown(
-                str(exc), cut_off=isinstance(exc, connections.PeerClosed)
+                str(exc),
+                cut_off=isinstance(exc, connections.PeerClosed),
+                flooded=isinstance(exc, connections.Flooded),
             )
         except connections.ReadTimeout:
             return outcomes.Unknown(
@@ -237,7 +240,7 @@
             return outcomes.Unknown(
                 f'status {response.status}, without proof it did not run'
             )
-        response.body += body
+        response.body = body
         if response.status >= MIN_FAILURE_STATUS:
             return outcomes.Failure(response)
         if self._caller.response_started:
@@ -257,6 +260,7 @@
     def _relay_stream(self, conn, response, end_check):
         """Relay events as they arrive, each only once it is complete."""
         splitter = sse.EventSplitter()
+        limits = event_limits.EventLimits(self._context.max_events)
         order = self._context.event_order
         order.begin_run()
         run = stream_ends.Run()
@@ -264,6 +268,8 @@
         while True:
             read_at = self._clock.now()
             events = splitter.feed(response.take_body())
+            if too_many := limits.exceeded_by(events):
+                raise connections.Flooded(too_many)
             undelivered = order.select(events)
             run.record(events, undelivered)
             if undelivered:
@@ -274,7 +280,8 @@
                 raise connections.ResponseLost(order.fault)
             if response.is_complete or not is_open:
                 break
-            if len(splitter.remainder()) > MAX_EVENT_BYTES:
+            conn.hold(splitter.pending_bytes())
+            if splitter.pending_bytes() > MAX_EVENT_BYTES:
                 raise connections.ResponseLost('an event is too long')
             if events:
                 # Only whole events show that the stream gets on.
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -73,7 +73,7 @@
 
     def connect(self):
         """Return a connection to the engine."""
-        conn, remote = base.make_connection_pair()
+        conn, remote = base.make_connection_pair(self.entry.id)
         self.tasks.append(gevent.spawn(self._run_engine, remote))
         return conn
 
@@ -182,6 +182,7 @@
         send_datagram=lambda address, data: None,
         members=None,
         settings=None,
+        memory_tokens=0,
         **route_options,
     ):
         self.clock = clock or clocks.Clock()
@@ -209,7 +210,11 @@
             timeout_ms=timeout_ms,
             **options,
         )
-        services = [catalog.Service('pool', '/health', 100)]
+        services = [
+            catalog.Service(
+                'pool', '/health', 100, memory_tokens=memory_tokens
+            )
+        ]
         self.config_view = config_view = FakeConfigView(
             catalog.Catalog(1, [route], services, [], {}, catalog.Limits())
         )
@@ -279,8 +284,9 @@
         return caller
 
     def make_request(self, pairs=(), body=b'', request_id=REQUEST_ID):
-        """Return a request that a caller sends now."""
+        """Return a whole request that a caller sends now."""
         req = messages.Request()
+        req.is_head_complete = req.is_complete = True
         req.method = b'POST'
         req.url = b'/a/x'
         req.headers = [(b'host', b'desk'), (b'x-request-id', request_id)]
