--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -273,8 +273,8 @@
             events = splitter.feed(response.take_body())
             if too_many := limits.exceeded_by(events):
                 raise connections.Flooded(too_many)
-            run.record(events)
             undelivered = order.select(events)
+            run.record(events, undelivered)
             if undelivered:
                 self._relay_events(response, undelivered)
             if end_check is not None:
@@ -308,7 +308,8 @@
                 self._cfg, self._context, self._target, run
             )
             if proof is None:
-                self._context.record_closed(self._target)
+                if run.is_at_end():
+                    self._context.record_closed(self._target)
                 return outcomes.Closed()
         is_chunked = self._context.req.takes_chunks
         self._send_body(response, messages.LAST_CHUNK if is_chunked else b'')
@@ -348,7 +349,7 @@
             self._context.record_first_byte(now)
             self._context.stream_version = self._target.entry.version
             self._on_begin(self._context, self._target)
-        self._context.record_events(undelivered, now, self._target)
+        self._context.record_events(undelivered, now)
         self._on_events(self._context, self._target)
         data = b''.join(event.raw for event in undelivered)
         if self._context.req.takes_chunks:
--- a/galenaspoke/edge/serving/request_context.py
+++ b/galenaspoke/edge/serving/request_context.py
@@ -31,10 +31,10 @@
         'may_have_run',
         'event_order',
         'stream_version',
-        'last_source_id',
+        'closer_ids',
         'first_byte_ms',
         'event_count',
-        'piece_count',
+        'output_count',
         'last_event_at',
         'event_times',
         'read_tokens',
@@ -77,15 +77,15 @@
         # The software version of the target that began the stream, None while
         # no event has come.
         self.stream_version = None
-        # The id of the target that brought the last event; if none came, of
-        # the first one that closed the stream.  Empty if there is none.
-        self.last_source_id = ''
+        # The ids of the targets that have closed the stream, without a proof
+        # that it has ended, after the last event that the caller has.
+        self.closer_ids = set()
         # How long the caller waited for the first byte of the response.
         self.first_byte_ms = None
         # The number of events that were sent to the caller.
         self.event_count = 0
-        # How many of them clients see; they ignore events without data.
-        self.piece_count = 0
+        # How many of them are output: they have data and an id.
+        self.output_count = 0
         self.last_event_at = None
         # When the present attempt's events came, at most MAX_EVENT_TIMES.
         self.event_times = []
@@ -150,11 +150,11 @@
             self.first_byte_ms = now - self.arrived_at
 
     def record_closed(self, target):
-        """Record that a target closed a stream whose end nothing proves."""
-        self.last_source_id = self.last_source_id or target.entry.id
+        """Record that a target closed the stream after the last event."""
+        self.closer_ids.add(target.entry.id)
 
-    def record_events(self, events, now, target):
-        """Record events of a target that are sent to the caller."""
+    def record_events(self, events, now):
+        """Record events that are sent to the caller."""
         if self.last_event_at is not None:
             gap_ms = now - self.last_event_at
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
@@ -162,10 +162,9 @@
         if len(self.event_times) < MAX_EVENT_TIMES:
             self.event_times.extend([now] * len(events))
         self.event_count += len(events)
-        pieces = sum(event.has_data() for event in events)
-        self.piece_count += pieces
-        if pieces:
-            self.last_source_id = target.entry.id
+        self.output_count += sum(event.is_output() for event in events)
+        if any(event.has_data() for event in events):
+            self.closer_ids.clear()
 
     def consumed_tokens(self):
         """Return the tokens that the request used of its account's budget.
--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -295,7 +295,7 @@
         """Return the target of the next attempt, None if there is none.
 
         A stream that was closed goes on at a target that was tried if there is
-        no other, and at the one that brought its last event only at last.
+        no other, and at one that closed it there only at last.
         """
         now = self._clock.now()
         if context.remaining_ms(now) < MIN_REMAINING_MS:
@@ -306,7 +306,7 @@
             others = [
                 target
                 for target in accepting
-                if target.entry.id != context.last_source_id
+                if target.entry.id not in context.closer_ids
             ]
             target = self._choose_among(
                 others, context, now
@@ -364,6 +364,9 @@
                 return self._retry_budget.take_retry(context.service)
         elif not context.is_repeatable():
             return False
+        elif isinstance(outcome, outcomes.Closed):
+            if not context.event_order.can_go_on():
+                return False
         if context.sent_count >= context.route.max_attempts:
             return False
         if not self._retry_budget.take_retry(context.service):
--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -31,7 +31,7 @@
     def __init__(self, last_id):
         self.last_id = last_id
         self.fault = ''
-        # Whether events of this response were selected.
+        # Whether events that have a place in the stream were selected.
         self._has_events = False
         # Whether it is known where the present target's events belong.
         self._is_placed = False
@@ -49,6 +49,13 @@
             not self._has_events and _parse_id(self.last_id) is None
         )
 
+    def can_go_on(self):
+        """Return whether another target's events could have a place.
+
+        Only numbers show it once the caller has events.
+        """
+        return not self._has_events or _parse_id(self.last_id) is not None
+
     def select(self, events):
         """Return those of a target's next events that the caller lacks.
 
@@ -69,10 +76,15 @@
                 break
             if is_wanted:
                 selected.append(event)
-                self.last_id = event.id or self.last_id
-        self._has_events = self._has_events or bool(selected)
+                self._record_place(event)
         return selected
 
+    def _record_place(self, event):
+        """Record an event that is relayed; comments have no place."""
+        self.last_id = event.id or self.last_id
+        if not self._has_events:
+            self._has_events = bool(event.id) or event.has_data()
+
     def _check_unnumbered(self, event):
         """Return whether to relay an event whose id is no number."""
         if not self._is_placed and event.has_data():
