Callers: those that keep the router busy take turns

Cause: reading gave way only when the socket was empty, whatever that took.

Change: each connection works for 2 ms on a request, or on two requests that were sent ahead. Then it waits for its turn, which one connection has at a time and which lets others run for twice as long as it has worked. What is dropped after a refusal is read at 13 MB/s at most.

The shares that the tests' connections hold are in accounts of their own, or closed.

--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -3,23 +3,29 @@
 import contextlib
 import functools
 import socket as std_socket
+import time
 
 import gevent
 
 from galenaspoke.http import buffers
 from galenaspoke.http import connections
 from galenaspoke.http import messages
+from galenaspoke.http import turns
 
 RECEIVE_BYTES = 65_536
 # What was received is parsed in pieces, each only once the requests of those
 # before it have had their turn.
 PIECE_BYTES = 8_192
+# The work of a request that was sent before the response to the one ahead.
+PIPELINED_REQUEST_S = 0.001
 # The event loop's flag for a readable socket.
 _READ_EVENT = 1
 # How long, and for how many bytes, a connection is read whose response was
 # sent before all of the request had come.
 LINGER_MS = 2_000
 LINGER_BYTES = messages.MAX_BODY_BYTES
+# Between two reads of what is dropped, so that callers can't send at will.
+LINGER_PAUSE_S = 0.005
 # The owner of what is held for callers.  Their addresses tell nothing, as they
 # come through load balancers.
 SHARE_OWNER = 'callers'
@@ -54,6 +60,7 @@
         '_is_reading',
         '_watch',
         '_share',
+        '_work',
         '_task',
         '_active',
         '_unsent_bytes',
@@ -84,6 +91,7 @@
         # `cancel_on_disconnect`.
         self._watch = None
         self._share = buffers.process_account.open(SHARE_OWNER, self._cut)
+        self._work = turns.Work(turns.caller_turns)
         # The greenlet that serves the connection.
         self._task = None
         # The request that was begun last, and the bytes of its response that
@@ -126,6 +134,10 @@
         self._task = gevent.getcurrent()
         self._active = None
         self._count_held_bytes()
+        if self.has_queued_request():
+            self._work.record(PIPELINED_REQUEST_S)
+        else:
+            self._work.begin()
         started_at = self._clock.now()
         while not self.parser.requests:
             if self._parse_error is not None:
@@ -217,6 +229,7 @@
         piece = self._unparsed[:PIECE_BYTES]
         # An empty view would keep all of the bytes.
         self._unparsed = self._unparsed[PIECE_BYTES:] or b''
+        started_at = time.monotonic()
         try:
             self.parser.feed(piece)
         except messages.BadRequest as exc:
@@ -225,6 +238,7 @@
             self._unparsed = b''
             self._parse_error = exc
         self._count_held_bytes()
+        self._work.record(time.monotonic() - started_at)
 
     def _count_held_bytes(self):
         """Update the share; raise OutOfMemory if it is cut."""
@@ -382,8 +396,7 @@
                 if not received:
                     return
                 left_bytes -= received
-                # A caller that sends without a pause lets others run.
-                gevent.sleep(0)
+                gevent.sleep(LINGER_PAUSE_S)
         except OSError:
             # The caller has left, or sends nothing more.
             return
--- a/tests/edge/test_memory_of_callers.py
+++ b/tests/edge/test_memory_of_callers.py
@@ -4,6 +4,8 @@
 them keeps to the limits of a connection.
 """
 
+from unittest import mock
+
 import gevent
 from gevent import socket
 
@@ -29,11 +31,10 @@
 
     def setUp(self):
         super().setUp()
-        self.account = buffers.process_account
-        self.addCleanup(
-            setattr, self.account, 'limit_bytes', self.account.limit_bytes
-        )
-        self.account.limit_bytes = LIMIT_BYTES
+        self.account = buffers.BufferAccount(LIMIT_BYTES)
+        patcher = mock.patch.object(buffers, 'process_account', self.account)
+        patcher.start()
+        self.addCleanup(patcher.stop)
         timeout = gevent.Timeout.start_new(TIMEOUT_S)
         self.addCleanup(timeout.close)
 
