--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -4,12 +4,14 @@
 import functools
 import socket as std_socket
 import struct
+import time
 
 import gevent
 
 from galenaspoke.http import buffers
 from galenaspoke.http import connections
 from galenaspoke.http import messages
+from galenaspoke.http import turns
 
 RECEIVE_BYTES = 65_536
 # What was received is parsed in pieces, each only once the requests of those
@@ -17,6 +19,10 @@
 PIECE_BYTES = 8_192
 # A body up to this length is sent together with its head, which copies it.
 MAX_JOINED_BYTES = 65_536
+# The work of a request that was sent before the response to the one ahead.
+PIPELINED_REQUEST_S = 0.001
+# A caller that takes nothing of its response for so long is cut off.
+SEND_PAUSE_MS = 10_000
 # The event loop's flag for a readable socket.
 _READ_EVENT = 1
 # Makes the close of a connection reset it.
@@ -25,6 +31,8 @@
 # sent before all of the request had come.
 LINGER_MS = 2_000
 LINGER_BYTES = messages.MAX_BODY_BYTES
+# Between two reads of what is dropped, so that callers can't send at will.
+LINGER_PAUSE_S = 0.005
 # The owner of what is held for callers.  Their addresses tell nothing, as they
 # come through load balancers.
 SHARE_OWNER = 'callers'
@@ -61,6 +69,7 @@
         '_is_reading',
         '_watch',
         '_share',
+        '_work',
         '_task',
         '_active',
         '_unsent_bytes',
@@ -95,6 +104,7 @@
         # `cancel_on_disconnect`.
         self._watch = None
         self._share = buffers.process_account.open(SHARE_OWNER, self._cut)
+        self._work = turns.Work(turns.caller_turns)
         # The greenlet that serves the connection.
         self._task = None
         # The request that was begun last, and the bytes of its response that
@@ -137,6 +147,10 @@
         self._task = gevent.getcurrent()
         self._active = None
         self._count_held_bytes()
+        if self.has_queued_request():
+            self._work.record(PIPELINED_REQUEST_S)
+        else:
+            self._work.begin()
         started_at = self._clock.now()
         while not self.parser.requests:
             if self._parse_error is not None:
@@ -228,6 +242,7 @@
         piece = self._unparsed[:PIECE_BYTES]
         # An empty view would keep all of the bytes.
         self._unparsed = self._unparsed[PIECE_BYTES:] or b''
+        started_at = time.monotonic()
         try:
             self.parser.feed(piece)
         except messages.BadRequest as exc:
@@ -236,6 +251,7 @@
             self._unparsed = b''
             self._parse_error = exc
         self._count_held_bytes()
+        self._work.record(time.monotonic() - started_at)
 
     def _count_held_bytes(self):
         """Update the share; raise OutOfMemory if it is cut."""
@@ -360,12 +376,16 @@
 
     def _send_rest(self, data, sent):
         """Send what is left after `sent` bytes, as the caller reads it."""
+        left = memoryview(data)[sent:]
         try:
             # All of it is held until the last byte is sent.
             self._unsent_bytes = len(data)
             self._count_held_bytes()
-            self._sock.sendall(memoryview(data)[sent:])
+            self._sock.settimeout(SEND_PAUSE_MS / 1000)
+            while left:
+                left = left[self._sock.send(left) :]
         finally:
+            self._sock.settimeout(None)
             self._unsent_bytes = 0
             self._resize_share()
 
@@ -410,8 +430,7 @@
                 if not received:
                     return
                 left_bytes -= received
-                # A caller that sends without a pause lets others run.
-                gevent.sleep(0)
+                gevent.sleep(LINGER_PAUSE_S)
         except OSError:
             # The caller has left, or sends nothing more.
             return
