--- a/bench/flood_windows.py
+++ b/bench/flood_windows.py
@@ -77,7 +77,9 @@
     result = FloodResult(case, router.name)
     result.quiet.append(_count_answers(router).count)
     for _ in range(2):
-        fleet.log.write(what='fault', fault='flood', name=router.name, s=case)
+        fleet.log.write(
+            what='fault', fault='flood', name=router.name, case=case
+        )
         answers = _count_flooded(fleet, router, case)
         result.flooded.append(answers.count)
         result.slowest_s = max(result.slowest_s, answers.slowest_s)
