RPC: messages, their number and the time of a request are bounded

A process that calls or serves another keeps a message of up to 4 GB while it comes in, as fast or slow as that is, and replies without number that its reader doesn't take.

Cause: grpclib acknowledges the parts of a message as they come, so its windows bound only what isn't read, and has no setting for the size of a message. The queue of replies between loop and greenlet has no bound. _MAX_BUFFERED_REPLIES was none either: the queue's size grows only once the loop runs, and a handler whose replies are all there never let it.

Change: a message that states more than 16 MB ends its call (RESOURCE_EXHAUSTED at the server, PeerUnreachable(sent=True) at the client); a request that has not come 30 s after its call ends it; a reader that is 16,384 replies behind makes its sender wait; a handler that has yielded 64 replies lets the loop run.

Not bounded: the sum over the connections of a process (4 MB of window each).

--- a/galenaspoke/rpc/transport.py
+++ b/galenaspoke/rpc/transport.py
@@ -24,6 +24,13 @@
 # How many messages of a stream are buffered for a slow reader before its
 # sender has to wait.
 _MAX_BUFFERED_REPLIES = 64
+# The same at the reader: more than a stream usually has, since its sender's
+# time-out goes on while it waits.
+_MAX_QUEUED_REPLIES = 16_384
+_QUEUE_POLL_S = 0.005
+MAX_MESSAGE_BYTES = 16_777_216
+# How long a request may take to come in once its call has begun.
+RECEIVE_TIMEOUT_S = 30
 
 _loop = None
 
@@ -125,7 +132,10 @@
                 method.request_type,
                 method.reply_type,
             )
-            return await call(message, timeout=timeout_s)
+            async with call.open(timeout=timeout_s) as stream:
+                await stream.send_message(message, end=True)
+                _bound_messages(stream)
+                return await stream.recv_message()
         except _TRANSPORT_ERRORS as exc:
             raise PeerUnreachable(f'{self.address}: {exc!r}', True) from exc
 
@@ -172,9 +182,12 @@
             )
             async with call.open(timeout=total_s) as stream:
                 await stream.send_message(message, end=True)
+                _bound_messages(stream)
                 async for item in stream:
                     replies.put(item)
                     has_replied = True
+                    while len(replies) > _MAX_QUEUED_REPLIES:
+                        await asyncio.sleep(_QUEUE_POLL_S)
             if not has_replied:
                 raise PeerUnreachable(f'{self.address}: no reply', sent)
             replies.put(_END)
@@ -204,6 +217,9 @@
         self._items = collections.deque()
         self._ready = event.Event()
 
+    def __len__(self):
+        return len(self._items)
+
     def put(self, item):
         self._items.append(item)
         self._ready.set()
@@ -258,9 +274,39 @@
         get_loop().call_soon_threadsafe(self._server.close)
 
 
+def _bound_messages(stream):
+    """Refuse messages of a stream that state more than MAX_MESSAGE_BYTES.
+
+    The library has no setting for that and keeps what comes until it is whole.
+    """
+    buffer = stream._stream.buffer
+    read = buffer.read
+
+    async def read_bounded(size):
+        if size > MAX_MESSAGE_BYTES:
+            raise exceptions.GRPCError(
+                const.Status.RESOURCE_EXHAUSTED, f'a message of {size} bytes'
+            )
+        return await read(size)
+
+    buffer.read = read_bounded
+
+
+async def _receive_request(stream):
+    """Return the request of a call; raises GRPCError."""
+    _bound_messages(stream)
+    try:
+        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+            return await stream.recv_message()
+    except TimeoutError as exc:
+        raise exceptions.GRPCError(
+            const.Status.DEADLINE_EXCEEDED, 'the request comes too slowly'
+        ) from exc
+
+
 def _make_unary_handler(function):
     async def handler(stream):
-        message = await stream.recv_message()
+        message = await _receive_request(stream)
         future = get_loop().create_future()
         gevent.spawn(_run_unary, function, message, future)
         await stream.send_message(await future)
@@ -290,7 +336,7 @@
 
 def _make_stream_handler(function):
     async def handler(stream):
-        message = await stream.recv_message()
+        message = await _receive_request(stream)
         queue = asyncio.Queue()
         sender = gevent.spawn(_run_stream, function, message, queue)
         try:
@@ -312,8 +358,11 @@
         get_loop().call_soon_threadsafe(queue.put_nowait, item)
 
     try:
-        for item in function(message):
+        for count, item in enumerate(function(message), 1):
             put(item)
+            if count % _MAX_BUFFERED_REPLIES == 0:
+                # The queue grows only once the loop has run.
+                gevent.sleep(0)
             while queue.qsize() > _MAX_BUFFERED_REPLIES:
                 gevent.sleep(0.005)
         put(_END)
