--- a/bench/edge_faults.py
+++ b/bench/edge_faults.py
@@ -1,11 +1,17 @@
-"""Faults of the edge fleet, in series that overlap, drawn from a seed."""
+"""Faults of the edge fleet, in series that overlap, drawn from a seed.
+
+A loss of power ends processes and leaves the kernel, so peers learn of it at
+once, which a real one doesn't grant them.
+"""
 
 import random
 import signal
 
 import gevent
 
-from bench import edge_fleet
+from bench import edge_machines
+from bench import flood_callers
+from standins import edge_floods
 from standins import platform_documents
 
 SERIES = 3
@@ -19,11 +25,19 @@
 DELAY_S = (0.02, 0.3)
 BYTES_PER_S = (2_000, 20_000)
 STORE_S = (0.5, 5.0)
+CONTROL_CUT_S = (0.5, 5.0)
 STORE_SLOW_S = (0.05, 0.6)
 RETRY_SLACKS = (40, 58, 80)
 TIMEOUTS_MS = (7_000, 8_000, 9_000)
 MAX_EXTRA_ROUTES = 5
 RELEASE_SHARE = 0.5
+# How long an address stays without an engine before one of another service
+# takes it.
+REUSE_S = (2.0, 2.6)
+# How long the store doesn't answer after a loss of power.
+POWER_STORE_S = (0.2, 2.0)
+FLOOD_S = (0.5, 2.5)
+FLOOD_CALLERS = 20
 
 
 class Faults:
@@ -31,12 +45,16 @@
 
     __slots__ = ('_fleet', '_seed', '_weights', '_tasks', '_is_stopping')
 
-    def __init__(self, fleet, seed):
+    def __init__(self, fleet, seed, only=()):
+        """Draw from all faults, or from those that `only` names."""
         self._fleet = fleet
         self._seed = seed
         self._weights = {
             self._kill_engine: 6,
             self._drain_engine: 2,
+            self._hand_over: 2,
+            self._flood_engine: 2,
+            self._flood_router: 1,
             self._freeze_engine: 2,
             self._release: 1,
             self._kill_router: 2,
@@ -47,8 +65,16 @@
             self._publish: 1,
             self._harm_link: 4,
             self._cut_store_link: 2,
+            self._cut_control_path: 2,
             self._harm_store: 1,
+            self._lose_power: 0.4,
         }
+        if only:
+            self._weights = {
+                fault: weight
+                for fault, weight in self._weights.items()
+                if fault.__name__.lstrip('_') in only
+            }
         self._tasks = []
         self._is_stopping = False
 
@@ -65,6 +91,8 @@
         gevent.joinall(self._tasks, raise_error=True)
 
     def _run(self, rng):
+        if not self._weights:
+            return
         faults, weights = zip(*self._weights.items())
         while not self._is_stopping:
             rng.choices(faults, weights)[0](rng)
@@ -133,11 +161,58 @@
                 machine.end(number, platform_documents.GRACE_S)
                 gevent.sleep(rng.uniform(0, 0.3))
 
+    def _hand_over(self, rng):
+        """Swap the services of two machines whose engines end for good."""
+        pair = [
+            rng.choice(self._fleet.models),
+            rng.choice(self._fleet.applications),
+        ]
+        if not all(machine.is_steady() for machine in pair):
+            return
+        services = [machine.service for machine in reversed(pair)]
+        for machine, service in zip(pair, services):
+            self._note('hand_over', machine.name, service=service)
+            machine.hand_over(
+                service,
+                rng.uniform(*REUSE_S),
+                rng.choice((signal.SIGTERM, signal.SIGKILL)),
+                platform_documents.GRACE_S,
+            )
+
+    def _lose_power(self, rng):
+        """End all processes at once; the store keeps what it has."""
+        self._note('lose_power', 'all')
+        store = self._fleet.store
+        store.is_down = True
+        for machine in self._fleet.machines:
+            machine.end(signal.SIGKILL)
+        gevent.sleep(rng.uniform(*POWER_STORE_S))
+        store.is_down = False
+
+    # Bytes without end.
+
+    def _flood_engine(self, rng):
+        machine = rng.choice(self._fleet.engines)
+        case = rng.choice(list(edge_floods.CASES))
+        seconds = rng.uniform(*FLOOD_S)
+        self._note('flood_engine', machine.name, case=case, s=seconds)
+        machine.flood(case, seconds)
+
+    def _flood_router(self, rng):
+        machine = rng.choice(self._fleet.routers)
+        case = rng.choice(list(flood_callers.CASES))
+        seconds = rng.uniform(*FLOOD_S)
+        self._note('flood_router', machine.name, case=case, s=seconds)
+        callers = flood_callers.start(
+            machine, case, seconds, FLOOD_CALLERS, self._fleet.directory
+        )
+        callers.popen.wait()
+
     # Settings and configurations.
 
     def _reload_router(self, rng):
         machine = rng.choice(self._fleet.routers)
-        if not edge_fleet.is_ready(machine):
+        if not edge_machines.is_ready(machine):
             # A process that is starting doesn't handle the signal yet, which
             # is a known fault.
             return
@@ -162,6 +237,19 @@
         machine = rng.choice(self._fleet.routers)
         self._harm('store_link', machine.link, rng)
 
+    def _cut_control_path(self, rng):
+        """Cut a router off from others, one way; callers reach it."""
+        path = self._fleet.control_path
+        if path is None:
+            return
+        machine = rng.choice(self._fleet.routers)
+        name = rng.choice(('drops_to', 'drops_from'))
+        seconds = rng.uniform(*CONTROL_CUT_S)
+        self._note(f'{name}_control_path', machine.name, s=seconds)
+        setattr(path.relays[machine.ip], name, True)
+        gevent.sleep(seconds)
+        setattr(path.relays[machine.ip], name, False)
+
     def _harm(self, fault, link, rng):
         how = rng.choice(('delay', 'limit', 'reset', 'close', 'silence'))
         self._note(f'{how}_{fault}', link.listen)
--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -25,8 +25,12 @@
 from bench import edge_checks  # noqa: E402
 from bench import edge_faults  # noqa: E402
 from bench import edge_fleet  # noqa: E402
+from bench import flood_windows  # noqa: E402
+from bench import memory  # noqa: E402
+from standins import platform_documents  # noqa: E402
 
 MAX_PRINTED = 5
+MAX_FLOODS = len(flood_windows.CASES)
 # How a run ends whose engine's process ends.
 SUDDEN_ENDS = ('killed', 'exit')
 # How long runs may take to be logged once all callers have ended.
@@ -34,8 +38,11 @@
 EXIT_STOPPED = 143
 
 
-def run(options, seconds, caller_count, directory):
-    """Run a soak; return its Findings."""
+def run(options, seconds, caller_count, floods, only, directory):
+    """Run a soak with some floods at its end; return its Findings.
+
+    `only` names the faults that are drawn, all if it is empty.
+    """
     fleet = edge_fleet.Fleet(options, directory)
     requests = []
     callers = [
@@ -47,7 +54,7 @@
         )
         for number in range(caller_count)
     ]
-    faults = edge_faults.Faults(fleet, options.seed)
+    faults = edge_faults.Faults(fleet, options.seed, only)
     # A soak that is stopped ends its processes, too.
     main_task = gevent.getcurrent()
     gevent.signal_handler(
@@ -55,6 +62,8 @@
     )
     try:
         fleet.start()
+        watch = memory.MemoryWatch([*fleet.routers, *fleet.relays])
+        watching = gevent.spawn(watch.run)
         tasks = [gevent.spawn(caller.run) for caller in callers]
         faults.start()
         gevent.sleep(seconds)
@@ -63,9 +72,27 @@
             caller.is_stopping = True
         gevent.joinall(tasks, raise_error=True)
         gevent.sleep(SETTLE_S)
+        results = _flood(fleet, options.seed, floods)
+        watching.kill()
+        watch.read()
     finally:
         fleet.stop()
-    return _check(fleet, requests)
+    findings = _check(fleet, requests)
+    edge_checks.check_floods(findings, results)
+    edge_checks.check_memory(
+        findings, watch.peaks_mb, platform_documents.MEMORY_MB
+    )
+    return findings
+
+
+def _flood(fleet, seed, count):
+    """Flood routers that are otherwise left alone; return the results."""
+    rng = random.Random(f'{seed} floods')
+    cases = rng.sample(flood_windows.CASES, min(count, MAX_FLOODS))
+    return [
+        flood_windows.play(fleet, rng.choice(fleet.routers), case)
+        for case in cases
+    ]
 
 
 def _check(fleet, requests):
@@ -79,6 +106,8 @@
         if entry['what'] == 'fault':
             findings.faults[entry['fault'].partition('_v')[0]] += 1
     findings.restarts = fleet.restarts
+    if fleet.control_path:
+        findings.datagrams = fleet.control_path.counts
     _write_timelines(fleet.directory / 'requests.log', requests)
     return findings
 
@@ -100,6 +129,7 @@
     """Print the counts and the first violations of each rule."""
     print(f'seed {seed}: faults {dict(sorted(findings.faults.items()))}')
     print(f'restarts: {dict(findings.restarts)}')
+    print(f'datagrams between routers: {dict(findings.datagrams)}')
     print('attempts by route and outcome:')
     for name, count in sorted(findings.outcomes.items()):
         print(f'  {count:6} {name}')
@@ -111,12 +141,41 @@
         findings.count_ends('none', how, 'whole') for how in SUDDEN_ENDS
     )
     print(f'without a length, engine gone: {dict(ended)}, told whole: {whole}')
+    _print_closed(findings)
+    print(f'most memory in MB: {dict(sorted(findings.peaks_mb.items()))}')
+    for result in findings.floods:
+        print(f'flood: {result.describe()}')
     for rule, texts in findings.violations.items():
         print(f'{rule}: {len(texts)}')
         for text in texts[:MAX_PRINTED]:
             print(f'  {text}')
 
 
+def _print_closed(findings):
+    """Print what became of responses that only their connection ended.
+
+    Engines that live on closed them, early or at their end.
+    """
+    for prefix in platform_documents.ROUTES:
+        counts = {
+            (how, outcome): count
+            for (route, how, outcome), count in findings.unframed.items()
+            if route == prefix
+        }
+        print(
+            f'without a length, closed by an engine that lives, {prefix}:'
+            f' early {_sum(counts, "closed")},'
+            f' told whole {counts.get(("closed", "whole"), 0)};'
+            f' at the end {_sum(counts, "whole")},'
+            f' told broken {counts.get(("whole", "cut"), 0)},'
+            f' failed {counts.get(("whole", "failed"), 0)}'
+        )
+
+
+def _sum(counts, how):
+    return sum(count for key, count in counts.items() if key[0] == how)
+
+
 @click.command()
 @click.option('--seed', default=1)
 @click.option('--seconds', default=60.0, help='How long faults go on.')
@@ -126,14 +185,23 @@
 @click.option('--applications', default=3, help='Application engines.')
 @click.option('--callers', default=24, help='Concurrent callers.')
 @click.option('--early', default=0.08, help='Responses that end early.')
+@click.option('--garbled', default=0.02, help='Responses that are garbled.')
+@click.option('--skew-ms', default=6_000, help="Of engines' clocks, at most.")
+@click.option(
+    '--control-path/--no-control-path',
+    default=True,
+    help='Whether routers reach each other by relays that can be cut.',
+)
+@click.option('--floods', default=2, help='Cases of floods at the end.')
+@click.option('--only', multiple=True, help='A fault; all if none is given.')
 @click.option('--product', default=None, help='Where galenaspoke is.')
 @click.option('--report', default=None, help='A file for the counts as JSON.')
 @click.option('--keep/--no-keep', default=False, help='Keep all logs.')
-def main(seconds, callers, report, keep, **fields):
+def main(seconds, callers, floods, only, report, keep, **fields):
     """Run callers and faults drawn from SEED, and check what happened."""
     options = edge_fleet.FleetOptions(**fields)
     directory = tempfile.mkdtemp(prefix=f'galenaspoke-edge-{options.seed}-')
-    findings = run(options, seconds, callers, directory)
+    findings = run(options, seconds, callers, floods, only, directory)
     print_findings(options.seed, findings)
     if report:
         document = json.dumps(findings.to_document())
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -1,5 +1,6 @@
 """galenaspoke-edge: the edge router, on the data path of a platform."""
 
+import dataclasses
 import math
 import signal
 import sys
@@ -60,6 +61,8 @@
 # How long writes that are relayed for other routers get to be answered.
 RELAYED_CALLS_TIMEOUT_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
+# When callers may come back to a process that holds too much for them.
+MEMORY_RETRY_AFTER_S = 1
 
 
 class EdgeRouter:
@@ -282,7 +285,10 @@
         self._connections.add(caller)
         try:
             self._serve_requests(caller)
-        except caller_connections.CallerDisconnected:
+        except (
+            caller_connections.CallerDisconnected,
+            caller_connections.OutOfMemory,
+        ):
             pass
         finally:
             self._connections.discard(caller)
@@ -291,15 +297,28 @@
     def _serve_requests(self, caller):
         while caller.keep_alive:
             try:
-                req = caller.next_request()
+                req = caller.begin_request()
             except messages.BadRequest as exc:
-                self.metrics.count(f'answers.{exc.status}')
-                caller.keep_alive = False
-                caller.send_response(exc.status, [], str(exc).encode())
+                self._refuse(caller, exc.status, [], str(exc))
+                return
+            except caller_connections.OutOfMemory as exc:
+                if not caller.is_idle():
+                    pause = b'%d' % MEMORY_RETRY_AFTER_S
+                    headers = [(b'Retry-After', pause)]
+                    self._refuse(caller, 503, headers, str(exc))
                 return
             if req is None:
                 return
             self.request_handler.handle(req, caller)
+        if caller.has_unread_request():
+            caller.linger()
+
+    def _refuse(self, caller, status, headers, detail):
+        """Answer a request that has not been read whole, and read no more."""
+        self.metrics.count(f'answers.{status}')
+        caller.keep_alive = False
+        caller.send_response(status, headers, detail.encode())
+        caller.linger()
 
     def stop(self):
         """Shut down gracefully; return the exit code.
@@ -399,9 +418,17 @@
     default=0,
     help='The port for /metrics, /ready and /state; 0 for none.',
 )
-def main(settings, metrics_port):
+@click.option(
+    '--accept-closed-streams/--no-accept-closed-streams',
+    default=False,
+    help='Take a stream without a length as whole if its target closes it.',
+)
+def main(settings, metrics_port, accept_closed_streams):
     """Run the edge router."""
-    cfg = startup.load_settings_or_exit(settings)
+    cfg = dataclasses.replace(
+        startup.load_settings_or_exit(settings),
+        accept_closed_streams=accept_closed_streams,
+    )
     sys.exit(EdgeRouter(cfg, metrics_port, settings).run())
 
 
--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -1,6 +1,7 @@
 """Attempts: send a request to one target and relay its response."""
 
 from galenaspoke.edge import outcomes
+from galenaspoke.edge.serving import stream_ends
 from galenaspoke.edge.streams import event_limits
 from galenaspoke.edge.streams import sse
 from galenaspoke.edge.targets import incarnations
@@ -26,19 +27,20 @@
 class Attempt:
     """One attempt to have a target serve a request.
 
-    `context` is the RequestContext, which holds the state that outlives the
-    attempt.  `header_codec` translates the platform's headers.  `on_response`
-    is called with the target, the ResponseMetadata of each of its responses,
-    and when the request was sent, 0 if that isn't known.  `on_begin` is called
-    with the context and the target before the first event of a stream is
-    relayed, and `on_events` with both when events come.  `may_retry`
-    returns whether another target may be tried after this one.  `acquire`
-    takes how long the target may take to respond, in ms, and returns a
-    connection to it; it raises NotSent on failure.
+    `cfg` are the EdgeSettings. `context` is the RequestContext, which holds
+    the state that outlives the attempt. `header_codec` translates the
+    platform's headers. `on_response` is called with the target, the
+    ResponseMetadata of each of its responses, and when the request was sent, 0
+    if that isn't known. `on_begin` is called with the context and the target
+    before the first event of a stream is relayed, and `on_events` with both
+    when events come. `may_retry` returns whether another target may be tried
+    after this one. `acquire` takes how long the target may take to respond, in
+    ms, and returns a connection to it; it raises NotSent on failure.
     `end_checker` is the EndChecker.
     """
 
     __slots__ = (
+        '_cfg',
         '_context',
         '_target',
         '_caller',
@@ -57,6 +59,7 @@
 
     def __init__(
         self,
+        cfg,
         context,
         target,
         caller,
@@ -69,6 +72,7 @@
         acquire,
         end_checker,
     ):
+        self._cfg = cfg
         self._context = context
         self._target = target
         self._caller = caller
@@ -246,12 +250,15 @@
                 f'status {response.status} in the middle of a stream'
             )
         self._context.record_first_byte(self._clock.now())
+        # From here on the connection to the caller counts the body.
+        conn.release()
         self._caller.send_response(
             response.status,
             self._header_codec.build_caller_headers(response),
             body,
         )
-        return outcomes.Served(response.status, response.is_framed)
+        proof = None if response.is_framed else outcomes.Proof.ALIVE
+        return outcomes.Served(response.status, response.is_framed, proof)
 
     def _relay_stream(self, conn, response, end_check):
         """Relay events as they arrive, each only once it is complete."""
@@ -259,15 +266,15 @@
         limits = event_limits.EventLimits(self._context.max_events)
         order = self._context.event_order
         order.begin_run()
-        has_events = False
+        run = stream_ends.Run()
         is_open = True
         while True:
             read_at = self._clock.now()
             events = splitter.feed(response.take_body())
             if too_many := limits.exceeded_by(events):
                 raise connections.Flooded(too_many)
-            has_events = has_events or bool(events)
             undelivered = order.select(events)
+            run.record(events, undelivered)
             if undelivered:
                 self._relay_events(response, undelivered)
             if end_check is not None:
@@ -284,7 +291,7 @@
                 conn.set_read_timeout(self._timeout_s)
             is_open = self._receive_more(conn, response)
         # A stream that goes on may have had no more events.
-        has_begun = has_events or bool(self._context.last_event_id)
+        has_begun = run.has_events or bool(self._context.last_event_id)
         if not response.is_framed and not has_begun:
             raise connections.PeerClosed('connection closed before any event')
         if splitter.remainder():
@@ -295,8 +302,18 @@
             )
             raise error('the last event is incomplete')
         self._confirm_end(end_check)
-        self._send_body(response, messages.LAST_CHUNK)
-        return outcomes.Served(response.status, response.is_framed)
+        proof = None
+        if not response.is_framed:
+            proof = stream_ends.find_proof(
+                self._cfg, self._context, self._target, run
+            )
+            if proof is None:
+                if run.is_at_end():
+                    self._context.record_closed(self._target)
+                return outcomes.Closed()
+        is_chunked = self._context.req.takes_chunks
+        self._send_body(response, messages.LAST_CHUNK if is_chunked else b'')
+        return outcomes.Served(response.status, response.is_framed, proof)
 
     def _confirm_end(self, end_check):
         """Raise ResponseLost if a response may have been cut off."""
@@ -334,9 +351,9 @@
             self._on_begin(self._context, self._target)
         self._context.record_events(undelivered, now)
         self._on_events(self._context, self._target)
-        data = messages.encode_chunk(
-            b''.join(event.raw for event in undelivered)
-        )
+        data = b''.join(event.raw for event in undelivered)
+        if self._context.req.takes_chunks:
+            data = messages.encode_chunk(data)
         self._send_body(response, data)
 
     def _send_body(self, response, data):
--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -1,24 +1,50 @@
 """Connections of callers: read requests, send responses, see disconnects."""
 
 import contextlib
+import functools
+import socket as std_socket
+import struct
 
 import gevent
 
+from galenaspoke.http import buffers
 from galenaspoke.http import connections
 from galenaspoke.http import messages
 
 RECEIVE_BYTES = 65_536
+# What was received is parsed in pieces, each only once the requests of those
+# before it have had their turn.
+PIECE_BYTES = 8_192
+# A body up to this length is sent together with its head, which copies it.
+MAX_JOINED_BYTES = 65_536
 # The event loop's flag for a readable socket.
 _READ_EVENT = 1
+# Makes the close of a connection reset it.
+_LINGER_NOT = struct.pack('ii', 1, 0)
+# How long, and for how many bytes, a connection is read whose response was
+# sent before all of the request had come.
+LINGER_MS = 2_000
+LINGER_BYTES = messages.MAX_BODY_BYTES
+# The owner of what is held for callers.  Their addresses tell nothing, as they
+# come through load balancers.
+SHARE_OWNER = 'callers'
+_OUT_OF_MEMORY = 'the process holds too much for its callers'
 
 
 class CallerDisconnected(Exception):
     """The connection to the caller is closed or has to be closed."""
 
 
+class OutOfMemory(Exception):
+    """The process holds too much, and most of it for this caller."""
+
+
 class CallerConnection:
     """The connection of one caller, which carries one request at a time.
 
+    What it holds counts in the account of the process.  If its share is cut,
+    the greenlet that has begun to read a request gets OutOfMemory.
+
     `get_limits` returns the Limits in force.  Those of a request are the ones
     in force when it begins to arrive, or when its turn comes if it had begun
     before.
@@ -29,7 +55,17 @@
         'response_started',
         'has_active_request',
         'parser',
+        '_ends_by_close',
+        '_must_reset',
         '_is_closed',
+        '_is_reading',
+        '_watch',
+        '_share',
+        '_task',
+        '_active',
+        '_unsent_bytes',
+        '_unparsed',
+        '_parse_error',
         '_sock',
         '_clock',
         '_get_limits',
@@ -47,51 +83,107 @@
         self.response_started = False
         # Whether a request of this connection is being handled.
         self.has_active_request = False
+        # Whether the current response ends with the connection.
+        self._ends_by_close = False
+        # Whether the connection has to end so that the response looks cut.
+        self._must_reset = False
         # Whether this end has closed the connection.
         self._is_closed = False
+        # Whether the body of the current request has to be read.
+        self._is_reading = False
+        # Starts to watch for a disconnect, None outside of
+        # `cancel_on_disconnect`.
+        self._watch = None
+        self._share = buffers.process_account.open(SHARE_OWNER, self._cut)
+        # The greenlet that serves the connection.
+        self._task = None
+        # The request that was begun last, and the bytes of its response that
+        # the socket has not taken.
+        self._active = None
+        self._unsent_bytes = 0
+        # A view of what was received and not parsed yet.
+        self._unparsed = b''
+        # Why what was parsed last isn't valid.  The requests before it still
+        # count.
+        self._parse_error = None
 
     def is_idle(self):
         """Return whether no request is arriving, queued or being handled."""
-        has_request = self.parser.current or self.parser.requests
+        has_request = self.parser.current or self.has_queued_request()
         return not (self.has_active_request or has_request)
 
     def has_queued_request(self):
         """Return whether another request has been read and waits."""
-        return bool(self.parser.requests)
+        return bool(self.parser.requests or self._unparsed)
 
     def next_request(self):
-        """Return the next complete Request.
+        """Return the next Request, complete; see `begin_request`."""
+        req = self.begin_request()
+        if req is not None and not req.is_complete:
+            self.read_body(req)
+        return req
+
+    def begin_request(self):
+        """Return the next Request as soon as its head is complete.
 
-        Returns None if none begins within `idle_timeout_ms`.
-        `header_timeout_ms` limits the time to receive the headers and each
-        pause in the body.  Raises BadRequest for an invalid request or one
-        that arrives too slowly, and CallerDisconnected if the connection is
-        closed or fails.
+        `read_body` reads the rest of one that isn't complete.  Returns None
+        if no request begins within `idle_timeout_ms`.  `header_timeout_ms`
+        limits the time to receive the headers.  Raises BadRequest for an
+        invalid request or one that arrives too slowly, and CallerDisconnected
+        if the connection is closed or fails.
         """
         self.parser.limits = self._get_limits()
         self.response_started = False
+        self._task = gevent.getcurrent()
+        self._active = None
+        self._count_held_bytes()
         started_at = self._clock.now()
         while not self.parser.requests:
+            if self._parse_error is not None:
+                raise self._parse_error
             current = self.parser.current
             if current is not None and not current.arrived_at:
                 current.arrived_at = started_at = self._clock.now()
-            self._send_continue(current)
+            if self._unparsed:
+                self._parse_piece()
+                continue
+            if current is not None and current.is_head_complete:
+                self._is_reading = True
+                return current
             if self._receive(self._timeout_ms(started_at)):
                 continue
-            if current is None:
-                # A longer wait may be allowed meanwhile.
-                if self._timeout_ms(started_at) > 0:
-                    continue
+            if current is not None:
+                raise messages.BadRequest(
+                    408, 'request headers arrived too slowly'
+                )
+            # A longer wait may be allowed meanwhile.
+            if self._timeout_ms(started_at) <= 0:
                 return None
-            part = 'body' if current.is_head_complete else 'headers'
-            raise messages.BadRequest(
-                408, f'request {part} arrived too slowly'
-            )
         req = self.parser.requests.popleft()
         if not req.arrived_at:
             req.arrived_at = self._clock.now()
+        self._active = req
         return req
 
+    def read_body(self, req):
+        """Read the rest of a request that `begin_request` has returned.
+
+        `header_timeout_ms` limits each pause.  Raises as `begin_request`.
+        """
+        while not req.is_complete:
+            if self._unparsed:
+                self._parse_piece()
+                continue
+            self._send_continue(req)
+            if not self._receive(self.parser.limits.header_timeout_ms):
+                raise messages.BadRequest(
+                    408, 'request body arrived too slowly'
+                )
+        self._active = self.parser.requests.popleft()
+        self._is_reading = False
+        if self._watch is not None:
+            self._watch()
+
     def _timeout_ms(self, started_at):
         """Return how much longer to wait for data.
 
@@ -101,16 +193,15 @@
         current = self.parser.current
         if current is None:
             return self._get_limits().idle_timeout_ms - waited_ms
-        timeout_ms = self.parser.limits.header_timeout_ms
-        return timeout_ms - (0 if current.is_head_complete else waited_ms)
+        return self.parser.limits.header_timeout_ms - waited_ms
 
-    def _send_continue(self, current):
-        if current is not None and current.expects_continue:
-            current.expects_continue = False
+    def _send_continue(self, req):
+        if req.expects_continue:
+            req.expects_continue = False
             self._send(messages.CONTINUE)
 
     def _receive(self, timeout_ms):
-        """Read and parse more; return False if nothing arrived in time."""
+        """Read more and parse a piece; return False if none came in time."""
         self._sock.settimeout(max(0.001, timeout_ms / 1000))
         try:
             data = self._sock.recv(RECEIVE_BYTES)
@@ -124,14 +215,63 @@
             self._sock.settimeout(None)
         if not data:
             raise CallerDisconnected('closed by the caller')
+        if self._share.is_cut:
+            raise OutOfMemory(_OUT_OF_MEMORY)
         if self.parser.current is None:
             self.parser.limits = self._get_limits()
-        self.parser.feed(data)
+        self._unparsed = memoryview(data)
+        self._parse_piece()
         return True
 
+    def _parse_piece(self):
+        """Parse some of what was received."""
+        piece = self._unparsed[:PIECE_BYTES]
+        # An empty view would keep all of the bytes.
+        self._unparsed = self._unparsed[PIECE_BYTES:] or b''
+        try:
+            self.parser.feed(piece)
+        except messages.BadRequest as exc:
+            if not self.parser.requests:
+                raise
+            self._unparsed = b''
+            self._parse_error = exc
+        self._count_held_bytes()
+
+    def _count_held_bytes(self):
+        """Update the share; raise OutOfMemory if it is cut."""
+        self._resize_share()
+        if self._share.is_cut:
+            raise OutOfMemory(_OUT_OF_MEMORY)
+
+    def _resize_share(self):
+        if self._is_closed:
+            return
+        held_bytes = (
+            self.parser.count_held_bytes()
+            + len(self._unparsed)
+            + self._unsent_bytes
+        )
+        if self._active is not None:
+            held_bytes += self._active.count_held_bytes()
+        self._share.resize(held_bytes)
+
+    def _cut(self):
+        """Interrupt the greenlet that serves the connection.
+
+        That takes a while where many are to run, so what has arrived of a
+        body is dropped here.  Nothing is read after that.
+        """
+        if self.parser.current is not None:
+            self.parser.current.body = bytearray()
+        if self._task is not None and self._task is not gevent.getcurrent():
+            self._task.kill(OutOfMemory(_OUT_OF_MEMORY), block=False)
+
     @contextlib.contextmanager
     def cancel_on_disconnect(self):
-        """Raise CallerDisconnected in the block if the caller disconnects."""
+        """Raise CallerDisconnected in the block if the caller disconnects.
+
+        A response that ends with the connection is cut if the block fails.
+        """
         task = gevent.getcurrent()
         watcher = gevent.get_hub().loop.io(self._sock.fileno(), _READ_EVENT)
 
@@ -151,10 +291,17 @@
                     CallerDisconnected('closed by the caller'), block=False
                 )
 
-        watcher.start(check)
+        # Until the request is complete, reading it shows a disconnect.
+        self._watch = functools.partial(watcher.start, check)
+        if not self._is_reading:
+            self._watch()
         try:
             yield
+        except BaseException:
+            self._must_reset = self._ends_by_close
+            raise
         finally:
+            self._watch = None
             watcher.stop()
             watcher.close()
 
@@ -163,15 +310,24 @@
         self.response_started = True
         headers = [*headers, (b'Content-Length', b'%d' % len(body))]
         head = self._encode_head(status, headers)
-        self._send(head + body)
+        if len(body) <= MAX_JOINED_BYTES:
+            self._send(head + body)
+            return
+        self._send(head)
+        self._send(body)
 
     def start_chunked_response(self, status, headers):
         """Return the encoded head of a response of unknown length.
 
         Marks the response as started; the head must be sent together with the
-        first chunk.
+        first chunk.  A caller that takes no chunks gets bare bytes, up to the
+        end of the connection.
         """
         self.response_started = True
+        if not self._active.takes_chunks:
+            self._ends_by_close = True
+            self.keep_alive = False
+            return self._encode_head(status, list(headers))
         return self._encode_head(
             status, [*headers, (b'Transfer-Encoding', b'chunked')]
         )
@@ -189,10 +345,30 @@
 
     def _send(self, data):
         try:
-            self._sock.sendall(data)
+            sent = self._send_at_once(data)
+            if sent < len(data):
+                self._send_rest(data, sent)
         except OSError as exc:
             raise CallerDisconnected(f'send: {exc}') from exc
 
+    def _send_at_once(self, data):
+        """Return how many bytes the socket's buffer has taken."""
+        try:
+            return self._sock._sock.send(data)
+        except BlockingIOError:
+            return 0
+
+    def _send_rest(self, data, sent):
+        """Send what is left after `sent` bytes, as the caller reads it."""
+        try:
+            # All of it is held until the last byte is sent.
+            self._unsent_bytes = len(data)
+            self._count_held_bytes()
+            self._sock.sendall(memoryview(data)[sent:])
+        finally:
+            self._unsent_bytes = 0
+            self._resize_share()
+
     def close_if_idle(self):
         """Close the connection, unless there is a request or unread bytes.
 
@@ -204,7 +380,49 @@
             self.close()
         return self._is_closed
 
+    def has_unread_request(self):
+        """Return whether more has arrived than was answered."""
+        return bool(
+            self.parser.current
+            or self.has_queued_request()
+            or self._parse_error
+        )
+
+    def linger(self):
+        """Send nothing more, and drop what the caller still sends.
+
+        Closing a connection with unread bytes resets it, and a caller that
+        sends its request first might never see the response.
+        """
+        if self._must_reset:
+            return
+        until = self._clock.now() + LINGER_MS
+        left_bytes = LINGER_BYTES
+        if self.parser.current is not None:
+            self.parser.current.body.clear()
+        self._unparsed = b''
+        self._share.resize(0)
+        try:
+            self._sock.shutdown(std_socket.SHUT_WR)
+            while left_bytes > 0 and self._clock.now() < until:
+                self._sock.settimeout((until - self._clock.now()) / 1000)
+                received = len(self._sock.recv(RECEIVE_BYTES))
+                if not received:
+                    return
+                left_bytes -= received
+                # A caller that sends without a pause lets others run.
+                gevent.sleep(0)
+        except OSError:
+            # The caller has left, or sends nothing more.
+            return
+
     def close(self):
-        """Close the connection."""
+        """Close the connection; reset it if a response was cut."""
         self._is_closed = True
+        if self._must_reset:
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(
+                    std_socket.SOL_SOCKET, std_socket.SO_LINGER, _LINGER_NOT
+                )
+        self._share.close()
         self._sock.close()
--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -151,7 +151,7 @@
         task = gevent.getcurrent()
         self._undecided_tasks.add(task)
         try:
-            result = self._admission.admit(req)
+            result = self._admit(req, caller)
             if isinstance(result, request_context.RequestContext):
                 context = result
                 result = self._resolve_version(context)
@@ -159,6 +159,11 @@
                     result = self._reserve_and_run(context, caller)
         except _Abandoned:
             result = refusals.from_shutdown(context)
+        except caller_connections.OutOfMemory as exc:
+            caller.keep_alive = False
+            # The response must not wait for what it is to release.
+            req.body = bytearray()
+            result = refusals.from_memory_shortage(context, str(exc))
         except messages.BadRequest as exc:
             result = outcomes.Refusal(
                 exc.status, outcomes.Reason.BAD_REQUEST, str(exc)
@@ -168,10 +173,23 @@
             raise
         finally:
             self._undecided_tasks.discard(task)
-        if self._must_close(caller):
+        if self._must_close(caller) or not req.is_complete:
             caller.keep_alive = False
         self._responder.finish(req, context, caller, result)
 
+    def _admit(self, req, caller):
+        """Return the RequestContext of an accepted request, or a Refusal.
+
+        The body isn't read if the head is refused.  After it was read the
+        configuration in force may be another one.
+        """
+        if not req.is_complete:
+            refusal = self._admission.refuse_head(req)
+            if refusal is not None:
+                return refusal
+            caller.read_body(req)
+        return self._admission.admit(req)
+
     def abandon_open_requests(self):
         """Make all requests whose result isn't known yet end with a refusal.
 
@@ -253,7 +271,7 @@
         """Try targets until one succeeds or no further one may be tried."""
         outcome = None
         while True:
-            target = self._choose_target(context)
+            target = self._choose_target(context, outcome)
             if target is None:
                 break
             # It may be known to crash targets only since it was admitted.
@@ -273,15 +291,34 @@
         )
         return refusals.from_last_outcome(context, outcome, pause_ms)
 
-    def _choose_target(self, context):
+    def _choose_target(self, context, last_outcome):
+        """Return the target of the next attempt, None if there is none.
+
+        A stream that was closed goes on at a target that was tried if there is
+        no other, and at one that closed it there only at last.
+        """
         now = self._clock.now()
         if context.remaining_ms(now) < MIN_REMAINING_MS:
             return None
+        target = self._choose_among(self._list_untried(context), context, now)
+        if target is None and isinstance(last_outcome, outcomes.Closed):
+            accepting = self._list_accepting(context)
+            others = [
+                target
+                for target in accepting
+                if target.entry.id not in context.closer_ids
+            ]
+            target = self._choose_among(
+                others, context, now
+            ) or self._choose_among(accepting, context, now)
+        return target
+
+    def _choose_among(self, targets, context, now):
         service_speeds = self._speeds[context.service]
         differed = service_speeds.differ
         target = placement.choose_target(
             context.metadata,
-            self._list_untried(context),
+            targets,
             now,
             self._cfg.domain,
             self._isolations[context.service],
@@ -327,6 +364,9 @@
                 return self._retry_budget.take_retry(context.service)
         elif not context.is_repeatable():
             return False
+        elif isinstance(outcome, outcomes.Closed):
+            if not context.event_order.can_go_on():
+                return False
         if context.sent_count >= context.route.max_attempts:
             return False
         if not self._retry_budget.take_retry(context.service):
@@ -350,6 +390,7 @@
                 context, started_at, context.metadata
             )
         attempt = attempts.Attempt(
+            self._cfg,
             context,
             target,
             caller,
@@ -384,8 +425,16 @@
             self._clock.now() - started_at,
             context.event_count - events_before,
         )
+        self._count_end(outcome)
         return outcome
 
+    def _count_end(self, outcome):
+        """Count what showed that a response without a length has ended."""
+        if isinstance(outcome, outcomes.Served) and outcome.proof:
+            self._metrics.count(f'ends.proved.{outcome.proof.value}')
+        elif isinstance(outcome, outcomes.Closed):
+            self._metrics.count('ends.closed')
+
     def _acquire(self, context, target, timeout_ms):
         """Return a connection to a target; raise NotSent on failure.
 
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -183,6 +183,7 @@
         store=None,
         send_datagram=lambda address, data: None,
         members=None,
+        settings=None,
         memory_tokens=0,
         **route_options,
     ):
@@ -190,7 +191,9 @@
         if routers is None:
             routers = make_lone_router()
         self.journal = base.Recorder()
-        cfg = base.make_edge_settings(retry_slack=50)
+        cfg = base.make_edge_settings(
+            **{'retry_slack': 50, **(settings or {})}
+        )
         options = {
             'max_attempts': 2,
             'priority': 0,
@@ -283,8 +286,9 @@
         return caller
 
     def make_request(self, pairs=(), body=b'', request_id=REQUEST_ID):
-        """Return a request that a caller sends now."""
+        """Return a whole request that a caller sends now."""
         req = messages.Request()
+        req.is_head_complete = req.is_complete = True
         req.method = b'POST'
         req.url = b'/a/x'
         req.headers = [(b'host', b'desk'), (b'x-request-id', request_id)]
