--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -6,8 +6,6 @@
 and can't be completed, the connection is closed.
 """
 
-import collections
-
 import gevent
 
 from galenaspoke.core import catalog
@@ -20,20 +18,16 @@
 from galenaspoke.edge.serving import refusals
 from galenaspoke.edge.serving import request_context
 from galenaspoke.edge.serving import responses
+from galenaspoke.edge.serving import target_choice
 from galenaspoke.edge.streams import resumption as resumptions
 from galenaspoke.edge.targets import end_checks
 from galenaspoke.edge.targets import incarnations
-from galenaspoke.edge.targets import long_prompts
-from galenaspoke.edge.targets import placement
-from galenaspoke.edge.targets import speeds
 from galenaspoke.http import messages
 
 # The longest time that a request waits for its budget reservation, in ms and
 # as a share of the time that it has left, whichever is shorter.
 RESERVE_TIMEOUT_MS = 1_000
 RESERVE_TIMEOUT_SHARE = 0.25
-# With less time left than this no target could respond, so none is tried.
-MIN_REMAINING_MS = 5
 # The read timeout of an attempt that another one may follow: this share of the
 # remaining time, or this many times the route's latency target, whichever is
 # shorter.  The last attempt, and any attempt of a request that isn't
@@ -75,8 +69,7 @@
         '_recorder',
         '_resumption',
         '_incarnation_checker',
-        '_isolations',
-        '_speeds',
+        '_chooser',
         '_undecided_tasks',
     )
 
@@ -122,12 +115,9 @@
             metrics,
         )
         self.end_checker = end_checks.EndChecker(report_codec, clock, metrics)
-        # The isolation of long prompts, by service name.
-        self._isolations = collections.defaultdict(
-            long_prompts.LongPromptIsolation
+        self._chooser = target_choice.TargetChooser(
+            cfg, target_view, resumption, clock, journal
         )
-        # The speeds of targets, by service name.
-        self._speeds = collections.defaultdict(speeds.ServiceSpeeds)
         # The tasks of the requests whose result isn't known yet.
         self._undecided_tasks = set()
 
@@ -271,7 +261,7 @@
         """Try targets until one succeeds or no further one may be tried."""
         outcome = None
         while True:
-            target = self._choose_target(context, outcome)
+            target = self._chooser.choose(context, outcome)
             if target is None:
                 break
             # It may be known to crash targets only since it was admitted.
@@ -286,70 +276,9 @@
             outcome = self._run_attempt(context, target, caller)
             if isinstance(outcome, outcomes.Served):
                 return outcome
-        pause_ms = placement.compute_pause_ms(
-            self._list_accepting(context), self._clock.now()
+        return refusals.from_last_outcome(
+            context, outcome, self._chooser.compute_pause_ms(context)
         )
-        return refusals.from_last_outcome(context, outcome, pause_ms)
-
-    def _choose_target(self, context, last_outcome):
-        """Return the target of the next attempt, None if there is none.
-
-        A stream that was closed goes on at a target that was tried if there is
-        no other, and at one that closed it there only at last.
-        """
-        now = self._clock.now()
-        if context.remaining_ms(now) < MIN_REMAINING_MS:
-            return None
-        target = self._choose_among(self._list_untried(context), context, now)
-        if target is None and isinstance(last_outcome, outcomes.Closed):
-            accepting = self._list_accepting(context)
-            others = [
-                target
-                for target in accepting
-                if target.entry.id not in context.closer_ids
-            ]
-            target = self._choose_among(
-                others, context, now
-            ) or self._choose_among(accepting, context, now)
-        return target
-
-    def _choose_among(self, targets, context, now):
-        service_speeds = self._speeds[context.service]
-        differed = service_speeds.differ
-        target = placement.choose_target(
-            context.metadata,
-            targets,
-            now,
-            self._cfg.domain,
-            self._isolations[context.service],
-            service_speeds,
-        )
-        if service_speeds.differ != differed:
-            self._journal.note(
-                'targets.speeds',
-                service=context.service,
-                differ=service_speeds.differ,
-                relative=service_speeds.dump(),
-            )
-        return target
-
-    def _list_untried(self, context):
-        """Return the accepting targets that were not tried yet."""
-        return [
-            target
-            for target in self._list_accepting(context)
-            if target.entry.id not in context.tried_ids
-        ]
-
-    def _list_accepting(self, context):
-        """Return the accepting targets whose version suits a request."""
-        accepting = self._target_view.directory.list_accepting(context.service)
-        versions = self._resumption.list_versions(context)
-        if versions is None:
-            return accepting
-        return [
-            target for target in accepting if target.entry.version in versions
-        ]
 
     def _take_retry(self, context, outcome):
         """Return whether another target may be tried after `outcome`.
@@ -417,7 +346,7 @@
         finally:
             target.in_flight -= 1
             target.wait_estimator.record_end(context)
-            self._record_speed(context, target)
+            self._chooser.record_attempt(context, target)
         self._recorder.record(
             context,
             target,
@@ -447,28 +376,13 @@
             )
         return target.acquire_connection(self._clock.now(), request_id)
 
-    def _record_speed(self, context, target):
-        """Learn from an attempt how fast its target is."""
-        if not context.metadata.prompt_parts:
-            return
-        service_speeds = self._speeds[context.service]
-        service_speeds.record_prompt(context.metadata.count_shared_tokens())
-        target.pace.record(context.event_times)
-        service_speeds.record_first_event(
-            target.entry.id, context.read_tokens, context.read_ms
-        )
-
     def _may_retry(self, context):
         """Return whether a request may be sent to one more target now."""
         return (
             context.is_repeatable()
             and context.sent_count < context.route.max_attempts
             and self._retry_budget.has_retry(context.service)
-            and bool(
-                placement.filter_usable(
-                    self._list_untried(context), self._clock.now()
-                )
-            )
+            and self._chooser.has_untried(context)
         )
 
     def _read_timeout_ms(self, context):
