HTTP: modules of their own for sending, for sockets and for reading times

What sends a request is sending.Sender, the socket's options are in sockets, and what decides when a reader gives way is pacing.ReadTimer. No behaviour changes.

test_floods and test_held_responses have an account of their own: in one process after tests.http they found 157,105 bytes that shares of utils/bounded_http (of closed sockets) still held in the process's account. YieldTest names its constant in pacing now.

--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -8,8 +8,8 @@
 import gevent
 
 from galenaspoke.http import buffers
-from galenaspoke.http import connections
 from galenaspoke.http import messages
+from galenaspoke.http import sockets
 
 RECEIVE_BYTES = 65_536
 # What was received is parsed in pieces, each only once the requests of those
@@ -72,7 +72,7 @@
     )
 
     def __init__(self, sock, clock, get_limits):
-        connections.configure_socket(sock)
+        sockets.configure(sock)
         self._sock = sock
         self._clock = clock
         self._get_limits = get_limits
@@ -277,7 +277,7 @@
 
         def check():
             try:
-                is_closed = not connections.peek(self._sock)
+                is_closed = not sockets.peek(self._sock)
             except BlockingIOError:
                 return
             except OSError:
@@ -376,7 +376,7 @@
         accepted that arrives from now on.  Returns whether the connection was
         closed.
         """
-        if self.is_idle() and connections.is_open_and_empty(self._sock):
+        if self.is_idle() and sockets.is_open_and_empty(self._sock):
             self.close()
         return self._is_closed
 
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -11,26 +11,19 @@
 import socket as std_socket
 import time
 
-import gevent
 from gevent import socket
 
 from galenaspoke.http import buffers
 from galenaspoke.http import messages
+from galenaspoke.http import pacing
+from galenaspoke.http import sending
+from galenaspoke.http import sockets
 from galenaspoke.http import tcp_info
 
 # How much is read at once: of a whole body, and of anything else.  What is
 # small takes far more time than its bytes.
 BODY_RECEIVE_BYTES = 65_536
 RECEIVE_BYTES = 8_192
-# A peer that sends without a pause lets other greenlets run after this much,
-# or once what it sent has taken this long.
-YIELD_BYTES = 1_048_576
-YIELD_S = 0.005
-# The connection fails if the peer doesn't acknowledge sent data for this long.
-UNACKNOWLEDGED_TIMEOUT_MS = 3_000
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 # How many responses to other requests may come before the expected one.
 MAX_OTHER_RESPONSES = 8
 # A connection carries at most this many requests whose ids it remembers.
@@ -87,14 +80,8 @@
         '_sock',
         '_read_until',
         '_has_read_late',
-        '_unyielded_bytes',
-        '_unyielded_s',
-        '_loop_iteration',
-        '_parse_s',
-        '_latest_bytes',
-        '_pacer',
-        '_send_task',
-        '_send_error',
+        '_timer',
+        '_sender',
         '_parse_error',
         '_interrupted_why',
         '_share',
@@ -138,20 +125,8 @@
         self._read_until = None
         # Whether something was read after that.
         self._has_read_late = False
-        # Received since other greenlets could last run, and the time spent.
-        self._unyielded_bytes = 0
-        self._unyielded_s = 0.0
-        # The iteration of the event loop in which the peer was last heard, and
-        # how much came then and how long it took to parse it.
-        self._loop_iteration = None
-        self._latest_bytes = 0
-        self._parse_s = 0.0
-        self._pacer = pacer
-        # Sends what the socket buffer did not take at once.
-        self._send_task = None
-        # Why that failed.  The kernel reports an error once, so a read after
-        # it sees the end of the stream.
-        self._send_error = None
+        self._timer = pacing.ReadTimer(pacer)
+        self._sender = sending.Sender(sock)
         # Why what came last isn't valid.  What came before it still counts.
         self._parse_error = None
         # Why `interrupt` was called, empty if it wasn't.
@@ -191,42 +166,13 @@
         self.request_count += 1
         self.receive_bytes = RECEIVE_BYTES
         try:
-            sent = self._sock._sock.send(data)
-        except BlockingIOError:
-            sent = 0
+            self._sender.send(data)
         except OSError as exc:
             raise _make_loss('send', exc) from exc
-        if sent < len(data):
-            self._send_task = gevent.spawn(self._send_rest, data[sent:])
-
-    def _send_rest(self, data):
-        left = memoryview(data)
-        try:
-            while left:
-                left = left[self._send_some(left) :]
-        except BrokenPipeError:
-            # The peer had closed its side, or the greenlet that reads the
-            # response got the error.
-            pass
-        except OSError as exc:
-            self._send_error = exc
-
-    def _send_some(self, data):
-        """Return how many bytes were sent.
-
-        The socket's timeout is that of the greenlet that reads; a peer may
-        read a request for longer.
-        """
-        try:
-            return self._sock.send(data)
-        except TimeoutError as exc:
-            if exc.errno is None:
-                return 0
-            raise
 
     def is_fully_sent(self):
         """Return whether the whole request has been sent."""
-        return self._send_task is None or self._send_task.ready()
+        return self._sender.is_done()
 
     def receive(self):
         """Read and parse more; return False if the peer closed cleanly.
@@ -235,7 +181,7 @@
         """
         if self._parse_error is not None:
             raise self._parse_error
-        self._give_way()
+        self._timer.give_way()
         try:
             data = self._receive_in_time()
         except BlockingIOError:
@@ -246,14 +192,13 @@
             self._raise_if_interrupted()
             raise ResponseLost(f'receive: {exc}') from exc
         self._raise_if_interrupted()
-        if not data and self._send_error is not None:
-            raise _make_loss('send', self._send_error)
+        if not data and self._sender.error is not None:
+            raise _make_loss('send', self._sender.error)
         if not data:
             return False
         self.heard_at = time.monotonic()
         self.received_bytes += len(data)
-        self._latest_bytes = len(data)
-        self._loop_iteration = gevent.get_hub().loop.iteration
+        self._timer.begin(len(data), self.heard_at)
         try:
             self.parser.feed(data)
         except messages.BadResponse as exc:
@@ -261,37 +206,11 @@
             self._parse_error = (Flooded if is_flood else ResponseLost)(
                 f'invalid HTTP response: {exc}'
             )
-        self._parse_s = time.monotonic() - self.heard_at
+        self._timer.record_parsed()
         self._update_share()
         self._raise_if_interrupted()
         return True
 
-    def _give_way(self):
-        """Let other greenlets run if this one has worked for a while."""
-        now = time.monotonic()
-        if gevent.get_hub().loop.iteration == self._loop_iteration:
-            spent_s = now - self.heard_at
-        else:
-            # It has waited since, so other greenlets ran.
-            spent_s = self._parse_s
-            self._unyielded_s = self._unyielded_bytes = 0
-        received_bytes = self._latest_bytes
-        self._parse_s = self._latest_bytes = 0
-        self._loop_iteration = None
-        self._unyielded_s += spent_s
-        self._unyielded_bytes += received_bytes
-        if self._pacer is not None:
-            self._pacer.record(spent_s, received_bytes, now)
-            if self._pacer.is_pacing():
-                self._pacer.wait()
-                return
-        if (
-            self._unyielded_s >= YIELD_S
-            or self._unyielded_bytes >= YIELD_BYTES
-        ):
-            self._unyielded_s = self._unyielded_bytes = 0
-            gevent.sleep(0)
-
     def _raise_if_interrupted(self):
         if self._share.is_cut:
             raise HeldTooMuch('the process holds too much for its peers')
@@ -348,7 +267,7 @@
         has arrived.  Only the first such read, and the end of the stream,
         count, so that a peer can't extend the time byte by byte.
         """
-        if self._has_read_late and peek(self._sock):
+        if self._has_read_late and sockets.peek(self._sock):
             raise BlockingIOError
         self._has_read_late = True
         return self._sock._sock.recv(self.receive_bytes)
@@ -412,7 +331,7 @@
 
     def is_open_and_empty(self):
         """Return whether an idle connection is open with nothing to read."""
-        return is_open_and_empty(self._sock)
+        return sockets.is_open_and_empty(self._sock)
 
     def tcp_info(self):
         """Return the connection's TcpInfo, None if there is none."""
@@ -433,8 +352,7 @@
         What is held is dropped now: whoever handles an error may refer to it.
         A response that is whole, or was released, is its user's.
         """
-        if self._send_task is not None:
-            self._send_task.kill(block=False)
+        self._sender.close()
         if self._response is not None and not self._response.is_complete:
             self._response.drop()
         self._response = None
@@ -460,7 +378,7 @@
     except OSError as exc:
         raise NotSent(f'connect: {exc}') from exc
     sock.settimeout(None)
-    configure_socket(sock)
+    sockets.configure(sock)
     return Connection(sock, max_body_bytes, f'{host}:{port}', pacer)
 
 
@@ -468,37 +386,3 @@
     """Return the ResponseLost for a socket's error."""
     is_closed = isinstance(error, ConnectionError)
     return (PeerClosed if is_closed else ResponseLost)(f'{operation}: {error}')
-
-
-def peek(sock):
-    """Return the next byte of a gevent socket without consuming it.
-
-    Returns b'' at the end of the stream and raises BlockingIOError if there
-    is nothing to read.
-    """
-    flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
-    return sock._sock.recv(1, flags)
-
-
-def is_open_and_empty(sock):
-    """Return whether a socket is open and has nothing to read."""
-    try:
-        peek(sock)
-    except BlockingIOError:
-        return True
-    except OSError:
-        pass
-    return False
-
-
-def configure_socket(sock):
-    """Disable Nagle's algorithm and detect an unreachable peer soon."""
-    tcp = std_socket.IPPROTO_TCP
-    sock.setsockopt(tcp, std_socket.TCP_NODELAY, 1)
-    sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, std_socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(tcp, std_socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, std_socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(
-        tcp, std_socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
-    )
--- a/galenaspoke/http/pacing.py
+++ b/galenaspoke/http/pacing.py
@@ -16,6 +16,10 @@
 import gevent
 from gevent import lock
 
+# A peer that sends without a pause lets other greenlets run after this much,
+# or once what it sent has taken this long.
+YIELD_BYTES = 1_048_576
+YIELD_S = 0.005
 # Readers are paced if they took this share of the time, and read more than
 # this many bytes, within one window.
 MAX_SHARE = 0.3
@@ -78,3 +82,71 @@
             now = time.monotonic()
             if now - began_at >= BUSY_S and now < self._next_turn_at:
                 gevent.sleep(self._next_turn_at - now)
+
+
+class ReadTimer:
+    """The time that the reader of one connection spends on what it reads.
+
+    `pacer` is the Pacer of all readers of the peer, None if they aren't paced.
+    """
+
+    __slots__ = (
+        '_pacer',
+        '_unyielded_bytes',
+        '_unyielded_s',
+        '_received_at',
+        '_received_bytes',
+        '_parse_s',
+        '_loop_iteration',
+    )
+
+    def __init__(self, pacer):
+        self._pacer = pacer
+        # Received since other greenlets could last run, and the time spent.
+        self._unyielded_bytes = 0
+        self._unyielded_s = 0.0
+        # What came last: when, how much, how long it took to parse it, and in
+        # which iteration of the event loop; None once it was recorded.
+        self._received_at = 0.0
+        self._received_bytes = 0
+        self._parse_s = 0.0
+        self._loop_iteration = None
+
+    def begin(self, received_bytes, now_s):
+        """Begin to work on what has just come."""
+        self._received_at = now_s
+        self._received_bytes = received_bytes
+        self._loop_iteration = gevent.get_hub().loop.iteration
+
+    def record_parsed(self):
+        """Record that it was parsed; what follows may wait for others."""
+        self._parse_s = time.monotonic() - self._received_at
+
+    def give_way(self):
+        """Let other greenlets run if this one has worked for a while.
+
+        Call it before more is read.
+        """
+        now = time.monotonic()
+        if gevent.get_hub().loop.iteration == self._loop_iteration:
+            spent_s = now - self._received_at
+        else:
+            # It has waited since, so other greenlets ran.
+            spent_s = self._parse_s
+            self._unyielded_s = self._unyielded_bytes = 0
+        received_bytes = self._received_bytes
+        self._parse_s = self._received_bytes = 0
+        self._loop_iteration = None
+        self._unyielded_s += spent_s
+        self._unyielded_bytes += received_bytes
+        if self._pacer is not None:
+            self._pacer.record(spent_s, received_bytes, now)
+            if self._pacer.is_pacing():
+                self._pacer.wait()
+                return
+        if (
+            self._unyielded_s >= YIELD_S
+            or self._unyielded_bytes >= YIELD_BYTES
+        ):
+            self._unyielded_s = self._unyielded_bytes = 0
+            gevent.sleep(0)
--- /dev/null
+++ b/galenaspoke/http/sending.py
@@ -0,0 +1,74 @@
+"""Sends requests without waiting for a peer that reads slowly.
+
+Example::
+
+    sender = Sender(sock)
+    sender.send(b'GET / HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n')
+    sender.is_done()    # whether all of it was sent
+"""
+
+import gevent
+
+
+class Sender:
+    """Sends one request after another on one socket.
+
+    `error` is why what was sent in the background failed, None if it didn't.
+    The kernel reports an error once, so a read after it sees the end of the
+    stream.
+    """
+
+    __slots__ = ('error', '_sock', '_task')
+
+    def __init__(self, sock):
+        self.error = None
+        self._sock = sock
+        # Sends what the socket buffer did not take at once.
+        self._task = None
+
+    def send(self, data):
+        """Send a request; raise OSError if that fails at once.
+
+        What the socket buffer doesn't take is sent in the background, so that
+        an early response can be read meanwhile.
+        """
+        try:
+            sent = self._sock._sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        if sent < len(data):
+            self._task = gevent.spawn(self._send_rest, data[sent:])
+
+    def is_done(self):
+        """Return whether the whole request has been sent."""
+        return self._task is None or self._task.ready()
+
+    def close(self):
+        """Send nothing more."""
+        if self._task is not None:
+            self._task.kill(block=False)
+
+    def _send_rest(self, data):
+        left = memoryview(data)
+        try:
+            while left:
+                left = left[self._send_some(left) :]
+        except BrokenPipeError:
+            # The peer had closed its side, or the greenlet that reads the
+            # response got the error.
+            pass
+        except OSError as exc:
+            self.error = exc
+
+    def _send_some(self, data):
+        """Return how many bytes were sent.
+
+        The socket's timeout is that of the greenlet that reads; a peer may
+        read a request for longer.
+        """
+        try:
+            return self._sock.send(data)
+        except TimeoutError as exc:
+            if exc.errno is None:
+                return 0
+            raise
--- a/tests/edge/test_endless_bytes.py
+++ b/tests/edge/test_endless_bytes.py
@@ -15,6 +15,7 @@
 from galenaspoke.edge.serving import attempts
 from galenaspoke.http import connections
 from galenaspoke.http import messages
+from galenaspoke.http import pacing
 from galenaspoke.store import paths
 from tests.edge import base
 from tests.edge import handlers
@@ -381,7 +382,7 @@
         ticks = []
         gevent.spawn(ticks.append, 1)
         response = conn.read_head()
-        for _ in range(connections.YIELD_BYTES // 65_536 + 1):
+        for _ in range(pacing.YIELD_BYTES // 65_536 + 1):
             conn.receive()
             response.take_body()
         self.assertEqual([1], ticks)
--- a/tests/edge/test_floods.py
+++ b/tests/edge/test_floods.py
@@ -5,6 +5,7 @@
 
 import tracemalloc
 import unittest
+from unittest import mock
 
 import gevent
 
@@ -45,9 +46,10 @@
     """Desks whose process may hold LIMIT_BYTES for its peers."""
 
     def setUp(self):
-        account = buffers.process_account
-        self.addCleanup(setattr, account, 'limit_bytes', account.limit_bytes)
-        account.limit_bytes = LIMIT_BYTES
+        account = buffers.BufferAccount(LIMIT_BYTES)
+        patch = mock.patch.object(buffers, 'process_account', account)
+        patch.start()
+        self.addCleanup(patch.stop)
 
     def make_desk(self, engine, **options):
         """Return a Desk with one engine, `i-1`."""
--- a/tests/store/test_held_responses.py
+++ b/tests/store/test_held_responses.py
@@ -19,9 +19,10 @@
     """Calls of a process that may hold LIMIT_BYTES for its peers."""
 
     def setUp(self):
-        account = buffers.process_account
-        self.addCleanup(setattr, account, 'limit_bytes', account.limit_bytes)
-        account.limit_bytes = LIMIT_BYTES
+        account = buffers.BufferAccount(LIMIT_BYTES)
+        patch = mock.patch.object(buffers, 'process_account', account)
+        patch.start()
+        self.addCleanup(patch.stop)
         self.live = mock.Mock(wraps=liveness.Liveness())
 
     def call(self, fields, body):
