--- a/bench/flooded_router.py
+++ b/bench/flooded_router.py
@@ -20,6 +20,7 @@
 import gevent  # noqa: E402
 
 from bench import edge_fleet  # noqa: E402
+from bench import edge_machines  # noqa: E402
 from bench import processes  # noqa: E402
 from standins import flooding_engine  # noqa: E402
 from standins import platform_documents  # noqa: E402
@@ -145,7 +146,7 @@
 
 
 def _start_flood(kind, fleet, router, callers):
-    listen = f'{fleet.routers[0].ip}:{edge_fleet.ENGINE_PORT}'
+    listen = f'{fleet.routers[0].ip}:{edge_machines.ENGINE_PORT}'
     argv = [sys.executable, '-m', 'standins.flooding_engine', kind]
     argv += [listen, fleet.store.address, router, str(callers)]
     return processes.Process(
