--- a/tests/edge/test_proofs_of_bodies.py
+++ b/tests/edge/test_proofs_of_bodies.py
@@ -5,6 +5,8 @@
 
 import time
 
+from gevent import socket
+
 from galenaspoke.core import catalog
 from tests.edge import base
 from tests.edge import test_delayed_ends
@@ -125,6 +127,29 @@
             self.assertFalse(self.ask(desk)[1])
 
 
+class CutReportEngine(TimedEngine):
+    """An engine whose reports have no length, and end before their runs."""
+
+    def _send_report(self, sock):
+        self.report_count += 1
+        sock.sendall(b'HTTP/1.1 200 -\r\n\r\n{"born":%d,"Ru' % self.born)
+        sock.shutdown(socket.SHUT_RDWR)
+
+
+class CutReportTest(TimedTestCase):
+    """Reports that don't say where they end."""
+
+    engine_class = CutReportEngine
+
+    # Guards against a report that was cut, and passes for one that lists no
+    # run of the request.
+    def test_response_is_not_whole(self):
+        desk, (engine,) = self.make_desk()
+        engine.cut_at = test_endings.CUT_AFTER
+        engine.cut = lambda: None
+        self.assertFalse(self.ask(desk)[1])
+
+
 class QueueTest(TimedTestCase):
     """An early connection that leads to the next process."""
 
