Edge router: a report without a length that can't be read proves no end

Callers saw (by test): a body that its target closed early was told whole if the target's report, which has no length, was cut before its list of runs.

Cause: an absence taken for a statement once more. What can't be read of a report counted as a report that doesn't list the request.

Now a report with status 200 that has no length and can't be read counts as none, and the target is asked again. Reports that state their end, and refusals to report, count as before.

tests.edge.test_proofs_of_bodies.CutReportTest failed on the merged code without this change (1 of 11) and passes; 129 tests of ten modules of endings, closed streams, floods and memory pass (4 listed ones skipped).

--- a/galenaspoke/edge/targets/end_checks.py
+++ b/galenaspoke/edge/targets/end_checks.py
@@ -20,6 +20,7 @@
 
 from galenaspoke.http import connections
 
+HTTP_OK = 200
 # What a target says of its work may be some hundred ms old, so it is asked
 # again after a pause, for this long in all.
 ASK_INTERVAL_S = 0.1
@@ -242,7 +243,11 @@
             body = conn.read_body(response, may_end_by_close=True)
         finally:
             conn.close()
-        return self._report_codec.decode(response.status, body)
+        report = self._report_codec.decode(response.status, body)
+        is_cut = not response.is_framed and not report.is_readable
+        if response.status == HTTP_OK and is_cut:
+            raise connections.PeerClosed('the report may be cut off')
+        return report
 
     def _is_new(self, report):
         """Return whether a process says that it started after the sending.
