--- a/galenaspoke/ctl/timelines.py
+++ b/galenaspoke/ctl/timelines.py
@@ -20,6 +20,7 @@
     'NotRun': 'it certainly did not run there',
     'Unknown': 'it may have run there',
     'Failure': 'it ran there and failed',
+    'Closed': 'it ran there, and the target lives',
 }
 _REASON_TEXTS = {
     'unknown_route': 'no route matches its host and path',
