Agents: a hand-over's messages are bounded by the text of their records

What callers would have seen: the bound on messages of the commit before refuses a hand-over of 200 records with long answers (4 MB each at most), and their requests may run again at the next home.

Change: a message has 200 records or 4 million characters of their pieces.

--- a/galenaspoke/fleet/registries.py
+++ b/galenaspoke/fleet/registries.py
@@ -10,6 +10,8 @@
 
 HAND_OVER_TIMEOUT_MS = 2000
 HAND_OVER_BATCH = 200
+# The text of a batch; as UTF-8 it has at most four times as many bytes.
+HAND_OVER_BATCH_CHARS = 4_000_000
 
 
 class HolderUnreadable(store_client.StoreError):
@@ -46,8 +48,7 @@
     for (address, incarnation), batch in batches.items():
         channel = transport.Channel(address)
         try:
-            for start in range(0, len(batch), HAND_OVER_BATCH):
-                part = batch[start : start + HAND_OVER_BATCH]
+            for part in _split(batch):
                 reply = channel.unary(
                     methods.HAND_OVER,
                     messages.HandOver(incarnation, leaving_agent_id, part),
@@ -64,6 +65,21 @@
     return taken
 
 
+def _split(batch):
+    """Yield the records in parts that fit into a message each."""
+    part, chars = [], 0
+    for record in batch:
+        record_chars = sum(map(len, record.pieces))
+        is_full = chars + record_chars > HAND_OVER_BATCH_CHARS
+        if part and (is_full or len(part) == HAND_OVER_BATCH):
+            yield part
+            part, chars = [], 0
+        part.append(record)
+        chars += record_chars
+    if part:
+        yield part
+
+
 def update(store, service, change):
     """Update a service's registry in the store.
 
--- a/galenaspoke/rpc/transport.py
+++ b/galenaspoke/rpc/transport.py
@@ -28,7 +28,7 @@
 # time-out goes on while it waits.
 _MAX_QUEUED_REPLIES = 16_384
 _QUEUE_POLL_S = 0.005
-MAX_MESSAGE_BYTES = 16_777_216
+MAX_MESSAGE_BYTES = 67_108_864
 # How long a request may take to come in once its call has begun.
 RECEIVE_TIMEOUT_S = 30
 
--- a/tests/rpc/test_endless_messages.py
+++ b/tests/rpc/test_endless_messages.py
@@ -15,7 +15,8 @@
 from galenaspoke.rpc import transport
 from tests.rpc import test_cut_calls
 
-LARGE = test_cut_calls.Reply('x' * transport.MAX_MESSAGE_BYTES)
+MAX_BYTES = 1_000_000
+LARGE = test_cut_calls.Reply('x' * MAX_BYTES)
 SMALL = test_cut_calls.Reply('x')
 TIMEOUT_MS = 20_000
 
@@ -24,6 +25,9 @@
     """Calls of a server of this process."""
 
     def setUp(self):
+        patcher = mock.patch.object(transport, 'MAX_MESSAGE_BYTES', MAX_BYTES)
+        patcher.start()
+        self.addCleanup(patcher.stop)
         with socket.create_server(('127.0.0.1', 0)) as sock:
             self.address = f'127.0.0.1:{sock.getsockname()[1]}'
         self.reply = LARGE
