Agents: an interim response doesn't leave its bytes in the account

What callers would have seen: after some 2,000 interim responses of a faulty peer the account of a process (33 MB) is full of bytes that nobody holds, and every exchange is cut, or the account finds no share to cut.

Cause: geventhttpclient takes the end of an interim response (100) for the end of the exchange, gives the socket back to its pool, and reads on. The share was closed by then and stated bytes again. In the store's client the socket could also be given to another request while the late response was still to come.

Change: a socket that was given back is closed when it is read on, and the exchange fails as a broken connection. No client here asks for an interim response; one that comes in one piece with the response is still skipped.

Found by test_sum_of_answers after test_cut_heads in one process (42,417 bytes).

--- a/galenaspoke/utils/bounded_http.py
+++ b/galenaspoke/utils/bounded_http.py
@@ -77,6 +77,7 @@
         self._deadline_ms = deadline_ms
         self._share = buffers.process_account.open(owner, self.close)
         self._turn_started_at = _clock.now()
+        self._is_over = False
         self._accept(HEAD_BYTES)
 
     def _accept(self, size):
@@ -94,10 +95,16 @@
 
     def end_response(self):
         """Hold nothing more."""
+        self._is_over = True
         self._share.close()
 
     def recv(self, *args):
         """Receive as `socket.recv`; raises AnswerTooLarge."""
+        if self._is_over:
+            # The library gives a socket back at the end of an interim
+            # response, and reads on.
+            self.close()
+            raise ConnectionError('no response after an interim one')
         self._limit_wait()
         data = super().recv(*args)
         self._received_bytes += len(data)
--- a/tests/http/test_endless_answers.py
+++ b/tests/http/test_endless_answers.py
@@ -15,6 +15,7 @@
 from galenaspoke.conf import definitions
 from galenaspoke.ctl import state_dumps
 from galenaspoke.engine import client as engine
+from galenaspoke.http import buffers
 from galenaspoke.roster import client as roster
 from galenaspoke.store import base as store_base
 from galenaspoke.store import client as store_client
@@ -94,6 +95,7 @@
                         resp.read()
                 self.assertTrue(found.exception.sent)
                 self.assertLess(self.sent_bytes, SOCKET_BYTES)
+                self.assertEqual(0, buffers.process_account.held_bytes)
 
     # Guards against an exchange that goes on as long as a peer drips bytes.
     def test_drip(self):
@@ -214,3 +216,4 @@
                         self.sent_bytes,
                         store_client.MAX_RESPONSE_BYTES + SOCKET_BYTES,
                     )
+                    self.assertEqual(0, buffers.process_account.held_bytes)
