Agents: a failed exchange closes its connection at once

Cause: a stream that fails for what its lines say (a piece too many, no JSON) left its connection to the garbage collector, so it stayed open, and its bytes in the account, as long as the failure was remembered.

Change: an exchange releases its response at its end.

--- a/galenaspoke/utils/http.py
+++ b/galenaspoke/utils/http.py
@@ -85,6 +85,7 @@
         limits=limits,
         deadline_ms=_clock.now() + timeout_s * 1000,
     )
+    resp = None
     try:
         resp = http_client.request('POST' if body else 'GET', path, body)
         if resp.status_code != 200:
@@ -96,4 +97,6 @@
     except (*TRANSPORT_ERRORS, decoding.Unreadable) as exc:
         raise TargetFailed(f'{path}: {exc!r}', True) from exc
     finally:
+        if resp is not None:
+            resp.release()
         http_client.close()
--- a/tests/http/test_endless_answers.py
+++ b/tests/http/test_endless_answers.py
@@ -54,6 +54,7 @@
         self.start = self.piece = b''
         self.pause_s = 0
         self.sent_bytes = 0
+        self.is_closed = False
         self.server = server.StreamServer(('127.0.0.1', 0), self.serve)
         self.server.start()
         self.addCleanup(self.server.stop, timeout=0)
@@ -70,7 +71,7 @@
                 self.sent_bytes += len(self.piece)
                 gevent.sleep(self.pause_s)
         except OSError:
-            pass
+            self.is_closed = True
         finally:
             sock.close()
 
@@ -179,6 +180,24 @@
         self.piece = b'{"piece":"x"}\n' * 100
         self.assertEqual(['x'] * (self.MAX_TOKENS - 1), self.generate())
 
+    # Guards against a connection that stays open as long as its failure is
+    # remembered.
+    def test_connection_of_a_failed_stream(self):
+        self.start = OK + b'\r\n'
+        self.piece = b'{"piece":"x"}\n' * 100
+        req = types.SimpleNamespace(
+            key='k', budget='b', prompt='p', priority=5
+        )
+        failure = None
+        try:
+            list(engine.generate(self.url, req, 'd', 2, ['a'], TIMEOUT_S))
+        except http.TargetFailed as exc:
+            failure = exc
+        with gevent.Timeout(5):
+            while not self.is_closed:
+                gevent.sleep(0.01)
+        self.assertTrue(failure.sent)
+
     # Guards against a line that is kept however long it is.
     def test_line_without_end(self):
         self.start = OK + b'\r\n{"piece":"'
