Peers: bodies that they send us are bounded, datagrams give way

Cause: the applications that relay, feed and lend read a body whole; the loop of datagrams gave way only when the socket was empty.

Tests with an input that knew only `read()` have a file now, as the server gives one; what they check is the same.

What a peer may send as a head (pywsgi: 100 lines of 64 KB), and bodies that pywsgi drops after an answer, aren't bounded by us.

--- a/galenaspoke/edge/membership/datagrams.py
+++ b/galenaspoke/edge/membership/datagrams.py
@@ -8,13 +8,18 @@
     datagrams.run(lambda data, address: None)     # never returns
 """
 
+import time
+
 import gevent
 from gevent import socket
 
 from galenaspoke.edge import settings as edge_settings
+from galenaspoke.http import turns
 from galenaspoke.utils import addresses
 
 RECEIVE_BYTES = 65_536
+# What receiving one takes at least.
+RECEIVE_S = 0.000_02
 # After an error of the socket.
 RETRY_INTERVAL_S = 0.1
 
@@ -51,7 +56,11 @@
             pass
 
     def run(self, handle):
-        """Call `handle(data, address)` for each datagram; never returns."""
+        """Call `handle(data, address)` for each datagram; never returns.
+
+        Others run in between, however many come.
+        """
+        work = turns.Work(turns.Turns())
         while True:
             try:
                 data, (host, port) = self._sock.recvfrom(RECEIVE_BYTES)
@@ -59,4 +68,6 @@
                 # An earlier datagram could not be delivered.
                 gevent.sleep(RETRY_INTERVAL_S)
                 continue
+            started_at = time.monotonic()
             handle(data, f'{host}:{port}')
+            work.record(time.monotonic() - started_at + RECEIVE_S)
--- a/galenaspoke/edge/money/loan_protocol.py
+++ b/galenaspoke/edge/money/loan_protocol.py
@@ -20,6 +20,7 @@
 from galenaspoke.edge.money import reservations
 from galenaspoke.http import connections
 from galenaspoke.http import messages
+from galenaspoke.http import wsgi_bodies
 from galenaspoke.utils import addresses
 from galenaspoke.utils import decoding
 
@@ -29,7 +30,8 @@
 # Longer than `lending.LEND_TIMEOUT_MS`, the time that a lender waits for the
 # ledger.
 RESPONSE_TIMEOUT_S = 0.35
-# The longest response.
+# The longest request and response.
+MAX_MESSAGE_BYTES = 65_536
 MAX_RESPONSE_BYTES = 65_536
 # Idle connections kept for each address.
 MAX_IDLE_CONNECTIONS = 4
@@ -173,8 +175,10 @@
         message_type, handle = handlers[environ['PATH_INFO']]
         try:
             message = decoding.decode_json(
-                environ['wsgi.input'].read(), message_type
+                wsgi_bodies.read(environ, MAX_MESSAGE_BYTES), message_type
             )
+        except wsgi_bodies.TooLong:
+            return wsgi_bodies.refuse(start_response)
         except decoding.Unreadable:
             start_response('400 Bad Request', [('Content-Length', '0')])
             return [b'']
--- a/galenaspoke/store/relaying.py
+++ b/galenaspoke/store/relaying.py
@@ -18,6 +18,7 @@
 import gevent
 
 from galenaspoke.http import connections
+from galenaspoke.http import wsgi_bodies
 from galenaspoke.store import incoming
 from galenaspoke.store import paths
 
@@ -116,7 +117,10 @@
         query = environ['QUERY_STRING']
         if query:
             url_path = f'{url_path}?{query}'
-        body = environ['wsgi.input'].read()
+        try:
+            body = wsgi_bodies.read(environ)
+        except wsgi_bodies.TooLong:
+            return wsgi_bodies.refuse(start_response)
         content, headers, transfer = b'', [], None
         try:
             response, transfer = begin(
--- a/tests/edge/test_prepaid_restarts.py
+++ b/tests/edge/test_prepaid_restarts.py
@@ -4,6 +4,7 @@
 write to the ledger has an unknown outcome.
 """
 
+import io
 import unittest
 
 import gevent
@@ -232,13 +233,12 @@
 
     def test_malformed_request_is_refused(self):
         statuses = []
-
-        class Body:
-            def read(self):
-                return b'garbage'
-
+        environ = {
+            'PATH_INFO': loan_protocol.LEND_PATH,
+            'wsgi.input': io.BytesIO(b'garbage'),
+        }
         loan_protocol.make_lending_app(self.fleet.managers['a'])(
-            {'PATH_INFO': loan_protocol.LEND_PATH, 'wsgi.input': Body()},
+            environ,
             lambda status, _: statuses.append(status),
         )
         self.assertEqual(['400 Bad Request'], statuses)
--- a/tests/edge/test_store_calls.py
+++ b/tests/edge/test_store_calls.py
@@ -4,6 +4,7 @@
 through feeders, and borrowers need not read the ledger to find a lender.
 """
 
+import io
 import types
 import unittest
 
@@ -156,7 +157,7 @@
             'PATH_INFO': '/feed/objects/servers',
             'QUERY_STRING': 'Watch=7',
             'REQUEST_METHOD': 'GET',
-            'wsgi.input': types.SimpleNamespace(read=lambda: b''),
+            'wsgi.input': io.BytesIO(),
         }
         app(environ, lambda status, _: statuses.append(status))
         self.assertEqual(['/objects/servers?Watch=7'], self.calls)
--- a/tests/edge/test_store_from_copy.py
+++ b/tests/edge/test_store_from_copy.py
@@ -5,6 +5,7 @@
 another era than the one they were meant for.
 """
 
+import io
 import unittest
 from unittest import mock
 
@@ -148,7 +149,7 @@
             'PATH_INFO': '/store/objects/config',
             'QUERY_STRING': '',
             'REQUEST_METHOD': 'GET',
-            'wsgi.input': type('Body', (), {'read': lambda _: b''})(),
+            'wsgi.input': io.BytesIO(),
         }
         app(environ, lambda _, headers: received.extend(headers))
         self.assertIn(('store-era', '1'), received)
--- a/tests/edge/test_store_partition.py
+++ b/tests/edge/test_store_partition.py
@@ -4,6 +4,7 @@
 sent a second time.
 """
 
+import io
 import signal
 import types
 import unittest
@@ -127,7 +128,7 @@
             'PATH_INFO': '/store/objects/ledger/0000',
             'QUERY_STRING': '',
             'REQUEST_METHOD': 'PUT',
-            'wsgi.input': types.SimpleNamespace(read=lambda: b'{}'),
+            'wsgi.input': io.BytesIO(b'{}'),
         }
         relaying.make_relay_app(direct, ())(
             environ, lambda status, _: statuses.append(status)
@@ -165,7 +166,7 @@
             'PATH_INFO': '/store/objects/ledger/0000',
             'QUERY_STRING': '',
             'REQUEST_METHOD': method,
-            'wsgi.input': types.SimpleNamespace(read=lambda: b'{}'),
+            'wsgi.input': io.BytesIO(b'{}'),
         }
         self.app(environ, lambda status, _: statuses.append(status))
         return statuses[0].split()[0]
