Callers: streams that are relayed without a pause take turns, too

Cause: relaying gave way only once a socket was full or empty.

Change: what is relayed counts as work, 50 ns a byte, so a stream waits for its turn after 40 KB. Half a per cent of the time is free for each connection: streams below 100 KB/s never wait.

tests.edge.test_busy_callers.BusyStreamTest failed on the code before (3.9 MB sent before another greenlet ran, now less than 1.5).

--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -18,6 +18,8 @@
 PIECE_BYTES = 8_192
 # The work of a request that was sent before the response to the one ahead.
 PIPELINED_REQUEST_S = 0.001
+# The work of relaying a byte of a stream.
+RELAYED_BYTE_S = 0.000_000_05
 # The event loop's flag for a readable socket.
 _READ_EVENT = 1
 # A caller that takes nothing of its response for so long is cut off.
@@ -330,8 +332,9 @@
         )
 
     def send(self, data):
-        """Send bytes that are already encoded."""
+        """Send bytes of a stream that are already encoded; may wait."""
         self._send(data)
+        self._work.record(RELAYED_BYTE_S * len(data))
 
     def _send(self, data):
         try:
--- a/galenaspoke/http/turns.py
+++ b/galenaspoke/http/turns.py
@@ -13,11 +13,15 @@
     work.record(time.monotonic() - started_at)     # may wait
 """
 
+import time
+
 import gevent
 from gevent import lock
 
 # How long a greenlet may work before it waits for its turn.
 SLICE_S = 0.002
+# The share of the time that a greenlet may work without ever waiting.
+FREE_SHARE = 0.005
 # What takes longer was mostly the work of other processes.
 MAX_SPENT_S = 0.01
 # How much longer than it has worked a greenlet lets others run.
@@ -41,11 +45,13 @@
 class Work:
     """How much one greenlet has worked since it last waited for a turn."""
 
-    __slots__ = ('_turns', '_spent_s')
+    __slots__ = ('_turns', '_spent_s', '_recorded_at')
 
     def __init__(self, turns):
         self._turns = turns
         self._spent_s = 0
+        # By the monotonic clock, in s.
+        self._recorded_at = time.monotonic()
 
     def begin(self):
         """Begin a task that doesn't have to wait at first."""
@@ -53,7 +59,10 @@
 
     def record(self, spent_s):
         """Record work; wait for a turn if it becomes too much."""
-        self._spent_s += spent_s
+        now = time.monotonic()
+        free_s = FREE_SHARE * (now - self._recorded_at)
+        self._recorded_at = now
+        self._spent_s = max(0, self._spent_s - free_s) + spent_s
         if self._spent_s > SLICE_S:
             spent_s, self._spent_s = self._spent_s, 0
             self._turns.wait(spent_s)
--- a/tests/edge/test_busy_callers.py
+++ b/tests/edge/test_busy_callers.py
@@ -77,3 +77,32 @@
     def test_tiny_requests(self):
         self.flood(b'', b'GET / HTTP/1.1\r\nHost: a\r\n\r\n' * 2_000)
         self.check_others_run()
+
+
+class BusyStreamTest(unittest.TestCase):
+    """Streams of which there is always more to send."""
+
+    EVENTS = bytes(20_000)
+
+    def send(self, local):
+        caller = caller_connections.CallerConnection(
+            local, clock.Clock(), catalog.Limits
+        )
+        with contextlib.closing(caller):
+            while True:
+                caller.send(self.EVENTS)
+                self.sent_bytes += len(self.EVENTS)
+
+    # Guards against streams that fill the buffers of their sockets while
+    # nobody else is served.
+    def test_others_run(self):
+        self.sent_bytes = most_sent = 0
+        for _ in range(CONNECTIONS):
+            local, _ = base.make_tcp_pair(self)
+            self.addCleanup(gevent.spawn(self.send, local).kill)
+        for _ in range(300):
+            self.sent_bytes = 0
+            gevent.sleep(0)
+            most_sent = max(most_sent, self.sent_bytes)
+        self.assertGreater(most_sent, 0)
+        self.assertLess(most_sent, 1_500_000)
