--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -21,6 +21,8 @@
 MAX_JOINED_BYTES = 65_536
 # The work of a request that was sent before the response to the one ahead.
 PIPELINED_REQUEST_S = 0.001
+# The work of relaying a byte of a stream.
+RELAYED_BYTE_S = 0.000_000_05
 # A caller that takes nothing of its response for so long is cut off.
 SEND_PAUSE_MS = 10_000
 # The event loop's flag for a readable socket.
@@ -374,8 +376,9 @@
         )
 
     def send(self, data):
-        """Send bytes that are already encoded."""
+        """Send bytes of a stream that are already encoded; may wait."""
         self._send(data)
+        self._work.record(RELAYED_BYTE_S * len(data))
 
     def _send(self, data):
         try:
