--- a/bench/flooded_router.py
+++ b/bench/flooded_router.py
@@ -30,6 +30,7 @@
 WELL_PAUSE_S = 0.2
 WELL_TIMEOUT_S = 10
 SETTLE_S = 1.0
+START_TIMEOUT_S = 30
 KB = 1024
 
 
@@ -68,6 +69,12 @@
                 self.failures += 1
             gevent.sleep(WELL_PAUSE_S)
 
+    def wait_until_served(self):
+        """Wait until the router knows the engine that is well."""
+        with gevent.Timeout(START_TIMEOUT_S):
+            while not self._call('start'):
+                gevent.sleep(WELL_PAUSE_S)
+
     def _call(self, number):
         fields = platform_documents.make_request_headers(
             f'{self.name}.{number}', WELL_TIMEOUT_S * 1000
@@ -117,7 +124,7 @@
         well = [
             WellCaller(address, f'w{number}') for number in range(WELL_CALLERS)
         ]
-        gevent.sleep(1)
+        well[0].wait_until_served()
         if kind:
             flood = _start_flood(kind, fleet, address, callers)
             gevent.sleep(1.5)
