HTTP: the pause of a paced peer is bounded

Seen (by test): a peer whose readers take all of the processor for 10 s, while nobody else wants it, leaves a debt of 13.4 s; the reader whose turn comes when others get busy sleeps for it, and all other readers of the peer, those of sound streams and of proofs of an end included, wait behind it.

Cause: each record adds to the time of the next turn, paced or not, and nothing takes it back where no one waits.

Now a pause is at most MAX_PAUSE_S. tests.http.test_long_pauses failed before (13.43 s) and passes; 26 tests of it, test_pacing and test_floods pass.

--- a/galenaspoke/http/pacing.py
+++ b/galenaspoke/http/pacing.py
@@ -27,6 +27,8 @@
 WINDOW_S = 1.0
 # How long they are paced then.
 PACED_S = 2.0
+# The longest pause before a turn.
+MAX_PAUSE_S = 1.0
 # Others wait for the processor if they keep it for this long.
 BUSY_S = 0.005
 
@@ -68,7 +70,9 @@
         ):
             self._paced_until = now_s + PACED_S
         pause_s = spent_s * (1 / MAX_SHARE - 1)
-        self._next_turn_at = max(self._next_turn_at, now_s) + pause_s
+        self._next_turn_at = min(
+            max(self._next_turn_at, now_s) + pause_s, now_s + MAX_PAUSE_S
+        )
 
     def is_pacing(self):
         """Return whether readers are paced now."""
