Responses without a length: a target that said in a response that it leaves hasn't crashed

Cause: EndCheck knew of leaving by the entry alone, so a target that said it in a response's header and exited after its last one counted as crashed, and the request as its cause (found by the review, by reading). Test: BlamedByHeaderTest failed on the code before.

--- a/galenaspoke/edge/targets/end_checks.py
+++ b/galenaspoke/edge/targets/end_checks.py
@@ -273,7 +273,7 @@
 
         A target that leaves ends by itself: nothing has brought it down.
         """
-        is_leaving = self._target.entry.leaving or self._target.is_removed
+        is_leaving = self._target.is_leaving or self._target.is_removed
         error = (
             connections.ResponseLost if is_leaving else connections.PeerClosed
         )
--- a/tests/edge/test_endings_review.py
+++ b/tests/edge/test_endings_review.py
@@ -281,6 +281,14 @@
         desk.target_view.directory.put(entry, desk.clock.now())
 
 
+class BlamedByHeaderTest(BlamedRequestTest):
+    """The same where the engines announce it in an earlier response."""
+
+    def _announce(self, desk, number):
+        target = desk.target_view.directory.get(f'i-{number}')
+        desk.target_view.directory.mark_leaving(target, desk.clock.now())
+
+
 class ClearedRequestTest(ReviewTestCase):
     """Requests that are served between two crashes of engines."""
 
