--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -445,8 +445,10 @@
         self._share.resize(0)
         try:
             self._sock.shutdown(std_socket.SHUT_WR)
-            while left_bytes > 0 and self._clock.now() < until:
-                self._sock.settimeout((until - self._clock.now()) / 1000)
+            while (
+                left_bytes > 0 and (left_ms := until - self._clock.now()) > 0
+            ):
+                self._sock.settimeout(left_ms / 1000)
                 received = len(self._sock.recv(RECEIVE_BYTES))
                 if not received:
                     return
