--- a/galenaspoke/utils/bounded_http.py
+++ b/galenaspoke/utils/bounded_http.py
@@ -93,6 +93,13 @@
         self._accepted_line_bytes = limits.line_bytes
         self._held_bytes = 0
 
+    def close(self):
+        """Close the socket; it holds nothing any more."""
+        # It has no share until a response begins.
+        if hasattr(self, '_share'):
+            self._share.close()
+        super().close()
+
     def end_response(self):
         """Hold nothing more."""
         self._is_over = True
--- a/tests/http/test_buffers.py
+++ b/tests/http/test_buffers.py
@@ -1,13 +1,35 @@
 """The bound on the bytes that a process holds for its peers."""
 
+import socket
 import unittest
+from unittest import mock
 import weakref
 
 from galenaspoke.http import buffers
+from galenaspoke.utils import bounded_http
 
 LIMIT_BYTES = 1_000
 
 
+class ExchangeTest(unittest.TestCase):
+    """Shares of the exchanges of the agents' fleet."""
+
+    # Guards against a share that outlives its connection, if nobody ends the
+    # response that came on it.
+    def test_closed_socket_holds_nothing(self):
+        account = buffers.BufferAccount()
+        local, remote = socket.socketpair()
+        self.addCleanup(remote.close)
+        sock = bounded_http._Socket(fileno=local.detach())
+        with mock.patch.object(buffers, 'process_account', account):
+            sock.begin_response('peer', None)
+        remote.sendall(b'HTTP/1.1 200 OK')
+        sock.recv(100)
+        self.assertEqual(15, account.held_bytes)
+        sock.close()
+        self.assertEqual(0, account.held_bytes)
+
+
 class BufferAccountTest(unittest.TestCase):
     """Shares of several owners."""
 
