--- a/galenaspoke/http/buffers.py
+++ b/galenaspoke/http/buffers.py
@@ -28,26 +28,35 @@
     `is_cut` is set once it was taken away.  It counts for nothing then.
     """
 
-    __slots__ = ('owner', 'held_bytes', 'is_cut', '_account', '_on_cut')
+    __slots__ = (
+        'owner',
+        'held_bytes',
+        'is_cut',
+        '_is_closed',
+        '_account',
+        '_on_cut',
+    )
 
     def __init__(self, account, owner, on_cut):
         self.owner = owner
         self.held_bytes = 0
         self.is_cut = False
+        self._is_closed = False
         self._account = account
         self._on_cut = on_cut
 
     def resize(self, held_bytes):
         """State how many bytes the connection holds now."""
-        if self.is_cut or held_bytes == self.held_bytes:
+        if self._is_closed or held_bytes == self.held_bytes:
             return
         difference = held_bytes - self.held_bytes
         self.held_bytes = held_bytes
         self._account.record(self, difference)
 
     def close(self):
-        """End the share; it may be closed more than once."""
+        """End the share; it counts for nothing from now on."""
         self.resize(0)
+        self._is_closed = True
 
     def cut(self):
         """Take the share away and tell its connection."""
--- a/tests/http/test_buffers.py
+++ b/tests/http/test_buffers.py
@@ -71,6 +71,13 @@
         self.assertEqual(0, self.account.held_bytes)
         self.assertEqual(['first'], self.cut)
 
+    # Guards against what a reader that is still running states too late.
+    def test_closed_share_stays_closed(self):
+        share = self.open('first', 'i-1')
+        share.close()
+        share.resize(500)
+        self.assertEqual(0, self.account.held_bytes)
+
     # Guards against connections that stay in memory because of their shares.
     def test_shares_that_hold_nothing_are_forgotten(self):
         share = self.open('first', 'i-1')
