--- a/bench/floods.py
+++ b/bench/floods.py
@@ -67,6 +67,17 @@
             f' slowest {self.answers.slowest_s:.2f} s{ended}'
         )
 
+    def to_document(self, case):
+        """Return all of it for JSON."""
+        return {
+            'case': case,
+            'before_mb': self.before_mb,
+            'peak_mb': self.peak_mb,
+            'after_mb': self.after_mb,
+            'answers': self.answers.count,
+            'died': self.exit_code is not None,
+        }
+
 
 class Site:
     """A router, its store and two engines."""
@@ -215,16 +226,21 @@
 )
 @click.option('--seconds', default=6.0)
 @click.option('--callers', default=100)
+@click.option('--report', default=None, help='A file for the results.')
 @click.option('--keep/--no-keep', default=False, help='Keep all logs.')
-def main(product, cases, seconds, callers, keep):
+def main(product, cases, seconds, callers, report, keep):
     """Print a line for each case."""
+    documents = []
     for case in cases or CASES:
         directory = tempfile.mkdtemp(prefix=f'galenaspoke-flood-{case}-')
         result = measure(product, case, seconds, callers, directory)
         logs = f', logs in {directory}' if keep else ''
         print(result.describe(case) + logs, flush=True)
+        documents.append(result.to_document(case))
         if not keep:
             shutil.rmtree(directory)
+    if report:
+        pathlib.Path(report).write_text(json.dumps(documents))
 
 
 if __name__ == '__main__':
