--- a/tests/edge/test_memory_of_callers.py
+++ b/tests/edge/test_memory_of_callers.py
@@ -193,5 +193,7 @@
         remote = self.connect(self.REQUEST)
         received = 0
         while received < self.RESPONSE_BYTES:
-            received += len(remote.recv(65_536))
+            data = remote.recv(65_536)
+            self.assertTrue(data, 'cut off')
+            received += len(data)
         base.wait_until(lambda: not self.account.held_bytes)
