Streams without a length: an event counts as one token, not as the most it may hold

What callers saw: a stream that a living engine closed early was told whole (ORDER). Cause: a most was taken for a measure. All output that a request allows counted as come once events times Stride reached it; Stride says how much an event may hold, and nothing says that it does. Change: each event holds at least one token, so only as many events as tokens are all output. What is charged stays: there the most is the safe side. The test of an unframed stream that is whole now allows two tokens for its two events; it allowed 60, with 30 an event, which is no proof. Conclusion: this proof holds whatever events hold. Where they hold several, it is rarely reached, and whole streams need another one.

--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -77,10 +77,10 @@
 def _has_most(context):
     """Return whether all output that the request allows has come.
 
-    How many events came before those of this response isn't known.
+    Each event holds at least one token; how many it holds at most says nothing
+    of what came.  How many came before those of this response isn't known.
     """
     metadata = context.metadata
     if metadata.is_resumption() or not metadata.output_tokens:
         return False
-    tokens = context.output_count * context.event_tokens
-    return tokens >= metadata.output_tokens
+    return context.output_count >= metadata.output_tokens
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -4,6 +4,7 @@
 must never look complete.
 """
 
+import dataclasses
 import itertools
 import re
 import unittest
@@ -240,8 +241,11 @@
         self.assertIsInstance(outcome, outcomes.Unknown)
 
     def test_unframed_stream_ends_with_its_connection(self):
-        # Two events are all the output that the request allows.
-        self.context.event_tokens = self.context.metadata.output_tokens // 2
+        # Two events are all the output that the request allows, since each
+        # holds at least one token.
+        self.context.metadata = dataclasses.replace(
+            self.context.metadata, output_tokens=2
+        )
         outcome = self.run_attempt(
             UNFRAMED_HEAD, encode_event(1), encode_event(2), read_request=True
         )
