Streams without a length: a second run confirms an end only by what it sends

What callers saw: a stream that two living engines closed early, one after another, was told whole (ORDER), whatever Stride is. A second engine, asked to go on after the last event, confirmed the end by closing without an event; one that closes early before its first event does just that. Change: once a target has closed a stream, the next one is asked for the last event again. It confirms the end only if it sends exactly these bytes, and nothing else, before it closes too. One that sends nothing, or another event with that id, neither confirms an end nor counts as one that has closed there. New: the confirmed end, also of one event, and an event with the same id that ends elsewhere. Conclusion: what remains is an engine that closes by chance right after that one event. The price: one event more of work for each second run, and a caller that resumes a stream of which no engine has anything left is told broken.

--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -53,7 +53,8 @@
 
     Its target lives and doesn't work on the request any more.  MOST: all
     output that the request allows has come.  SECOND_RUN: another target, asked
-    to go on after the last event, has nothing to add.  ALIVE: nothing else.
+    for the last event again, has sent that and nothing else, and closed the
+    stream as well.  ALIVE: nothing else.
     """
 
     MOST = 'most'
--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -165,7 +165,7 @@
             self._target.entry.id,
             context.deadline - self._clock.now(),
             context.priority(),
-            context.last_event_id,
+            stream_ends.find_resumption_id(context),
         )
         if req.body or req.method not in (b'GET', b'HEAD'):
             headers.append((b'Content-Length', b'%d' % len(req.body)))
@@ -274,7 +274,7 @@
             if too_many := limits.exceeded_by(events):
                 raise connections.Flooded(too_many)
             undelivered = order.select(events)
-            run.record(events, undelivered)
+            run.record(events)
             if undelivered:
                 self._relay_events(response, undelivered)
             if end_check is not None:
@@ -308,7 +308,7 @@
                 self._cfg, self._context, self._target, run
             )
             if proof is None:
-                if run.is_at_end():
+                if run.is_at_end(order):
                     self._context.record_closed(self._target)
                 return outcomes.Closed()
         is_chunked = self._context.req.takes_chunks
--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -2,48 +2,50 @@
 
 A target that lives may close such a stream early, as one that is emptied or
 reaches the end of its grace does.  That it lives and doesn't work on the
-request any more is no proof then.
+request any more is no proof then, and neither is that another target closes
+it as well: only what targets send tells.
 
 Example::
 
     run = stream_ends.Run()
-    run.record(events, undelivered)
+    run.record(events)
     stream_ends.find_proof(cfg, context, target, run)    # Proof.MOST
 """
 
 from galenaspoke.edge import outcomes
+from galenaspoke.edge.streams import event_order
 
 
 class Run:
     """What one target has sent of a stream.
 
-    `has_events` is true once a whole event has come, `has_pieces` once one
-    has that clients see, `has_new_pieces` once the caller lacked such a one.
+    `has_events` is true once a whole event has come.  `piece_count` is the
+    number of events that clients see, and `last_piece` the last one's bytes,
+    empty if they are too many to keep.
     """
 
-    __slots__ = ('has_events', 'has_pieces', 'has_new_pieces')
+    __slots__ = ('has_events', 'piece_count', 'last_piece')
 
     def __init__(self):
         self.has_events = False
-        self.has_pieces = False
-        self.has_new_pieces = False
+        self.piece_count = 0
+        self.last_piece = b''
 
-    def record(self, events, undelivered):
-        """Record the next events, and which of them the caller lacked."""
+    def record(self, events):
+        """Record the next events, whether the caller lacked them or not."""
         self.has_events = self.has_events or bool(events)
-        self.has_pieces = self.has_pieces or _have_data(events)
-        self.has_new_pieces = self.has_new_pieces or _have_data(undelivered)
+        for event in events:
+            if event.has_data():
+                self.piece_count += 1
+                self.last_piece = event_order.keep_bytes(event)
 
-    def is_at_end(self):
-        """Return whether its end is that of what the caller has.
+    def is_at_end(self, order):
+        """Return whether it ended with the last event that the caller has.
 
-        A run that sent only earlier events may have ended among those.
+        A run that sent nothing, or only earlier events, may have ended
+        anywhere.  `order` is the EventOrder.
         """
-        return self.has_new_pieces or not self.has_pieces
-
-
-def _have_data(events):
-    return any(event.has_data() for event in events)
+        return bool(self.last_piece) and self.last_piece == order.last_piece
 
 
 def find_proof(cfg, context, target, run):
@@ -60,18 +62,30 @@
     return None
 
 
+def find_resumption_id(context):
+    """Return the id after which the next target is to go on, '' for none.
+
+    Once a target has closed the stream, the next one is asked for the last
+    event again: what it sends shows that it works on the request at all.
+    """
+    order = context.event_order
+    if context.closer_ids and order.last_piece:
+        return order.previous_id
+    return order.last_id
+
+
 def _is_confirmation(context, target, run):
     """Return whether a run shows that nothing comes after the last event.
 
     Another target has to have closed the stream there as well: one that was
-    cut off doesn't say that the stream has ended.  A target that leaves may
-    close streams early.  One that sends events again may have stopped among
-    those, and so may one that wasn't told where to go on.
+    cut off doesn't say that the stream has ended.  This one has to have sent
+    the last event, and nothing else.  A target that leaves may close streams
+    early.
     """
-    if not context.last_event_id or not context.event_order.can_go_on():
-        return False
     is_second = bool(context.closer_ids - {target.entry.id})
-    return is_second and not target.may_leave() and not run.has_pieces
+    if not is_second or target.may_leave():
+        return False
+    return run.piece_count == 1 and run.is_at_end(context.event_order)
 
 
 def _has_most(context):
--- a/tests/edge/test_guessed_ends.py
+++ b/tests/edge/test_guessed_ends.py
@@ -75,3 +75,67 @@
             ],
         )
         self.assertFalse(is_whole)
+
+
+class SecondRunTest(test_endings.EndingTestCase):
+    """Second runs, which are asked for the last event again."""
+
+    def ask_two(self, run, **options):
+        """Let a first engine end its stream, and a second one call `run`.
+
+        Returns the Caller, and whether it was told that the stream is whole.
+        """
+        desk, engines = self.make_desk(2, max_attempts=3)
+        runs = []
+
+        def choose(engine, own_run, sock, head):
+            runs.append(head)
+            if len(runs) == 1:
+                own_run(sock, head)
+            else:
+                run(engine, own_run, sock, head)
+
+        for engine in engines:
+            test_closed_review.replace_run(engine, choose)
+        return self.ask(desk, usage=MORE_USAGE, **options)
+
+    # Guards against whole streams that are told broken though a second engine
+    # sends the last event, and nothing else.
+    def test_end_is_confirmed(self):
+        heads = []
+
+        def run(_, own_run, sock, head):
+            heads.append(head.lower())
+            own_run(sock, head)
+
+        caller, is_whole = self.ask_two(run)
+        self.assertTrue(is_whole)
+        self.assertEqual(test_endings.EVENT_COUNT, self.count_pieces(caller))
+        asked = LAST_EVENT_ID + b': %d\r\n' % (test_endings.EVENT_COUNT - 1)
+        self.assertIn(asked, heads[0])
+
+    # The same for a stream of one event, which is asked for anew.
+    def test_end_of_one_event_is_confirmed(self):
+        def send_one(engine, _, sock, __):
+            test_closed_review.send_head(
+                engine, sock, test_endings.encode_event(1)
+            )
+
+        desk, engines = self.make_desk(2)
+        for engine in engines:
+            test_closed_review.replace_run(engine, send_one)
+        caller, is_whole = self.ask(desk, usage=MORE_USAGE)
+        self.assertTrue(is_whole)
+        self.assertEqual(1, self.count_pieces(caller))
+
+    # Guards against a second engine that divides its output otherwise, and
+    # whose event with the last one's id ends elsewhere (ORDER).
+    def test_other_event_with_the_same_id_confirms_nothing(self):
+        other = b'id: %d\ndata: other\n\n' % test_endings.EVENT_COUNT
+
+        def run(engine, _, sock, __):
+            test_closed_review.send_head(engine, sock, other)
+
+        caller, is_whole = self.ask_two(run)
+        self.assertFalse(is_whole)
+        self.assertNotIn(b'other', caller.body)
