Streams without a length: a second run is compared by the event's id, not its bytes

Engines make the text of each run anew. Change: the ids are compared. A second run confirms an end if it sends one event that clients see, with the id of the last one, and nothing else. No bytes are kept, so the bound on them goes, too.

--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -13,23 +13,22 @@
 """
 
 from galenaspoke.edge import outcomes
-from galenaspoke.edge.streams import event_order
 
 
 class Run:
     """What one target has sent of a stream.
 
     `has_events` is true once a whole event has come.  `piece_count` is the
-    number of events that clients see, and `last_piece` the last one's bytes,
-    empty if they are too many to keep.
+    number of events that clients see, and `last_id` the last one's id, empty
+    if it has none.
     """
 
-    __slots__ = ('has_events', 'piece_count', 'last_piece')
+    __slots__ = ('has_events', 'piece_count', 'last_id')
 
     def __init__(self):
         self.has_events = False
         self.piece_count = 0
-        self.last_piece = b''
+        self.last_id = ''
 
     def record(self, events):
         """Record the next events, whether the caller lacked them or not."""
@@ -37,7 +36,7 @@
         for event in events:
             if event.has_data():
                 self.piece_count += 1
-                self.last_piece = event_order.keep_bytes(event)
+                self.last_id = event.id
 
     def is_at_end(self, order):
         """Return whether it ended with the last event that the caller has.
@@ -45,7 +44,7 @@
         A run that sent nothing, or only earlier events, may have ended
         anywhere.  `order` is the EventOrder.
         """
-        return bool(self.last_piece) and self.last_piece == order.last_piece
+        return bool(self.last_id) and self.last_id == order.last_id
 
 
 def find_proof(cfg, context, target, run):
@@ -69,7 +68,7 @@
     event again: what it sends shows that it works on the request at all.
     """
     order = context.event_order
-    if context.closer_ids and order.last_piece:
+    if context.closer_ids and order.previous_id is not None:
         return order.previous_id
     return order.last_id
 
--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -15,8 +15,6 @@
 
 # Longer numbers are no event ids.
 MAX_ID_DIGITS = 18
-# The bytes of an event that is longer aren't kept.
-MAX_KEPT_BYTES = 4_096
 
 
 class EventOrder:
@@ -25,15 +23,13 @@
     `last_id` is the id of the last one, at first as stated by the caller;
     empty if it has none.  `fault` says why the present target's stream can't
     go on: what comes next of it doesn't fit what the caller has.  It is empty
-    if it does.  `last_piece` are the bytes of the last event that clients see,
-    and `previous_id` the id after which a target would send it again; the
-    bytes are empty if that isn't known, or if there are too many.
+    if it does.  `previous_id` is the id after which a target would send the
+    last event again, None if that isn't known.
     """
 
     __slots__ = (
         'last_id',
         'previous_id',
-        'last_piece',
         'fault',
         '_has_events',
         '_is_placed',
@@ -42,8 +38,7 @@
 
     def __init__(self, last_id):
         self.last_id = last_id
-        self.previous_id = ''
-        self.last_piece = b''
+        self.previous_id = None
         self.fault = ''
         # Whether events that have a place in the stream were selected.
         self._has_events = False
@@ -96,8 +91,7 @@
     def _record_place(self, event):
         """Record an event that is relayed; comments have no place."""
         if event.id or event.has_data():
-            self.last_piece = keep_bytes(event) if event.is_output() else b''
-            self.previous_id = self.last_id
+            self.previous_id = self.last_id if event.is_output() else None
         self.last_id = event.id or self.last_id
         if not self._has_events:
             self._has_events = bool(event.id) or event.has_data()
@@ -126,11 +120,6 @@
         return True
 
 
-def keep_bytes(event):
-    """Return the bytes of an event, empty if they are too many to keep."""
-    return event.raw if len(event.raw) <= MAX_KEPT_BYTES else b''
-
-
 def _parse_id(event_id):
     """Return the number that is an event's id, None if it is none."""
     is_number = event_id.isdecimal() and len(event_id) <= MAX_ID_DIGITS
