Programs: SIGHUP just after the start doesn't end a process

Routers and agents of the older fleet ended by it at any time. Cause: nothing handled the signal until the program was loaded, or ever. Change: each program sets a handler before it loads anything else; the edge router and the relay replace it by their own. What came before the settings are read needs no more. Conclusion: what remains is the time that the interpreter itself takes to start.

--- a/galenaspoke/agent/main.py
+++ b/galenaspoke/agent/main.py
@@ -1,5 +1,7 @@
 """galenaspoke-agent: startup, periodic tasks and graceful stop."""
 
+from galenaspoke.utils import early_signals  # noqa: F401, H306
+
 from gevent import monkey
 
 monkey.patch_all()
--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -1,5 +1,7 @@
 """galenaspoke-edge: the edge router, on the data path of a platform."""
 
+from galenaspoke.utils import early_signals  # noqa: F401, H306
+
 import dataclasses
 import math
 import signal
--- a/galenaspoke/edge/relay_main.py
+++ b/galenaspoke/edge/relay_main.py
@@ -5,6 +5,8 @@
 keeps no state and handles no callers' requests.
 """
 
+from galenaspoke.utils import early_signals  # noqa: F401, H306
+
 import signal
 
 import click
--- a/galenaspoke/router/main.py
+++ b/galenaspoke/router/main.py
@@ -1,5 +1,7 @@
 """The galenaspoke-router daemon: start, serving, graceful stop."""
 
+from galenaspoke.utils import early_signals  # noqa: F401, H306
+
 from gevent import monkey
 
 monkey.patch_all()
