Streams: the log says of each stream what the ids of its events show

Callers: nothing changes.

The lines `answered` and `refused` of a stream now give `id_step` (the largest step of the ids within one run), `join_step` (the largest step between the last event that the caller had and the first one that another engine added, or that a caller's own resumption got) and `repeated` (events that were dropped, since the caller had them). Counters: `streams.wide_steps` and `streams.wide_joins` (streams where either is above 1), `events.repeated`. Per event it costs one addition where an event is dropped, else nothing.

Before: no such fields (4 tests of `tests.edge.test_event_ids` failed). After: they pass.

--- a/galenaspoke/edge/serving/responses.py
+++ b/galenaspoke/edge/serving/responses.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from galenaspoke.core import catalog
 from galenaspoke.edge import outcomes
 from galenaspoke.edge.serving import caller_connections
 
@@ -95,6 +96,7 @@
                 'version': context.stream_version,
                 'resumed_id': context.metadata.resumed_id,
                 'gap_ms': context.longest_gap_ms,
+                **self._note_event_ids(context),
                 'sent_ms': context.sent_at
                 and context.sent_at - req.arrived_at,
                 'charged': context.charged_tokens,
@@ -111,6 +113,23 @@
             fields['retry_after_ms'] = result.retry_after_ms
         self._journal.note('refused', **fields)
 
+    def _note_event_ids(self, context):
+        """Count what a stream's ids show; return the fields that tell it."""
+        if context.route.kind is not catalog.RequestKind.STREAM:
+            return {}
+        order = context.event_order
+        if order.max_step > 1:
+            self._metrics.count('streams.wide_steps')
+        if order.join_step > 1:
+            self._metrics.count('streams.wide_joins')
+        if order.repeated_count:
+            self._metrics.count('events.repeated', order.repeated_count)
+        return {
+            'id_step': order.max_step,
+            'join_step': order.join_step,
+            'repeated': order.repeated_count,
+        }
+
     def log_disconnect(self, req, context, why):
         """Log a request whose caller can't be answered any more.
 
--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -25,27 +25,35 @@
     go on: what comes next of it doesn't fit what the caller has.  It is empty
     if it does.  `previous_id` is the id after which a target would send the
     last event again, None if that isn't known.
+
+    `max_step` is the largest difference of the ids of successive events of one
+    target, and `join_step` that of the first event that a target adds and the
+    last one that the caller had before; 0 if there were none.
+    `repeated_count` is how many events the caller had already.
     """
 
     __slots__ = (
         'last_id',
         'previous_id',
         'fault',
+        'max_step',
+        'join_step',
+        'repeated_count',
         '_has_events',
         '_is_placed',
-        '_max_step',
     )
 
     def __init__(self, last_id):
         self.last_id = last_id
         self.previous_id = None
         self.fault = ''
+        self.max_step = 0
+        self.join_step = 0
+        self.repeated_count = 0
         # Whether events that have a place in the stream were selected.
         self._has_events = False
         # Whether it is known where the present target's events belong.
         self._is_placed = False
-        # The largest difference of the ids of successive events of a target.
-        self._max_step = 0
 
     def begin_run(self):
         """Begin the stream of another target.
@@ -111,14 +119,22 @@
             return True
         step = number - last
         if step <= 0:
+            self.repeated_count += 1
             return False
         if self._is_placed:
-            self._max_step = max(self._max_step, step)
-        elif self._max_step and step > self._max_step:
-            self.fault = f'events are missing between {last} and {number}'
+            self.max_step = max(self.max_step, step)
+        else:
+            self._check_join(last, number)
         self._is_placed = True
         return True
 
+    def _check_join(self, last, number):
+        """Check the first event that a target adds to those of others."""
+        step = number - last
+        self.join_step = max(self.join_step, step)
+        if self.max_step and step > self.max_step:
+            self.fault = f'events are missing between {last} and {number}'
+
 
 def _parse_id(event_id):
     """Return the number that is an event's id, None if it is none."""
--- /dev/null
+++ b/tests/edge/test_event_ids.py
@@ -0,0 +1,109 @@
+"""The ids of events, where several engines serve one response."""
+
+import re
+
+from galenaspoke.http import messages
+from tests.edge import handlers
+from tests.edge import test_closed_review
+from tests.edge import test_endings
+
+CHUNKED_HEAD = test_endings.HEAD.replace(
+    b'\r\n\r\n', b'\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
+USAGE = test_closed_review.MORE_USAGE
+
+
+def encode_events(*numbers):
+    """Return events with these ids."""
+    return b''.join(test_endings.encode_event(number) for number in numbers)
+
+
+class EventIdsTestCase(test_endings.EndingTestCase):
+    """A base class with engines that send scripted runs in chunks."""
+
+    def setUp(self):
+        self.desk, self.engines = self.make_desk(2, max_attempts=4)
+        self.runs = []
+        self.heads = []
+        for engine in self.engines:
+            engine.head = CHUNKED_HEAD
+            test_closed_review.replace_run(engine, self._play_run)
+
+    def _play_run(self, engine, _, sock, head):
+        self.heads.append(head.lower())
+        run = self.runs.pop(0) if self.runs else b''
+        is_last = not self.runs
+        events = messages.encode_chunk(run) if run else b''
+        end = messages.LAST_CHUNK if is_last and run else b''
+        test_closed_review.send_head(engine, sock, events + end)
+
+    def play(self, *runs, **options):
+        """Make a request whose runs send this; all but the last break off.
+
+        Returns the ids that the caller got, and whether it was told that the
+        stream is whole.
+        """
+        self.runs = list(runs)
+        caller, is_whole = self.ask(self.desk, usage=USAGE, **options)
+        return self.list_ids(caller), is_whole
+
+    def list_ids(self, caller):
+        """Return the ids of the events that a caller got, in order."""
+        return [int(n) for n in re.findall(rb'id: (\d+)\n', caller.body)]
+
+    def play_resumed(self, last_id, *runs):
+        """Do the same for a caller that resumes its stream."""
+        pairs = [
+            (test_closed_review.LAST_EVENT_ID, b'%d' % last_id),
+            (b'resumes', handlers.REQUEST_ID),
+        ]
+        return self.play(*runs, pairs=pairs)
+
+
+class LogTest(EventIdsTestCase):
+    """What the log and the counters say of the ids."""
+
+    def last_line(self):
+        """Return the fields of the last line about a response."""
+        lines = self.desk.journal.lines
+        return [
+            fields
+            for event, fields in lines
+            if event in ('answered', 'refused')
+        ][-1]
+
+    def check_line(self, id_step, join_step, repeated):
+        """Check what the last line says of the ids."""
+        line = self.last_line()
+        found = (line['id_step'], line['join_step'], line['repeated'])
+        self.assertEqual((id_step, join_step, repeated), found)
+
+    # Guards against a log that doesn't tell whether a stream lacks an event
+    # where it went on at another engine.
+    def test_joins_are_logged(self):
+        ids, is_whole = self.play(
+            encode_events(1, 2, 5), encode_events(2, 5, 8, 9)
+        )
+        self.assertEqual(([1, 2, 5, 8, 9], True), (ids, is_whole))
+        self.check_line(3, 3, 2)
+        lines = self.desk.journal.lines
+        self.assertIn(('events.repeated', {'amount': 2}), lines)
+        self.assertIn(('streams.wide_joins', {'amount': 1}), lines)
+        self.assertIn(('streams.wide_steps', {'amount': 1}), lines)
+
+    def test_streams_of_one_engine_are_logged(self):
+        self.play(encode_events(1, 2, 3))
+        self.check_line(1, 0, 0)
+        self.assertNotIn('streams.wide_joins', self.desk.journal.events())
+        self.assertNotIn('streams.wide_steps', self.desk.journal.events())
+
+    def test_resumed_streams_are_logged(self):
+        self.play_resumed(4, encode_events(7, 8))
+        self.check_line(1, 3, 0)
+
+    # The same for a stream that isn't told whole.
+    def test_broken_streams_are_logged(self):
+        self.play(
+            encode_events(1, 2), *[encode_events(9)] * 3, encode_events(9)
+        )
+        self.check_line(1, 7, 0)
