Streams, each relay: an engine that begins earlier has to send the last event

Callers: where ids count tokens ("a single event may contain several tokens") and a second engine divides the output otherwise, a caller got tokens twice: it had events 5, 10, 13, the next engine began anew with 4, 8, 12, 16, and 16 was relayed, which holds 13 once more. The same happened where an engine that was asked for the last event again, since one had closed the stream, sent 14 in its place: asked after 10, its event 14 holds 11 to 13.

Cause: what came before the last event was dropped by its id alone.

Change: a run that begins earlier, since it was asked to or by itself, has to send an event with the id of the last one before it may go on. If not, the attempt ends, and the next engine is asked for what comes after the last event. The rule is for engines that honour `Last-Event-Id` and ids that go up by one without effect: such a run begins after the last event, or with it.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -265,7 +265,7 @@
         splitter = sse.EventSplitter()
         limits = event_limits.EventLimits(self._context.max_events)
         order = self._context.event_order
-        order.begin_run()
+        order.begin_run(stream_ends.find_resumption_id(self._context))
         run = stream_ends.Run()
         is_open = True
         while True:
--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -41,6 +41,8 @@
         'repeated_count',
         '_has_events',
         '_is_placed',
+        '_begins_earlier',
+        '_has_last',
     )
 
     def __init__(self, last_id):
@@ -54,10 +56,15 @@
         self._has_events = False
         # Whether it is known where the present target's events belong.
         self._is_placed = False
+        # Whether the present target begins before the end of the last event,
+        # and whether it has sent that one again.
+        self._begins_earlier = False
+        self._has_last = False
 
-    def begin_run(self):
+    def begin_run(self, after_id=None):
         """Begin the stream of another target.
 
+        It is asked to go on after the event `after_id`, None for the last one.
         Where the events of the first one belong is known if the caller has
         none, and not to be judged if the last one's id isn't a number.
         """
@@ -65,6 +72,8 @@
         self._is_placed = (
             not self._has_events and _parse_id(self.last_id) is None
         )
+        self._begins_earlier = after_id not in (None, self.last_id)
+        self._has_last = False
 
     def can_go_on(self):
         """Return whether another target's events could have a place.
@@ -119,7 +128,7 @@
             return True
         step = number - last
         if step <= 0:
-            self.repeated_count += 1
+            self._record_repeated(step)
             return False
         if self._is_placed:
             self.max_step = max(self.max_step, step)
@@ -128,11 +137,28 @@
         self._is_placed = True
         return True
 
+    def _record_repeated(self, step):
+        """Record an event that is `step` from the last one, 0 or less."""
+        self.repeated_count += 1
+        if step:
+            self._begins_earlier = True
+        else:
+            self._has_last = True
+
     def _check_join(self, last, number):
-        """Check the first event that a target adds to those of others."""
+        """Check the first event that a target adds to those of others.
+
+        Ids may count tokens, and targets may divide the output otherwise.  If
+        one begins earlier and sends no event with the id of the last one, its
+        next event holds a part of what the caller has.
+        """
         step = number - last
         self.join_step = max(self.join_step, step)
-        if self.max_step and step > self.max_step:
+        if self._begins_earlier and not self._has_last:
+            # The next target is asked for what comes after it.
+            self.previous_id = None
+            self.fault = f'no event ends at {last}, but one at {number}'
+        elif self.max_step and step > self.max_step:
             self.fault = f'events are missing between {last} and {number}'
 
 
--- a/tests/edge/test_event_ids.py
+++ b/tests/edge/test_event_ids.py
@@ -22,7 +22,7 @@
     """A base class with engines that send scripted runs in chunks."""
 
     def setUp(self):
-        self.desk, self.engines = self.make_desk(2, max_attempts=4)
+        self.desk, self.engines = self.make_desk(4, max_attempts=4)
         self.runs = []
         self.heads = []
         for engine in self.engines:
@@ -103,7 +103,75 @@
 
     # The same for a stream that isn't told whole.
     def test_broken_streams_are_logged(self):
-        self.play(
-            encode_events(1, 2), *[encode_events(9)] * 3, encode_events(9)
-        )
+        self.play(encode_events(1, 2), *[encode_events(9)] * 3)
         self.check_line(1, 7, 0)
+
+
+class OtherDivisionTest(EventIdsTestCase):
+    """Ids that count tokens, and engines that divide the output otherwise."""
+
+    # Guards against output that a caller gets twice, as part of an event of a
+    # second engine that begins anew and divides the output otherwise (ORDER).
+    def test_engine_begins_anew(self):
+        ids, is_whole = self.play(
+            encode_events(5, 10, 13), *[encode_events(4, 8, 12, 16)] * 3
+        )
+        self.assertEqual(([5, 10, 13], False), (ids, is_whole))
+
+    # The same for a caller that resumes its stream.
+    def test_engine_begins_anew_for_a_caller(self):
+        ids, is_whole = self.play_resumed(
+            13, *[encode_events(4, 8, 12, 16)] * 4
+        )
+        self.assertEqual(([], False), (ids, is_whole))
+
+    # Guards against sound engines whose streams are broken off: they begin
+    # anew, with the last event, or after it.
+    def test_engine_has_the_same_division(self):
+        for second in ((5, 10, 13, 16), (10, 13, 16), (13, 16), (16,)):
+            ids, is_whole = self.play(
+                encode_events(5, 10, 13), encode_events(*second)
+            )
+            self.assertEqual(([5, 10, 13, 16], True), (ids, is_whole))
+
+    def close_first(self):
+        """Let the first run end with its connection, which shows no end."""
+        head = self.engines[0].head
+
+        def play(engine, _, sock, request):
+            is_first = not self.heads
+            engine.head = test_endings.HEAD if is_first else head
+            if is_first:
+                self.heads.append(request.lower())
+                test_closed_review.send_head(engine, sock, self.runs.pop(0))
+            else:
+                self._play_run(engine, _, sock, request)
+
+        for engine in self.engines:
+            test_closed_review.replace_run(engine, play)
+
+    # Guards against output that a caller gets twice: a second engine, asked
+    # for the last event again, sends it as a part of a larger one (ORDER).
+    def test_last_event_is_a_part_of_another(self):
+        self.close_first()
+        ids, is_whole = self.play(
+            encode_events(5, 10, 13),
+            encode_events(14, 18),
+            encode_events(16, 18),
+        )
+        self.assertEqual(([5, 10, 13, 16, 18], True), (ids, is_whole))
+        asked = [
+            re.search(rb'last-event-id: (\d+)', head) for head in self.heads
+        ]
+        self.assertEqual(
+            [None, b'10', b'13'], [found and found[1] for found in asked]
+        )
+
+    # Guards against a sound second engine whose run is broken off: it sends
+    # the last event again, as it was asked to.
+    def test_last_event_is_sent_again(self):
+        self.close_first()
+        ids, is_whole = self.play(
+            encode_events(5, 10, 13), encode_events(13, 16)
+        )
+        self.assertEqual(([5, 10, 13, 16], True), (ids, is_whole))
