Streams, each relay: a service's streams show how far apart ids may be

Callers: a stream that went on at another engine after one event only, or that a caller resumed, could lack events: any later id was accepted, as nothing in the response itself says how far apart ids are. Events 1, then 3, 4 from the second engine: told whole. And sound streams whose ids count tokens were broken off if the few events before the join were small: 6, 7, 8, then 14.

Cause: only the steps of the response's own runs were looked at, and none of them meant any step.

Change: each router keeps, of at most 256 services, the largest step of the ids in whole runs. Where a run goes on elsewhere, a step up to the larger one of that and of the response's own steps is sound. Nothing is concluded before 256 steps: with fewer, all is as before. A wider step seen later widens the bound for good, so the rule errs towards relaying. It can break a sound stream only if 256 or more steps of whole runs were all smaller than the one at the join.

--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -19,6 +19,7 @@
 from galenaspoke.edge.serving import request_context
 from galenaspoke.edge.serving import responses
 from galenaspoke.edge.serving import target_choice
+from galenaspoke.edge.streams import event_steps
 from galenaspoke.edge.streams import resumption as resumptions
 from galenaspoke.edge.targets import end_checks
 from galenaspoke.edge.targets import incarnations
@@ -70,6 +71,7 @@
         '_resumption',
         '_incarnation_checker',
         '_chooser',
+        '_event_steps',
         '_undecided_tasks',
     )
 
@@ -118,6 +120,7 @@
         self._chooser = target_choice.TargetChooser(
             cfg, target_view, resumption, clock, journal
         )
+        self._event_steps = event_steps.EventSteps()
         # The tasks of the requests whose result isn't known yet.
         self._undecided_tasks = set()
 
@@ -318,6 +321,8 @@
             target.wait_estimator.record_sent(
                 context, started_at, context.metadata
             )
+        order = context.event_order
+        order.service_step = self._event_steps.find_largest(context.service)
         attempt = attempts.Attempt(
             self._cfg,
             context,
@@ -347,6 +352,8 @@
             target.in_flight -= 1
             target.wait_estimator.record_end(context)
             self._chooser.record_attempt(context, target)
+        if isinstance(outcome, outcomes.Served):
+            self._event_steps.record(context.service, order)
         self._recorder.record(
             context,
             target,
--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -29,7 +29,10 @@
     `max_step` is the largest difference of the ids of successive events of one
     target, and `join_step` that of the first event that a target adds and the
     last one that the caller had before; 0 if there were none.
-    `repeated_count` is how many events the caller had already.
+    `repeated_count` is how many events the caller had already.  `run_step` and
+    `run_step_count` are the largest step of the present target's run, and the
+    number of its steps.  `service_step` is the largest one of the service's
+    other streams, 0 if that isn't known.
     """
 
     __slots__ = (
@@ -39,6 +42,9 @@
         'max_step',
         'join_step',
         'repeated_count',
+        'run_step',
+        'run_step_count',
+        'service_step',
         '_has_events',
         '_is_placed',
         '_begins_earlier',
@@ -52,6 +58,9 @@
         self.max_step = 0
         self.join_step = 0
         self.repeated_count = 0
+        self.run_step = 0
+        self.run_step_count = 0
+        self.service_step = 0
         # Whether events that have a place in the stream were selected.
         self._has_events = False
         # Whether it is known where the present target's events belong.
@@ -72,6 +81,7 @@
         self._is_placed = (
             not self._has_events and _parse_id(self.last_id) is None
         )
+        self.run_step = self.run_step_count = 0
         self._begins_earlier = after_id not in (None, self.last_id)
         self._has_last = False
 
@@ -131,12 +141,18 @@
             self._record_repeated(step)
             return False
         if self._is_placed:
-            self.max_step = max(self.max_step, step)
+            self._record_step(step)
         else:
             self._check_join(last, number)
         self._is_placed = True
         return True
 
+    def _record_step(self, step):
+        """Record how far two successive events of a target are apart."""
+        self.run_step_count += 1
+        self.run_step = max(self.run_step, step)
+        self.max_step = max(self.max_step, step)
+
     def _record_repeated(self, step):
         """Record an event that is `step` from the last one, 0 or less."""
         self.repeated_count += 1
@@ -153,12 +169,13 @@
         next event holds a part of what the caller has.
         """
         step = number - last
+        most = max(self.max_step, self.service_step)
         self.join_step = max(self.join_step, step)
         if self._begins_earlier and not self._has_last:
             # The next target is asked for what comes after it.
             self.previous_id = None
             self.fault = f'no event ends at {last}, but one at {number}'
-        elif self.max_step and step > self.max_step:
+        elif most and step > most:
             self.fault = f'events are missing between {last} and {number}'
 
 
--- a/tests/edge/test_event_ids.py
+++ b/tests/edge/test_event_ids.py
@@ -1,7 +1,9 @@
 """The ids of events, where several engines serve one response."""
 
 import re
+import unittest
 
+from galenaspoke.edge.streams import event_steps
 from galenaspoke.http import messages
 from tests.edge import handlers
 from tests.edge import test_closed_review
@@ -175,3 +177,80 @@
             encode_events(5, 10, 13), encode_events(13, 16)
         )
         self.assertEqual(([5, 10, 13, 16], True), (ids, is_whole))
+
+
+class MissingEventsTest(EventIdsTestCase):
+    """Engines that go on too late, where the response itself tells nothing."""
+
+    def show_steps(self, *numbers, count=20):
+        """Let the service's streams show these ids."""
+        for _ in range(count):
+            self.assertTrue(self.play(encode_events(*numbers))[1])
+
+    # Guards against an event that a caller lacks, where the first engine sent
+    # but one: only other streams show that the ids go up by one (ORDER).
+    def test_stream_goes_on_after_one_event(self):
+        self.show_steps(*range(1, 21))
+        ids, is_whole = self.play(encode_events(1), *[encode_events(3, 4)] * 3)
+        self.assertEqual(([1], False), (ids, is_whole))
+
+    # The same for a caller that resumes its stream: another engine goes on.
+    def test_stream_goes_on_for_a_caller(self):
+        self.show_steps(*range(1, 21))
+        ids, is_whole = self.play_resumed(
+            5, encode_events(8, 9), encode_events(6, 7)
+        )
+        self.assertEqual(([6, 7], True), (ids, is_whole))
+
+    # Guards against sound streams that are broken off, since the few events
+    # that came before were small: other streams show wider steps.
+    def test_small_events_come_first(self):
+        self.show_steps(*range(6, 121, 6))
+        ids, is_whole = self.play(
+            encode_events(6, 7, 8), encode_events(14, 20)
+        )
+        self.assertEqual(([6, 7, 8, 14, 20], True), (ids, is_whole))
+
+    # Guards against sound streams that are broken off, as their service has
+    # shown too few events to tell.
+    def test_few_events_tell_nothing(self):
+        self.show_steps(1, 2, 3)
+        ids, is_whole = self.play(encode_events(1), encode_events(7, 8))
+        self.assertEqual(([1, 7, 8], True), (ids, is_whole))
+
+    # Guards against streams that aren't whole and show a step.
+    def test_broken_streams_show_nothing(self):
+        self.show_steps(*range(1, 21))
+        self.play(*[encode_events(1, 9)] * 4, b'')
+        ids, is_whole = self.play(encode_events(1), *[encode_events(3, 4)] * 3)
+        self.assertEqual(([1], False), (ids, is_whole))
+
+
+class FakeOrder:
+    """What an EventOrder tells of a run."""
+
+    def __init__(self, run_step, run_step_count):
+        self.run_step = run_step
+        self.run_step_count = run_step_count
+
+
+class EventStepsTest(unittest.TestCase):
+    """What the ids of a service's streams have shown."""
+
+    def test_largest_step(self):
+        steps = event_steps.EventSteps()
+        for run_step in (1, 6, 2):
+            self.assertEqual(0, steps.find_largest('pool'))
+            steps.record('pool', FakeOrder(run_step, 100))
+        self.assertEqual(6, steps.find_largest('pool'))
+        self.assertEqual(0, steps.find_largest('other'))
+
+    # Guards against memory that grows with the names of services.
+    def test_services_are_bounded(self):
+        steps = event_steps.EventSteps()
+        for number in range(2 * event_steps.MAX_SERVICES):
+            steps.record(f'pool-{number}', FakeOrder(1, 300))
+        self.assertEqual(event_steps.MAX_SERVICES, len(steps._steps))
+        self.assertEqual(0, steps.find_largest('pool-0'))
+        last = f'pool-{2 * event_steps.MAX_SERVICES - 1}'
+        self.assertEqual(1, steps.find_largest(last))
