Streams, each relay: an end before the caller's last event is none

Callers: a stream was told whole although the engine that ended it, with a length or in chunks, had not reached what the caller had: after events 1 to 4 a second engine began anew, sent 1 and 2, and ended. The same if it was asked for the last event again, as one had closed the stream, and sent a comment only.

Cause: an end that an engine states counted, wherever its run stood.

Change: a run that begins earlier, by itself or as asked, ends a stream only if it has sent the last event again. Engines that honour `Last-Event-Id` do, or begin after it: then an end without an event counts, as before.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -301,6 +301,10 @@
                 else connections.PeerClosed
             )
             raise error('the last event is incomplete')
+        if response.is_framed:
+            order.end_run()
+            if order.fault:
+                raise connections.ResponseLost(order.fault)
         self._confirm_end(end_check)
         proof = None
         if not response.is_framed:
--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -115,6 +115,26 @@
                 self._record_place(event)
         return selected
 
+    def end_run(self):
+        """End a stream whose target says that it has no more events.
+
+        `fault` is set if it can't have ended there.
+        """
+        if not self._is_placed and self._lacks_last():
+            self._reject_run(f'the stream ends before {self.last_id}')
+
+    def _lacks_last(self):
+        """Return whether a target begins earlier and lacks the last event."""
+        return self._begins_earlier and not self._has_last
+
+    def _reject_run(self, why):
+        """Set the fault of a target that lacks the last event.
+
+        The next one isn't asked for that again.
+        """
+        self.previous_id = None
+        self.fault = why
+
     def _record_place(self, event):
         """Record an event that is relayed; comments have no place."""
         if event.id or event.has_data():
@@ -171,10 +191,8 @@
         step = number - last
         most = max(self.max_step, self.service_step)
         self.join_step = max(self.join_step, step)
-        if self._begins_earlier and not self._has_last:
-            # The next target is asked for what comes after it.
-            self.previous_id = None
-            self.fault = f'no event ends at {last}, but one at {number}'
+        if self._lacks_last():
+            self._reject_run(f'no event ends at {last}, but at {number}')
         elif most and step > most:
             self.fault = f'events are missing between {last} and {number}'
 
--- a/tests/edge/test_event_ids.py
+++ b/tests/edge/test_event_ids.py
@@ -178,6 +178,33 @@
         )
         self.assertEqual(([5, 10, 13, 16], True), (ids, is_whole))
 
+    # Guards against a stream that is whole since a second engine begins anew
+    # and ends before it reaches what the caller has (ORDER).
+    def test_engine_ends_before_the_last_event(self):
+        ids, is_whole = self.play(
+            encode_events(1, 2, 3, 4), *[encode_events(1, 2)] * 3
+        )
+        self.assertEqual(([1, 2, 3, 4], False), (ids, is_whole))
+
+    # The same where it was asked for the last event again, and sends nothing.
+    def test_engine_does_not_send_the_last_event(self):
+        self.close_first()
+        ids, is_whole = self.play(
+            encode_events(1, 2, 3, 4), *[test_closed_review.COMMENT] * 3
+        )
+        self.assertEqual(([1, 2, 3, 4], False), (ids, is_whole))
+
+    # Guards against whole streams that are broken off: the second engine ends
+    # with what the caller has.
+    def test_engine_ends_with_the_last_event(self):
+        for second in (
+            encode_events(1, 2, 3, 4),
+            encode_events(4),
+            test_closed_review.COMMENT,
+        ):
+            ids, is_whole = self.play(encode_events(1, 2, 3, 4), second)
+            self.assertEqual(([1, 2, 3, 4], True), (ids, is_whole))
+
 
 class MissingEventsTest(EventIdsTestCase):
     """Engines that go on too late, where the response itself tells nothing."""
