--- a/tests/edge/test_guessed_ends_review.py
+++ b/tests/edge/test_guessed_ends_review.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import unittest
+from unittest import mock
 
 from gevent import socket
 
@@ -311,49 +312,87 @@
 class ClockTest(unittest.TestCase):
     """Streams whose version is found by a plan, by clocks that differ."""
 
-    def lose_power(self, fleet, error_ms):
-        """Restart all routers, with other clocks than they had."""
-        names = list(fleet.desks)
-        for name in names:
-            fleet.kill(name)
-        fleet.clock.advance(TIME_OFF_MS)
-        steady, fleet.clock = fleet.clock, SkewedClock(fleet.clock, error_ms)
-        for name in names:
-            fleet.start(name)
-        fleet.clock = steady
-
-    def count_mixed(self, error_ms):
-        """Return how many streams go on at another version.
-
-        They began just before a release of half of the engines.
-        """
+    def make_fleet(self):
+        """Return a fleet of one version, and streams that have begun."""
         fleet = version_fleets.VersionFleet(3, dict.fromkeys('abcd', 'v1'))
         self.addCleanup(fleet.close)
         fleet.exchange()
         fleet.clock.advance(SETTLED_MS)
-        streams = [
-            fleet.begin(f'front-{number % 3}')
+        return fleet
+
+    def begin_streams(self, fleet, names):
+        """Begin streams at routers in turn; return them."""
+        return [
+            fleet.begin(names[number % len(names)])
             for number in range(STREAM_COUNT)
         ]
+
+    def release_half(self, fleet):
+        """Replace half of the engines by others of another version."""
         for name in 'ab':
             fleet.add_engine(f'new-{name}', 'v2')
             fleet.remove_engine(name)
         fleet.exchange()
-        self.lose_power(fleet, error_ms)
+
+    def start(self, fleet, names, error_ms):
+        """Start routers whose clocks differ by so much."""
+        steady, fleet.clock = fleet.clock, SkewedClock(fleet.clock, error_ms)
+        for name in names:
+            fleet.start(name)
+        fleet.clock = steady
+
+    def count_after_power_loss(self, error_ms):
+        """Return how many streams go on at another version.
+
+        They began just before a release of half of the engines, and no router
+        that knew them is left.
+        """
+        fleet = self.make_fleet()
+        names = list(fleet.desks)
+        streams = self.begin_streams(fleet, names)
+        self.release_half(fleet)
+        for name in names:
+            fleet.kill(name)
+        fleet.clock.advance(TIME_OFF_MS)
+        self.start(fleet, names, error_ms)
         # From then on it is known for how long callers wait.
-        for name in list(fleet.desks):
+        for name in names:
             fleet.begin(name)
         for number, stream in enumerate(streams):
-            fleet.resume(stream, f'front-{(number + 1) % 3}')
+            fleet.resume(stream, names[(number + 1) % 3])
+        return fleet.count_mixed()
+
+    def count_after_kill(self, error_ms):
+        """The same where one router is killed before it sends its notes."""
+        fleet = self.make_fleet()
+        self.start(fleet, ['front-2'], error_ms)
+        fleet.read_lists()
+        fleet.read_targets()
+        for name in list(fleet.desks):
+            fleet.begin(name)
+        with mock.patch.object(fleet, 'send_notes'):
+            streams = self.begin_streams(fleet, ['front-0'])
+        fleet.kill('front-0')
+        self.start(fleet, ['front-0'], 0)
+        fleet.read_lists()
+        self.release_half(fleet)
+        fleet.clock.advance(TIME_OFF_MS)
+        for stream in streams:
+            fleet.resume(stream, 'front-2')
         return fleet.count_mixed()
 
     # Guards against pieces of two versions, since clocks are farther apart
     # than plans allow for (ORDER: pieces of two runs are joined).
-    def test_clocks_that_are_apart(self):
-        mixed = {
-            error_ms: self.count_mixed(error_ms)
-            for error_ms in CLOCK_ERRORS_MS
-        }
+    def test_power_loss(self):
+        self.check_errors(self.count_after_power_loss)
+
+    # The same where a single router is lost.
+    def test_router_dies_before_its_notes(self):
+        self.check_errors(self.count_after_kill)
+
+    def check_errors(self, count):
+        """Check that no stream is mixed however far clocks are apart."""
+        mixed = {error_ms: count(error_ms) for error_ms in CLOCK_ERRORS_MS}
         self.assertEqual(dict.fromkeys(CLOCK_ERRORS_MS, 0), mixed)
 
 
