--- a/tests/edge/test_guessed_ends_review.py
+++ b/tests/edge/test_guessed_ends_review.py
@@ -1,16 +1,21 @@
 """Streams that are told whole, or joined, on the strength of a guess."""
 
 import signal
+import struct
 import subprocess
 import sys
 import unittest
 from unittest import mock
 
+import gevent
 from gevent import socket
 
 from galenaspoke.core import catalog
 from galenaspoke.core import clock
+from galenaspoke.edge.serving import caller_connections
+from galenaspoke.http import buffers
 from galenaspoke.http import messages
+from tests.edge import base
 from tests.edge import handlers
 from tests.edge import test_closed_review
 from tests.edge import test_endings
@@ -396,9 +401,151 @@
         self.assertEqual(dict.fromkeys(CLOCK_ERRORS_MS, 0), mixed)
 
 
+class CutChunksTest(ReviewTestCase):
+    """Streams in chunks that end at any byte, with a close or a reset."""
+
+    def check_cuts(self, cut):
+        """Check that only a stream with all of its bytes is whole."""
+        desk, (engine,) = self.make_desk(resumable=False)
+        head = engine.head.replace(b'Content-Type', CHUNKED)
+        head %= (handlers.REQUEST_ID, engine.content_type)
+        events = [test_endings.encode_event(number) for number in (1, 2, 3)]
+        body = messages.encode_chunk(events[0] + events[1][:5])
+        body += messages.encode_chunk(events[1][5:])
+        body += messages.encode_chunk(events[2]) + b'0\r\nX-End: 1\r\n\r\n'
+        for length in range(len(body) + 1):
+
+            def run(_, __, sock, ___, length=length):
+                sock.sendall(head + body[:length])
+                cut(sock)
+
+            self.script([engine], run)
+            caller, is_whole = self.ask(desk, usage=MORE_USAGE)
+            self.assertEqual(length == len(body), is_whole, length)
+            self.count_pieces(caller)
+
+    # Guards against a last chunk that is taken for whole before its end.
+    def test_closed(self):
+        self.check_cuts(lambda sock: None)
+
+    # Guards against the last chunk that comes together with a reset.
+    def test_reset(self):
+        def reset(sock):
+            gevent.sleep(0.002)
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+
+        self.check_cuts(reset)
+
+
 class CallerTest(unittest.TestCase):
     """Real connections of callers."""
 
+    def make_caller(self, engine, version=b'1.1', **options):
+        """Return a desk, a caller's connection, and its other end.
+
+        The caller has sent two requests.
+        """
+        desk = handlers.Desk(
+            {'i-1': engine}, catalog.RequestKind.STREAM, **options
+        )
+        self.addCleanup(desk.close)
+        local, remote = base.make_tcp_pair(self)
+        caller = caller_connections.CallerConnection(
+            local, desk.clock, catalog.Limits
+        )
+        for request_id in (handlers.REQUEST_ID, b'9c42'):
+            remote.sendall(
+                b'POST /a/x HTTP/%s\r\nHost: desk\r\nX-Request-Id: %s\r\n'
+                b'Connection: keep-alive\r\nContent-Length: 0\r\n\r\n'
+                % (version, request_id)
+            )
+        return desk, caller, remote
+
+    def serve(self, desk, caller):
+        """Return a task that serves a request, and returns if it is cut."""
+
+        def handle():
+            try:
+                desk.handler.handle(caller.next_request(), caller)
+                return False
+            except caller_connections.CallerDisconnected:
+                return True
+            finally:
+                caller.close()
+
+        return gevent.spawn(handle)
+
+    def read_rest(self, sock):
+        """Return what comes until the connection is closed or reset."""
+        data = b''
+        try:
+            while piece := sock.recv(65_536):
+                data += piece
+        except ConnectionResetError:
+            pass
+        return data
+
+    def send_large(self, sock, _):
+        """Send more than the connections to the caller can hold."""
+        head = test_endings.HEAD.replace(b'Content-Type', CHUNKED)
+        sock.sendall(head % (handlers.REQUEST_ID, b'text/event-stream'))
+        for number in range(1, 1_000):
+            event = b'id: %d\ndata: %s\n\n' % (number, bytes(20_000))
+            sock.sendall(messages.encode_chunk(event))
+        sock.sendall(messages.LAST_CHUNK)
+
+    # Guards against a deadline that passes while an event is half sent, and
+    # against a response that follows on the connection (ORDER, MIXED).
+    def test_deadline_in_a_half_sent_event(self):
+        desk, caller, remote = self.make_caller(self.send_large)
+        self.assertTrue(self.serve(desk, caller).get())
+        data = self.read_rest(remote)
+        self.assertIn(b'id: 2\n', data)
+        self.assertFalse(data.endswith(messages.LAST_CHUNK))
+        self.assertEqual(1, data.count(b'HTTP/1.1 '))
+
+    # The same where memory runs short meanwhile.
+    def test_memory_in_a_half_sent_event(self):
+        for name in ('held for callers', 'held for targets'):
+            desk, caller, remote = self.make_caller(
+                self.send_large, timeout_ms=5_000, max_attempts=1
+            )
+            task = self.serve(desk, caller)
+            base.wait_until(lambda caller=caller: caller._unsent_bytes)
+            shares = [
+                share
+                for share in buffers.process_account._shares
+                if (share.owner == 'callers') == (name == 'held for callers')
+            ]
+            self.assertTrue(shares, name)
+            for share in shares:
+                share.cut()
+            data = self.read_rest(remote)
+            self.assertTrue(task.get(), name)
+            self.assertFalse(data.endswith(messages.LAST_CHUNK), name)
+            self.assertEqual(1, data.count(b'HTTP/1.1 '), name)
+
+    # Guards against a stream that looks whole to a caller that speaks HTTP/1.0
+    # and closes its own side of the connection in the middle.
+    def test_half_closed_caller(self):
+        def cut(sock, _):
+            head = test_endings.HEAD.replace(b'Content-Type', CHUNKED)
+            head %= (handlers.REQUEST_ID, b'text/event-stream')
+            event = messages.encode_chunk(test_endings.encode_event(1))
+            sock.sendall(head + event)
+            gevent.sleep(0.1)
+            sock.sendall(messages.LAST_CHUNK)
+
+        desk, caller, remote = self.make_caller(cut, b'1.0')
+        task = self.serve(desk, caller)
+        self.assertIn(b'id: 1\n', remote.recv(65_536))
+        remote.shutdown(socket.SHUT_WR)
+        self.assertTrue(task.get())
+        with self.assertRaises(ConnectionResetError):
+            remote.recv(65_536)
+
     # Guards against a cut stream that looks whole to a caller that speaks
     # HTTP/1.0, as the kernel closes a killed router's connections (ORDER).
     def test_router_is_killed(self):
