Streams without a length: no second run proves an end by closing as well

What callers saw: a stream that two living engines closed early at the same event was told whole (ORDER). Cause: an absence was taken for a statement, still: what a second engine sends before it closes says that it works, not that it has come to the end. The review showed it with engines that close before the same event, and after their first one; on the wire these are the same as two whole runs, so no comparison tells them apart. The question for the event before also joined a run that didn't begin at Last-Event-Id. Change: Proof.SECOND_RUN is gone, with what was kept for it. After a close a stream goes on after the last event, as after any cut; a target that states where its response ends ends the stream. Without a statement it is whole only if it has as many events as tokens are allowed, or by the operator's choice. Conclusion: nothing but what a target states ends a stream. The price: streams without a length of routes that may be resumed are broken unless a later target states the end.

--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -52,13 +52,10 @@
     """What shows that a response without a length has ended.
 
     Its target lives and doesn't work on the request any more.  MOST: all
-    output that the request allows has come.  SECOND_RUN: another target, asked
-    for the last event again, has sent that and nothing else, and closed the
-    stream as well.  ALIVE: nothing else.
+    output that the request allows has come.  ALIVE: nothing else.
     """
 
     MOST = 'most'
-    SECOND_RUN = 'second_run'
     ALIVE = 'alive'
 
 
--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -165,7 +165,7 @@
             self._target.entry.id,
             context.deadline - self._clock.now(),
             context.priority(),
-            stream_ends.find_resumption_id(context),
+            context.last_event_id,
         )
         if req.body or req.method not in (b'GET', b'HEAD'):
             headers.append((b'Content-Length', b'%d' % len(req.body)))
@@ -265,8 +265,8 @@
         splitter = sse.EventSplitter()
         limits = event_limits.EventLimits(self._context.max_events)
         order = self._context.event_order
-        order.begin_run(stream_ends.find_resumption_id(self._context))
-        run = stream_ends.Run()
+        order.begin_run()
+        has_events = False
         is_open = True
         while True:
             read_at = self._clock.now()
@@ -274,7 +274,7 @@
             if too_many := limits.exceeded_by(events):
                 raise connections.Flooded(too_many)
             undelivered = order.select(events)
-            run.record(events)
+            has_events = has_events or bool(events)
             if undelivered:
                 self._relay_events(response, undelivered)
             if end_check is not None:
@@ -291,7 +291,7 @@
                 conn.set_read_timeout(self._timeout_s)
             is_open = self._receive_more(conn, response)
         # A stream that goes on may have had no more events.
-        has_begun = run.has_events or bool(self._context.last_event_id)
+        has_begun = has_events or bool(self._context.last_event_id)
         if not response.is_framed and not has_begun:
             raise connections.PeerClosed('connection closed before any event')
         if splitter.remainder():
@@ -308,12 +308,9 @@
         self._confirm_end(end_check)
         proof = None
         if not response.is_framed:
-            proof = stream_ends.find_proof(
-                self._cfg, self._context, self._target, run
-            )
+            proof = stream_ends.find_proof(self._cfg, self._context)
             if proof is None:
-                if run.is_at_end(order):
-                    self._context.record_closed(self._target)
+                self._context.record_closed(self._target)
                 return outcomes.Closed()
         is_chunked = self._context.req.takes_chunks
         self._send_body(response, messages.LAST_CHUNK if is_chunked else b'')
--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -25,8 +25,7 @@
     `last_id` is the id of the last one, at first as stated by the caller;
     empty if it has none.  `fault` says why the present target's stream can't
     go on: what comes next of it doesn't fit what the caller has.  It is empty
-    if it does.  `previous_id` is the id after which a target would send the
-    last event again, None if that isn't known.
+    if it does.
 
     `max_step` is the largest difference of the ids of successive events of one
     target, and `join_step` that of the first event that a target adds and the
@@ -39,7 +38,6 @@
 
     __slots__ = (
         'last_id',
-        'previous_id',
         'fault',
         'max_step',
         'join_step',
@@ -57,7 +55,6 @@
 
     def __init__(self, last_id):
         self.last_id = last_id
-        self.previous_id = None
         self.fault = ''
         self.max_step = 0
         self.join_step = 0
@@ -78,10 +75,9 @@
         # The bytes of the event with the last id, None if they aren't known.
         self._last_raw = None
 
-    def begin_run(self, after_id=None):
+    def begin_run(self):
         """Begin the stream of another target.
 
-        It is asked to go on after the event `after_id`, None for the last one.
         Where the events of the first one belong is known if the caller has
         none, and not to be judged if the last one's id isn't a number.
         """
@@ -90,7 +86,7 @@
             not self._has_events and _parse_id(self.last_id) is None
         )
         self.run_step = self.run_step_count = 0
-        self._begins_earlier = after_id not in (None, self.last_id)
+        self._begins_earlier = False
         self._has_last = False
         self._has_other_text = False
 
@@ -130,24 +126,14 @@
         `fault` is set if it can't have ended there.
         """
         if not self._is_placed and self._lacks_last():
-            self._reject_run(f'the stream ends before {self.last_id}')
+            self.fault = f'the stream ends before {self.last_id}'
 
     def _lacks_last(self):
         """Return whether a target begins earlier and lacks the last event."""
         return self._begins_earlier and not self._has_last
 
-    def _reject_run(self, why):
-        """Set the fault of a target that can't go on after the last event.
-
-        The next one isn't asked for that again.
-        """
-        self.previous_id = None
-        self.fault = why
-
     def _record_place(self, event):
         """Record an event that is relayed; comments have no place."""
-        if event.id or event.has_data():
-            self.previous_id = self.last_id if event.is_output() else None
         if event.id:
             self.last_id = event.id
             is_short = len(event.raw) <= MAX_COMPARED_BYTES
@@ -207,9 +193,9 @@
         most = max(self.max_step, self.service_step)
         self.join_step = max(self.join_step, step)
         if self._lacks_last():
-            self._reject_run(f'no event ends at {last}, but at {number}')
+            self.fault = f'no event ends at {last}, but at {number}'
         elif self._has_other_text:
-            self._reject_run(f'another text up to {last}')
+            self.fault = f'another text up to {last}'
         elif most and step > most:
             self.fault = f'events are missing between {last} and {number}'
 
