Streams without a length: an event without text is no token

Cause: an event counted as output by its id and a data line, whatever that holds. Change: its data has to hold text. Conclusion: counts only the proof by all output; what is relayed and charged stays.

--- a/galenaspoke/edge/streams/sse.py
+++ b/galenaspoke/edge/streams/sse.py
@@ -15,6 +15,7 @@
 # An id that contains NUL is ignored.
 _ID_LINE = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n\0]*)(?=[\r\n])')
 _DATA_LINE = re.compile(rb'(?:^|[\r\n])data[:\r\n]')
+_TEXT_LINE = re.compile(rb'(?:^|[\r\n])data:[ ]?[^\r\n]')
 # The head of a response, which may follow a line that was cut.  Text that a
 # model makes is followed by a field of an event.
 _HEAD = re.compile(
@@ -40,9 +41,9 @@
     def is_output(self):
         """Return whether the event is a part of what the target makes.
 
-        Events without an id only show that it lives, for example.
+        Events without an id or a text only show that it lives, for example.
         """
-        return bool(self.id) and self.has_data()
+        return bool(self.id) and bool(_TEXT_LINE.search(self.raw))
 
     def has_head(self):
         """Return whether the target began a response within its stream."""
