Streams: the type that says so is read in any case, and a stream route has no other

Cause: whether a response is a stream was read from its type alone, to the letter. Change: upper case counts as well, and a success of a stream route that is no stream and states no length is lost.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -1,5 +1,6 @@
 """Attempts: send a request to one target and relay its response."""
 
+from galenaspoke.core import catalog
 from galenaspoke.edge import outcomes
 from galenaspoke.edge.serving import stream_ends
 from galenaspoke.edge.streams import event_limits
@@ -13,6 +14,7 @@
 MIN_FAILURE_STATUS = 500
 # From this status up to MIN_FAILURE_STATUS, the request itself is at fault.
 MIN_REQUEST_ERROR_STATUS = 400
+OK = 200
 EVENT_STREAM = 'text/event-stream'
 # Statuses that promise the caller that the request did not run.  A response
 # with one of them that lacks the target's own statement (`not_run`) is not
@@ -226,9 +228,14 @@
 
     def _relay(self, conn, response, end_check):
         """Relay a response; `end_check` is None if it says where it ends."""
-        content_type = response.header(b'content-type')
-        if response.status == 200 and content_type.startswith(EVENT_STREAM):
+        if response.status == OK and _is_stream(response):
             return self._relay_stream(conn, response, end_check)
+        is_stream_route = (
+            self._context.route.kind is catalog.RequestKind.STREAM
+        )
+        if response.status == OK and end_check and is_stream_route:
+            # Streams that are closed early have no proof, whatever their type.
+            raise connections.ResponseLost('no stream, and without a length')
         body = self._wait(
             conn,
             lambda: conn.read_body(
@@ -368,6 +375,12 @@
         self._caller.send(data)
 
 
+def _is_stream(response):
+    """Return whether a response says that it is a stream of events."""
+    content_type = response.header(b'content-type').lower()
+    return content_type.startswith(EVENT_STREAM)
+
+
 def _can_refuse(status):
     """Return whether a target may answer so without running the request.
 
