HTTP/1.0 callers: a killed router resets their streams, too

Cause: the reset was asked for once a response was cut, by the process itself. Change: the connection is set to be reset when such a stream begins, and set back before it is closed at its proper end.

--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -29,6 +29,8 @@
 _READ_EVENT = 1
 # Makes the close of a connection reset it.
 _LINGER_NOT = struct.pack('ii', 1, 0)
+# What was sent reaches the peer first.
+_LINGER_BY_DEFAULT = struct.pack('ii', 0, 0)
 # How long, and for how many bytes, a connection is read whose response was
 # sent before all of the request had come.
 LINGER_MS = 2_000
@@ -363,6 +365,8 @@
         if not self._active.takes_chunks:
             self._ends_by_close = True
             self.keep_alive = False
+            # The kernel resets it as well if this process is killed.
+            self._set_linger(_LINGER_NOT)
             return self._encode_head(status, list(headers))
         return self._encode_head(
             status, [*headers, (b'Transfer-Encoding', b'chunked')]
@@ -461,10 +465,13 @@
     def close(self):
         """Close the connection; reset it if a response was cut."""
         self._is_closed = True
-        if self._must_reset:
-            with contextlib.suppress(OSError):
-                self._sock.setsockopt(
-                    std_socket.SOL_SOCKET, std_socket.SO_LINGER, _LINGER_NOT
-                )
+        if self._ends_by_close and not self._must_reset:
+            self._set_linger(_LINGER_BY_DEFAULT)
         self._share.close()
         self._sock.close()
+
+    def _set_linger(self, value):
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(
+                std_socket.SOL_SOCKET, std_socket.SO_LINGER, value
+            )
