Tests: streams whose route moved before a router started

Cause: not mended here. Whether a route has moved is asked of the configurations that this router has had (Admission._replaced); one that has started since has had one.

Change: two tests that fail on and one that passes.

--- a/tests/edge/test_guessed_ends_review.py
+++ b/tests/edge/test_guessed_ends_review.py
@@ -19,6 +19,7 @@
 from tests.edge import handlers
 from tests.edge import test_closed_review
 from tests.edge import test_endings
+from tests.edge import test_streams_after_moves
 from tests.edge import version_fleets
 
 MORE_USAGE = test_closed_review.MORE_USAGE
@@ -401,6 +402,57 @@
         self.assertEqual(dict.fromkeys(CLOCK_ERRORS_MS, 0), mixed)
 
 
+class MovedRouteTest(unittest.TestCase):
+    """Streams whose route has moved to another service."""
+
+    make_fleet = test_streams_after_moves.MoveTest.make_fleet
+    configure = test_streams_after_moves.MoveTest.configure
+    begin_streams = test_streams_after_moves.MoveTest.begin_streams
+
+    def count_mixed(self, names_request, lost):
+        """Return how many streams go on at another service.
+
+        The routers `lost` start again after the move, and know no other
+        configuration.  Callers resume at the second one of the three.
+        """
+        fleet = self.make_fleet(('pool', 1.0))
+        streams = self.begin_streams(fleet)
+        for name in lost:
+            fleet.kill(name)
+        fleet.clock.advance(TIME_OFF_MS)
+        for name in lost:
+            fleet.start(name)
+        self.configure(fleet, ('other', 1.0))
+        fleet.read_lists()
+        fleet.read_targets()
+        for name in lost:
+            # It has never had another configuration.
+            desk = fleet.desks[name]
+            desk.admission._catalog = desk.config_view.catalog
+            desk.versions.record.update('other', {'v2'}, {'v2': 2})
+        new = fleet.begin('front-1', version_fleets.STREAM_EVENTS + 1)
+        self.assertEqual({'v2'}, new.versions)
+        for stream in streams:
+            if not names_request:
+                stream.first_id = b''
+            fleet.resume(stream, 'front-1')
+        return fleet.count_mixed()
+
+    # Guards against a router that has started since the move, and takes the
+    # service of today for the one that began a stream (ORDER).
+    def test_callers_that_name_no_request(self):
+        self.assertEqual(0, self.count_mixed(False, ['front-1']))
+
+    # The same where all routers that knew the streams are lost.
+    def test_all_routers_start_again(self):
+        routers = [f'front-{number}' for number in range(3)]
+        self.assertEqual(0, self.count_mixed(True, routers))
+
+    # The counterpart: another router remembers.
+    def test_other_routers_remember(self):
+        self.assertEqual(0, self.count_mixed(True, ['front-1']))
+
+
 class CutChunksTest(ReviewTestCase):
     """Streams in chunks that end at any byte, with a close or a reset."""
 
