--- a/tests/edge/test_guessed_ends_review.py
+++ b/tests/edge/test_guessed_ends_review.py
@@ -448,6 +448,21 @@
         routers = [f'front-{number}' for number in range(3)]
         self.assertEqual(0, self.count_mixed(True, routers))
 
+    # Guards against a configuration that one router had and another one never
+    # saw, as two changes came between two of its requests (ORDER).
+    def test_configuration_that_was_not_seen(self):
+        fleet = self.make_fleet(('pool', 1.0))
+        fleet.begin('front-1')
+        self.configure(fleet, ('other', 1.0))
+        streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
+        self.assertEqual({'v2'}, streams[0].versions)
+        self.configure(fleet, ('pool', 1.0))
+        fleet.clock.advance(TIME_OFF_MS)
+        for stream in streams:
+            stream.first_id = b''
+            fleet.resume(stream, 'front-1')
+        self.assertEqual(0, fleet.count_mixed())
+
     # The counterpart: another router remembers.
     def test_other_routers_remember(self):
         self.assertEqual(0, self.count_mixed(True, ['front-1']))
