Tests: an engine that ends its stream at its deadline

Change: a test that fails on in chunks (three runs of three), and holds without a length: a router that stands still over the deadline reads the last chunk first, and tells a stream whole that its engine may have stopped at the deadline that it was given.

--- a/tests/edge/test_guessed_ends_review.py
+++ b/tests/edge/test_guessed_ends_review.py
@@ -1,5 +1,6 @@
 """Streams that are told whole, or joined, on the strength of a guess."""
 
+import re
 import signal
 import struct
 import subprocess
@@ -259,6 +260,32 @@
             self.assertFalse(self.ask(desk, usage=MORE_USAGE)[1], name)
 
 
+class DeadlineTest(ReviewTestCase):
+    """Engines that stop work at the deadline that they are given."""
+
+    # Guards against a stream that is whole since its engine ended it at its
+    # deadline, which a starved router notices later (ORDER).
+    def test_engine_ends_at_its_deadline(self):
+        for is_chunked in (False, True):
+            desk, (engine,) = self.make_desk(resumable=False)
+
+            def run(engine, own_run, sock, head, is_chunked=is_chunked):
+                send = self.send(1, 2, 3, is_chunked=is_chunked, ends=False)
+                send(engine, own_run, sock, head)
+                left = re.search(rb'x-deadline-ms: (\d+)', head.lower())
+                gevent.sleep(0.01)
+                # Neither the router nor anything else gets on meanwhile.
+                base.stall(int(left.group(1)) / 1_000 + 0.05)
+                if is_chunked:
+                    sock.sendall(messages.LAST_CHUNK)
+
+            self.script([engine], run)
+            pairs = [(b'x-deadline-ms', b'300')]
+            caller, is_whole = self.ask(desk, usage=MORE_USAGE, pairs=pairs)
+            self.assertEqual(3, self.count_pieces(caller))
+            self.assertFalse(is_whole, is_chunked)
+
+
 class OtherKindTest(ReviewTestCase):
     """Routes whose requests may be repeated, but not resumed."""
 
