Streams: an end at the deadline is no end

What callers saw: an engine stops work at the deadline that it is given. A router that stood still, or had too little of a core, read the end of the chunks before it noticed that the time was up, and told the stream whole (ORDER). A caller may wait for longer than its route's time-out, which is the deadline that engines get. Cause: an end that comes because time is up passed for one that the engine had come to. Change: a stream that doesn't state a length, and whose end is read at its deadline or later, is lost. Conclusion: what is lost is a whole stream whose end is read late, after its time.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -22,6 +22,8 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # With this status a target turns requests away; it may say for how long.
 UNAVAILABLE_STATUS = 503
+# Targets are told the deadline in whole ms, and may be early by as much.
+DEADLINE_MARGIN_MS = 2
 # The longest event of a stream.
 MAX_EVENT_BYTES = 1_048_576
 
@@ -312,6 +314,8 @@
             order.end_run()
             if order.fault:
                 raise connections.ResponseLost(order.fault)
+        if self._may_have_stopped(response):
+            raise connections.ResponseLost('it ended at the deadline')
         self._confirm_end(end_check)
         proof = None
         if not response.is_framed:
@@ -323,6 +327,17 @@
         self._send_body(response, messages.LAST_CHUNK if is_chunked else b'')
         return outcomes.Served(response.status, response.is_framed, proof)
 
+    def _may_have_stopped(self, response):
+        """Return whether a stream may end since its target was out of time.
+
+        Targets stop work at the deadline, which this process may notice later.
+        A length is stated before that.
+        """
+        if response.header(b'content-length'):
+            return False
+        left_ms = self._context.remaining_ms(self._clock.now())
+        return left_ms <= DEADLINE_MARGIN_MS
+
     def _confirm_end(self, end_check):
         """Raise ResponseLost if a response may have been cut off."""
         if end_check is not None:
