Soak: worlds of sites, tenants, callers of more kinds, faults that sites name

Cause: the soak had Stride 1, no tenants, one stream a caller and none of the series that the sites' troubles name, so it couldn't meet what the users met.

Change: site_profiles makes a world from a site's file or a small default one; tenants with keys, prepaid tokens and top-ups, checked by edge_budgets (BUDGET, KEY); callers with streams at once, in series, on old connections, by HTTP/1.0, that read nothing for a while; faults of site_faults. A route's service in edge_checks comes from the request, since routes differ by site.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	@echo "make test     run all tests"
 	@echo "make lint     run the linter and the formatter check"
 	@echo "make soak     long random faults: SEED=1 MINUTES=5"
-	@echo "make edge-soak  the same for the edge fleet: SEED=1 SECONDS=60"
+	@echo "make edge-soak  the same for the edge fleet: SEED=1 SECONDS=60 SITE="
 	@echo "make measure  policies against baselines: build/measure.json"
 	@echo "make slopes   what docs/CAPACITY.md is worked out from"
 
@@ -40,10 +40,12 @@
 
 edge-soak: $(STAMP)
 	$(BIN)/python -m bench.edge_soak --seed $(or $(SEED),1) \
-	  --seconds $(or $(SECONDS),60) --routers $(or $(ROUTERS),3) \
-	  --relays $(or $(RELAYS),1) --engines $(or $(ENGINES),4) \
-	  --applications $(or $(APPLICATIONS),3) \
-	  --callers $(or $(CALLERS),24)
+	  --seconds $(or $(SECONDS),60) $(if $(SITE),--site $(SITE)) \
+	  $(if $(ROUTERS),--routers $(ROUTERS)) \
+	  $(if $(RELAYS),--relays $(RELAYS)) \
+	  $(if $(ENGINES),--engines $(ENGINES)) \
+	  $(if $(APPLICATIONS),--applications $(APPLICATIONS)) \
+	  $(if $(CALLERS),--callers $(CALLERS))
 
 measure: $(STAMP)
 	$(BIN)/python -m bench.measure
--- a/bench/edge_callers.py
+++ b/bench/edge_callers.py
@@ -1,78 +1,99 @@
-"""Callers of the edge fleet, which keep what they were told.
+"""What callers of the edge fleet want, and what they keep of their attempts.
 
-They stream, read slowly, leave, retry as the platform's clients do, and resume
-streams at any router.  Each attempt has an id of its own.
+Each attempt has an id of its own.
 """
 
-import json
 import re
-import socket
 import time
 
-import gevent
-
 from standins import platform_documents
-from standins import raw_http
 
 TIMEOUT_S = 8.0
-CONNECT_TIMEOUT_S = 1.0
-# A caller leaves a stream that pauses for so long.
-PAUSE_S = 3.0
-MAX_ATTEMPTS = 5
-MAX_RETRY_AFTER_S = 1.5
-PIECES = (8, 24)
-# How many more tokens than it gets a caller allows at most.
-SPARE_TOKENS = 30
-THINK_S = 0.08
-# The share of first attempts that use an open connection, if there is one.
-REUSE_SHARE = 0.8
-LEAVING_SHARE = 0.05
-SLOW_SHARE = 0.08
-SLOW_READ_S = 0.2
-SLOW_BUFFER_BYTES = 2_048
-# The share of callers that resume without naming the request before.
-NAMELESS_SHARE = 0.2
+PATIENCE_S = 3.2
+# What follows in the key of a request whose events are to be long.
+PADDING_START = '_'
 # A caller leaves a response whose body is longer.
 MAX_BODY_BYTES = 500_000
 # Or that has more comments.
 MAX_COMMENTS = 20_000
-# How much of the body of a refusal is kept.
-WHY_BYTES = 100
 # Statuses which promise that the request has not run and never will.
 PROMISES = (408, 421, 429, 503)
 _EVENT = re.compile(rb'id: (\d+)\ndata: (\S+) (\S+) (\d+)')
 
 
 class Request:
-    """What a caller wants, over all its attempts."""
+    """What a caller wants, over all its attempts.
+
+    `pieces` is how many tokens a stream has, or lines another body.  `name` is
+    what the ids of its attempts begin with.  A tenant's carries one of its
+    keys; `max_tokens` is the most output that it allows.
+    """
 
-    __slots__ = ('key', 'prefix', 'pieces', 'attempts')
+    __slots__ = (
+        'key',
+        'prefix',
+        'pieces',
+        'attempts',
+        'route',
+        'name',
+        'tenant',
+        'api_key',
+        'input_tokens',
+        'max_tokens',
+        'retries',
+        'patience_s',
+        'timeout_s',
+    )
 
-    def __init__(self, key, prefix, pieces):
+    def __init__(self, key, prefix, pieces, route=None):
         self.key = key
         self.prefix = prefix
         self.pieces = pieces
         self.attempts = []
+        self.route = route or platform_documents.Route(
+            prefix, *platform_documents.ROUTES[prefix]
+        )
+        self.name = key.partition(PADDING_START)[0]
+        self.tenant = None
+        self.api_key = None
+        self.input_tokens = platform_documents.INPUT_TOKENS
+        self.max_tokens = pieces
+        self.retries = 0
+        # The longest pause of a stream that its caller bears.
+        self.patience_s = PATIENCE_S
+        self.timeout_s = TIMEOUT_S
 
     @property
     def kind(self):
         """Return the kind of the route."""
-        return platform_documents.ROUTES[self.prefix][0]
+        return self.route.kind
 
     @property
     def is_resumable(self):
         """Return whether another engine may go on with the response."""
-        return platform_documents.ROUTES[self.prefix][2]
+        return self.route.is_resumable
 
     @property
     def may_repeat(self):
         """Return whether it may run more than once in one attempt."""
         return self.kind == 'idempotent' or self.is_resumable
 
+    @property
+    def is_padded(self):
+        """Return whether its events are so long that they fill buffers."""
+        return self.name != self.key
+
     def count_events(self):
         """Return the number of events that the caller has so far."""
         return sum(len(attempt.events) for attempt in self.attempts)
 
+    def get_last_id(self):
+        """Return the id of the last event as it was sent, empty for none."""
+        events = [event for a in self.attempts for event in a.events]
+        if not events:
+            return ''
+        return getattr(events[-1], 'id', None) or str(events[-1].number)
+
 
 class Event:
     """An event of a stream, as its text says; all 0 or empty if it can't."""
@@ -109,6 +130,9 @@
         'outcome',
         'has_surplus',
         'why',
+        'api_key',
+        'is_old_http',
+        'is_framed',
     )
 
     def __init__(self, attempt_id, router, first):
@@ -128,165 +152,14 @@
         # Whether bytes came after the response.
         self.has_surplus = False
         self.why = ''
+        self.api_key = None
+        # Whether it was asked for by HTTP/1.0.
+        self.is_old_http = False
+        # Whether the response states where its body ends.
+        self.is_framed = True
 
 
-class Caller:
-    """One caller, which sends requests until it is stopped.
-
-    It keeps a connection to each router and mostly uses it again.
-    """
-
-    __slots__ = (
-        '_name',
-        '_fleet',
-        '_rng',
-        '_requests',
-        '_kept',
-        'is_stopping',
-    )
-
-    def __init__(self, name, fleet, rng, requests):
-        self._name = name
-        self._fleet = fleet
-        self._rng = rng
-        self._requests = requests
-        # Open connections by the name of their router.
-        self._kept = {}
-        self.is_stopping = False
-
-    def run(self):
-        """Send requests, one after the other."""
-        number = 0
-        while not self.is_stopping:
-            number += 1
-            prefix = self._rng.choices(
-                list(platform_documents.ROUTES), (5, 3, 2, 2)
-            )[0]
-            req = Request(
-                f'{self._name}-{number}', prefix, self._rng.randint(*PIECES)
-            )
-            self._requests.append(req)
-            self._send_until_final(req)
-            gevent.sleep(self._rng.uniform(0, 2 * THINK_S))
-
-    def _send_until_final(self, req):
-        until = time.monotonic() + TIMEOUT_S
-        for number in range(MAX_ATTEMPTS):
-            left_s = until - time.monotonic()
-            if left_s <= 0.1:
-                return
-            attempt = Attempt(
-                f'{req.key}.{number}',
-                self._rng.choice(self._fleet.routers),
-                req.count_events() + 1,
-            )
-            self._try(req, attempt, left_s)
-            attempt.ended_at = time.time()
-            req.attempts.append(attempt)
-            if not _may_retry(req, attempt):
-                return
-            gevent.sleep(self._choose_pause(attempt))
-
-    def _choose_pause(self, attempt):
-        try:
-            asked_s = float(attempt.headers.get('retry-after', 0))
-        except ValueError:
-            asked_s = 0
-        if attempt.outcome == 'refused':
-            return min(asked_s, MAX_RETRY_AFTER_S)
-        return self._rng.uniform(0.02, 0.3)
-
-    def _try(self, req, attempt, left_s):
-        try:
-            conn = self._connect(req, attempt)
-        except OSError as exc:
-            attempt.why = str(exc)
-            return
-        is_reusable = False
-        try:
-            with gevent.Timeout(left_s):
-                is_reusable = self._converse(req, attempt, conn, left_s)
-        except (OSError, raw_http.Disconnected) as exc:
-            attempt.outcome, attempt.why = 'cut', repr(exc)
-        except gevent.Timeout:
-            attempt.outcome, attempt.why = 'left', 'no time left'
-        finally:
-            if is_reusable:
-                self._kept[attempt.router.name] = conn
-            else:
-                conn.sock.close()
-
-    def _connect(self, req, attempt):
-        """Return a connection, for a retry always a new one."""
-        kept = self._kept.pop(attempt.router.name, None)
-        if kept is not None:
-            if not req.attempts and self._rng.random() < REUSE_SHARE:
-                return kept
-            kept.sock.close()
-        front = (attempt.router.ip, platform_documents.FRONT_PORT)
-        sock = socket.create_connection(front, CONNECT_TIMEOUT_S)
-        sock.settimeout(PAUSE_S)
-        return raw_http.Connection(sock)
-
-    def _converse(self, req, attempt, conn, left_s):
-        """Send a request and read the response.
-
-        Returns whether the connection may be used again.
-        """
-        is_slow = self._rng.random() < SLOW_SHARE
-        if is_slow:
-            conn.sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES
-            )
-        leave_after = None
-        if self._rng.random() < LEAVING_SHARE:
-            leave_after = self._rng.randint(0, req.pieces)
-        conn.sock.sendall(self._encode(req, attempt, left_s))
-        message = conn.read_head()
-        if message is None:
-            raise raw_http.Disconnected('before a response')
-        attempt.status = message.status
-        attempt.headers = message.headers
-        pieces = conn.iter_body(message, ends_with_connection=True)
-        for count, data in enumerate(pieces, 1):
-            attempt.body += data
-            if req.kind == 'stream' and attempt.status == 200:
-                take_events(attempt)
-            if _has_too_much(req, attempt):
-                attempt.outcome, attempt.why = 'left', 'more than asked for'
-                return False
-            if leave_after is not None and count > leave_after:
-                attempt.outcome = 'left'
-                return False
-            if is_slow:
-                gevent.sleep(SLOW_READ_S)
-        attempt.outcome = _classify(attempt.status)
-        attempt.has_surplus = conn.has_surplus()
-        if attempt.outcome != 'whole':
-            attempt.why = attempt.body[:WHY_BYTES].decode(errors='replace')
-        closes = message.get('connection').lower() == 'close'
-        return message.is_framed() and not closes and not is_slow
-
-    def _encode(self, req, attempt, left_s):
-        headers = platform_documents.make_request_headers(
-            attempt.id, int(left_s * 1000)
-        )
-        if req.kind == 'stream':
-            tokens = req.pieces + SPARE_TOKENS
-            headers += platform_documents.make_model_headers(req.key, tokens)
-        if attempt.first > 1:
-            began_id = ''
-            if self._rng.random() >= NAMELESS_SHARE:
-                began_id = next(a.id for a in req.attempts if a.events)
-            headers += platform_documents.make_resuming_headers(
-                attempt.first - 1, began_id
-            )
-        body = {'key': req.key, 'pieces': req.pieces}
-        first = f'POST {req.prefix}{req.key} HTTP/1.1'
-        return raw_http.encode(first, headers, json.dumps(body).encode())
-
-
-def _has_too_much(req, attempt):
+def has_too_much(req, attempt):
     """Return whether an engine that floods sent more than was asked for."""
     return (
         req.count_events() + len(attempt.events) > req.pieces
@@ -312,13 +185,13 @@
     return all(line.startswith(b':') for line in block.split(b'\n'))
 
 
-def _classify(status):
+def classify(status):
     if 200 <= status < 300:
         return 'whole'
     return 'refused' if status in PROMISES else 'failed'
 
 
-def _may_retry(req, attempt):
+def may_retry(req, attempt):
     """Return whether the platform's clients would send a request again."""
     if attempt.outcome in ('unsent', 'refused'):
         # A stream that may not be resumed isn't begun a second time.
@@ -330,7 +203,8 @@
 
 def describe(attempt):
     """Return when an attempt was made and where, for a timeline."""
+    old = 'by HTTP/1.0 ' if attempt.is_old_http else ''
     return (
-        f'at {attempt.router.name} from {attempt.sent_at:.3f}'
+        f'{old}at {attempt.router.name} from {attempt.sent_at:.3f}'
         f' to {attempt.ended_at:.3f}'
     )
--- a/bench/edge_checks.py
+++ b/bench/edge_checks.py
@@ -201,7 +201,7 @@
 
 
 def _check_services(findings, req, attempt, runs):
-    expected = platform_documents.ROUTES[req.prefix][1]
+    expected = req.route.service
     for run in runs:
         if run.service != expected:
             findings.add(
--- a/bench/edge_faults.py
+++ b/bench/edge_faults.py
@@ -11,6 +11,7 @@
 
 from bench import edge_machines
 from bench import flood_callers
+from bench import site_faults
 from standins import edge_floods
 from standins import platform_documents
 
@@ -45,8 +46,11 @@
 
     __slots__ = ('_fleet', '_seed', '_weights', '_tasks', '_is_stopping')
 
-    def __init__(self, fleet, seed, only=()):
-        """Draw from all faults, or from those that `only` names."""
+    def __init__(self, fleet, seed, only=(), troubles=None):
+        """Draw from all faults, or from those that `only` names.
+
+        `troubles` are the kinds that a site has, None for all.
+        """
         self._fleet = fleet
         self._seed = seed
         self._weights = {
@@ -69,6 +73,10 @@
             self._harm_store: 1,
             self._lose_power: 0.4,
         }
+        site = site_faults.SiteFaults(fleet, self._note)
+        self._weights.update(site.list_weights())
+        if not only and troubles is not None:
+            only = site_faults.list_names(troubles)
         if only:
             self._weights = {
                 fault: weight
--- a/bench/edge_fleet.py
+++ b/bench/edge_fleet.py
@@ -13,6 +13,7 @@
 """
 
 import collections
+import copy
 import json
 import os
 import pathlib
@@ -24,6 +25,8 @@
 
 from bench import edge_machines
 from bench import processes
+from bench import site_profiles
+from bench import tenants
 from standins import common
 from standins import control_path
 from standins import faulty_link
@@ -44,6 +47,9 @@
 class FleetOptions:
     """The size of a fleet and the seed of all that is drawn.
 
+    `profile` is the Profile of its world, which says what `routers`,
+    `relays`, `engines` and `applications` are if they are None.
+
     `product` is the folder that holds the galenaspoke package to run, `early`
     the share of responses that engines end early, `garbled` of those that they
     garble, and `skew_ms` how far engines' clocks are ahead or behind at most.
@@ -51,6 +57,7 @@
     """
 
     __slots__ = (
+        'profile',
         'seed',
         'routers',
         'relays',
@@ -66,21 +73,23 @@
     def __init__(
         self,
         seed=1,
-        routers=3,
-        relays=1,
-        engines=4,
-        applications=3,
+        routers=None,
+        relays=None,
+        engines=None,
+        applications=None,
         product=None,
         early=0.08,
         garbled=0.02,
         skew_ms=6_000,
         control_path=True,
+        profile=None,
     ):
+        self.profile = profile or site_profiles.default()
         self.seed = seed
-        self.routers = routers
-        self.relays = relays
-        self.engines = engines
-        self.applications = applications
+        self.routers = _choose(routers, self.profile.routers)
+        self.relays = _choose(relays, self.profile.relays)
+        self.engines = _choose(engines, self.profile.engines)
+        self.applications = _choose(applications, self.profile.applications)
         self.product = product or str(pathlib.Path(__file__).parents[1])
         self.early = early
         self.garbled = garbled
@@ -88,6 +97,10 @@
         self.control_path = control_path
 
 
+def _choose(number, default):
+    return default if number is None else number
+
+
 class Fleet:
     """All machines of a run, with the store and its configuration."""
 
@@ -96,7 +109,11 @@
         self.log = common.EventLog(self.directory / 'faults.log')
         self.version_number = 1
         self.restarts = collections.Counter()
+        self.profile = options.profile
+        self.tenants = tenants.Tenants(self.profile.tenants)
         self._options = options
+        self._timeout_ms = platform_documents.DEFAULT_TIMEOUT_MS
+        self._extra_routes = 0
         self._rng = random.Random(f'{options.seed} fleet')
         # A network of its own, so that runs beside each other don't meet.
         own = random.SystemRandom()
@@ -106,6 +123,8 @@
         self.store = platform_store.PlatformStore(
             f'{self._new_ip()}:{STORE_PORT}'
         )
+        # Where the store serves each router and relay, by name.
+        self._entrances = {}
         router_ips = [self._new_ip() for _ in range(options.routers)]
         # The path between routers; None if they reach each other directly.
         self.control_path = None
@@ -170,9 +189,9 @@
         if self.control_path:
             path = self.control_path
             changes = (path.show_others(ip), path.hide())
-        link = faulty_link.FaultyLink(
-            f'{ip}:{STORE_PORT}', self.store.address, *changes
-        )
+        entrance = self.store.add_entrance()
+        link = faulty_link.FaultyLink(f'{ip}:{STORE_PORT}', entrance, *changes)
+        self._entrances[f'{role}-{number}'] = entrance
         zone = platform_documents.ZONES[number % 2]
         return edge_machines.Machine(f'{role}-{number}', ip, zone, link)
 
@@ -302,6 +321,7 @@
             machine.link.listen,
             retry_slack,
             machine in self.routers,
+            self.get_memory_mb(machine),
         )
         path = self.directory / f'{machine.name}.yaml'
         # JSON is YAML.  A process that starts meanwhile reads it as a whole.
@@ -309,11 +329,37 @@
         written.write_text(json.dumps(settings))
         written.replace(path)
 
-    def publish(self, timeout_ms=8_000, extra_routes=0):
-        """Publish a new version of the configuration."""
+    def get_memory_mb(self, machine):
+        """Return what a router or relay may take at most."""
+        if machine in self.routers:
+            return self.profile.memory_mb
+        return self.profile.relay_memory_mb
+
+    def turn_away(self, machine, how):
+        """Have the store refuse a router or relay, None to serve it again.
+
+        `how` is a status, 'reset' or 'silence'.
+        """
+        self.store.turn_away(self._entrances[machine.name], how)
+
+    def publish(self, timeout_ms=None, extra_routes=None):
+        """Publish a new version of the configuration.
+
+        `timeout_ms` is that of a route that has the default one; others' is
+        changed by as much.  What isn't given stays.
+        """
         self._config_version += self._rng.randint(1, 3)
-        config = platform_documents.make_config(
-            self._config_version, edge_machines.SLOTS, timeout_ms, extra_routes
+        self._timeout_ms = _choose(timeout_ms, self._timeout_ms)
+        self._extra_routes = _choose(extra_routes, self._extra_routes)
+        config = platform_documents.make_full_config(
+            self._config_version,
+            self._make_routes(),
+            platform_documents.Engines(
+                edge_machines.SLOTS,
+                self.profile.memory_tokens,
+                self._get_stride(),
+            ),
+            self.tenants.begin_version(),
         )
         self.store.put(
             platform_documents.CONFIG_KIND,
@@ -321,6 +367,30 @@
             json.dumps(config).encode(),
         )
 
+    def _get_stride(self):
+        has_stride = edge_machines.has_engine_option('stride')
+        return self.profile.stride if has_stride else 1
+
+    def _make_routes(self):
+        routes = [copy.copy(route) for route in self.profile.list_routes()]
+        for route in routes:
+            route.timeout_ms = (
+                route.timeout_ms
+                * self._timeout_ms
+                // platform_documents.DEFAULT_TIMEOUT_MS
+            )
+        return routes + platform_documents.make_other_routes(
+            self._timeout_ms, self._extra_routes
+        )
+
+    def add_model_engine(self):
+        """Start a further model engine; return its machine."""
+        number = len(self.engines)
+        machine = self._make_engine('model', number, MODEL)
+        self._start_engine(machine)
+        self.engines.append(machine)
+        return machine
+
     def supervise(self):
         """Start again what has ended, after a while."""
         while True:
--- a/bench/edge_machines.py
+++ b/bench/edge_machines.py
@@ -10,6 +10,9 @@
 from standins import raw_http
 
 ENGINE_PORT = 8300
+# Where the soak has an engine fail.
+MODE_PATH = '/faults/mode'
+MODES = ('errors', 'shed', 'hang', 'mute', 'reset', 'spot', 'forget')
 PROXY_PORT = 8301
 SLOTS = 8
 FLOODING_OPTIONS = (
@@ -96,9 +99,20 @@
     def flood(self, case, seconds):
         """Have the engine answer without end; return whether it heard it."""
         order = {'case': case, 'seconds': seconds}
+        return self._order(edge_engine.FLOOD_PATH, order)
+
+    def set_mode(self, mode, seconds, share):
+        """Have the engine fail a share of requests in a way of MODES.
+
+        Returns whether it heard it.
+        """
+        order = {'mode': mode, 'seconds': seconds, 'share': share}
+        return self._order(MODE_PATH, order)
+
+    def _order(self, path, order):
         address = f'{self.ip}:{ENGINE_PORT}'
         try:
-            raw_http.call(address, 'POST', edge_engine.FLOOD_PATH, order)
+            raw_http.call(address, 'POST', path, order)
         except (OSError, raw_http.Disconnected, json.JSONDecodeError):
             return False
         return True
@@ -118,7 +132,16 @@
     if machine.floods:
         return [*argv, *FLOODING_OPTIONS]
     argv += ['--slots', str(SLOTS), '--early', str(options.early)]
-    return [*argv, '--garbled', str(options.garbled)]
+    argv += ['--garbled', str(options.garbled)]
+    for name, value in options.profile.engine_options.items():
+        if has_engine_option(name):
+            argv += [f'--{name}', str(value)]
+    return argv
+
+
+def has_engine_option(name):
+    """Return whether the stand-in has an option."""
+    return any(param.name == name for param in edge_engine.main.params)
 
 
 def is_ready(machine):
--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -21,13 +21,15 @@
 import click  # noqa: E402
 import gevent  # noqa: E402
 
+from bench import edge_budgets  # noqa: E402
 from bench import edge_callers  # noqa: E402
 from bench import edge_checks  # noqa: E402
 from bench import edge_faults  # noqa: E402
 from bench import edge_fleet  # noqa: E402
+from bench import edge_sessions  # noqa: E402
 from bench import flood_windows  # noqa: E402
 from bench import memory  # noqa: E402
-from standins import platform_documents  # noqa: E402
+from bench import site_profiles  # noqa: E402
 
 MAX_PRINTED = 5
 MAX_FLOODS = len(flood_windows.CASES)
@@ -46,7 +48,7 @@
     fleet = edge_fleet.Fleet(options, directory)
     requests = []
     callers = [
-        edge_callers.Caller(
+        edge_sessions.Caller(
             f'c{number}',
             fleet,
             random.Random(f'{options.seed} caller {number}'),
@@ -54,7 +56,9 @@
         )
         for number in range(caller_count)
     ]
-    faults = edge_faults.Faults(fleet, options.seed, only)
+    faults = edge_faults.Faults(
+        fleet, options.seed, only, fleet.profile.troubles
+    )
     # A soak that is stopped ends its processes, too.
     main_task = gevent.getcurrent()
     gevent.signal_handler(
@@ -79,12 +83,18 @@
         fleet.stop()
     findings = _check(fleet, requests)
     edge_checks.check_floods(findings, results)
-    edge_checks.check_memory(
-        findings, watch.peaks_mb, platform_documents.MEMORY_MB
-    )
+    _check_memory(findings, fleet, watch.peaks_mb)
     return findings
 
 
+def _check_memory(findings, fleet, peaks_mb):
+    for machine in [*fleet.routers, *fleet.relays]:
+        own = {
+            key: mb for key, mb in peaks_mb.items() if key[0] == machine.name
+        }
+        edge_checks.check_memory(findings, own, fleet.get_memory_mb(machine))
+
+
 def _flood(fleet, seed, count):
     """Flood routers that are otherwise left alone; return the results."""
     rng = random.Random(f'{seed} floods')
@@ -97,7 +107,10 @@
 
 def _check(fleet, requests):
     paths = sorted(fleet.directory.glob('*.runs'))
-    findings = edge_checks.check(requests, edge_checks.read_runs(paths))
+    runs = edge_checks.read_runs(paths)
+    findings = edge_checks.check(requests, runs)
+    tenants = edge_budgets.check(findings, requests, runs, fleet.tenants)
+    _write_lines(fleet.directory / 'tenants.log', tenants)
     for machine in [*fleet.routers, *fleet.relays]:
         for code in machine.ended_alone:
             findings.add('ENDED', f'{machine.name} ended with {code}')
@@ -122,6 +135,10 @@
         for req in requests
         for attempt in req.attempts
     ]
+    _write_lines(path, lines)
+
+
+def _write_lines(path, lines):
     path.write_text('\n'.join(lines) + '\n')
 
 
@@ -148,7 +165,12 @@
     for rule, texts in findings.violations.items():
         print(f'{rule}: {len(texts)}')
         for text in texts[:MAX_PRINTED]:
-            print(f'  {text}')
+            print(f'  {_shorten(text)}')
+
+
+def _shorten(text):
+    """Return a text without what makes keys long."""
+    return text.replace(edge_sessions.PADDING, '')
 
 
 def _print_closed(findings):
@@ -156,7 +178,7 @@
 
     Engines that live on closed them, early or at their end.
     """
-    for prefix in platform_documents.ROUTES:
+    for prefix in sorted({key[0] for key in findings.unframed}):
         counts = {
             (how, outcome): count
             for (route, how, outcome), count in findings.unframed.items()
@@ -176,14 +198,24 @@
     return sum(count for key, count in counts.items() if key[0] == how)
 
 
+def _read_profile(path):
+    if not path:
+        return site_profiles.default()
+    try:
+        return site_profiles.read(path)
+    except site_profiles.ProfileError as exc:
+        raise click.ClickException(str(exc)) from exc
+
+
 @click.command()
 @click.option('--seed', default=1)
 @click.option('--seconds', default=60.0, help='How long faults go on.')
-@click.option('--routers', default=3)
-@click.option('--relays', default=1)
-@click.option('--engines', default=4, help='Model engines.')
-@click.option('--applications', default=3, help='Application engines.')
-@click.option('--callers', default=24, help='Concurrent callers.')
+@click.option('--site', default=None, help="A site's file; else a small one.")
+@click.option('--routers', type=int, help="If not the site's, as below.")
+@click.option('--relays', type=int)
+@click.option('--engines', type=int, help='Model engines.')
+@click.option('--applications', type=int, help='Application engines.')
+@click.option('--callers', type=int, help='Concurrent callers.')
 @click.option('--early', default=0.08, help='Responses that end early.')
 @click.option('--garbled', default=0.02, help='Responses that are garbled.')
 @click.option('--skew-ms', default=6_000, help="Of engines' clocks, at most.")
@@ -197,9 +229,11 @@
 @click.option('--product', default=None, help='Where galenaspoke is.')
 @click.option('--report', default=None, help='A file for the counts as JSON.')
 @click.option('--keep/--no-keep', default=False, help='Keep all logs.')
-def main(seconds, callers, floods, only, report, keep, **fields):
+def main(site, seconds, callers, floods, only, report, keep, **fields):
     """Run callers and faults drawn from SEED, and check what happened."""
-    options = edge_fleet.FleetOptions(**fields)
+    profile = _read_profile(site)
+    options = edge_fleet.FleetOptions(profile=profile, **fields)
+    callers = profile.callers if callers is None else callers
     directory = tempfile.mkdtemp(prefix=f'galenaspoke-edge-{options.seed}-')
     findings = run(options, seconds, callers, floods, only, directory)
     print_findings(options.seed, findings)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -4,6 +4,8 @@
 Engines write their entries as `PUT /entries/NAME`, which has to be repeated as
 a heartbeat; entries that fall silent are removed.
 
+Each client may have an entrance of its own, at which it can be turned away.
+
 Faults: `is_down` leaves calls without a response, `slow_s` delays each, and
 `drop_history` makes the watches start anew.
 
@@ -34,6 +36,9 @@
 HANG_S = 60
 RESPONSE_S = 0.003
 FIRST_REVISION = 100
+# How the store turns a client away that gets no status.
+RESET = 'reset'
+SILENCE = 'silence'
 
 
 class StoredObject:
@@ -88,10 +93,30 @@
         self._changed = event.Event()
         # When each engine was heard of.
         self._heard_at = {}
+        # Addresses for one client each, and how those are turned away.
+        self._entrances = []
+        self._refusals = {}
+
+    def add_entrance(self):
+        """Return a further address; call this before `start`."""
+        host, port = raw_http.parse(self.address)
+        entrance = f'{host}:{port + len(self._entrances) + 1}'
+        self._entrances.append(entrance)
+        return entrance
+
+    def turn_away(self, entrance, how):
+        """Refuse calls at an entrance, None to serve them again.
+
+        `how` is a status, 'reset' or 'silence'.
+        """
+        self._refusals[entrance] = how
 
     def start(self):
         """Listen."""
-        self._server = raw_http.listen(self.address, self._serve)
+        self._servers = [
+            raw_http.listen(address, self._serve)
+            for address in [self.address, *self._entrances]
+        ]
         gevent.spawn(self._remove_silent_entries)
 
     def put(self, kind, name, value):
@@ -148,15 +173,30 @@
 
     def _serve(self, sock, _peer):
         conn = raw_http.Connection(sock)
+        entrance = '{}:{}'.format(*sock.getsockname())
         try:
             while (message := conn.read_head()) is not None:
                 body = conn.read_body(message)
-                sock.sendall(self._respond(message, body))
+                refusal = self._refuse(entrance)
+                if refusal == RESET:
+                    raw_http.reset(sock)
+                    return
+                sock.sendall(refusal or self._respond(message, body))
         except (OSError, raw_http.Disconnected):
             pass
         finally:
             sock.close()
 
+    def _refuse(self, entrance):
+        """Return the refusal of a call, RESET, or None to serve it."""
+        how = self._refusals.get(entrance)
+        if how == SILENCE:
+            gevent.sleep(HANG_S)
+            raise raw_http.Disconnected('the store was silent')
+        if how in (None, RESET):
+            return how
+        return raw_http.encode_response(how)
+
     def _respond(self, message, body):
         method, url, _ = message.first.split(' ')
         path, _, query = url.partition('?')
