Edge soak: engines divide their output as they like, and misbehave on order

Cause: the stand-in engine sent one token an event, with the ids 1, 2, 3, and its few ways to misbehave were drawn once. The soak couldn't meet events that hold fewer tokens than Stride says, other ids, pauses, or changed weights.

Change: `pieces` is the number of a stream's tokens, and an event's data is KEY VERSION FROM TO. A garbled stream without a length may hold the same response once more, head included. The log says where a run goes on and what it sent.

The checks work on tokens (contiguous from 1, complete if told whole) and count gaps and repetitions by framing. Ids have to count events, or be the last token, as the engine's log says: as strict as before, where id and data had to be equal.

--- a/standins/edge_floods.py
+++ b/standins/edge_floods.py
@@ -107,7 +107,7 @@
     while True:
         numbers = range(number, number + EVENTS_A_BLOCK)
         yield b''.join(
-            edge_bodies.make_event(answer.key, answer.version, n)
+            edge_bodies.make_event(answer.key, answer.version, n, n, n)
             for n in numbers
         )
         number += EVENTS_A_BLOCK
--- /dev/null
+++ b/standins/edge_runs.py
@@ -0,0 +1,186 @@
+"""The runs of an edge engine, and its log of them.
+
+By request id the log has each run: the incarnation, the versions, how the
+response is framed, what an event's id is, after which event the run goes on,
+and the first token that it is to send.  A second line has how the run ended,
+with the events and tokens that were sent.  A run without it was killed.
+"""
+
+import os
+import zlib
+
+from standins import edge_bodies
+from standins import edge_floods
+from standins import edge_plans
+from standins import edge_responses
+from standins import raw_http
+
+# After these ends the connection is reset.
+RESETS = (
+    edge_plans.RESET,
+    edge_plans.LEFT,
+    edge_plans.LOST_RESET,
+    edge_plans.LOST,
+    edge_plans.HANG,
+)
+# The share of streams that an engine resets when it ends them all.
+RESET_SHARE = 0.5
+# Engines' weights have one of so many versions.
+WEIGHT_VERSIONS = 9
+
+
+class Runs:
+    """What an engine works on; one request at a time on a connection.
+
+    `weights` is the version of the engine's weights.
+    """
+
+    __slots__ = (
+        'weights',
+        '_instance',
+        '_entry',
+        '_log',
+        '_rng',
+        '_settings',
+        '_runs',
+        '_late_responses',
+    )
+
+    def __init__(self, instance, entry, log, rng, settings):
+        self.weights = 1
+        if settings.division.weights:
+            self.weights += zlib.crc32(instance.encode()) % WEIGHT_VERSIONS
+        self._instance = instance
+        self._entry = entry
+        self._log = log
+        self._rng = rng
+        self._settings = settings
+        # By their connection.
+        self._runs = {}
+        # Responses that come once more where the next one is due, by their
+        # connection.
+        self._late_responses = {}
+
+    def is_any(self):
+        """Return whether there is a run."""
+        return bool(self._runs)
+
+    def list_reported(self):
+        """Return the runs as a report of the engine lists them."""
+        return [[run.id, 100, run.sent, 5] for run in self._runs.values()]
+
+    def take_late_response(self, conn):
+        """Return what comes on a connection before the next response."""
+        return self._late_responses.pop(conn, b'')
+
+    def forget(self, conn):
+        """Forget a connection that is closed."""
+        self._late_responses.pop(conn, None)
+
+    def make_stamp(self, request_id):
+        """Return what the engine signs a response with."""
+        return edge_bodies.make_stamp(
+            self._instance, self._entry['born'], request_id
+        )
+
+    def run(self, conn, message, body, forced=None):
+        """Run a request, and log how that ended.
+
+        The run ends as `forced` says if that isn't None.  Returns whether to
+        read another request on the connection.
+        """
+        path = message.first.split(' ')[1]
+        run = edge_plans.Run(
+            message,
+            body,
+            self._rng,
+            self._settings,
+            path.startswith('/stream'),
+            forced,
+        )
+        self._runs[conn] = run
+        self._log_run(path, run)
+        how = 'cancelled'
+        try:
+            self._respond(conn, run)
+            how = edge_plans.WHOLE
+        except edge_responses.EarlyEnd:
+            how = run.plan.ending
+        finally:
+            # Otherwise it was ended with all others.
+            if self._runs.pop(conn, None):
+                self._end(conn, run, how)
+        if how == edge_plans.WHOLE:
+            return run.plan.framing != 'none'
+        return how == edge_plans.ERROR
+
+    def end_all(self, how):
+        """End all runs at once, some with a reset, the others closed."""
+        while self._runs:
+            conn, run = self._runs.popitem()
+            self._log_end(run, how)
+            if self._rng.random() < RESET_SHARE:
+                raw_http.reset(conn.sock)
+            else:
+                conn.sock.close()
+
+    def log_flood(self, path, request_id):
+        """Log that a request is answered without end."""
+        self._log_begin(path, request_id, edge_floods.FRAMING)
+
+    def log_end_of_flood(self, request_id):
+        """Log that an answer without end has ended."""
+        self._log.write(what='end', id=request_id, how=edge_floods.FRAMING)
+
+    def _respond(self, conn, run):
+        headers = [
+            ('X-Response-Stamp', self.make_stamp(run.id)),
+            ('X-Weight-Versions', str(self.weights)),
+            ('X-Request-Id', run.id),
+        ]
+        writer = edge_responses.Writer(conn.sock, self._rng)
+        writer.write_response(
+            run, self._entry['Version'], headers, self.weights
+        )
+        if run.plan.extra == edge_plans.LATE:
+            self._late_responses[conn] = b''.join(writer.written)
+
+    def _end(self, conn, run, how):
+        self._log_end(run, how)
+        if how == edge_plans.EXIT:
+            os._exit(1)
+        if how in RESETS:
+            raw_http.reset(conn.sock)
+
+    def _log_run(self, path, run):
+        self._log_begin(
+            path,
+            run.id,
+            run.plan.framing,
+            ids=self._settings.division.ids,
+            after=run.after,
+            first=run.first,
+        )
+
+    def _log_begin(self, path, request_id, framing, **fields):
+        self._log.write(
+            what='run',
+            id=request_id,
+            path=path,
+            framing=framing,
+            instance=self._instance,
+            born=self._entry['born'],
+            version=self._entry['Version'],
+            service=self._entry['Service'],
+            **fields,
+        )
+
+    def _log_end(self, run, how):
+        self._log.write(
+            what='end',
+            id=run.id,
+            how=how,
+            events=run.sent,
+            tokens=run.sent_tokens,
+            extra=run.plan.extra,
+        )
