--- a/bench/edge_budgets.py
+++ b/bench/edge_budgets.py
@@ -73,17 +73,12 @@
             has_input = True
             tokens += req.input_tokens
         if req.kind == 'stream' and attempt.status == 200:
-            output = sum(map(_count_tokens, attempt.events))
+            output = sum(event.tokens for event in attempt.events)
             tokens += output
         charges.append(Charge(attempt.ended_at, tokens, attempt.id))
     return charges
 
 
-def _count_tokens(event):
-    """Return how many tokens an event holds at least."""
-    return getattr(event, 'tokens', 1)
-
-
 def _check_keys(findings, req, runs, tenants):
     for attempt in req.attempts:
         if attempt.api_key is None:
--- a/bench/edge_callers.py
+++ b/bench/edge_callers.py
@@ -3,7 +3,6 @@
 Each attempt has an id of its own.
 """
 
-import re
 import time
 
 from standins import platform_documents
@@ -18,7 +17,6 @@
 MAX_COMMENTS = 20_000
 # Statuses which promise that the request has not run and never will.
 PROMISES = (408, 421, 429, 503)
-_EVENT = re.compile(rb'id: (\d+)\ndata: (\S+) (\S+) (\d+)')
 
 
 class Request:
@@ -90,22 +88,7 @@
     def get_last_id(self):
         """Return the id of the last event as it was sent, empty for none."""
         events = [event for a in self.attempts for event in a.events]
-        if not events:
-            return ''
-        return getattr(events[-1], 'id', None) or str(events[-1].number)
-
-
-class Event:
-    """An event of a stream, as its text says; all 0 or empty if it can't."""
-
-    __slots__ = ('number', 'key', 'version')
-
-    def __init__(self, raw):
-        match = _EVENT.fullmatch(raw)
-        number, key, version, again = match.groups() if match else [b'0'] * 4
-        self.number = int(number) if number == again else 0
-        self.key = key.decode()
-        self.version = version.decode()
+        return str(events[-1].number) if events else ''
 
 
 class Attempt:
@@ -168,23 +151,6 @@
     )
 
 
-def take_events(attempt):
-    """Take the complete events from the start of the body.
-
-    A block of comments is no event.
-    """
-    *blocks, attempt.body = attempt.body.split(b'\n\n')
-    for block in blocks:
-        if _is_comment(block):
-            attempt.comments += 1
-        else:
-            attempt.events.append(Event(block))
-
-
-def _is_comment(block):
-    return all(line.startswith(b':') for line in block.split(b'\n'))
-
-
 def classify(status):
     if 200 <= status < 300:
         return 'whole'
--- a/bench/edge_fleet.py
+++ b/bench/edge_fleet.py
@@ -357,7 +357,7 @@
             platform_documents.Engines(
                 edge_machines.SLOTS,
                 self.profile.memory_tokens,
-                self._get_stride(),
+                self.profile.stride,
             ),
             self.tenants.begin_version(),
         )
@@ -367,10 +367,6 @@
             json.dumps(config).encode(),
         )
 
-    def _get_stride(self):
-        has_stride = edge_machines.has_engine_option('stride')
-        return self.profile.stride if has_stride else 1
-
     def _make_routes(self):
         routes = [copy.copy(route) for route in self.profile.list_routes()]
         for route in routes:
--- a/bench/edge_machines.py
+++ b/bench/edge_machines.py
@@ -10,9 +10,6 @@
 from standins import raw_http
 
 ENGINE_PORT = 8300
-# Where the soak has an engine fail.
-MODE_PATH = '/faults/mode'
-MODES = ('errors', 'shed', 'hang', 'mute', 'reset', 'spot', 'forget')
 PROXY_PORT = 8301
 SLOTS = 8
 FLOODING_OPTIONS = (
@@ -102,12 +99,12 @@
         return self._order(edge_engine.FLOOD_PATH, order)
 
     def set_mode(self, mode, seconds, share):
-        """Have the engine fail a share of requests in a way of MODES.
+        """Have the engine fail a share of requests in one of edge_modes.MODES.
 
         Returns whether it heard it.
         """
         order = {'mode': mode, 'seconds': seconds, 'share': share}
-        return self._order(MODE_PATH, order)
+        return self._order(edge_engine.MODE_PATH, order)
 
     def _order(self, path, order):
         address = f'{self.ip}:{ENGINE_PORT}'
@@ -134,16 +131,10 @@
     argv += ['--slots', str(SLOTS), '--early', str(options.early)]
     argv += ['--garbled', str(options.garbled)]
     for name, value in options.profile.engine_options.items():
-        if has_engine_option(name):
-            argv += [f'--{name}', str(value)]
+        argv += [f'--{name}', str(value)]
     return argv
 
 
-def has_engine_option(name):
-    """Return whether the stand-in has an option."""
-    return any(param.name == name for param in edge_engine.main.params)
-
-
 def is_ready(machine):
     """Return whether a router says that callers may be sent to it."""
     url = f'http://{machine.ip}:{platform_documents.READY_PORT}/ready'
--- a/bench/edge_sessions.py
+++ b/bench/edge_sessions.py
@@ -14,6 +14,7 @@
 
 from bench import caller_connections
 from bench import edge_callers
+from bench import edge_events
 from standins import platform_documents
 from standins import raw_http
 
@@ -310,7 +311,7 @@
     for count, data in enumerate(pieces, 1):
         attempt.body += data
         if req.kind == 'stream' and attempt.status == 200:
-            edge_callers.take_events(attempt)
+            edge_events.take_events(attempt)
         if edge_callers.has_too_much(req, attempt):
             attempt.outcome, attempt.why = 'left', 'more than asked for'
             return False
--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -130,7 +130,9 @@
     lines = [
         f'{attempt.id} {req.prefix} {edge_callers.describe(attempt)}'
         f' {attempt.status} {attempt.outcome}, events'
-        f' {attempt.first}+{len(attempt.events)} of {req.pieces}'
+        f' {attempt.first}+{len(attempt.events)},'
+        f' tokens {_count_tokens(attempt)} of {req.pieces},'
+        f' most {req.max_tokens}'
         f' {attempt.why}'
         for req in requests
         for attempt in req.attempts
@@ -138,6 +140,10 @@
     _write_lines(path, lines)
 
 
+def _count_tokens(attempt):
+    return sum(event.tokens for event in attempt.events)
+
+
 def _write_lines(path, lines):
     path.write_text('\n'.join(lines) + '\n')
 
@@ -159,6 +165,10 @@
     )
     print(f'without a length, engine gone: {dict(ended)}, told whole: {whole}')
     _print_closed(findings)
+    print(
+        f'gaps: {dict(findings.gaps)},'
+        f' repetitions: {dict(findings.repetitions)}'
+    )
     print(f'most memory in MB: {dict(sorted(findings.peaks_mb.items()))}')
     for result in findings.floods:
         print(f'flood: {result.describe()}')
--- a/bench/site_faults.py
+++ b/bench/site_faults.py
@@ -9,6 +9,7 @@
 import gevent
 
 from bench import edge_machines
+from standins import edge_modes
 from standins import platform_documents
 from standins import platform_store
 
@@ -121,7 +122,7 @@
     def set_mode(self, rng):
         """Have an engine fail in one way for a while."""
         machine = rng.choice(self._fleet.models)
-        mode = rng.choice(edge_machines.MODES)
+        mode = rng.choice(edge_modes.MODES)
         seconds = rng.uniform(*MODE_S)
         self._note(f'mode_{mode}', machine.name, s=seconds)
         machine.set_mode(mode, seconds, rng.uniform(*MODE_SHARE))
