--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -1,5 +1,6 @@
 """Attempts: send a request to one target and relay its response."""
 
+from galenaspoke.core import catalog
 from galenaspoke.edge import outcomes
 from galenaspoke.edge.serving import stream_ends
 from galenaspoke.edge.streams import event_limits
@@ -13,6 +14,7 @@
 MIN_FAILURE_STATUS = 500
 # From this status up to MIN_FAILURE_STATUS, the request itself is at fault.
 MIN_REQUEST_ERROR_STATUS = 400
+OK = 200
 EVENT_STREAM = 'text/event-stream'
 # Statuses that promise the caller that the request did not run.  A response
 # with one of them that lacks the target's own statement (`not_run`) is not
@@ -165,7 +167,7 @@
             self._target.entry.id,
             context.deadline - self._clock.now(),
             context.priority(),
-            stream_ends.find_resumption_id(context),
+            context.last_event_id,
         )
         if req.body or req.method not in (b'GET', b'HEAD'):
             headers.append((b'Content-Length', b'%d' % len(req.body)))
@@ -226,9 +228,14 @@
 
     def _relay(self, conn, response, end_check):
         """Relay a response; `end_check` is None if it says where it ends."""
-        content_type = response.header(b'content-type')
-        if response.status == 200 and content_type.startswith(EVENT_STREAM):
+        if response.status == OK and _is_stream(response):
             return self._relay_stream(conn, response, end_check)
+        is_stream_route = (
+            self._context.route.kind is catalog.RequestKind.STREAM
+        )
+        if response.status == OK and end_check and is_stream_route:
+            # Streams that are closed early have no proof, whatever their type.
+            raise connections.ResponseLost('no stream, and without a length')
         body = self._wait(
             conn,
             lambda: conn.read_body(
@@ -266,7 +273,7 @@
         limits = event_limits.EventLimits(self._context.max_events)
         order = self._context.event_order
         order.begin_run()
-        run = stream_ends.Run()
+        has_events = False
         is_open = True
         while True:
             read_at = self._clock.now()
@@ -274,7 +281,7 @@
             if too_many := limits.exceeded_by(events):
                 raise connections.Flooded(too_many)
             undelivered = order.select(events)
-            run.record(events)
+            has_events = has_events or bool(events)
             if undelivered:
                 self._relay_events(response, undelivered)
             if end_check is not None:
@@ -291,7 +298,7 @@
                 conn.set_read_timeout(self._timeout_s)
             is_open = self._receive_more(conn, response)
         # A stream that goes on may have had no more events.
-        has_begun = run.has_events or bool(self._context.last_event_id)
+        has_begun = has_events or bool(self._context.last_event_id)
         if not response.is_framed and not has_begun:
             raise connections.PeerClosed('connection closed before any event')
         if splitter.remainder():
@@ -301,15 +308,16 @@
                 else connections.PeerClosed
             )
             raise error('the last event is incomplete')
+        if response.is_framed:
+            order.end_run()
+            if order.fault:
+                raise connections.ResponseLost(order.fault)
         self._confirm_end(end_check)
         proof = None
         if not response.is_framed:
-            proof = stream_ends.find_proof(
-                self._cfg, self._context, self._target, run
-            )
+            proof = stream_ends.find_proof(self._cfg, self._context)
             if proof is None:
-                if run.is_at_end(order):
-                    self._context.record_closed(self._target)
+                self._context.record_closed(self._target)
                 return outcomes.Closed()
         is_chunked = self._context.req.takes_chunks
         self._send_body(response, messages.LAST_CHUNK if is_chunked else b'')
@@ -367,6 +375,12 @@
         self._caller.send(data)
 
 
+def _is_stream(response):
+    """Return whether a response says that it is a stream of events."""
+    content_type = response.header(b'content-type').lower()
+    return content_type.startswith(EVENT_STREAM)
+
+
 def _can_refuse(status):
     """Return whether a target may answer so without running the request.
 
--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -15,6 +15,8 @@
 
 # Longer numbers are no event ids.
 MAX_ID_DIGITS = 18
+# A longer event isn't kept to be compared with another target's.
+MAX_COMPARED_BYTES = 4_096
 
 
 class EventOrder:
@@ -23,29 +25,55 @@
     `last_id` is the id of the last one, at first as stated by the caller;
     empty if it has none.  `fault` says why the present target's stream can't
     go on: what comes next of it doesn't fit what the caller has.  It is empty
-    if it does.  `previous_id` is the id after which a target would send the
-    last event again, None if that isn't known.
+    if it does.
+
+    `max_step` is the largest difference of the ids of successive events of one
+    target, and `join_step` that of the first event that a target adds and the
+    last one that the caller had before; 0 if there were none.
+    `repeated_count` is how many events the caller had already.  `run_step` and
+    `run_step_count` are the largest step of the present target's run, and the
+    number of its steps.  `service_step` is the largest one of the service's
+    other streams, 0 if that isn't known.
     """
 
     __slots__ = (
         'last_id',
-        'previous_id',
         'fault',
+        'max_step',
+        'join_step',
+        'repeated_count',
+        'run_step',
+        'run_step_count',
+        'service_step',
         '_has_events',
         '_is_placed',
-        '_max_step',
+        '_begins_earlier',
+        '_has_last',
+        '_has_other_text',
+        '_last_raw',
     )
 
     def __init__(self, last_id):
         self.last_id = last_id
-        self.previous_id = None
         self.fault = ''
+        self.max_step = 0
+        self.join_step = 0
+        self.repeated_count = 0
+        self.run_step = 0
+        self.run_step_count = 0
+        self.service_step = 0
         # Whether events that have a place in the stream were selected.
         self._has_events = False
         # Whether it is known where the present target's events belong.
         self._is_placed = False
-        # The largest difference of the ids of successive events of a target.
-        self._max_step = 0
+        # Whether the present target begins before the end of the last event,
+        # and whether it has sent that one again.
+        self._begins_earlier = False
+        self._has_last = False
+        # Whether it has sent that one with other bytes than the caller has.
+        self._has_other_text = False
+        # The bytes of the event with the last id, None if they aren't known.
+        self._last_raw = None
 
     def begin_run(self):
         """Begin the stream of another target.
@@ -57,6 +85,10 @@
         self._is_placed = (
             not self._has_events and _parse_id(self.last_id) is None
         )
+        self.run_step = self.run_step_count = 0
+        self._begins_earlier = False
+        self._has_last = False
+        self._has_other_text = False
 
     def can_go_on(self):
         """Return whether another target's events could have a place.
@@ -80,7 +112,7 @@
             if number is None:
                 is_wanted = self._check_unnumbered(event)
             else:
-                is_wanted = self._check_numbered(number)
+                is_wanted = self._check_numbered(number, event)
             if self.fault:
                 break
             if is_wanted:
@@ -88,11 +120,24 @@
                 self._record_place(event)
         return selected
 
+    def end_run(self):
+        """End a stream whose target says that it has no more events.
+
+        `fault` is set if it can't have ended there.
+        """
+        if not self._is_placed and self._lacks_last():
+            self.fault = f'the stream ends before {self.last_id}'
+
+    def _lacks_last(self):
+        """Return whether a target begins earlier and lacks the last event."""
+        return self._begins_earlier and not self._has_last
+
     def _record_place(self, event):
         """Record an event that is relayed; comments have no place."""
-        if event.id or event.has_data():
-            self.previous_id = self.last_id if event.is_output() else None
-        self.last_id = event.id or self.last_id
+        if event.id:
+            self.last_id = event.id
+            is_short = len(event.raw) <= MAX_COMPARED_BYTES
+            self._last_raw = event.raw if is_short else None
         if not self._has_events:
             self._has_events = bool(event.id) or event.has_data()
 
@@ -102,7 +147,7 @@
             self.fault = 'an event without a number where a stream goes on'
         return self._is_placed
 
-    def _check_numbered(self, number):
+    def _check_numbered(self, number, event):
         """Return whether to relay the event with a number."""
         last = _parse_id(self.last_id)
         if last is None:
@@ -111,14 +156,49 @@
             return True
         step = number - last
         if step <= 0:
+            self._record_repeated(step, event)
             return False
         if self._is_placed:
-            self._max_step = max(self._max_step, step)
-        elif self._max_step and step > self._max_step:
-            self.fault = f'events are missing between {last} and {number}'
+            self._record_step(step)
+        else:
+            self._check_join(last, number)
         self._is_placed = True
         return True
 
+    def _record_step(self, step):
+        """Record how far two successive events of a target are apart."""
+        self.run_step_count += 1
+        self.run_step = max(self.run_step, step)
+        self.max_step = max(self.max_step, step)
+
+    def _record_repeated(self, step, event):
+        """Record an event that is `step` from the last one, 0 or less."""
+        self.repeated_count += 1
+        if step:
+            self._begins_earlier = True
+            return
+        self._has_last = True
+        if self._last_raw is not None and event.has_data():
+            self._has_other_text = event.raw != self._last_raw
+
+    def _check_join(self, last, number):
+        """Check the first event that a target adds to those of others.
+
+        Ids may count tokens, and targets may divide the output otherwise.  If
+        one begins earlier and sends no event with the id of the last one, its
+        next event holds a part of what the caller has.  If it sends that one
+        with another text, what follows goes on with that text.
+        """
+        step = number - last
+        most = max(self.max_step, self.service_step)
+        self.join_step = max(self.join_step, step)
+        if self._lacks_last():
+            self.fault = f'no event ends at {last}, but at {number}'
+        elif self._has_other_text:
+            self.fault = f'another text up to {last}'
+        elif most and step > most:
+            self.fault = f'events are missing between {last} and {number}'
+
 
 def _parse_id(event_id):
     """Return the number that is an event's id, None if it is none."""
