--- a/bench/edge_machines.py
+++ b/bench/edge_machines.py
@@ -96,9 +96,20 @@
     def flood(self, case, seconds):
         """Have the engine answer without end; return whether it heard it."""
         order = {'case': case, 'seconds': seconds}
+        return self._order(edge_engine.FLOOD_PATH, order)
+
+    def set_mode(self, mode, seconds, share):
+        """Have the engine fail a share of requests in one of edge_modes.MODES.
+
+        Returns whether it heard it.
+        """
+        order = {'mode': mode, 'seconds': seconds, 'share': share}
+        return self._order(edge_engine.MODE_PATH, order)
+
+    def _order(self, path, order):
         address = f'{self.ip}:{ENGINE_PORT}'
         try:
-            raw_http.call(address, 'POST', edge_engine.FLOOD_PATH, order)
+            raw_http.call(address, 'POST', path, order)
         except (OSError, raw_http.Disconnected, json.JSONDecodeError):
             return False
         return True
@@ -118,7 +129,10 @@
     if machine.floods:
         return [*argv, *FLOODING_OPTIONS]
     argv += ['--slots', str(SLOTS), '--early', str(options.early)]
-    return [*argv, '--garbled', str(options.garbled)]
+    argv += ['--garbled', str(options.garbled)]
+    for name, value in options.profile.engine_options.items():
+        argv += [f'--{name}', str(value)]
+    return argv
 
 
 def is_ready(machine):
