Bodies without a length: an early connection counts once it has answered

What callers saw: nothing reported. By test, part of a body was told whole behind a gateway that held the check's connection until another process was there, and where the entry named the process that had taken the address meanwhile.

Cause: an absence taken for a statement. That a second connection was made while the response was under way, and that the entry names a process, were taken for the word of the process that sends the response.

Change: if a response is under way 0.5 s after its request was sent, the target is asked on the second connection, and again after the end. The last answer proves the process if it comes on the connection of the first one, or names the same start; another start disproves it, whatever the entry names. Before that, the time proves it, as it did. A copy of the first answer is no second one.

Price: a second question for each response without a length that takes over 0.5 s. One of a target that states no start, closes each connection after a report and takes over a second is cut off now.

--- a/galenaspoke/edge/targets/end_checks.py
+++ b/galenaspoke/edge/targets/end_checks.py
@@ -3,9 +3,11 @@
 Such a response ends with its connection, but the kernel also closes the
 connections of a process that was killed.  So the end of the connection alone
 proves nothing.  The target proves it: the process that sent the response still
-lives, and doesn't work on the request any more.  A target may also give up a
-response that isn't read for seconds, so what this router read as late as that
-has no proof.
+lives, and doesn't work on the request any more.  If the response takes long,
+the target is asked while it is under way as well: what answers then, and once
+more after the end, is the same process by its own word.  A target may also
+give up a response that isn't read for seconds, so what this router read as
+late as that has no proof.
 
 Example::
 
@@ -27,6 +29,9 @@
 ASK_TIMEOUT_MS = 1_500
 # No target that was killed is back sooner.
 MIN_RESTART_MS = 1_000
+# When a target is asked for the first time, after the request was sent, if its
+# response is under way.  One that ends before proves its process by the time.
+EARLY_QUESTION_MS = 500
 # How much the wall clocks of a router and a target may differ.
 MAX_CLOCK_ERROR_MS = 17_000
 # A target may give up a response that was not read for this long.
@@ -78,12 +83,16 @@
 class EndCheck:
     """Finds out whether the response that a target is sending was cut off.
 
-    A second connection is made while the response is under way.  As long as
-    the target hasn't closed the first one, both lead to the same process.
-    Since a connection doesn't outlive the process at its other end, an answer
-    on the second one after the response proves that the process lives.  On a
-    later connection, the time when the process started shows that it is the
-    same one, or that there was no time to start again since it last lived:
+    A second connection is made while the response is under way, and the
+    process at its other end answers a question there.  If the target hasn't
+    closed the first connection by then, both lead to the same process.  That
+    the second one was made says nothing: a gateway may accept it, and keep it
+    until another process is there.  After the response the process proves that
+    it lives by an answer on the second connection, which doesn't outlive it,
+    or by the start that it stated before.
+
+    Without such an answer, the time when the process started shows that it is
+    the same one, or that there was no time to start again since it last lived:
     it lived when the request was sent.  When data came says nothing, since the
     kernel of a dead process sends the rest once the router has room.
 
@@ -102,8 +111,11 @@
         '_listed_born',
         '_has_stalled',
         '_connect_task',
+        '_early_task',
         '_conn',
         '_is_early',
+        '_has_answered',
+        '_early_born',
         '_alive_at',
         '_has_survived',
         '_has_lost_early',
@@ -128,9 +140,13 @@
         self._conn = None
         # Whether it was made while the response was under way.
         self._is_early = False
+        # Whether the target answered on it while the response was under way,
+        # and when its process started, by that answer; 0 if it didn't say so.
+        self._has_answered = False
+        self._early_born = 0
         # The latest time at which the process is known to have lived.
         self._alive_at = sent_at
-        # Whether it has answered on an early connection.
+        # Whether it has answered since on the connection of such an answer.
         self._has_survived = False
         # Whether such a connection was lost, perhaps with its process.
         self._has_lost_early = False
@@ -139,6 +155,8 @@
         # The longest time for which nothing of the response was read.
         self._unread_ms = 0
         self._connect_task = gevent.spawn(self._try_to_connect)
+        wait_ms = max(0, sent_at + EARLY_QUESTION_MS - clock.now())
+        self._early_task = gevent.spawn_later(wait_ms / 1000, self._ask_early)
 
     def record_unread(self, unread_ms):
         """Record that nothing was read for a while, whatever has come."""
@@ -160,6 +178,7 @@
 
     def close(self):
         """End the check."""
+        self._early_task.kill(block=False)
         self._connect_task.kill(block=False)
         if self._conn is not None:
             self._conn.close()
@@ -174,11 +193,59 @@
     def _connect(self):
         now = self._clock.now()
         self._conn = self._target.acquire_last_connection(now)
+        self._is_early = self._is_under_way()
+        self._has_answered = False
+
+    def _is_under_way(self):
+        """Return whether the target hasn't closed the first connection."""
         info = self._response_conn.tcp_info()
-        self._is_early = info is not None and not info.is_closed_by_peer
+        return info is not None and not info.is_closed_by_peer
+
+    def _ask_early(self):
+        """Ask on the second connection while the response is under way."""
+        self._connect_task.join()
+        if self._conn is None or not self._is_early:
+            return
+        conn, self._conn = self._conn, None
+        is_usable = False
+        try:
+            until = self._clock.now() + ASK_TIMEOUT_MS
+            response, report = self._exchange(conn, until)
+            is_usable = self._record_early(report) and conn.is_reusable(
+                response
+            )
+        except (connections.ResponseLost, connections.ReadTimeout):
+            self._has_lost_early = True
+        finally:
+            if not is_usable:
+                conn.close()
+        if is_usable:
+            self._conn = conn
+            self._has_answered = True
+
+    def _record_early(self, report):
+        """Record an early report; return whether it identifies a process."""
+        is_own = not report.is_relayed and not report.is_misdirected
+        if not is_own or not self._is_under_way():
+            return False
+        self._early_born = report.born
+        return True
+
+    def _drop_answered(self):
+        """Drop a connection that has answered unless it is open and empty.
+
+        What waits there may be a copy of the answer.
+        """
+        if self._has_answered and not self._conn.is_open_and_empty():
+            self._conn.close()
+            self._conn = None
+            self._has_lost_early = True
 
     def _ask_until_known(self, request_id):
         self._connect_task.join()
+        # An answer that comes from now on is no early one.
+        self._early_task.kill()
+        self._drop_answered()
         until = self._clock.now() + ASK_TIMEOUT_MS
         while doubt := self._ask(request_id, until):
             if self._clock.now() >= until:
@@ -206,10 +273,11 @@
             return f'no report: {exc}'
         if report.is_relayed:
             return 'a gateway has no answer of the target'
-        if report.is_misdirected or self._is_new(report):
+        if report.is_misdirected or self._is_other(report):
             raise self._make_end('another process has its address')
         is_soon = self._clock.now() - self._alive_at < MIN_RESTART_MS
-        has_survived = self._is_early or (self._has_survived and is_soon)
+        has_survived = self._has_answered or (self._has_survived and is_soon)
+        has_survived = has_survived or self._states_early_start(report)
         is_soon = is_soon and not self._has_lost_early
         if not (has_survived or is_soon or self._is_known(report)):
             if report.born and self._listed_born:
@@ -236,18 +304,34 @@
         """
         conn, self._conn = self._conn, None
         try:
-            left_ms = max(1, until - self._clock.now())
-            conn.set_read_timeout(left_ms / 1000)
-            conn.send(self._report_codec.encode_request(self._target.entry.id))
-            response = conn.read_head(self._report_codec.is_report)
-            body = conn.read_body(response, may_end_by_close=True)
+            _, report = self._exchange(conn, until)
         finally:
             conn.close()
+        return report
+
+    def _exchange(self, conn, until):
+        """Ask for a report; return the response, and what it says."""
+        left_ms = max(1, until - self._clock.now())
+        conn.set_read_timeout(left_ms / 1000)
+        conn.send(self._report_codec.encode_request(self._target.entry.id))
+        response = conn.read_head(self._report_codec.is_report)
+        body = conn.read_body(response, may_end_by_close=True)
         report = self._report_codec.decode(response.status, body)
         is_cut = not response.is_framed and not report.is_readable
         if response.status == HTTP_OK and is_cut:
             raise connections.PeerClosed('the report may be cut off')
-        return report
+        return response, report
+
+    def _states_early_start(self, report):
+        """Return whether a process states the start of the early report."""
+        return report.born != 0 and report.born == self._early_born
+
+    def _is_other(self, report):
+        """Return whether it is another process than that of the response."""
+        has_both = report.born and self._early_born
+        if has_both and not self._states_early_start(report):
+            return True
+        return self._is_new(report)
 
     def _is_new(self, report):
         """Return whether a process says that it started after the sending.
--- a/tests/edge/test_proofs_of_bodies.py
+++ b/tests/edge/test_proofs_of_bodies.py
@@ -4,10 +4,13 @@
 """
 
 import time
+from unittest import mock
 
+import gevent
 from gevent import socket
 
 from galenaspoke.core import catalog
+from galenaspoke.edge.targets import end_checks
 from tests.edge import base
 from tests.edge import test_delayed_ends
 from tests.edge import test_end_proofs
@@ -15,6 +18,9 @@
 from tests.edge import test_endings_review
 
 AGE_MS = 60_000
+# How long a body is under way for which the target is asked early.
+LONG_S = end_checks.EARLY_QUESTION_MS / 1_000 + 0.2
+RESTART_S = end_checks.MIN_RESTART_MS / 1_000
 
 
 def get_wall_ms():
@@ -191,3 +197,89 @@
         checker = desk.handler.end_checker
         checker._clock = test_end_proofs.SteppedClock()
         self.assertFalse(self.ask(desk)[1])
+
+
+class LongBodyTest(TimedTestCase):
+    """Bodies that take so long that their target is asked early."""
+
+    def make_long_desk(self, pause, **options):
+        """Return a handler and an engine that calls `pause` in the middle."""
+        desk, (engine,) = self.make_desk(**options)
+        engine.cut_at = test_endings.CUT_AFTER
+        engine.cut = lambda: pause(engine)
+        engine.goes_on = True
+        return desk, engine
+
+    # A question is priced, and two are enough.
+    def test_engine_is_asked_twice(self):
+        for born in (None, 0):
+            desk, engine = self.make_long_desk(self._wait_long, born=born)
+            self.assertTrue(self.ask(desk)[1])
+            self.assertEqual(2, engine.report_count)
+            self.assertEqual(2, len(engine._socks))
+
+    # Guards against whole bodies of engines without reports that are cut
+    # since nothing but the early connection tells their process.
+    def test_engine_without_reports(self):
+        desk, engine = self.make_long_desk(self._wait_long, born=0)
+        engine.report = test_endings.UNSUPPORTED
+        self.assertTrue(self.ask(desk)[1])
+        self.assertEqual(2, engine.report_count)
+
+    # Guards against whole bodies that are cut since the entry is older than
+    # a young process, and the early connection was closed.
+    def test_young_process_that_closes_its_connections(self):
+        desk, engine = self.make_long_desk(self._close_idle)
+        engine.born = get_wall_ms() - 3_000
+        self.assertTrue(self.ask(desk)[1])
+
+    # Guards against a process that is known by the entry alone and proves the
+    # end of a response of the one before.
+    def test_process_of_the_entry_takes_the_address(self):
+        desk, engine = self.make_long_desk(self._hand_over)
+        engine.born -= 1
+        engine.goes_on = False
+        self.assertFalse(self.ask(desk)[1])
+        self.assertGreater(engine.report_count, 1)
+
+    # Guards against a copy of the early answer that passes for the last one.
+    def test_copy_of_the_early_answer_is_no_answer(self):
+        desk, engine = self.make_long_desk(self._copy_and_end, born=0)
+        engine.report = test_endings.UNSUPPORTED
+        engine.goes_on = False
+        self.assertFalse(self.ask(desk)[1])
+
+    # Guards against whole bodies that wait for an early answer.
+    def test_early_question_without_an_answer(self):
+        desk, engine = self.make_long_desk(self._wait_long)
+        send_report = engine._send_report
+
+        def send_second_report(sock):
+            if engine.report_count:
+                send_report(sock)
+            else:
+                engine.report_count += 1
+                gevent.sleep(10)
+
+        with mock.patch.object(engine, '_send_report', send_second_report):
+            began_at = time.monotonic()
+            self.assertTrue(self.ask(desk)[1])
+            self.assertLess(time.monotonic() - began_at, LONG_S + 1)
+
+    def _wait_long(self, engine):
+        gevent.sleep(LONG_S)
+
+    def _close_idle(self, engine):
+        gevent.sleep(RESTART_S + 0.2)
+        for sock in engine.idle_socks():
+            sock.shutdown(socket.SHUT_RDWR)
+
+    def _hand_over(self, engine):
+        self._wait_long(engine)
+        test_endings.Engine.restart(engine)
+
+    def _copy_and_end(self, engine):
+        gevent.sleep(RESTART_S + 0.2)
+        for sock in engine.idle_socks():
+            sock.sendall(engine.report)
+        test_endings.Engine.restart(engine)
