Streams, each relay: comments aren't charged and show nothing

Callers: an account was charged `Stride` tokens for each comment of its streams, up to the request's most, and refused later for want of balance. Comments also counted as events that a request has survived, and in a target's pace.

Change: `event_count`, `event_times` and what follows from them (the charge, the pace, crashes soon after a start, `events` in the log) count events with data. Those without an id are charged still: that they hold no tokens isn't known, and too little would break BUDGET. One search for data per event, as before.

Before: 3 of 4 tests of `tests.edge.test_charged_events` failed. After: they pass, as do test_event_ids, test_interrupted_streams, test_survivals, test_guessed_ends, test_crashes_after_start, test_poison, test_closed_review.

--- a/galenaspoke/edge/serving/request_context.py
+++ b/galenaspoke/edge/serving/request_context.py
@@ -82,7 +82,8 @@
         self.closer_ids = set()
         # How long the caller waited for the first byte of the response.
         self.first_byte_ms = None
-        # The number of events that were sent to the caller.
+        # The number of events with data that were sent to the caller; others
+        # hold no tokens.
         self.event_count = 0
         # How many of them are output: they have data and an id.
         self.output_count = 0
@@ -159,20 +160,23 @@
             gap_ms = now - self.last_event_at
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self.last_event_at = now
+        pieces = [event for event in events if event.has_data()]
+        if not pieces:
+            return
         if len(self.event_times) < MAX_EVENT_TIMES:
-            self.event_times.extend([now] * len(events))
-        self.event_count += len(events)
-        self.output_count += sum(event.is_output() for event in events)
-        if any(event.has_data() for event in events):
-            self.closer_ids.clear()
+            self.event_times.extend([now] * len(pieces))
+        self.event_count += len(pieces)
+        # Those without an id only show that the target lives, for example.
+        self.output_count += sum(bool(event.id) for event in pieces)
+        self.closer_ids.clear()
 
     def consumed_tokens(self):
         """Return the tokens that the request used of its account's budget.
 
         That is 0 if it can't have run.  Otherwise the input counts in full and
-        the output as delivered: `event_tokens` for each event that was sent to
-        the caller, at most all output tokens.  If the response is not a
-        stream, all output tokens count.
+        the output as delivered: `event_tokens` for each event with data that
+        was sent to the caller, at most all output tokens.  If the response is
+        not a stream, all output tokens count.
         """
         if not self.may_have_run and not self.event_count:
             return 0
