--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -25,7 +25,7 @@
     `last_id` is the id of the last one, at first as stated by the caller;
     empty if it has none.  `fault` says why the present target's stream can't
     go on: what comes next of it doesn't fit what the caller has.  It is empty
-    if it does.
+    if it does; `is_unfit` is true if the target may be sound all the same.
 
     `max_step` is the largest difference of the ids of successive events of one
     target, and `join_step` that of the first event that a target adds and the
@@ -39,6 +39,7 @@
     __slots__ = (
         'last_id',
         'fault',
+        'is_unfit',
         'max_step',
         'join_step',
         'repeated_count',
@@ -56,6 +57,7 @@
     def __init__(self, last_id):
         self.last_id = last_id
         self.fault = ''
+        self.is_unfit = False
         self.max_step = 0
         self.join_step = 0
         self.repeated_count = 0
@@ -82,6 +84,7 @@
         none, and not to be judged if the last one's id isn't a number.
         """
         self.fault = ''
+        self.is_unfit = False
         self._is_placed = (
             not self._has_events and _parse_id(self.last_id) is None
         )
@@ -126,12 +129,17 @@
         `fault` is set if it can't have ended there.
         """
         if not self._is_placed and self._lacks_last():
-            self.fault = f'the stream ends before {self.last_id}'
+            self._reject_run(f'the stream ends before {self.last_id}')
 
     def _lacks_last(self):
         """Return whether a target begins earlier and lacks the last event."""
         return self._begins_earlier and not self._has_last
 
+    def _reject_run(self, why):
+        """Set the fault of a target that can't go on after the last event."""
+        self.is_unfit = True
+        self.fault = why
+
     def _record_place(self, event):
         """Record an event that is relayed; comments have no place."""
         if event.id:
@@ -193,9 +201,9 @@
         most = max(self.max_step, self.service_step)
         self.join_step = max(self.join_step, step)
         if self._lacks_last():
-            self.fault = f'no event ends at {last}, but at {number}'
+            self._reject_run(f'no event ends at {last}, but at {number}')
         elif self._has_other_text:
-            self.fault = f'another text up to {last}'
+            self._reject_run(f'another text up to {last}')
         elif most and step > most:
             self.fault = f'events are missing between {last} and {number}'
 
