--- a/tests/edge/test_guessed_ends_review.py
+++ b/tests/edge/test_guessed_ends_review.py
@@ -217,8 +217,8 @@
 class SingleRunTest(ReviewTestCase):
     """Streams of one engine."""
 
-    # Guards against pieces that are dropped without a word, since they have the
-    # same id and other text, from a stream that is told whole (ORDER: missing).
+    # Guards against pieces that are dropped without a word, as they have the
+    # same id and other text, of a stream that is told whole (ORDER).
     def test_other_pieces_with_the_same_id_are_not_dropped(self):
         desk, (engine,) = self.make_desk(resumable=False)
         texts = [b'one', b'two', b'three']
