Edge soak: an end in an engine's log belongs to one run

Cause: runs were told apart by the request's id alone. Where an engine runs a request again before the first run has ended, the first one's end was taken for the second's, which misleads whoever reads a violation's timeline.

Change: runs are numbered in the log, in the entries of begin and end.

--- a/bench/edge_checks.py
+++ b/bench/edge_checks.py
@@ -169,11 +169,13 @@
         open_runs = {}
         for line in path.read_text().splitlines():
             entry = json.loads(line)
+            # A flood has no number.
+            key = entry['id'], entry.get('number')
             if entry['what'] == 'run':
-                open_runs[entry['id']] = Run(entry)
-                runs[entry['id']].append(open_runs[entry['id']])
-            elif entry['id'] in open_runs:
-                open_runs[entry['id']].end(entry)
+                open_runs[key] = Run(entry)
+                runs[entry['id']].append(open_runs[key])
+            elif key in open_runs:
+                open_runs[key].end(entry)
     for found in runs.values():
         found.sort(key=lambda run: run.at)
     return runs
--- a/standins/edge_runs.py
+++ b/standins/edge_runs.py
@@ -3,9 +3,11 @@
 By request id the log has each run: the incarnation, the versions, how the
 response is framed, what an event's id is, after which event the run goes on,
 and the first token that it is to send.  A second line has how the run ended,
-with the events and tokens that were sent.  A run without it was killed.
+with the events and tokens that were sent.  A run without it was killed.  A
+request may run again before its first run has ended, so runs are numbered.
 """
 
+import itertools
 import os
 import zlib
 
@@ -43,6 +45,7 @@
         '_rng',
         '_settings',
         '_runs',
+        '_numbers',
         '_late_responses',
     )
 
@@ -55,8 +58,9 @@
         self._log = log
         self._rng = rng
         self._settings = settings
-        # By their connection.
+        # Pairs of the number and the run, by their connection.
         self._runs = {}
+        self._numbers = itertools.count(1)
         # Responses that come once more where the next one is due, by their
         # connection.
         self._late_responses = {}
@@ -67,7 +71,7 @@
 
     def list_reported(self):
         """Return the runs as a report of the engine lists them."""
-        return [[run.id, 100, run.sent, 5] for run in self._runs.values()]
+        return [[run.id, 100, run.sent, 5] for _, run in self._runs.values()]
 
     def take_late_response(self, conn):
         """Return what comes on a connection before the next response."""
@@ -98,8 +102,9 @@
             path.startswith('/stream'),
             forced,
         )
-        self._runs[conn] = run
-        self._log_run(path, run)
+        number = next(self._numbers)
+        self._runs[conn] = number, run
+        self._log_run(path, number, run)
         how = 'cancelled'
         try:
             self._respond(conn, run)
@@ -109,7 +114,7 @@
         finally:
             # Otherwise it was ended with all others.
             if self._runs.pop(conn, None):
-                self._end(conn, run, how)
+                self._end(conn, number, run, how)
         if how == edge_plans.WHOLE:
             return run.plan.framing != 'none'
         return how == edge_plans.ERROR
@@ -117,8 +122,8 @@
     def end_all(self, how):
         """End all runs at once, some with a reset, the others closed."""
         while self._runs:
-            conn, run = self._runs.popitem()
-            self._log_end(run, how)
+            conn, (number, run) = self._runs.popitem()
+            self._log_end(number, run, how)
             if self._rng.random() < RESET_SHARE:
                 raw_http.reset(conn.sock)
             else:
@@ -145,18 +150,19 @@
         if run.plan.extra == edge_plans.LATE:
             self._late_responses[conn] = b''.join(writer.written)
 
-    def _end(self, conn, run, how):
-        self._log_end(run, how)
+    def _end(self, conn, number, run, how):
+        self._log_end(number, run, how)
         if how == edge_plans.EXIT:
             os._exit(1)
         if how in RESETS:
             raw_http.reset(conn.sock)
 
-    def _log_run(self, path, run):
+    def _log_run(self, path, number, run):
         self._log_begin(
             path,
             run.id,
             run.plan.framing,
+            number=number,
             ids=self._settings.division.ids,
             after=run.after,
             first=run.first,
@@ -175,10 +181,11 @@
             **fields,
         )
 
-    def _log_end(self, run, how):
+    def _log_end(self, number, run, how):
         self._log.write(
             what='end',
             id=run.id,
+            number=number,
             how=how,
             events=run.sent,
             tokens=run.sent_tokens,
--- a/tests/bench/test_edge_checks.py
+++ b/tests/bench/test_edge_checks.py
@@ -314,28 +314,46 @@
 class LogTest(unittest.TestCase):
     """Runs as they are read from engines' logs."""
 
-    def test_run_without_end_was_killed(self):
-        """A run whose end isn't in the log was killed with its process."""
-        run = {
-            'what': 'run',
-            'at': 5,
-            'id': 'k.0',
-            'framing': 'none',
-            'instance': 'i-1',
-            'born': 7,
-            'version': 'v1',
-            'service': 'desk',
-        }
-        other = {**run, 'id': 'k.1', 'ids': 'tokens', 'after': 7, 'first': 8}
-        end = {'what': 'end', 'id': 'k.1', 'how': 'reset', 'at': 6}
-        end.update(events=2, tokens=5)
+    RUN = {
+        'what': 'run',
+        'at': 5,
+        'id': 'k.0',
+        'number': 1,
+        'framing': 'none',
+        'instance': 'i-1',
+        'born': 7,
+        'version': 'v1',
+        'service': 'desk',
+    }
+    END = {'what': 'end', 'id': 'k.1', 'number': 2, 'how': 'reset', 'at': 6}
+
+    def read(self, *entries):
+        """Return the runs in a log."""
         with tempfile.TemporaryDirectory() as directory:
             path = pathlib.Path(directory) / 'model-0.runs'
-            path.write_text('\n'.join(map(json.dumps, (run, other, end))))
-            runs = edge_checks.read_runs([path])
+            path.write_text('\n'.join(map(json.dumps, entries)))
+            return edge_checks.read_runs([path])
+
+    def test_run_without_end_was_killed(self):
+        """A run whose end isn't in the log was killed with its process."""
+        other = {**self.RUN, 'id': 'k.1', 'number': 2}
+        runs = self.read(self.RUN, other, self.END)
         self.assertEqual(runs['k.0'][0].how, 'killed')
         self.assertEqual(runs['k.0'][0].tokens, -1)
-        other = runs['k.1'][0]
-        self.assertEqual(other.how, 'reset')
-        self.assertEqual((other.ids, other.after, other.first), LATER_RUN)
-        self.assertEqual((other.events, other.tokens), (2, 5))
+        self.assertEqual(runs['k.1'][0].how, 'reset')
+
+    def test_run_that_goes_on(self):
+        """It is known where a run went on, and what it sent."""
+        other = {**self.RUN, 'id': 'k.1', 'number': 2}
+        other.update(ids='tokens', after=7, first=8)
+        runs = self.read(other, {**self.END, 'events': 2, 'tokens': 5})
+        run = runs['k.1'][0]
+        self.assertEqual((run.ids, run.after, run.first), LATER_RUN)
+        self.assertEqual((run.events, run.tokens), (2, 5))
+
+    def test_two_runs_of_one_attempt(self):
+        """One that ends once the other has begun ends by itself."""
+        first = {**self.RUN, 'id': 'k.1', 'number': 2}
+        second = {**first, 'number': 3, 'at': 6}
+        runs = self.read(first, second, self.END)
+        self.assertEqual([run.how for run in runs['k.1']], ['reset', 'killed'])
