Edge soak: engines that leave live on after they have closed their streams

Cause: an engine that closed its streams at the end of its grace ended at that moment, so a router took it for one that was gone, as before.

Change: it goes on for up to a second, still answering health and reports. A body without a length that it closes counts as one that a living engine closes, for plain bodies; a stream that is told whole so breaks ORDER.

--- a/standins/edge_engine.py
+++ b/standins/edge_engine.py
@@ -46,8 +46,10 @@
 MODE_PATH = '/faults/mode'
 # How long an engine that is to stop at once takes to do so.
 SPOT_DELAY_S = 0.01
-# The share of leaving engines that close their streams early at the end.
+# The share of leaving engines that close their streams early at the end, and
+# how long they go on after that.
 HASTY_SHARE = 0.5
+LINGER_S = (0.0, 1.0)
 # How long an engine floods that does so from its start.
 ENDLESS_S = 3_600
 
@@ -85,7 +87,7 @@
 
     def run(self, listen):
         """Serve until SIGTERM."""
-        gevent.signal_handler(15, gevent.spawn, self._leave)
+        gevent.signal_handler(15, gevent.spawn, self.leave)
         self.listen(listen)
         gevent.spawn(self._renew_report)
         while True:
@@ -106,7 +108,8 @@
             # The next heartbeat writes it.
             pass
 
-    def _leave(self):
+    def leave(self):
+        """Take leave of the store, serve for a while and end the process."""
         self._entry['State'] = 'draining'
         self._write_entry()
         gevent.sleep(DRAIN_S)
@@ -117,6 +120,7 @@
             pass
         if self._settings.shares.early and self._rng.random() < HASTY_SHARE:
             self._runs.end_all(edge_plans.LEAVING)
+            gevent.sleep(self._rng.uniform(*LINGER_S))
         while self._runs.is_any():
             gevent.sleep(0.05)
         os._exit(0)
--- a/tests/standins/test_edge_engine.py
+++ b/tests/standins/test_edge_engine.py
@@ -28,18 +28,22 @@
 
     def setUp(self):
         self.address = None
+        self.engine = None
+        self.shares = None
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
         self.log_path = pathlib.Path(directory.name) / 'model-0.runs'
 
     def connect(self, shares, division=None):
         """Return a connection to a model engine that has just started."""
+        self.shares = shares
         entry = {
             'Service': 'model-chat',
             'Slots': 2,
             'State': 'ready',
             'Version': 'v1',
             'born': 5,
+            'Seq': 0,
         }
         engine = edge_engine.EdgeEngine(
             INSTANCE,
@@ -53,6 +57,7 @@
             sock.bind(('127.0.0.1', 0))
             address = '%s:%d' % sock.getsockname()
         self.address = address
+        self.engine = engine
         server = engine.listen(address)
         self.addCleanup(server.stop)
         sock = raw_http.connect(address)
@@ -222,6 +227,57 @@
         hows = [entry['how'] for entry in self.read_log('end')]
         self.assertEqual(hows, ['spot', 'spot'])
 
+    def leave(self, early):
+        """Have the engine leave in a stream's middle; return what it sent.
+
+        Returns the bytes of the stream, and what a health check gets then.
+        """
+        division = edge_divisions.Division(preempted=1)
+        conn = self.connect(edge_plans.Shares(early=0), division)
+        self.ask(conn, 'k.0')
+        message = conn.read_head()
+        body = conn.iter_body(message, ends_with_connection=True)
+        data = next(body)
+        self.shares.early = early
+        changes = {'DRAIN_S': 0, 'HASTY_SHARE': 1, 'LINGER_S': (0.3, 0.3)}
+        with (
+            mock.patch.multiple(edge_engine, **changes),
+            mock.patch.object(edge_engine.os, '_exit') as leave,
+        ):
+            leaving = gevent.spawn(self.engine.leave)
+            data += self.read_as_far_as_it_comes(body)
+            other = raw_http.Connection(raw_http.connect(self.address))
+            self.addCleanup(other.sock.close)
+            self.ask(other, 'health', '/health')
+            status = self.read_head(other).status
+            leaving.join()
+        leave.assert_called_once_with(0)
+        return data, status
+
+    def read_as_far_as_it_comes(self, body):
+        """Return what comes of a body that may be cut off."""
+        data = b''
+        try:
+            for more in body:
+                data += more
+        except (OSError, raw_http.Disconnected):
+            pass
+        return data
+
+    def test_engine_that_leaves_closes_its_streams(self):
+        """It lives on for a while after that."""
+        data, status = self.leave(early=0.1)
+        self.assertEqual((data.count(b'data: '), status), (1, 503))
+        (end,) = self.read_log('end')
+        self.assertEqual((end['how'], end['tokens']), ('leaving', 1))
+
+    def test_engine_that_leaves_and_ends_no_stream_early(self):
+        """It completes its streams first."""
+        data, _ = self.leave(early=0)
+        self.assertEqual(data.count(b'data: '), 2)
+        (end,) = self.read_log('end')
+        self.assertEqual(end['how'], 'whole')
+
     def test_log(self):
         """It has what a run begins with, and what it sent."""
         division = edge_divisions.Division(2, ids=edge_divisions.TOKENS)
