Streams: two events with one id and different texts are a fault

What callers saw: pieces of a faulty engine whose ids stand still were dropped, and the stream was told whole (ORDER: missing). Cause: an event was taken for one that the caller has by its id alone. Change: within one run, an event with the last one's id and other bytes breaks the run off. The same bytes once more are dropped, as before (test_events_that_come_again). Conclusion: pages have ids increase, so no sound engine is broken off.

--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -186,8 +186,11 @@
             self._begins_earlier = True
             return
         self._has_last = True
-        if self._last_raw is not None and event.has_data():
-            self._has_other_text = event.raw != self._last_raw
+        if self._last_raw is None or not event.has_data():
+            return
+        self._has_other_text = event.raw != self._last_raw
+        if self._has_other_text and self._is_placed:
+            self.fault = f'two events with the id {event.id}'
 
     def _check_join(self, last, number):
         """Check the first event that a target adds to those of others.
