--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -30,6 +30,7 @@
 from bench import flood_windows  # noqa: E402
 from bench import memory  # noqa: E402
 from bench import site_profiles  # noqa: E402
+from standins import edge_divisions  # noqa: E402
 
 MAX_PRINTED = 5
 MAX_FLOODS = len(flood_windows.CASES)
@@ -226,6 +227,11 @@
 @click.option('--engines', type=int, help='Model engines.')
 @click.option('--applications', type=int, help='Application engines.')
 @click.option('--callers', type=int, help='Concurrent callers.')
+@click.option(
+    '--ids',
+    type=click.Choice(edge_divisions.IDS),
+    help="What events' ids count.",
+)
 @click.option('--early', default=0.08, help='Responses that end early.')
 @click.option('--garbled', default=0.02, help='Responses that are garbled.')
 @click.option('--skew-ms', default=6_000, help="Of engines' clocks, at most.")
@@ -239,9 +245,11 @@
 @click.option('--product', default=None, help='Where galenaspoke is.')
 @click.option('--report', default=None, help='A file for the counts as JSON.')
 @click.option('--keep/--no-keep', default=False, help='Keep all logs.')
-def main(site, seconds, callers, floods, only, report, keep, **fields):
+def main(site, ids, seconds, callers, floods, only, report, keep, **fields):
     """Run callers and faults drawn from SEED, and check what happened."""
     profile = _read_profile(site)
+    if ids:
+        profile.engine_options['ids'] = ids
     options = edge_fleet.FleetOptions(profile=profile, **fields)
     callers = profile.callers if callers is None else callers
     directory = tempfile.mkdtemp(prefix=f'galenaspoke-edge-{options.seed}-')
