Edge soak: some requests' streams are closed by all engines at the same token

Cause: the place of an early end was drawn anew for each run, so two engines closed a stream at the same place by chance only.

--- a/bench/site_profiles.py
+++ b/bench/site_profiles.py
@@ -37,6 +37,7 @@
     'preempted': 0.05,
     'weights': 0.05,
     'lost': 0.02,
+    'common': 0.03,
 }
 KINDS = {'stream': 'stream', 'safe': 'idempotent', 'unsafe': 'non_idempotent'}
 _PREFIXES = {'stream': '/stream', 'safe': '/plain', 'unsafe': '/plain'}
--- a/standins/edge_engine.py
+++ b/standins/edge_engine.py
@@ -315,6 +315,12 @@
 @click.option('--early', default=0.08, help='The share that ends early.')
 @click.option('--garbled', default=0.0, help='The share that is garbled.')
 @click.option('--lost', default=0.0, help='The share whose answer is lost.')
+@click.option(
+    '--common',
+    'common_ends',
+    default=0.0,
+    help='Requests whose streams all engines close at the same token.',
+)
 @click.option('--stride', default=1, help='Tokens in an event, at most.')
 @click.option('--uneven', default=0.0, help='Events that hold fewer tokens.')
 @click.option(
@@ -344,6 +350,7 @@
     early,
     garbled,
     lost,
+    common_ends,
     clock_ms,
     flood,
     connections,
@@ -368,7 +375,7 @@
         common.EventLog(log),
         random.Random(seed),
         edge_plans.Settings(
-            edge_plans.Shares(early, garbled, lost),
+            edge_plans.Shares(early, garbled, lost, common_ends),
             edge_divisions.Division(**division),
         ),
     )
--- a/standins/edge_plans.py
+++ b/standins/edge_plans.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import random
 
 from standins import edge_bodies
 from standins import edge_divisions
@@ -52,14 +53,19 @@
 
 
 class Shares:
-    """The shares of responses that end early, are garbled, or are lost."""
+    """The shares of responses that end early, are garbled, or are lost.
 
-    __slots__ = ('early', 'garbled', 'lost')
+    `common` is that of requests whose streams all engines close at the same
+    token.
+    """
+
+    __slots__ = ('early', 'garbled', 'lost', 'common')
 
-    def __init__(self, early=0.08, garbled=0.0, lost=0.0):
+    def __init__(self, early=0.08, garbled=0.0, lost=0.0, common=0.0):
         self.early = early
         self.garbled = garbled
         self.lost = lost
+        self.common = common
 
 
 class Plan:
@@ -89,6 +95,12 @@
         if rng.random() < AT_ONCE_SHARE:
             self.at = 0
 
+    def close_at(self, index):
+        """Close the connection in place of the piece with this index."""
+        self.ending = CLOSED
+        self.extra = None
+        self.at = index
+
     def _garble(self, rng, is_stream):
         how = rng.choice(STREAM_GARBLES if is_stream else GARBLES)
         if how in GARBLED_ENDS:
@@ -157,10 +169,23 @@
         self.plan = Plan(
             rng, len(self.pieces), settings.shares, is_stream, forced
         )
+        if is_stream and forced is None:
+            self._draw_common_end(settings.shares)
         self.is_stream = is_stream
         self.sent = 0
         self.sent_tokens = 0
 
+    def _draw_common_end(self, shares):
+        """Close the stream where every engine does, by the request's key."""
+        rng = random.Random(f'{self.key} end')
+        if rng.random() >= shares.common:
+            return
+        token = rng.randint(1, self.tokens)
+        for index, piece in enumerate(self.pieces):
+            if piece.last >= token:
+                self.plan.close_at(index)
+                return
+
     @property
     def first(self):
         """Return the first token that it is to send."""
--- a/tests/standins/test_edge_responses.py
+++ b/tests/standins/test_edge_responses.py
@@ -74,6 +74,15 @@
             set(edge_plans.ENDINGS), {plan.ending for plan in plans}
         )
 
+    # Guards against a soak in which two engines never close a stream at the
+    # same place.
+    def test_engines_close_at_the_same_token(self):
+        shares = edge_plans.Shares(early=0, common=1)
+        runs = [make_run(seed, shares) for seed in range(20)]
+        ends = {(run.plan.ending, run.plan.at) for run in runs}
+        self.assertEqual(1, len(ends))
+        self.assertEqual(edge_plans.CLOSED, ends.pop()[0])
+
     def test_lost_answers(self):
         """A share of all is lost, in both ways."""
         shares = edge_plans.Shares(early=0, lost=1)
