Requests: the bodies of callers are sent without a copy

Each attempt held one more copy of its request's body until its target had read all of it, outside of the account, and made two for a moment.

Cause: the head and the body were joined, and what the socket didn't take was cut off as a copy.

Change: both go to the kernel as they are, in one call, and the rest is sent from views of them. Bodies don't change once their request is complete.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -113,7 +113,7 @@
         try:
             self._sent_at = self._clock.now()
             conn.request_ids.add(self._context.metadata.request_id)
-            conn.send(self._encode_request())
+            conn.send(self._encode_head(), self._context.req.body)
             self._context.sent_count += 1
             self._context.sent_at = self._clock.now()
             response = self._wait(
@@ -156,7 +156,7 @@
                 if self._may_retry():
                     raise
 
-    def _encode_request(self):
+    def _encode_head(self):
         context = self._context
         req = context.req
         headers = self._header_codec.build_target_headers(
@@ -170,7 +170,7 @@
         if req.body or req.method not in (b'GET', b'HEAD'):
             headers.append((b'Content-Length', b'%d' % len(req.body)))
         first_line = b'%s %s HTTP/1.1' % (req.method, req.url)
-        return messages.encode_head(first_line, headers) + bytes(req.body)
+        return messages.encode_head(first_line, headers)
 
     def _is_for_this_request(self, response):
         """Return whether a response belongs to this request.
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -157,16 +157,17 @@
         if timeout_s > 0:
             self._has_read_late = False
 
-    def send(self, data):
+    def send(self, data, body=b''):
         """Send a request without waiting for a peer that reads slowly.
 
         What the socket buffer doesn't take is sent in the background, so that
-        an early response can be read meanwhile.
+        an early response can be read meanwhile.  `body` follows `data`; it
+        isn't copied, so it may not change until all of it is sent.
         """
         self.request_count += 1
         self.receive_bytes = RECEIVE_BYTES
         try:
-            self._sender.send(data)
+            self._sender.send(data, body)
         except OSError as exc:
             raise _make_loss('send', exc) from exc
 
--- a/galenaspoke/http/sending.py
+++ b/galenaspoke/http/sending.py
@@ -26,18 +26,21 @@
         # Sends what the socket buffer did not take at once.
         self._task = None
 
-    def send(self, data):
-        """Send a request; raise OSError if that fails at once.
+    def send(self, data, body=b''):
+        """Send `data` and then `body`; raise OSError if that fails at once.
 
         What the socket buffer doesn't take is sent in the background, so that
-        an early response can be read meanwhile.
+        an early response can be read meanwhile.  It isn't copied, so neither
+        may change until all of it is sent.
         """
         try:
-            sent = self._sock._sock.send(data)
+            sent = self._sock._sock.sendmsg([data, body])
         except BlockingIOError:
             sent = 0
-        if sent < len(data):
-            self._task = gevent.spawn(self._send_rest, data[sent:])
+        body_sent = max(0, sent - len(data))
+        left = [memoryview(data)[sent:], memoryview(body)[body_sent:]]
+        if any(left):
+            self._task = gevent.spawn(self._send_rest, left)
 
     def is_done(self):
         """Return whether the whole request has been sent."""
@@ -48,11 +51,11 @@
         if self._task is not None:
             self._task.kill(block=False)
 
-    def _send_rest(self, data):
-        left = memoryview(data)
+    def _send_rest(self, pieces):
         try:
-            while left:
-                left = left[self._send_some(left) :]
+            for piece in pieces:
+                while piece:
+                    piece = piece[self._send_some(piece) :]
         except BrokenPipeError:
             # The peer had closed its side, or the greenlet that reads the
             # response got the error.
--- a/tests/edge/test_floods.py
+++ b/tests/edge/test_floods.py
@@ -30,6 +30,7 @@
 # sockets hold.
 MAX_SENT_BYTES = 1_048_576
 TIMEOUT_S = 60
+FIRST_READ_BYTES = 65_536
 BODY = bytes(1_000_000)
 
 
@@ -188,6 +189,48 @@
         self.assertEqual({200}, {caller.status for caller in callers})
 
 
+class SentBodyTest(FloodTest):
+    """Bodies of callers that targets don't read."""
+
+    # Guards against a copy of each body that an attempt sends.
+    def test_body_is_not_copied(self):
+        may_finish = event.Event()
+        desk = self.make_desk(
+            lambda remote, _: may_finish.wait(),
+            timeout_ms=20_000,
+            latency_target_ms=10_000,
+        )
+        requests = [
+            desk.make_request(body=BODY, request_id=b'%x' % number)
+            for number in range(CALLERS)
+        ]
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for req in requests:
+            task = gevent.spawn(desk.handler.handle, req, handlers.Caller())
+            self.addCleanup(task.kill)
+        base.wait_until(lambda: desk.count_requests() == [CALLERS], TIMEOUT_S)
+        held_bytes, peak = tracemalloc.get_traced_memory()
+        self.assertLess(held_bytes, LIMIT_BYTES)
+        self.assertLess(peak, LIMIT_BYTES)
+
+    # Guards against a body that is cut where its target reads on late.
+    def test_body_is_sent_whole(self):
+        received = []
+
+        def run(remote, _):
+            gevent.sleep(0.1)
+            # What was read before is the head and what came with it.
+            while sum(received) < len(BODY) - FIRST_READ_BYTES:
+                received.append(len(remote.recv(65_536)))
+            remote.sendall(handlers.encode_response())
+
+        desk = self.make_desk(run)
+        caller = handlers.Caller()
+        desk.request(caller, body=BODY)
+        self.assertEqual(200, caller.status)
+
+
 class EndlessEngine:
     """Sends `start` and then `piece` until its peer closes."""
 
