Streams: requests that state no tokens allow what an engine's memory holds

A model engine that sends events without end was found out only if the request states its output tokens.

Cause: without that number the bound on events was infinite.

Change: the bound is then the memory of an engine in tokens. An event holds at least one, and a request that is larger than the memory isn't run.

As many events as the memory holds, and 5,000 of an application, are whole before and after.

--- a/galenaspoke/edge/serving/admission.py
+++ b/galenaspoke/edge/serving/admission.py
@@ -220,7 +220,8 @@
 def _set_service(context, services, name):
     """Set a request's service, and what its events cost at most.
 
-    Only a model engine is bound to the output tokens that a request states.
+    Only a model engine is bound to the output tokens that a request states,
+    and to those that its memory holds.
     """
     context.service = name
     service = services.get(name)
@@ -229,7 +230,9 @@
         service.event_tokens if service else context.metadata.output_tokens
     )
     if service and service.memory_tokens:
-        context.max_events = context.metadata.output_tokens
+        context.max_events = (
+            context.metadata.output_tokens or service.memory_tokens
+        )
 
 
 def refuse_poison(culprit):
--- a/galenaspoke/edge/streams/event_limits.py
+++ b/galenaspoke/edge/streams/event_limits.py
@@ -1,8 +1,9 @@
 """A bound on the events of one run of a stream.
 
 Each event of a model engine holds at least one token, so a target that sends
-more events than its request allows tokens is faulty.  So is one that sends
-ever more events without data, such as comments.
+more events than its request allows tokens is faulty; a request that states
+none allows as many as the memory of a target holds.  So is one that sends ever
+more events without data, such as comments.
 
 Example::
 
--- a/tests/edge/test_floods.py
+++ b/tests/edge/test_floods.py
@@ -325,6 +325,41 @@
             memory_tokens=100_000,
         )
 
+    # Guards against streams without end of requests that state no tokens.
+    def test_more_events_than_memory(self):
+        for piece in (b'data: a\n\n', b'id: 7\ndata: a\n\n'):
+            self.check(
+                EVENT_STREAM,
+                messages.encode_chunk(piece * 10),
+                'more events than the request allows tokens',
+                kind=catalog.RequestKind.STREAM,
+                memory_tokens=1_000,
+            )
+
+    # Guards against a bound that cuts what an engine's memory holds.
+    def test_as_many_events_as_memory(self):
+        self.check_whole_stream(1_000, memory_tokens=1_000)
+
+    # Guards against a bound for applications, which have no such memory.
+    def test_application_has_no_memory(self):
+        self.check_whole_stream(5_000)
+
+    def check_whole_stream(self, count, **options):
+        """Check that a stream of some events is whole."""
+        events = [b'id: %d\ndata: a\n\n' % n for n in range(1, count + 1)]
+
+        def respond(remote, _):
+            chunk = messages.encode_chunk(b''.join(events))
+            remote.sendall(EVENT_STREAM + chunk + messages.LAST_CHUNK)
+
+        desk = self.make_desk(
+            respond, kind=catalog.RequestKind.STREAM, **options
+        )
+        caller = handlers.Caller()
+        self.request(desk, caller)
+        self.assertIn(events[-1], caller.body)
+        self.assertTrue(caller.body.endswith(messages.LAST_CHUNK))
+
     # Guards against callers that make a sound target look faulty.
     def test_tokens_mean_nothing_to_an_application(self):
         events = b''.join(b'id: %d\ndata: a\n\n' % n for n in range(1, 61))
