--- a/bench/edge_sessions.py
+++ b/bench/edge_sessions.py
@@ -7,10 +7,10 @@
 
 import json
 import signal
-import socket
 import time
 
 import gevent
+from gevent import socket
 
 from bench import caller_connections
 from bench import edge_callers
@@ -32,6 +32,8 @@
 REUSE_SHARE = 0.8
 OLD_HTTP_SHARE = 0.06
 LEAVING_SHARE = 0.05
+# A caller that leaves has this much data at most, in pieces as they came.
+MAX_LEAVING_AFTER = 30
 SLOW_SHARE = 0.08
 SLOW_READ_S = 0.2
 SLOW_BUFFER_BYTES = 2_048
@@ -68,7 +70,8 @@
         self.is_slow = rng.random() < SLOW_SHARE
         self.leave_after = None
         if rng.random() < LEAVING_SHARE:
-            self.leave_after = rng.randint(0, req.pieces)
+            most = min(req.pieces, MAX_LEAVING_AFTER)
+            self.leave_after = rng.randint(0, most)
         self.stall_s = rng.uniform(*STALL_S) if req.is_padded else 0.0
 
 
--- a/tests/standins/test_platform_store.py
+++ b/tests/standins/test_platform_store.py
@@ -1,5 +1,6 @@
 """The stand-in for the platform's store, over real connections."""
 
+import random
 import unittest
 
 import gevent
@@ -8,6 +9,8 @@
 from standins import platform_store
 from standins import raw_http
 
+STORE_PORT = 8223
+
 
 def reserve_address():
     """Return a free address."""
@@ -69,3 +72,41 @@
         self.assertEqual(page['Items'][0]['Spec'], {'State': 'ready'})
         gevent.sleep(platform_store.ENTRY_SILENCE_MS / 1000 + 0.5)
         self.assertEqual(self.store.count('servers'), 0)
+
+
+class EntranceTest(unittest.TestCase):
+    """Clients that have an address of their own."""
+
+    def setUp(self):
+        # Entrances have the ports that follow, so the address is its own.
+        own = random.SystemRandom()
+        ip = f'127.{own.randint(16, 250)}.{own.randint(1, 250)}.1'
+        self.store = platform_store.PlatformStore(f'{ip}:{STORE_PORT}')
+        self.entrances = [self.store.add_entrance() for _ in range(2)]
+        self.store.start()
+
+    def call(self, address):
+        """Return the status of a call."""
+        return raw_http.call(address, 'GET', '/objects/things', None, 0.3)[0]
+
+    def test_turned_away(self):
+        """One client is refused, others are served, and it is again."""
+        own, other = self.entrances
+        for status in (503, 429):
+            self.store.turn_away(own, status)
+            self.assertEqual(self.call(own), status)
+            self.assertEqual(self.call(other), 200)
+            self.assertEqual(self.call(self.store.address), 200)
+        self.store.turn_away(own, None)
+        self.assertEqual(self.call(own), 200)
+
+    def test_no_response(self):
+        """A refusal may be a reset, or silence."""
+        own, other = self.entrances
+        self.store.turn_away(own, platform_store.RESET)
+        with self.assertRaises(ConnectionResetError):
+            self.call(own)
+        self.store.turn_away(own, platform_store.SILENCE)
+        with self.assertRaises(TimeoutError):
+            self.call(own)
+        self.assertEqual(self.call(other), 200)
