--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -276,6 +276,8 @@
                 break
             if outcome is not None and not self._take_retry(context, outcome):
                 break
+            # A failure's body has no share of the account, and isn't needed.
+            outcome = None
             outcome = self._run_attempt(context, target, caller)
             if isinstance(outcome, outcomes.Served):
                 return outcome
@@ -369,7 +371,9 @@
         if isinstance(outcome, outcomes.Served) and outcome.proof:
             self._metrics.count(f'ends.proved.{outcome.proof.value}')
         elif isinstance(outcome, outcomes.Closed):
-            self._metrics.count('ends.closed')
+            self._metrics.count(
+                'streams.unfit' if outcome.is_unfit else 'ends.closed'
+            )
 
     def _acquire(self, context, target, timeout_ms):
         """Return a connection to a target; raise NotSent on failure.
--- a/tests/edge/test_guessed_ends_review.py
+++ b/tests/edge/test_guessed_ends_review.py
@@ -1,5 +1,6 @@
 """Streams that are told whole, or joined, on the strength of a guess."""
 
+import re
 import signal
 import struct
 import subprocess
@@ -19,6 +20,7 @@
 from tests.edge import handlers
 from tests.edge import test_closed_review
 from tests.edge import test_endings
+from tests.edge import test_streams_after_moves
 from tests.edge import version_fleets
 
 MORE_USAGE = test_closed_review.MORE_USAGE
@@ -217,13 +219,24 @@
 class SingleRunTest(ReviewTestCase):
     """Streams of one engine."""
 
-    # Guards against pieces that are dropped without a word, since their ids
-    # don't go up within a run that is told whole (ORDER: missing).
-    def test_pieces_with_the_same_id_are_not_dropped(self):
+    # Guards against pieces that are dropped without a word, as they have the
+    # same id and other text, of a stream that is told whole (ORDER).
+    def test_other_pieces_with_the_same_id_are_not_dropped(self):
         desk, (engine,) = self.make_desk(resumable=False)
-        self.script([engine], self.send(7, 7, 7, is_chunked=True))
+        texts = [b'one', b'two', b'three']
+
+        def run(engine, _, sock, __):
+            head = engine.head.replace(b'Content-Type', CHUNKED)
+            events = [b'id: 7\ndata: %s\n\n' % text for text in texts]
+            sock.sendall(
+                head % (handlers.REQUEST_ID, engine.content_type)
+                + messages.encode_chunk(b''.join(events))
+                + messages.LAST_CHUNK
+            )
+
+        self.script([engine], run)
         caller, is_whole = self.ask(desk, usage=MORE_USAGE)
-        is_complete = caller.body.count(b'data: x\n') == 3
+        is_complete = all(text in caller.body for text in texts)
         self.assertTrue(is_complete or not is_whole)
 
     # The same where one id is far ahead of the others.
@@ -260,6 +273,32 @@
             self.assertFalse(self.ask(desk, usage=MORE_USAGE)[1], name)
 
 
+class DeadlineTest(ReviewTestCase):
+    """Engines that stop work at the deadline that they are given."""
+
+    # Guards against a stream that is whole since its engine ended it at its
+    # deadline, which a starved router notices later (ORDER).
+    def test_engine_ends_at_its_deadline(self):
+        for is_chunked in (False, True):
+            desk, (engine,) = self.make_desk(resumable=False)
+
+            def run(engine, own_run, sock, head, is_chunked=is_chunked):
+                send = self.send(1, 2, 3, is_chunked=is_chunked, ends=False)
+                send(engine, own_run, sock, head)
+                left = re.search(rb'x-deadline-ms: (\d+)', head.lower())
+                gevent.sleep(0.01)
+                # Neither the router nor anything else gets on meanwhile.
+                base.stall(int(left.group(1)) / 1_000 + 0.05)
+                if is_chunked:
+                    sock.sendall(messages.LAST_CHUNK)
+
+            self.script([engine], run)
+            pairs = [(b'x-deadline-ms', b'300')]
+            caller, is_whole = self.ask(desk, usage=MORE_USAGE, pairs=pairs)
+            self.assertEqual(3, self.count_pieces(caller))
+            self.assertFalse(is_whole, is_chunked)
+
+
 class OtherKindTest(ReviewTestCase):
     """Routes whose requests may be repeated, but not resumed."""
 
@@ -403,6 +442,72 @@
         self.assertEqual(dict.fromkeys(CLOCK_ERRORS_MS, 0), mixed)
 
 
+class MovedRouteTest(unittest.TestCase):
+    """Streams whose route has moved to another service."""
+
+    make_fleet = test_streams_after_moves.MoveTest.make_fleet
+    configure = test_streams_after_moves.MoveTest.configure
+    begin_streams = test_streams_after_moves.MoveTest.begin_streams
+
+    def count_mixed(self, names_request, lost):
+        """Return how many streams go on at another service.
+
+        The routers `lost` start again after the move, and know no other
+        configuration.  Callers resume at the second one of the three.
+        """
+        fleet = self.make_fleet(('pool', 1.0))
+        streams = self.begin_streams(fleet)
+        for name in lost:
+            fleet.kill(name)
+        fleet.clock.advance(TIME_OFF_MS)
+        for name in lost:
+            fleet.start(name)
+        self.configure(fleet, ('other', 1.0))
+        fleet.read_lists()
+        fleet.read_targets()
+        for name in lost:
+            # It has never had another configuration.
+            desk = fleet.desks[name]
+            desk.admission._catalog = desk.config_view.catalog
+            desk.versions.record.update('other', {'v2'}, {'v2': 2})
+        new = fleet.begin('front-1', version_fleets.STREAM_EVENTS + 1)
+        self.assertEqual({'v2'}, new.versions)
+        for stream in streams:
+            if not names_request:
+                stream.first_id = b''
+            fleet.resume(stream, 'front-1')
+        return fleet.count_mixed()
+
+    # Guards against a router that has started since the move, and takes the
+    # service of today for the one that began a stream (ORDER).
+    def test_callers_that_name_no_request(self):
+        self.assertEqual(0, self.count_mixed(False, ['front-1']))
+
+    # The same where all routers that knew the streams are lost.
+    def test_all_routers_start_again(self):
+        routers = [f'front-{number}' for number in range(3)]
+        self.assertEqual(0, self.count_mixed(True, routers))
+
+    # Guards against a configuration that one router had and another one never
+    # saw, as two changes came between two of its requests (ORDER).
+    def test_configuration_that_was_not_seen(self):
+        fleet = self.make_fleet(('pool', 1.0))
+        fleet.begin('front-1')
+        self.configure(fleet, ('other', 1.0))
+        streams = [fleet.begin('front-0') for _ in range(STREAM_COUNT)]
+        self.assertEqual({'v2'}, streams[0].versions)
+        self.configure(fleet, ('pool', 1.0))
+        fleet.clock.advance(TIME_OFF_MS)
+        for stream in streams:
+            stream.first_id = b''
+            fleet.resume(stream, 'front-1')
+        self.assertEqual(0, fleet.count_mixed())
+
+    # The counterpart: another router remembers.
+    def test_other_routers_remember(self):
+        self.assertEqual(0, self.count_mixed(True, ['front-1']))
+
+
 class CutChunksTest(ReviewTestCase):
     """Streams in chunks that end at any byte, with a close or a reset."""
 
