Edge soak: events of a flood follow the division of the request's output

Cause: an engine that floods with events sent one token an event, whatever its options say. With ids that count events and several tokens an event, another engine that goes on would have begun elsewhere: a gap that no router can see, so a finding of the checks and no fault of a router.

Change: floods send the pieces of the request's division, then one token an event. The log says of floods, too, what ids are.

--- a/standins/edge_divisions.py
+++ b/standins/edge_divisions.py
@@ -12,6 +12,7 @@
     divide(division, 'c1-7', 40, after=12, rng=random.Random())
 """
 
+import itertools
 import random
 
 EVENTS = 'events'
@@ -74,6 +75,16 @@
     return _cut(division, 1, tokens, random.Random(key))[after:]
 
 
+def divide_endlessly(division, key, tokens, after, rng):
+    """Yield what `divide` returns, and Pieces of one token without end."""
+    pieces = divide(division, key, tokens, after, rng)
+    yield from pieces
+    number = pieces[-1].number if pieces else after
+    for more in itertools.count(1):
+        token = tokens + more
+        yield Piece(number + more, token, token, 0.0, False)
+
+
 def _cut(division, first, last, rng):
     """Return the Pieces of the tokens `first` to `last`."""
     preempted_at = _draw_token(rng, division.preempted, first, last)
--- a/standins/edge_engine.py
+++ b/standins/edge_engine.py
@@ -178,7 +178,7 @@
             return True
         flood = self._get_flood()
         if path == '/health' and flood == edge_floods.HEALTH:
-            return self._send_flood(conn, 'health', 'health', 1)
+            return self._send_flood(conn, 'health')
         if path == '/health' or (path == '/report' and self._is_model):
             make = self._make_health if path == '/health' else self._report
             conn.sock.sendall(make())
@@ -189,11 +189,13 @@
             return True
         conn.sock.sendall(self._runs.take_late_response(conn))
         if flood not in (None, edge_floods.HEALTH):
-            key = json.loads(body)['key']
-            first = int(message.get('last-event-id') or 0) + 1
+            document = json.loads(body)
+            after = int(message.get('last-event-id') or 0)
             if flood != edge_floods.REFUSAL:
                 self._runs.log_flood(path, request_id)
-            return self._send_flood(conn, request_id, key, first)
+            return self._send_flood(
+                conn, request_id, document['key'], document['pieces'], after
+            )
         if self._modes.meets(edge_modes.SHED):
             self._refuse(conn, echo)
             return True
@@ -203,13 +205,17 @@
         """Return the case that the engine is in, None for none."""
         return self._flood if time.monotonic() < self._flood_until else None
 
-    def _send_flood(self, conn, request_id, key, first):
+    def _send_flood(self, conn, request_id, key='', tokens=0, after=0):
+        """Answer without end; return that no other request is read."""
+        pieces = edge_divisions.divide_endlessly(
+            self._settings.division, key, tokens, after, self._rng
+        )
         answer = edge_floods.Answer(
             request_id,
             self._runs.make_stamp(request_id),
             key,
             self._entry['Version'],
-            first,
+            pieces,
         )
         left_s = self._flood_until - time.monotonic()
         try:
--- a/standins/edge_floods.py
+++ b/standins/edge_floods.py
@@ -5,10 +5,12 @@
 
 Example::
 
-    answer = Answer('c1-7.0', 'i-1.5.c1-7.0', 'c1-7', 'v1', 1)
+    pieces = edge_divisions.divide_endlessly(division, 'c1-7', 9, 0, rng)
+    answer = Answer('c1-7.0', 'i-1.5.c1-7.0', 'c1-7', 'v1', pieces)
     send(sock, 'chunked', answer, seconds=3)
 """
 
+import itertools
 import time
 
 import gevent
@@ -28,17 +30,19 @@
 
 
 class Answer:
-    """What is true in an answer: whose it is, and its events."""
+    """What is true in an answer: whose it is, and its events.
 
-    __slots__ = ('request_id', 'stamp', 'key', 'version', 'first')
+    `pieces` yields the edge_divisions.Pieces of its events without end.
+    """
 
-    def __init__(self, request_id, stamp, key, version, first):
+    __slots__ = ('request_id', 'stamp', 'key', 'version', 'pieces')
+
+    def __init__(self, request_id, stamp, key, version, pieces):
         self.request_id = request_id
         self.stamp = stamp
         self.key = key
         self.version = version
-        # The number of the first event.
-        self.first = first
+        self.pieces = pieces
 
     def encode_head(self, *headers, status='200 OK'):
         """Return the head of a response to the request."""
@@ -78,7 +82,7 @@
 
 def _send_event(answer):
     yield answer.encode_head(_STREAM, _CLOSE)
-    yield b'id: %d\ndata: ' % answer.first
+    yield b'id: %d\ndata: ' % next(answer.pieces).number
     yield from _repeat(_BLOCK)
 
 
@@ -103,14 +107,15 @@
 
 def _send_events(answer):
     yield answer.encode_head(_STREAM, _CLOSE)
-    number = answer.first
     while True:
-        numbers = range(number, number + EVENTS_A_BLOCK)
-        yield b''.join(
-            edge_bodies.make_event(answer.key, answer.version, n, n, n)
-            for n in numbers
-        )
-        number += EVENTS_A_BLOCK
+        pieces = itertools.islice(answer.pieces, EVENTS_A_BLOCK)
+        yield b''.join(_make_event(answer, piece) for piece in pieces)
+
+
+def _make_event(answer, piece):
+    return edge_bodies.make_event(
+        answer.key, answer.version, piece.number, piece.first, piece.last
+    )
 
 
 def _send_garbage(_answer):
--- a/standins/edge_runs.py
+++ b/standins/edge_runs.py
@@ -163,7 +163,6 @@
             run.id,
             run.plan.framing,
             number=number,
-            ids=self._settings.division.ids,
             after=run.after,
             first=run.first,
         )
@@ -178,6 +177,7 @@
             born=self._entry['born'],
             version=self._entry['Version'],
             service=self._entry['Service'],
+            ids=self._settings.division.ids,
             **fields,
         )
 
--- a/tests/standins/test_edge_divisions.py
+++ b/tests/standins/test_edge_divisions.py
@@ -109,3 +109,18 @@
             pieces = divide(division, key)
             self.assertFalse(any(piece.pause_s for piece in pieces))
             self.assertFalse(any(piece.changes_weights for piece in pieces))
+
+    def test_pieces_without_end(self):
+        """They go on after the last one, with ids of the same kind."""
+        for ids, number in ((edge_divisions.EVENTS, 8), ('tokens', 41)):
+            division = edge_divisions.Division(STRIDE, ids=ids)
+            for after in (0, number - 1):
+                pieces = edge_divisions.divide_endlessly(
+                    division, 'k', TOKENS, after, random.Random(1)
+                )
+                more = (piece for piece in pieces if piece.first > TOKENS)
+                first, second = next(more), next(more)
+                self.assertEqual(
+                    [(number, 41, 41), (number + 1, 42, 42)],
+                    describe([first, second]),
+                )
--- a/tests/standins/test_edge_floods.py
+++ b/tests/standins/test_edge_floods.py
@@ -1,11 +1,14 @@
 """Answers without end: each case sends what it says, and is bounded."""
 
+import random
 import time
 import unittest
 
+from standins import edge_divisions
 from standins import edge_floods
 
 SOON_S = 1.0
+TOKENS = 6
 
 
 class FakeSocket:
@@ -25,10 +28,14 @@
         self.data = (self.data + data)[: self._capacity_bytes]
 
 
-def send(case, seconds=0.02):
+def send(case, seconds=0.02, division=None):
     """Return the socket to which a case was sent."""
     sock = FakeSocket()
-    answer = edge_floods.Answer('k.0', 'i-1.5.k.0', 'k', 'v1', 3)
+    division = division or edge_divisions.Division()
+    pieces = edge_divisions.divide_endlessly(
+        division, 'k', TOKENS, 2, random.Random(1)
+    )
+    answer = edge_floods.Answer('k.0', 'i-1.5.k.0', 'k', 'v1', pieces)
     edge_floods.send(sock, case, answer, seconds)
     return sock
 
@@ -72,6 +79,18 @@
             )
         )
 
+    def test_events_that_hold_several_tokens(self):
+        """Another engine could go on after each that was asked for."""
+        data = send('events', division=edge_divisions.Division(2)).data
+        body = data.partition(b'\r\n\r\n')[2]
+        self.assertTrue(
+            body.startswith(
+                b'id: 3\ndata: k v1 5 6\n\nid: 4\ndata: k v1 7 7\n'
+            )
+        )
+        self.assertTrue(send('event').data.endswith(b'x'))
+        self.assertIn(b'\r\n\r\nid: 3\ndata: x', send('event').data)
+
     def test_foreign_responses(self):
         """Whole empty responses never have the id of the request."""
         data = send('foreign').data
