--- a/bench/site_profiles.py
+++ b/bench/site_profiles.py
@@ -24,10 +24,10 @@
 # Lines of bodies that are no streams.
 BODY_LINES = (8, 24)
 # A tenant that runs out has paid for so many requests of the usual size.
-SCARCE_REQUESTS = 25
+SCARCE_REQUESTS = 8
 AMPLE_REQUESTS = 100_000
 # One tenant in so many runs out.
-SCARCE_TURN = 2
+SCARCE_TURN = 4
 DEFAULT_TENANTS = 4
 # More callers than that take the time of this machine from routers.
 MAX_CALLERS = 60
