--- a/tests/bench/test_edge_faults.py
+++ b/tests/bench/test_edge_faults.py
@@ -7,45 +7,26 @@
 import gevent
 
 from bench import edge_faults
-from bench import edge_machines
 from standins import platform_documents
+from tests.bench import fakes
 
 MODEL = platform_documents.MODEL_SERVICE
 APPLICATION = platform_documents.APPLICATION_SERVICE
 
 
-class FakeProcess:
-    """Keeps the signals that it gets."""
-
-    def __init__(self):
-        self.numbers = []
-
-    def signal(self, number):
-        """Take a signal."""
-        self.numbers.append(number)
-
-
 class FakeFleet:
     """A model engine, an application and a router."""
 
     def __init__(self):
-        self.models = [self.make('model-0', MODEL)]
-        self.applications = [self.make('application-0', APPLICATION)]
-        self.routers = [self.make('router-0', '')]
+        self.models = [fakes.make_machine('model-0', MODEL)]
+        self.applications = [fakes.make_machine('application-0', APPLICATION)]
+        self.routers = [fakes.make_machine('router-0', '')]
         self.machines = self.models + self.applications + self.routers
         self.store = types.SimpleNamespace(is_down=False)
         self.control_path = None
         self.faults = []
         self.log = self
 
-    def make(self, name, service):
-        """Return a machine whose process only takes signals."""
-        machine = edge_machines.Machine(
-            name, '127.0.0.1', 'zone-a', None, service
-        )
-        machine.process = FakeProcess()
-        return machine
-
     def write(self, **fields):
         """Take a line of the log."""
         self.faults.append(fields['fault'])
--- a/tests/bench/test_site_faults.py
+++ b/tests/bench/test_site_faults.py
@@ -7,34 +7,23 @@
 from unittest import mock
 
 from bench import edge_faults
-from bench import edge_machines
 from bench import site_faults
 from bench import tenants
 from standins import platform_documents
+from tests.bench import fakes
 
 # The kinds of the three sites of incident 46.
 KINDS = set(site_faults.FAULTS_BY_TROUBLE)
 
 
-class FakeProcess:
-    """Keeps the signals that it gets."""
-
-    def __init__(self):
-        self.numbers = []
-
-    def signal(self, number):
-        """Take a signal."""
-        self.numbers.append(number)
-
-
 class FakeFleet:
     """A fleet whose processes only take signals."""
 
     def __init__(self):
-        self.models = [self.make(f'model-{n}') for n in range(2)]
+        self.models = [fakes.make_machine(f'model-{n}') for n in range(2)]
         self.engines = self.models
-        self.routers = [self.make(f'router-{n}') for n in range(4)]
-        self.relays = [self.make('relay-0')]
+        self.routers = [fakes.make_machine(f'router-{n}') for n in range(4)]
+        self.relays = [fakes.make_machine('relay-0')]
         self.tenants = tenants.Tenants(
             [
                 platform_documents.Tenant('t0', ['a'], 100),
@@ -45,12 +34,6 @@
         self.turned_away = []
         self.log = types.SimpleNamespace(write=lambda **fields: None)
 
-    def make(self, name):
-        """Return a machine whose process only takes signals."""
-        machine = edge_machines.Machine(name, '127.0.0.1', 'zone-a', None)
-        machine.process = FakeProcess()
-        return machine
-
     def publish(self, extra_routes=None):
         """Count a configuration."""
         self.published += 1
