Bench: settings of commands are written whole

Cause: top-ups run in four threads, each of which writes the same ctl.ini anew; one command read it while another thread had just emptied it. Change: the file is written beside it and takes its place. Evidence: SettingsTest.test_settings_are_whole_while_they_are_written_again failed before.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -2,11 +2,13 @@
 
 import configparser
 import json
+import os
 import pathlib
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import urllib.error
 
@@ -123,8 +125,12 @@
         parser = configparser.ConfigParser(interpolation=None)
         parser.read_dict(sections)
         path = self.directory / f'{name}.ini'
-        with open(path, 'w') as ini_file:
+        # Another thread's command may be reading the one from before.
+        with tempfile.NamedTemporaryFile(
+            'w', dir=self.directory, delete=False
+        ) as ini_file:
             parser.write(ini_file)
+        os.replace(ini_file.name, path)
         return str(path)
 
     def _store_section(self, store):
--- a/tests/bench/test_cluster.py
+++ b/tests/bench/test_cluster.py
@@ -4,9 +4,12 @@
 was waited for until the time was over, and the test said nothing of it.
 """
 
+import configparser
+import pathlib
 import socket
 import tempfile
 import unittest
+from unittest import mock
 
 from bench import cluster as clusters
 
@@ -17,6 +20,32 @@
     return socket.create_server((host, int(port)))
 
 
+class SettingsTest(unittest.TestCase):
+    """Settings that several threads write."""
+
+    # Guards against a command that reads half of its settings, as another
+    # thread writes them for a command of its own.
+    def test_settings_are_whole_while_they_are_written_again(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        cluster = clusters.Cluster(folder.name)
+        sections = {'store': {'url': 'http://127.0.0.1:1'}}
+        path = pathlib.Path(cluster._write_ini('ctl', sections))
+        whole = path.read_text()
+        seen = []
+        write = configparser.ConfigParser.write
+
+        def write_slowly(parser, ini_file):
+            seen.append(path.read_text())
+            write(parser, ini_file)
+
+        with mock.patch.object(
+            configparser.ConfigParser, 'write', write_slowly
+        ):
+            cluster._write_ini('ctl', sections)
+        self.assertEqual([whole, whole], [*seen, path.read_text()])
+
+
 class WaitTest(unittest.TestCase):
     """Waits that end at once, whatever their timeout is."""
 
