Tests, bench: one factory of a stream's context, one count of an attempt's tokens

The context of a stream was built twice to the letter (test_charged_events, test_interrupted_streams), the tokens of an attempt were added up twice (edge_budgets, edge_soak), and two tests of test_guessed_ends stood again, with the same engines and assertions, as SecondRunTest of test_guessed_ends_review, where they stay.

--- a/bench/edge_budgets.py
+++ b/bench/edge_budgets.py
@@ -73,8 +73,7 @@
             has_input = True
             tokens += req.input_tokens
         if req.kind == 'stream' and attempt.status == 200:
-            output = sum(event.tokens for event in attempt.events)
-            tokens += output
+            tokens += attempt.count_tokens()
         charges.append(Charge(attempt.ended_at, tokens, attempt.id))
     return charges
 
--- a/bench/edge_callers.py
+++ b/bench/edge_callers.py
@@ -141,6 +141,10 @@
         # Whether the response states where its body ends.
         self.is_framed = True
 
+    def count_tokens(self):
+        """Return the number of tokens in its events."""
+        return sum(event.tokens for event in self.events)
+
 
 def has_too_much(req, attempt):
     """Return whether an engine that floods sent more than was asked for."""
--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -133,7 +133,7 @@
         f'{attempt.id} {req.prefix} {edge_callers.describe(attempt)}'
         f' {attempt.status} {attempt.outcome}, events'
         f' {attempt.first}+{len(attempt.events)},'
-        f' tokens {_count_tokens(attempt)} of {req.pieces},'
+        f' tokens {attempt.count_tokens()} of {req.pieces},'
         f' most {req.max_tokens}'
         f' {attempt.why}'
         for req in requests
@@ -142,10 +142,6 @@
     _write_lines(path, lines)
 
 
-def _count_tokens(attempt):
-    return sum(event.tokens for event in attempt.events)
-
-
 def _write_lines(path, lines):
     path.write_text('\n'.join(lines) + '\n')
 
--- a/tests/edge/base.py
+++ b/tests/edge/base.py
@@ -6,12 +6,14 @@
 from gevent import monkey
 from gevent import socket
 
+from galenaspoke.core import catalog
 from galenaspoke.core import clock
 from galenaspoke.core import target_entry
 from galenaspoke.edge.membership import eras
 from galenaspoke.edge.membership import members
 from galenaspoke.edge.membership import router_list
 from galenaspoke.edge import metadata
+from galenaspoke.edge.serving import request_context
 from galenaspoke.edge import settings
 from galenaspoke.http import connections
 
@@ -71,6 +73,27 @@
     return target_entry.TargetEntry(id=name, port=port, **fields)
 
 
+def make_stream_context(req):
+    """Return the context of a request for a stream that may be resumed."""
+    route = catalog.Route(
+        'r',
+        'desk',
+        '/chat/',
+        catalog.RequestKind.STREAM,
+        (('pool', 1.0),),
+        timeout_ms=5000,
+        latency_target_ms=400,
+        max_attempts=2,
+        priority=0,
+        public=False,
+        resumable=True,
+        gap_target_ms=400,
+    )
+    return request_context.RequestContext(
+        req, make_request_metadata(), route, None
+    )
+
+
 def make_request_metadata(shared_id='aa', own_tokens=100, shared_tokens=1000):
     """Return the metadata of a model request.
 
--- a/tests/edge/test_charged_events.py
+++ b/tests/edge/test_charged_events.py
@@ -2,8 +2,6 @@
 
 import unittest
 
-from galenaspoke.core import catalog
-from galenaspoke.edge.serving import request_context
 from galenaspoke.edge.streams import sse
 from galenaspoke.http import messages
 from tests.edge import base
@@ -23,23 +21,7 @@
     def setUp(self):
         req = messages.Request()
         req.arrived_at = 0
-        route = catalog.Route(
-            'r',
-            'desk',
-            '/chat/',
-            catalog.RequestKind.STREAM,
-            (('pool', 1.0),),
-            timeout_ms=5000,
-            latency_target_ms=400,
-            max_attempts=2,
-            priority=0,
-            public=False,
-            resumable=True,
-            gap_target_ms=400,
-        )
-        self.context = request_context.RequestContext(
-            req, base.make_request_metadata(), route, None
-        )
+        self.context = base.make_stream_context(req)
         self.context.may_have_run = True
         self.context.event_tokens = EVENT_TOKENS
 
--- a/tests/edge/test_guessed_ends.py
+++ b/tests/edge/test_guessed_ends.py
@@ -75,24 +75,3 @@
             ],
         )
         self.assertFalse(is_whole)
-
-    # Guards against a second engine that closes the stream where the first one
-    # did, since it closes before the same event (ORDER).
-    def test_both_engines_close_before_the_same_event(self):
-        desk, engines = self.make_desk(2, max_attempts=3)
-        for engine in engines:
-            engine.cut_at = test_endings.CUT_AFTER
-            engine.cut = lambda: None
-        self.check_is_broken(desk)
-
-    # The same for engines that close each run after its first event.
-    def test_both_engines_close_after_the_first_event(self):
-        desk, engines = self.make_desk(2, max_attempts=3)
-        for engine in engines:
-            test_closed_review.replace_run(
-                engine,
-                lambda engine, _, sock, __: test_closed_review.send_head(
-                    engine, sock, test_endings.encode_event(1)
-                ),
-            )
-        self.assertFalse(self.ask(desk, usage=MORE_USAGE)[1])
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -11,11 +11,9 @@
 
 import gevent
 
-from galenaspoke.core import catalog
 from galenaspoke.core import clock
 from galenaspoke.edge import outcomes
 from galenaspoke.edge.serving import attempts
-from galenaspoke.edge.serving import request_context
 from galenaspoke.edge.streams import sse
 from galenaspoke.edge.targets import health
 from galenaspoke.edge.targets import wait_estimates
@@ -161,23 +159,7 @@
         req.url = b'/chat/'
         req.headers = [(b'host', b'desk'), (b'x-request-id', b'9c41')]
         req.arrived_at = self.clock.now()
-        route = catalog.Route(
-            'r',
-            'desk',
-            '/chat/',
-            catalog.RequestKind.STREAM,
-            (('pool', 1.0),),
-            timeout_ms=5000,
-            latency_target_ms=400,
-            max_attempts=2,
-            priority=0,
-            public=False,
-            resumable=True,
-            gap_target_ms=400,
-        )
-        self.context = request_context.RequestContext(
-            req, base.make_request_metadata(), route, None
-        )
+        self.context = base.make_stream_context(req)
 
     def run_attempt(self, *pieces, close=True, read_request=False):
         """Return the outcome of an attempt whose target sends `pieces`.
