--- a/review/stand-ins-2/application.py
+++ b/review/stand-ins-2/application.py
@@ -25,6 +25,7 @@
         self.work_s = float(argv[7]) / 1000 if argv[7:] else 0.06
         self.born = int(time.time() * 1000)
         self.seq = 0
+        self.slots = 6
 
     def log(self, what, request_id, **fields):
         line = {'at': time.monotonic(), 'what': what, 'id': request_id}
@@ -40,7 +41,7 @@
                 'Addr': self.address,
                 'Zone': self.zone,
                 'Version': 'v1',
-                'Slots': 6,
+                'Slots': self.slots,
                 'State': 'ready',
                 'ColdLeftMs': 0,
                 'Seq': self.seq,
@@ -109,8 +110,8 @@
         return False
 
 
-async def main():
-    engine = Application(sys.argv)
+async def serve_engine(engine):
+    """Answer requests and write the engine's entry; never return."""
     host, port = engine.address.rsplit(':', 1)
     server = await asyncio.start_server(engine.serve, host, int(port))
     asyncio.ensure_future(engine.beat())
@@ -118,4 +119,4 @@
 
 
 if __name__ == '__main__':
-    asyncio.run(main())
+    asyncio.run(serve_engine(Application(sys.argv)))
