--- a/review/stand-ins-2/application.py
+++ b/review/stand-ins-2/application.py
@@ -1,9 +1,10 @@
 """Stand-in for an application engine, by PROTOCOL.md.
 
-Usage: application.py IP:PORT STORE ID SERVICE ZONE LOG [WORK_MS]
+Usage: application.py IP:PORT STORE ID SERVICE ZONE LOG [WORK_MS [length]]
 
 It answers each request with a body in two parts without a length, which ends
-with the connection.  The log has what it ran, one JSON line an event.
+with the connection; or, with `length`, with one that has a length.  The log has
+what it ran, one JSON line an event.
 """
 
 import asyncio
@@ -23,6 +24,7 @@
         self.address, self.store, self.id, self.service, self.zone = argv[1:6]
         self.log_path = argv[6]
         self.work_s = float(argv[7]) / 1000 if argv[7:] else 0.06
+        self.has_length = argv[8:] == ['length']
         self.born = int(time.time() * 1000)
         self.seq = 0
         self.slots = 6
@@ -90,6 +92,14 @@
         self.log('runs', request_id)
         first_part = f'first half of {request_id} '.encode() + b'a' * 400
         second_part = b'b' * 400 + f' second half of {request_id}'.encode()
+        if self.has_length:
+            await asyncio.sleep(self.work_s)
+            stamp = f'{self.id}.{self.born}.{request_id}'
+            own = [*echo, ('X-Response-Stamp', stamp)]
+            whole = first_part + second_part
+            writer.write(http11.encode('HTTP/1.1 200 OK', own, whole))
+            await writer.drain()
+            return True
         head = [
             'HTTP/1.1 200 OK',
             f'X-Request-Id: {request_id}',
--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -63,7 +63,9 @@
         path = str(HERE / program)
         self._spawn(name, [sys.executable, path, *map(str, args)])
 
-    def start_role(self, role, name, host, store=None, bounds=None):
+    def start_role(
+        self, role, name, host, store=None, bounds=None, memory_mb=300
+    ):
         """Start a router (role `edge`) or a relay at an address."""
         ip = f'{self.net}.{host}'
         listen = {}
@@ -85,8 +87,12 @@
             'Listen': listen,
             'PortRange': [7340, 7355],
             'SeedAddrs': [],
-            'FirstStart': True,
-            'Limits': {'CpuShare': 0.8, 'MemoryMb': 300, 'MaxFds': 4100},
+            'FirstStart': name not in self.processes,
+            'Limits': {
+                'CpuShare': 0.8,
+                'MemoryMb': memory_mb,
+                'MaxFds': 4100,
+            },
             'DataDir': None,
             'HeartbeatMs': 1200,
             'Bounds': {
@@ -119,7 +125,7 @@
         self.record(f'{signal.Signals(number).name} to {name}')
         self.processes[name].send_signal(number)
 
-    async def write(self, kind, name, spec):
+    async def write(self, kind, name, spec, is_noted=True):
         """Write an object as the operator does."""
         raw = json.dumps({'Metadata': {'Name': name}, 'Spec': spec}).encode()
         path = f'/objects/{kind}/{name}'
@@ -127,7 +133,8 @@
         if status == 404:
             path = f'/objects/{kind}'
             status, _ = await http11.call(self.store, 'POST', path, raw)
-        self.record(f'wrote {kind}/{name}: {status}')
+        if is_noted:
+            self.record(f'wrote {kind}/{name}: {status}')
 
     async def read(self, kind, name):
         """Return an object, None if there is none."""
