--- a/review/stand-ins-2/model.py
+++ b/review/stand-ins-2/model.py
@@ -1,6 +1,7 @@
 """Stand-in for a model engine that streams, by PROTOCOL.md.
 
 Usage: model.py IP:PORT STORE ID SERVICE ZONE LOG EVENTS EVENT_BYTES GAP_MS
+    [FIRST_MS]
 
 It answers each request with a stream of events in chunks, and /report with its
 state.  The log has what it ran, one JSON line an event.
@@ -21,6 +22,7 @@
         super().__init__(argv[:7])
         self.events, self.event_bytes = int(argv[7]), int(argv[8])
         self.gap_s = float(argv[9]) / 1000
+        self.first_s = float(argv[10]) / 1000 if argv[10:] else 0
         self.slots = 64
         self.runs = {}
 
@@ -72,6 +74,7 @@
         writer.write('\r\n'.join(head).encode())
         self.runs[request_id] = after
         try:
+            await asyncio.sleep(self.first_s)
             for number in range(after + 1, events + 1):
                 await asyncio.sleep(self.gap_s)
                 event = make_event(request_id, number, self.event_bytes)
