--- a/review/7/case.py
+++ b/review/7/case.py
@@ -143,9 +143,7 @@
         _, how = await caller.ask(f'first-{number}', 4, False)
         dep.record(f'first-{number}: {how}')
         began = time.monotonic()
-        data, how = await caller.ask(
-            f'second-{number}', EVENTS, trouble
-        )
+        data, how = await caller.ask(f'second-{number}', EVENTS, trouble)
         took = time.monotonic() - began
         dep.record(
             f'second-{number}, on the kept connection: {how} after'
--- a/review/stand-ins-2/application.py
+++ b/review/stand-ins-2/application.py
@@ -3,8 +3,8 @@
 Usage: application.py IP:PORT STORE ID SERVICE ZONE LOG [WORK_MS [length]]
 
 It answers each request with a body in two parts without a length, which ends
-with the connection; or, with `length`, with one that has a length.  The log has
-what it ran, one JSON line an event.
+with the connection; or, with `length`, with one that has a length.  The log
+has what it ran, one JSON line an event.
 """
 
 import asyncio
--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import shlex
+import shutil
 import signal
 import subprocess
 import sys
@@ -168,6 +169,8 @@
             process.wait()
         self.record('all processes ended')
         self.out.close()
+        if not os.environ.get('KEEP_LOGS'):
+            shutil.rmtree(self.directory)
 
 
 async def can_connect(host, port):
