Review: each script reads TROUBLE itself

Cause: the switch was read in the shared stand-ins alone, where nobody who looks into the folder of a case finds it.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import socket
 import sys
@@ -162,4 +163,5 @@
 
 
 if __name__ == '__main__':
-    deployment.run(HERE, case)
+    # TROUBLE=0 plays the same without the disruption.
+    deployment.run(HERE, case, os.environ.get('TROUBLE', '1') != '0')
--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -190,14 +190,13 @@
         await asyncio.sleep(0.05)
 
 
-def run(folder, case):
+def run(folder, case, trouble):
     """Run a case; exit with 1 if the rule was broken, 0 if it held, else 2.
 
-    `case` takes the Deployment and whether there is trouble, and returns
+    `case` takes the Deployment and whether there is `trouble`, and returns
     whether the rule was broken.
     """
     deployment = Deployment(folder)
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     code = 2
     try:
         limit = asyncio.wait_for(case(deployment, trouble), 110)
