--- a/bench/edge_faults.py
+++ b/bench/edge_faults.py
@@ -32,6 +32,7 @@
 TIMEOUTS_MS = (7_000, 8_000, 9_000)
 MAX_EXTRA_ROUTES = 5
 RELEASE_SHARE = 0.5
+ROLL_RELEASE_S = (0.6, 1.6)
 # How long an address stays without an engine before one of another service
 # takes it.
 REUSE_S = (2.0, 2.6)
@@ -61,6 +62,7 @@
             self._flood_router: 1,
             self._freeze_engine: 2,
             self._release: 1,
+            self._roll_release: 1,
             self._kill_router: 2,
             self._stop_router: 2,
             self._freeze_router: 2,
@@ -72,6 +74,7 @@
             self._cut_control_path: 2,
             self._harm_store: 1,
             self._lose_power: 0.4,
+            self._kill_routers: 0.4,
         }
         site = site_faults.SiteFaults(fleet, self._note)
         self._weights.update(site.list_weights())
@@ -173,6 +176,18 @@
                 machine.end(number, platform_documents.GRACE_S)
                 gevent.sleep(rng.uniform(0, 0.3))
 
+    def _roll_release(self, rng):
+        """Start a newer version on all model engines, one after another."""
+        self._fleet.version_number += 1
+        version = f'v{self._fleet.version_number}'
+        for machine in self._fleet.models:
+            if self._is_stopping:
+                return
+            self._note(f'roll_release_{version}', machine.name)
+            machine.version = version
+            machine.end(signal.SIGTERM, platform_documents.GRACE_S)
+            gevent.sleep(rng.uniform(*ROLL_RELEASE_S))
+
     def _hand_over(self, rng):
         """Swap the services of two machines whose engines end for good."""
         pair = [
@@ -191,6 +206,12 @@
                 platform_documents.GRACE_S,
             )
 
+    def _kill_routers(self, rng):
+        """Kill all routers at once: what they have in memory is lost."""
+        self._note('kill_routers', 'all')
+        for machine in self._fleet.routers:
+            machine.end(signal.SIGKILL)
+
     def _lose_power(self, rng):
         """End all processes at once; the store keeps what it has."""
         self._note('lose_power', 'all')
--- a/bench/edge_fleet.py
+++ b/bench/edge_fleet.py
@@ -238,6 +238,7 @@
 
     def _start_client_of_store(self, machine):
         path = self.directory / f'{machine.name}.yaml'
+        skewed = str(pathlib.Path(__file__).with_name('skewed_clock.py'))
         self.write_settings(machine)
         names = ('PATH', 'HOME', 'LANG')
         environ = {name: os.environ.get(name, '') for name in names}
@@ -246,9 +247,22 @@
         if machine in self.routers:
             port = str(platform_documents.METRICS_PORT)
             command = ['galenaspoke.edge.main', '--metrics-port', port]
+
+        def make_argv():
+            skew_ms = self._options.router_skew_ms
+            machine.clock_ms = self._rng.randint(-skew_ms, skew_ms)
+            self.log.write(
+                what='clock', name=machine.name, ms=machine.clock_ms
+            )
+            return [sys.executable, skewed, str(machine.clock_ms), *command]
+
+        def prepare():
+            machine.process.argv = make_argv()
+
+        machine.prepare = prepare
         machine.process = processes.Process(
             machine.name,
-            [sys.executable, '-m', *command],
+            make_argv(),
             self.directory,
             environ,
             self._options.product,
--- a/bench/edge_sessions.py
+++ b/bench/edge_sessions.py
@@ -44,6 +44,8 @@
 STALL_S = (0.5, 2.5)
 # The share of callers that resume without naming the request before.
 NAMELESS_SHARE = 0.2
+# The share of callers that state the same wait on each try, whatever is left.
+RESTATING_SHARE = 0.4
 UNKNOWN_KEY_SHARE = 0.01
 # The share of callers that retry at once and more often.
 ABUSER_SHARE = 0.1
@@ -90,6 +92,7 @@
         '_connections',
         '_tenant',
         '_is_abuser',
+        '_restates_wait',
         '_count',
         'is_stopping',
     )
@@ -103,6 +106,7 @@
         tenants = fleet.tenants.all
         self._tenant = rng.choice(tenants) if tenants else None
         self._is_abuser = rng.random() < ABUSER_SHARE
+        self._restates_wait = rng.random() < RESTATING_SHARE
         self._count = 0
         self.is_stopping = False
 
@@ -275,8 +279,9 @@
         return message if may_keep and not attempt.is_old_http else None
 
     def _encode(self, req, attempt, left_s):
+        wait_s = req.timeout_s if self._restates_wait else left_s
         headers = platform_documents.make_request_headers(
-            attempt.id, int(left_s * 1000), attempt.api_key
+            attempt.id, int(wait_s * 1000), attempt.api_key
         )
         if req.kind == 'stream':
             headers += platform_documents.make_model_headers(
--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -232,6 +232,7 @@
 @click.option('--early', default=0.08, help='Responses that end early.')
 @click.option('--garbled', default=0.02, help='Responses that are garbled.')
 @click.option('--skew-ms', default=6_000, help="Of engines' clocks, at most.")
+@click.option('--router-skew-ms', default=4_000, help="Of routers' clocks.")
 @click.option(
     '--control-path/--no-control-path',
     default=True,
--- a/bench/fleet_options.py
+++ b/bench/fleet_options.py
@@ -19,7 +19,8 @@
 
     `product` is the folder that holds the galenaspoke package to run, `early`
     the share of responses that engines end early, `garbled` of those that they
-    garble, and `skew_ms` how far engines' clocks are ahead or behind at most.
+    garble, and `skew_ms` how far engines' clocks are ahead or behind at most;
+    `router_skew_ms` is the same of routers, drawn anew for each start.
     With `control_path` the path between routers can be harmed.
     """
 
@@ -34,6 +35,7 @@
         'early',
         'garbled',
         'skew_ms',
+        'router_skew_ms',
         'control_path',
     )
 
@@ -48,6 +50,7 @@
         early=0.08,
         garbled=0.02,
         skew_ms=6_000,
+        router_skew_ms=4_000,
         control_path=True,
         profile=None,
     ):
@@ -61,6 +64,7 @@
         self.early = early
         self.garbled = garbled
         self.skew_ms = skew_ms
+        self.router_skew_ms = router_skew_ms
         self.control_path = control_path
 
 
--- a/bench/site_faults.py
+++ b/bench/site_faults.py
@@ -58,7 +58,7 @@
     'platform_down': ('harm_store', 'turn_away'),
     'platform_lost': ('harm_store',),
     'platform_slow': ('harm_store',),
-    'release': ('release',),
+    'release': ('release', 'roll_release'),
     'reset_conns': ('harm_link',),
     'retry_abuse': (),
     'revoke': ('revoke',),
@@ -77,6 +77,7 @@
     'kill_router',
     'hand_over',
     'lose_power',
+    'kill_routers',
     'top_up',
     'publish',
 )
