Streams: callers need not name the request that they resume

Cause: memory and notes were found by a header, Resumes, that no page of the users names. A caller that sends Last-Event-Id alone was let go on by a plan and by clocks each time, or refused. Change: what is remembered, noted and asked for has a key of two parts, the request's id and a digest of what a caller repeats. Notes go to the routers that the latter names. Who names no request is answered with the origins of all streams with that content; if they differ the stream is refused. Tests changed: keys are StreamKeys; test_stream_that_names_no_request expected 503 beside two versions, and now that the stream goes on at what began it; test_route_has_another_name expected that some streams are uncertain, and now that all go on, as their routers live. Conclusion: a stream that some router remembers goes on by that alone.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -196,10 +196,16 @@
 
 
 def measure_version_notes(figures):
-    """Measure a note of a stream's version: bytes, time, memory."""
+    """Measure notes of streams' versions: bytes, time, memory."""
     count = 10_000
-    keys = [f'{number:024x}' for number in range(count)]
-    note = version_notes.Note([(key, 'pool', 'v1.1') for key in keys[:1]])
+    origin = stream_versions.Origin('pool', 'v1.1')
+    keys = [
+        stream_versions.StreamKey(f'{number:012x}', f'{number:012d}')
+        for number in range(count)
+    ]
+    note = version_notes.Note(
+        [(keys[0].request, keys[0].content, origin.service, origin.version)]
+    )
     data = msgspec.msgpack.encode(note)
     figures.record('note of a stream', len(data), 'bytes')
     streams = stream_versions.StreamVersions(clocks.Clock())
@@ -213,7 +219,7 @@
     )
     tracemalloc.start()
     for key in keys:
-        streams.remember(key, stream_versions.Origin('pool', 'v1.1'))
+        streams.remember(key, origin)
     used = _stop_tracing_kb() / count
     figures.record('stream remembered by a router', used, 'KB')
 
--- a/galenaspoke/edge/streams/resumption.py
+++ b/galenaspoke/edge/streams/resumption.py
@@ -10,13 +10,17 @@
   have been in force, see `version_plans`;
 - else none: the request is refused.
 
+A caller may not name the request that it resumes.  Then its stream is one of
+those with the same content, and their origins must agree.
+
 Example::
 
     refusal = resumption.resolve(context)
     context.stream_version     # 'v1', if there is no refusal
 """
 
-import hashlib
+import dataclasses
+import uuid
 
 import gevent
 
@@ -32,7 +36,16 @@
 # How much later than this router others may learn of a configuration.
 CONFIG_LAG_MS = 120_000
 
-_KEY_BYTES = 12
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Found:
+    """The Origin of a stream and where it was found.
+
+    `origin` is None if it isn't certain; then `source` says why not.
+    """
+
+    origin: stream_versions.Origin | None
+    source: str
 
 
 class Resumption:
@@ -69,7 +82,10 @@
             origin = stream_versions.Origin(
                 context.service, target.entry.version
             )
-            self._notes.add(_make_key(context.metadata.request_id), origin)
+            # A request without an id is found by its content alone.
+            request_id = context.metadata.request_id or uuid.uuid4().hex
+            key = stream_versions.make_key(context, request_id)
+            self._notes.add(key, origin)
 
     def resolve(self, context):
         """Set the version at which a stream goes on, if it is resumed.
@@ -84,13 +100,15 @@
             self._record_patience(context)
             self._await_targets(context)
             return None
-        origin, source = self._find_origin(context)
+        key = stream_versions.make_key(context, metadata.resumed_id)
+        found = self._find_origin(context, key)
+        origin = found.origin
         self._journal.note(
             'stream.resumed',
             id=metadata.request_id,
             resumed_id=metadata.resumed_id,
             version=origin and origin.version,
-            source=source,
+            source=found.source,
             max_age_ms=self._max_age_ms(context),
         )
         if origin is None or origin.service != context.service:
@@ -100,8 +118,8 @@
                 'the version that began the stream is unknown',
                 outcomes.random_delay_ms(outcomes.RETRY_AFTER_MS),
             )
-        if metadata.resumed_id and source != 'own':
-            self._notes.add(_make_key(metadata.resumed_id), origin)
+        if key.request and found.source != 'own':
+            self._notes.add(key, origin)
         context.stream_version = origin.version
         return None
 
@@ -145,27 +163,32 @@
             version_plans.choose_version(plan, _plan_key(context))
         }
 
-    def _find_origin(self, context):
-        """Return the Origin of a stream or None, and how it was found."""
-        if context.metadata.resumed_id:
-            key = _make_key(context.metadata.resumed_id)
-            origin = self._streams.find(key)
-            if origin is not None:
-                return origin, 'own'
-            origin = self._notes.ask(key)
-            if origin is not None:
-                return origin, 'noted'
+    def _find_origin(self, context, key):
+        """Return what is Found of the stream with a StreamKey."""
+        origins = self._streams.find(key)
+        source = 'own' if origins else 'noted'
+        if not (origins and key.request):
+            origins |= self._notes.ask(key)
+        if origins:
+            return _choose(origins, source)
+        return self._find_recorded(context)
+
+    def _find_recorded(self, context):
+        """Return what is Found by the record of the service's versions."""
         record = self._record.read(context.service)
-        if record is None or self._may_have_moved(context):
-            return None, 'unknown'
+        if record is None:
+            return Found(None, 'unknown: no record')
+        if self._may_have_moved(context):
+            return Found(None, 'unknown: the route may have moved')
         version = self._record.find_version(
             record, _plan_key(context), self._max_age_ms(context)
         )
         if version is None:
-            return None, 'unknown'
+            return Found(None, f'unknown: {len(record.plans)} plans')
         is_only = len(record.appearances) == 1
-        return stream_versions.Origin(context.service, version), (
-            'only version' if is_only else 'plan'
+        return Found(
+            stream_versions.Origin(context.service, version),
+            'only version' if is_only else 'plan',
         )
 
     def _may_have_moved(self, context):
@@ -204,6 +227,13 @@
         return max(heard_ms, route.timeout_ms)
 
 
+def _choose(origins, source):
+    """Return what is Found if a stream has one of these Origins."""
+    if len(origins) > 1:
+        return Found(None, 'unknown: several streams have its content')
+    return Found(next(iter(origins)), source)
+
+
 def _plan_key(context):
     """Return the key by which plans choose a stream's version."""
     return version_plans.make_key(
@@ -211,12 +241,6 @@
     )
 
 
-def _make_key(request_id):
-    """Return a short key for the id of a request, which callers choose."""
-    raw = request_id.encode('latin-1')
-    return hashlib.blake2b(raw, digest_size=_KEY_BYTES).hexdigest()
-
-
 def _is_resumable(context):
     """Return whether the caller may resume the response as a stream."""
     is_stream = context.route.kind is catalog.RequestKind.STREAM
--- a/galenaspoke/edge/streams/stream_versions.py
+++ b/galenaspoke/edge/streams/stream_versions.py
@@ -6,16 +6,24 @@
 Example::
 
     streams = StreamVersions(clock)
-    streams.remember('9c41', Origin('pool', 'v1'))
-    streams.find('9c41')     # Origin(service='pool', version='v1')
+    key = StreamKey(request='9c41', content='5c1e')
+    streams.remember(key, Origin('pool', 'v1'))
+    streams.find(key)     # {Origin(service='pool', version='v1')}
+    streams.find(StreamKey('', '5c1e'))     # the same
 """
 
+import base64
+import collections
 import dataclasses
+import hashlib
 
 # Streams older than this aren't resumed any more.
 MAX_STREAM_AGE_MS = 60_000
 # When there are more, the oldest are forgotten, which bounds the memory.
 MAX_STREAMS = 20_000
+# Characters of each part of a key, which is a digest.
+DIGEST_LENGTH = 12
+_DIGEST_BYTES = 9
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -26,34 +34,110 @@
     version: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StreamKey:
+    """What tells a stream from others, as digests.
+
+    `request` is of the id of the request that began it, empty for a caller
+    that doesn't name it; `content` of all that its caller repeats.
+    """
+
+    request: str
+    content: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Record:
+    """A stream that is remembered; `at` is when that was said."""
+
+    key: StreamKey
+    origin: Origin
+    at: int
+
+
+def make_key(context, request_id):
+    """Return the StreamKey of a request's stream.
+
+    `request_id` is the id of the request that began it, which callers choose,
+    or empty.
+    """
+    account = context.account.name if context.account else ''
+    parts = ','.join(part_id for part_id, _ in context.metadata.prompt_parts)
+    content = (
+        *(text.encode(errors='surrogatepass') for text in (account, parts)),
+        context.req.url,
+        context.req.body,
+    )
+    named = request_id and _digest([request_id.encode('latin-1')])
+    return StreamKey(named, _digest(content))
+
+
+def _digest(fields):
+    """Return a short digest of some bytes, as text."""
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for field in fields:
+        digest.update(b'%d:' % len(field))
+        digest.update(field)
+    return base64.urlsafe_b64encode(digest.digest()).decode()
+
+
 class StreamVersions:
-    """Remembers the origin of streams by a key made of the request's id."""
+    """Remembers the origins of streams by their keys."""
 
-    __slots__ = ('_clock', '_records')
+    __slots__ = ('remembered_count', '_clock', '_records', '_contents')
 
     def __init__(self, clock):
+        # How many streams have ever been remembered.
+        self.remembered_count = 0
         self._clock = clock
-        # Pairs of an Origin and when it was recorded by key, the oldest first.
+        # The Records by the digest of the request, the oldest first.
         self._records = {}
+        # How many of them there are by the digest of the content and Origin.
+        self._contents = {}
 
     def remember(self, key, origin):
         """Record the Origin of a stream; the first one that is said holds."""
-        if key in self._records:
+        if not key.request or key.request in self._records:
             return
         now = self._clock.now()
-        self._records[key] = (origin, now)
+        self._records[key.request] = Record(key, origin, now)
+        counts = self._contents.setdefault(key.content, collections.Counter())
+        counts[origin] += 1
+        self.remembered_count += 1
         self._forget_oldest(now)
 
     def find(self, key):
-        """Return the Origin of a stream, None if it isn't known."""
-        origin, _ = self._records.get(key, (None, 0))
-        return origin
+        """Return the Origins that a stream may have, none if it isn't known.
+
+        Those are of all streams with its content if its request isn't named.
+        """
+        if not key.request:
+            return set(self._contents.get(key.content, ()))
+        record = self._records.get(key.request)
+        return {record.origin} if record else set()
+
+    def list_since(self, at):
+        """Return the Records of what was said at some time or later."""
+        records = []
+        for record in reversed(self._records.values()):
+            if record.at < at:
+                break
+            records.append(record)
+        return records
 
     def _forget_oldest(self, now):
         while self._records:
-            oldest = next(iter(self._records))
-            _, at = self._records[oldest]
-            is_expired = now - at > MAX_STREAM_AGE_MS
+            oldest = next(iter(self._records.values()))
+            is_expired = now - oldest.at > MAX_STREAM_AGE_MS
             if not is_expired and len(self._records) <= MAX_STREAMS:
                 return
-            del self._records[oldest]
+            self._forget(oldest)
+
+    def _forget(self, record):
+        del self._records[record.key.request]
+        counts = self._contents[record.key.content]
+        counts[record.origin] -= 1
+        if not counts[record.origin]:
+            del counts[record.origin]
+        if not counts:
+            del self._contents[record.key.content]
--- a/galenaspoke/edge/streams/version_notes.py
+++ b/galenaspoke/edge/streams/version_notes.py
@@ -2,16 +2,17 @@
 
 A caller may resume a stream at another router, after the one that began it
 has died.  So each router notes its streams at a few others, which consistent
-hashing of the request's id names.  Notes are datagrams and may be lost: what
-nobody knows is refused, see `resumption`.  They are sent while a service has
-a single version too: the next may come just as the router dies.
+hashing names of what a caller repeats: it may not name the request that it
+resumes.  Notes are datagrams and may be lost: what nobody knows is refused,
+see `resumption`.  They are sent while a service has a single version too: the
+next may come just as the router dies.
 
 Example::
 
     notes = VersionNotes(streams, routers, send, clock, is_stale)
     gevent.spawn(notes.run)
-    notes.add('9c41', Origin('pool', 'v1'))
-    notes.ask('9c42')     # Origin('pool', 'v2'), told by another router
+    notes.add(StreamKey('9c41', '5c1e'), Origin('pool', 'v1'))
+    notes.ask(StreamKey('', '5c1f'))     # {Origin('pool', 'v2')}, as told
 """
 
 import collections
@@ -39,23 +40,24 @@
 
 
 class Note(msgspec.Struct, tag='note', array_like=True):
-    """Origins of streams: triples of key, service and version."""
+    """Origins of streams, each with the two parts of the stream's key."""
 
-    streams: list[tuple[str, str, str]]
+    streams: list[tuple[str, str, str, str]]
 
 
 class Question(msgspec.Struct, tag='ask', array_like=True):
-    """Asks for the origin of a stream."""
+    """Asks for the origins that a stream may have, by its key."""
 
     number: int
-    key: str
+    request: str
+    content: str
 
 
 class Answer(msgspec.Struct, tag='tell', array_like=True):
-    """The answer to a question: service and version, None if unknown."""
+    """The answer to a question: pairs of service and version."""
 
     number: int
-    origin: tuple[str, str] | None
+    origins: list[tuple[str, str]]
 
 
 Message = Note | Question | Answer
@@ -64,14 +66,27 @@
 class _Inquiry:
     """A question that waits for its answers."""
 
-    __slots__ = ('answers', 'expected', 'is_done')
+    __slots__ = ('answers', 'expected', 'is_named', 'is_done')
 
-    def __init__(self, expected):
-        # The origin, or None, by the address of the router.
+    def __init__(self, expected, is_named):
+        # The Origins by the address of the router.
         self.answers = {}
         self.expected = expected
+        # Whether a single answer that knows the stream is enough.
+        self.is_named = is_named
         self.is_done = event.Event()
 
+    def get_origins(self):
+        """Return all Origins that were told."""
+        return set().union(*self.answers.values())
+
+    def record(self, address, origins):
+        """Record the answer of the router at an address."""
+        self.answers[address] = origins
+        is_enough = self.is_named and origins
+        if is_enough or set(self.answers) == self.expected:
+            self.is_done.set()
+
 
 class VersionNotes:
     """Tells other routers of streams, and asks them.
@@ -103,7 +118,7 @@
         self._is_stale = is_stale
         self._was_stale = False
         # The streams of which no note was sent, and those of which it may have
-        # been lost, the oldest first: key, service, version and when it began.
+        # been lost, the oldest first: key, Origin and when it began.
         self._unsent = collections.deque(maxlen=stream_versions.MAX_STREAMS)
         self._doubtful = collections.deque(maxlen=stream_versions.MAX_STREAMS)
         self._inquiries = {}
@@ -112,9 +127,7 @@
     def add(self, key, origin):
         """Remember a stream that has begun here; note it elsewhere soon."""
         self._streams.remember(key, origin)
-        self._unsent.append(
-            (key, origin.service, origin.version, self._clock.now())
-        )
+        self._unsent.append((key, origin, self._clock.now()))
 
     def run(self):
         """Send notes at intervals; never returns."""
@@ -142,26 +155,32 @@
 
     def _send_all(self, streams):
         notes = collections.defaultdict(list)
-        for key, service, version, _ in streams:
-            for address in self._routers.list_holders(key, HOLDER_COUNT):
-                notes[address].append((key, service, version))
+        for key, origin, _ in streams:
+            note = (key.request, key.content, origin.service, origin.version)
+            for address in self._routers.list_holders(
+                key.content, HOLDER_COUNT
+            ):
+                notes[address].append(note)
         for address, listed in notes.items():
             for begin in range(0, len(listed), NOTES_PER_DATAGRAM):
                 note = Note(listed[begin : begin + NOTES_PER_DATAGRAM])
                 self._send(address, msgspec.msgpack.encode(note))
 
     def ask(self, key):
-        """Return the Origin of a stream if another router knows it, or None.
+        """Return the Origins that other routers know a stream may have.
 
-        Waits until one knows its origin or all have answered, for
-        ASK_ATTEMPTS times ASK_TIMEOUT_S at most.
+        Waits until one knows the request that began it, or all have answered,
+        for ASK_ATTEMPTS times ASK_TIMEOUT_S at most.
         """
-        addresses = self._routers.list_holders(key, ASKED_COUNT)
+        addresses = self._routers.list_holders(key.content, ASKED_COUNT)
         if not addresses:
-            return None
+            return set()
         number = next(self._numbers)
-        inquiry = self._inquiries[number] = _Inquiry(set(addresses))
-        data = msgspec.msgpack.encode(Question(number, key))
+        inquiry = _Inquiry(set(addresses), bool(key.request))
+        self._inquiries[number] = inquiry
+        data = msgspec.msgpack.encode(
+            Question(number, key.request, key.content)
+        )
         try:
             for _ in range(ASK_ATTEMPTS):
                 for address in inquiry.expected - set(inquiry.answers):
@@ -170,10 +189,7 @@
                     break
         finally:
             del self._inquiries[number]
-        for origin in inquiry.answers.values():
-            if origin is not None:
-                return stream_versions.Origin(*origin)
-        return None
+        return inquiry.get_origins()
 
     def handle(self, data, address):
         """Handle a datagram from another router."""
@@ -182,9 +198,10 @@
         except decoding.Unreadable:
             return
         if isinstance(message, Note):
-            for key, service, version in message.streams:
+            for request, content, service, version in message.streams:
                 self._streams.remember(
-                    key, stream_versions.Origin(service, version)
+                    stream_versions.StreamKey(request, content),
+                    stream_versions.Origin(service, version),
                 )
         elif isinstance(message, Question):
             self._answer(message, address)
@@ -192,22 +209,25 @@
             self._handle_answer(message, address)
 
     def _answer(self, question, address):
-        origin = self._streams.find(question.key)
-        answer = Answer(
-            question.number, origin and (origin.service, origin.version)
-        )
+        key = stream_versions.StreamKey(question.request, question.content)
+        origins = [
+            (origin.service, origin.version)
+            for origin in self._streams.find(key)
+        ]
+        answer = Answer(question.number, origins)
         self._send(address, msgspec.msgpack.encode(answer))
 
     def _handle_answer(self, answer, address):
         inquiry = self._inquiries.get(answer.number)
         if inquiry is None or address not in inquiry.expected:
             return
-        inquiry.answers[address] = answer.origin
-        if answer.origin or set(inquiry.answers) == inquiry.expected:
-            inquiry.is_done.set()
+        inquiry.record(
+            address,
+            {stream_versions.Origin(*origin) for origin in answer.origins},
+        )
 
 
 def _remove_older(streams, begin):
     """Remove the streams that began before a time."""
-    while streams and streams[0][3] < begin:
+    while streams and streams[0][2] < begin:
         streams.popleft()
--- a/tests/edge/test_software_versions.py
+++ b/tests/edge/test_software_versions.py
@@ -253,12 +253,15 @@
         ]
         self.assertEqual('deadline', refusal['reason'])
 
+    # Guards against streams that are refused, or go on by a plan, while their
+    # routers live: callers need not name the request that they resume.
     def test_stream_that_names_no_request(self):
-        for versions, status in ((VERSIONS, 503), ({'a': 'v1'}, 200)):
+        for versions in (VERSIONS, {'a': 'v1'}):
             fleet = self.make_fleet(versions=versions)
             stream = fleet.begin('front-0')
             stream.first_id = b''
-            self.assertEqual(status, fleet.resume(stream, 'front-1'))
+            self.assertEqual(200, fleet.resume(stream, 'front-1'))
+            self.assertEqual(0, fleet.count_mixed())
 
 
 class ChangingVersionsTest(FleetTestCase):
--- a/tests/edge/test_streams_after_power_loss.py
+++ b/tests/edge/test_streams_after_power_loss.py
@@ -187,8 +187,7 @@
                 catalog.Limits(),
             )
         share = self.resume_all(fleet, streams, names_request=False)
-        self.assertGreater(share, 0)
-        self.assertLess(share, 1)
+        self.assertEqual(1, share)
 
     # Guards against one caller with little time whose wait counts for all.
     def test_one_caller_waits_for_less_than_others(self):
--- a/tests/edge/test_version_notes.py
+++ b/tests/edge/test_version_notes.py
@@ -12,6 +12,12 @@
 
 V1 = stream_versions.Origin('pool', 'v1')
 V2 = stream_versions.Origin('pool', 'v2')
+CONTENT = '5c1e'
+
+
+def make_key(request, content=CONTENT):
+    """Return the key of a stream."""
+    return stream_versions.StreamKey(request, content)
 
 
 class Peer:
@@ -51,49 +57,53 @@
 
     def test_note_reaches_the_others(self):
         first, *others = self.peers
-        first.notes.add('9c41', V1)
+        first.notes.add(make_key('9c41'), V1)
         first.notes.send_notes()
         for peer in others:
-            base.wait_until(lambda: peer.streams.find('9c41') == V1)
+            base.wait_until(
+                lambda: peer.streams.find(make_key('9c41')) == {V1}
+            )
 
     def test_many_notes_at_once(self):
         first, *others = self.peers
         for number in range(100):
-            first.notes.add(f'{number:032x}', V1)
+            first.notes.add(make_key(f'{number:032x}'), V1)
         first.notes.send_notes()
         for peer in others:
-            base.wait_until(lambda: peer.streams.find(f'{99:032x}') == V1)
+            base.wait_until(
+                lambda: peer.streams.find(make_key(f'{99:032x}')) == {V1}
+            )
 
     def test_question_is_answered(self):
         first, second, _ = self.peers
-        second.streams.remember('9c41', V2)
-        self.assertEqual(V2, first.notes.ask('9c41'))
-        self.assertIsNone(first.notes.ask('77'))
+        second.streams.remember(make_key('9c41'), V2)
+        self.assertEqual({V2}, first.notes.ask(make_key('9c41')))
+        self.assertEqual(set(), first.notes.ask(make_key('77')))
 
     def test_router_that_is_dead(self):
         first, second, third = self.peers
         third.task.kill()
-        second.streams.remember('9c41', V2)
-        self.assertEqual(V2, first.notes.ask('9c41'))
-        self.assertIsNone(first.notes.ask('77'))
+        second.streams.remember(make_key('9c41'), V2)
+        self.assertEqual({V2}, first.notes.ask(make_key('9c41')))
+        self.assertEqual(set(), first.notes.ask(make_key('77')))
 
     def test_no_other_router(self):
         peer = Peer()
         self.addCleanup(peer.task.kill)
-        self.assertIsNone(peer.notes.ask('9c41'))
+        self.assertEqual(set(), peer.notes.ask(make_key('9c41')))
 
     def test_first_word_holds(self):
         first = self.peers[0]
-        first.streams.remember('9c41', V1)
-        first.streams.remember('9c41', V2)
-        self.assertEqual(V1, first.streams.find('9c41'))
+        first.streams.remember(make_key('9c41'), V1)
+        first.streams.remember(make_key('9c41'), V2)
+        self.assertEqual({V1}, first.streams.find(make_key('9c41')))
 
     def test_unreadable_datagrams(self):
         first, second, _ = self.peers
         for data in (b'', b'\xff' * 40, b'{"a": 1}', b'\x93\xa4note\x01\x02'):
             second.datagrams.send(first.address, data)
-        second.streams.remember('9c41', V2)
-        self.assertEqual(V2, first.notes.ask('9c41'))
+        second.streams.remember(make_key('9c41'), V2)
+        self.assertEqual({V2}, first.notes.ask(make_key('9c41')))
 
 
 class MemoryTest(unittest.TestCase):
@@ -104,17 +114,17 @@
         self.streams = stream_versions.StreamVersions(self.clock)
 
     def test_old_streams_are_forgotten(self):
-        self.streams.remember('1', V1)
+        self.streams.remember(make_key('1'), V1)
         self.clock.advance(stream_versions.MAX_STREAM_AGE_MS)
-        self.streams.remember('2', V1)
-        self.assertEqual(V1, self.streams.find('1'))
+        self.streams.remember(make_key('2'), V1)
+        self.assertEqual({V1}, self.streams.find(make_key('1')))
         self.clock.advance(1)
-        self.streams.remember('3', V1)
-        self.assertIsNone(self.streams.find('1'))
-        self.assertEqual(V1, self.streams.find('2'))
+        self.streams.remember(make_key('3'), V1)
+        self.assertEqual(set(), self.streams.find(make_key('1')))
+        self.assertEqual({V1}, self.streams.find(make_key('2')))
 
     def test_oldest_are_forgotten_when_there_are_too_many(self):
         for number in range(stream_versions.MAX_STREAMS + 10):
-            self.streams.remember(str(number), V1)
-        self.assertIsNone(self.streams.find('9'))
-        self.assertEqual(V1, self.streams.find('10'))
+            self.streams.remember(make_key(str(number)), V1)
+        self.assertEqual(set(), self.streams.find(make_key('9')))
+        self.assertEqual({V1}, self.streams.find(make_key('10')))
