Streams: no clock and no wait tells by which plan one began

What callers saw: pieces of two versions in one stream, where plans decided. Cause: which plans may have begun a stream was worked out from the wall clocks of several machines, with 3 s allowed, and from the wait that a caller states and the longest one that was heard of. Change: all plans that the store still has count, whenever they ended. Plans that were lost (a new era, more than 48, a record that began without one) are a plan without shares, by which nothing is certain, and which ends and leaves like the others. Conclusion: what remains of time is one process's own.

--- a/galenaspoke/edge/streams/resumption.py
+++ b/galenaspoke/edge/streams/resumption.py
@@ -6,8 +6,8 @@
 - the one that this router or another one remembers, see `version_notes`;
 - else the only one that the store has on record for the service, unless an
   earlier record was lost;
-- else the one at which streams with its key have begun by all plans that may
-  have been in force, see `version_plans`;
+- else the one at which streams with its key have begun by all plans that the
+  store still has, see `version_plans`;
 - else the one that a page in the store states, see `origin_pages`;
 - else none: the request is refused.
 
@@ -65,7 +65,6 @@
         '_directory',
         '_clock',
         '_journal',
-        '_patience_ms',
     )
 
     def __init__(
@@ -78,9 +77,6 @@
         self._directory = directory
         self._clock = clock
         self._journal = journal
-        # The longest time for which a caller of a route wants to wait, by the
-        # route's name.  Its time-out says nothing about that.
-        self._patience_ms = {}
 
     def record_begin(self, context, target):
         """Remember the version of a stream whose first event goes out."""
@@ -101,21 +97,18 @@
         """
         if context.route.kind is not catalog.RequestKind.STREAM:
             return None
-        metadata = context.metadata
-        if not metadata.resumed_id and not metadata.last_event_id:
-            self._record_patience(context)
+        if not context.metadata.is_resumption():
             self._await_targets(context)
             return None
-        key = stream_versions.make_key(context, metadata.resumed_id)
+        key = stream_versions.make_key(context, context.metadata.resumed_id)
         found = self._find_origin(context, key)
         origin = found.origin
         self._journal.note(
             'stream.resumed',
-            id=metadata.request_id,
-            resumed_id=metadata.resumed_id,
+            id=context.metadata.request_id,
+            resumed_id=context.metadata.resumed_id,
             version=origin and origin.version,
             source=found.source,
-            max_age_ms=self._max_age_ms(context),
         )
         if origin is None or origin.service != context.service:
             return outcomes.Refusal(
@@ -129,12 +122,6 @@
         context.stream_version = origin.version
         return None
 
-    def _record_patience(self, context):
-        timeout_ms = context.metadata.timeout_ms or 0
-        name = context.route.name
-        if timeout_ms > self._patience_ms.get(name, 0):
-            self._patience_ms[name] = timeout_ms
-
     def _await_targets(self, context):
         """Wait while the plan names a version whose targets have just left."""
         until = self._clock.now() + PLAN_WAIT_MS
@@ -190,9 +177,7 @@
             return Found(None, 'unknown: no record')
         if self._may_have_moved(context):
             return Found(None, 'unknown: the route may have moved')
-        version = self._record.find_version(
-            record, _plan_key(context), self._max_age_ms(context)
-        )
+        version = self._record.find_version(record, _plan_key(context))
         if version is None:
             return Found(None, f'unknown: {len(record.plans)} plans')
         is_only = len(record.appearances) == 1
@@ -203,39 +188,12 @@
 
     def _may_have_moved(self, context):
         """Return whether a stream may have begun at another service."""
-        began_at = context.arrived_at - self._max_age_ms(context)
+        began_at = context.arrived_at - stream_versions.MAX_STREAM_AGE_MS
         return any(
             service != context.service and until + CONFIG_LAG_MS >= began_at
             for service, until in context.earlier_services
         )
 
-    def _max_age_ms(self, context):
-        """Return how long ago a stream that is resumed may have begun.
-
-        Callers state for how much longer they wait.  None waits longer, over
-        all its tries, than `_find_patience_ms` says.
-        """
-        left_ms = context.metadata.timeout_ms
-        patience_ms = self._find_patience_ms(context.route, left_ms)
-        if left_ms is None or left_ms > patience_ms:
-            return patience_ms
-        return patience_ms - left_ms
-
-    def _find_patience_ms(self, route, left_ms):
-        """Return for how long a caller that has so much time left may wait.
-
-        That is as long as the callers of its route do at most.  If none of
-        these has been heard of, those of other routes tell, from which a
-        configuration may have split it off.  A caller that has more time left
-        than any of them differs from them.
-        """
-        heard_ms = self._patience_ms.get(route.name) or max(
-            self._patience_ms.values(), default=0
-        )
-        if left_ms is None or not heard_ms or left_ms > heard_ms:
-            heard_ms = stream_versions.MAX_STREAM_AGE_MS
-        return max(heard_ms, route.timeout_ms)
-
 
 def _choose(origins, source):
     """Return what is Found if a stream has one of these Origins."""
--- a/galenaspoke/edge/streams/service_versions.py
+++ b/galenaspoke/edge/streams/service_versions.py
@@ -4,17 +4,13 @@
 
     versions = ServiceVersions({'v1': 1})
     versions.add_plan({'v1': 16}, view_revision=530, wall_ms=1000)
-    versions.settle(1, wall_ms=1200)
-    versions.find_version('pool|5c1e', since_ms=1500)     # 'v1'
+    versions.find_version('pool|5c1e')     # 'v1'
 """
 
 import msgspec
 
 from galenaspoke.edge.streams import version_plans
 
-# Plans that ended longer ago are removed.  No stream that began by one of them
-# can be resumed.
-PLAN_TTL_MS = 120_000
 # Bounds the record's size if versions alternate quickly.
 MAX_PLANS = 48
 # A router that hasn't read the record for this long begins no more streams
@@ -32,21 +28,22 @@
     """The record of one service.
 
     `appearances` counts by version how often it has come back, so that nobody
-    removes a version that is there again.  `plans` are in order of time, and
-    all by which streams have begun since `complete_since_ms` are there; None
-    if streams may still begin by others.  `plan_count` is how many plans there
-    have been.  `silent` says since when routers have not answered, by name.
+    removes a version that is there again.  `plans` are in order, and each
+    stream that can be resumed began by one of them.  `plan_count` is how many
+    plans there have been.  `silent` says since when routers have not answered,
+    by name.
     """
 
     appearances: dict[str, int] = {}
     plans: list[version_plans.Plan] = []
-    complete_since_ms: int | None = None
     plan_count: int = 0
     silent: dict[str, int] = {}
 
     def get_plan(self):
         """Return the plan in force, None if there is none."""
-        return self.plans[-1] if self.plans else None
+        if not self.plans or self.plans[-1].is_lost():
+            return None
+        return self.plans[-1]
 
     def add_plan(self, shares, view_revision, wall_ms):
         """Put a plan in force; return whether that changes anything.
@@ -62,14 +59,31 @@
                 return False
             if current.view_revision >= view_revision:
                 return False
+        self._append(shares, view_revision, wall_ms)
+        return True
+
+    def add_lost_plans(self, wall_ms):
+        """Record that streams may have begun by plans that were lost."""
+        self._append({}, 0, wall_ms)
+
+    def _append(self, shares, view_revision, wall_ms):
+        if self.plans:
             # Clocks may differ; the order of the plans must not.
-            wall_ms = max(wall_ms, current.since_ms)
+            wall_ms = max(wall_ms, self.plans[-1].since_ms)
         self.plan_count += 1
         self.plans.append(
             version_plans.Plan(shares, wall_ms, self.plan_count, view_revision)
         )
-        self.remove_expired(wall_ms)
-        return True
+        self._limit_plans()
+
+    def _limit_plans(self):
+        """Let one lost plan stand for the oldest ones if there are too many.
+
+        It ends when the latest of them does.
+        """
+        while len(self.plans) > MAX_PLANS:
+            del self.plans[0]
+            self.plans[0] = msgspec.structs.replace(self.plans[0], shares={})
 
     def mark_silent(self, names, wall_ms):
         """Record which routers don't answer; return whether that is news."""
@@ -111,72 +125,50 @@
         for name in set(answered) & set(self.silent):
             del self.silent[name]
             is_changed = True
-        # A router may follow a plan that was removed before it had ended.
-        covers_removed = not self.plans or number >= self.plans[0].number
-        if self.complete_since_ms is None and covers_removed:
-            self.complete_since_ms = wall_ms
-            is_changed = True
         for index, plan in enumerate(self.plans):
-            if plan.number < number and plan.ended_ms is None:
+            if plan.number < number and not plan.has_ended():
                 self._end(index, wall_ms)
                 is_changed = True
-        self.remove_expired(wall_ms)
         return is_changed
 
     def is_settled(self):
         """Return whether streams begin by the last plan alone."""
-        if self.complete_since_ms is None:
-            return not self.plans
-        return all(plan.ended_ms is not None for plan in self.plans[:-1])
+        return all(plan.has_ended() for plan in self.plans[:-1])
 
     def may_remove(self, version):
         """Return whether no stream of a version without targets can begin."""
-        if not self.plans:
+        if self.get_plan() is None:
             return True
-        return self.complete_since_ms is not None and not any(
-            version in plan.shares for plan in self.plans
+        return not any(
+            plan.is_lost() or version in plan.shares for plan in self.plans
         )
 
-    def find_version(self, key, since_ms):
-        """Return the version of a stream that began at `since_ms` or later.
+    def find_version(self, key):
+        """Return the version of a stream, None if that isn't certain."""
+        is_complete = not any(plan.is_lost() for plan in self.plans)
+        if is_complete and len(self.appearances) == 1:
+            return next(iter(self.appearances))
+        return version_plans.find_certain_version(self.plans, key)
+
+    def remove_plans(self, numbers):
+        """Remove the plans by which no stream began that can be resumed.
 
-        Returns None if that isn't certain.
+        Returns whether that changes anything.
         """
-        complete_ms = self.complete_since_ms
-        if complete_ms is None or since_ms < complete_ms:
-            return None
-        if len(self.appearances) == 1:
-            return next(iter(self.appearances))
-        return version_plans.find_certain_version(self.plans, key, since_ms)
-
-    def remove_expired(self, wall_ms):
-        """Remove the plans that no longer matter, and those too many."""
-        self._end_expired(wall_ms)
-        while len(self.plans) > 1:
-            first = self.plans[0]
-            is_old = (
-                first.ended_ms is not None
-                and wall_ms - first.ended_ms > PLAN_TTL_MS
-            )
-            if not is_old and len(self.plans) <= MAX_PLANS:
-                return
-            del self.plans[0]
-            if first.ended_ms is None:
-                self.complete_since_ms = None
-            elif self.complete_since_ms is not None:
-                self.complete_since_ms = max(
-                    self.complete_since_ms, first.ended_ms
-                )
-
-    def _end_expired(self, wall_ms):
-        if self.complete_since_ms is None and self.plans:
-            # Whoever began streams without a plan on record has read it since.
-            end_ms = self.plans[0].since_ms + PLAN_EXPIRY_MS
-            if end_ms <= wall_ms:
-                self.complete_since_ms = end_ms
+        kept = [
+            plan
+            for plan in self.plans[:-1]
+            if not (plan.has_ended() and plan.number in numbers)
+        ]
+        is_changed = len(kept) + 1 < len(self.plans)
+        self.plans[:-1] = kept
+        return is_changed
+
+    def end_expired(self, wall_ms):
+        """End the plans that were replaced very long ago."""
         for index, plan in enumerate(self.plans[:-1]):
             end_ms = self.plans[index + 1].since_ms + PLAN_EXPIRY_MS
-            if plan.ended_ms is None and end_ms <= wall_ms:
+            if not plan.has_ended() and end_ms <= wall_ms:
                 self._end(index, end_ms)
 
     def _end(self, index, wall_ms):
--- a/galenaspoke/edge/streams/version_plans.py
+++ b/galenaspoke/edge/streams/version_plans.py
@@ -4,13 +4,14 @@
 the plan in force names for its key.  The key is made of what a caller repeats
 when it resumes the stream, and the latest plans are in the store.  So a router
 that remembers nothing can tell at which version a stream began, unless the
-plans that may have been in force then disagree about its key.
+plans by which it may have begun disagree about its key.  No clock tells which
+these are: they are all that the store still has, see `service_versions`.
 
 Example::
 
     plan = Plan({'v1': 12, 'v2': 4}, since_ms=1000)
     choose_version(plan, 'pool|5c1e')     # 'v1', for about 3 keys in 4
-    find_certain_version([plan], 'pool|5c1e', since_ms=5000)     # 'v1'
+    find_certain_version([plan], 'pool|5c1e')     # 'v1'
 """
 
 import hashlib
@@ -22,9 +23,6 @@
 # A plan states shares in units of 1/SHARE_UNITS.  Few units mean that a
 # release that replaces many targets changes the plan only so many times.
 SHARE_UNITS = 16
-# How much the wall clocks of two routers may differ, also if one of them
-# stepped before its router started.
-CLOCK_ERROR_MS = 3_000
 _KEY_BYTES = 12
 
 
@@ -33,9 +31,10 @@
 
     Each plan of a service has a higher `number` than the one before.
     `view_revision` is the store's revision at which its author had seen the
-    targets.  `since_ms` is by the wall clock of the router that wrote it.
-    Routers may have begun streams by it until `ended_ms`, which is None as
-    long as any router may still do so.
+    targets.  `since_ms` and `ended_ms` are by the wall clocks of the routers
+    that wrote them; `ended_ms` is None as long as any router may still begin
+    streams by the plan.  Without shares it stands for plans that were lost,
+    by which streams began at any version.
     """
 
     shares: dict[str, int]
@@ -44,12 +43,13 @@
     view_revision: int = 0
     ended_ms: int | None = None
 
-    def may_apply_since(self, wall_ms):
-        """Return whether streams may have begun by it at that time or later.
+    def is_lost(self):
+        """Return whether it stands for plans that were lost."""
+        return not self.shares
 
-        The last plan always may.
-        """
-        return self.ended_ms is None or self.ended_ms >= wall_ms
+    def has_ended(self):
+        """Return whether no router begins streams by it any more."""
+        return self.ended_ms is not None
 
 
 def compute_shares(counts):
@@ -87,16 +87,14 @@
     )[1]
 
 
-def find_certain_version(plans, key, since_ms):
-    """Return the version of a stream that began at `since_ms` or later.
+def find_certain_version(plans, key):
+    """Return the version of a stream that began by one of the plans.
 
-    Returns None if two of the plans by which it may have begun disagree.
+    Returns None if two of them disagree.
     """
-    versions = {
-        choose_version(plan, key)
-        for plan in plans
-        if plan.may_apply_since(since_ms)
-    }
+    if any(plan.is_lost() for plan in plans):
+        return None
+    versions = {choose_version(plan, key) for plan in plans}
     return versions.pop() if len(versions) == 1 else None
 
 
--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -29,7 +29,10 @@
 # A version without targets is removed after this long.  It is longer than
 # streams can be resumed, because others may notice later that it has ended.
 KEEP_MS = 2 * stream_versions.MAX_STREAM_AGE_MS
-# The removal is put off by up to this share, so that one router does it.
+# A router that has known for so long that a plan has ended removes it.  What
+# began by it is older, whatever the clocks of others say.
+PLAN_KEEP_MS = KEEP_MS
+# Removals are put off by up to this share, so that one router does them.
 KEEP_SPREAD = 0.5
 # How long a request waits for the record.
 READ_TIMEOUT_S = 0.4
@@ -40,9 +43,17 @@
 class _View:
     """What this router last read of the record of one service."""
 
-    __slots__ = ('era', 'appearances', 'plan', 'is_settled', 'read_at')
+    __slots__ = (
+        'era',
+        'appearances',
+        'plan',
+        'is_settled',
+        'read_at',
+        'open_numbers',
+        'ended_at',
+    )
 
-    def __init__(self, era, versions, read_at):
+    def __init__(self, era, versions, read_at, before=None):
         # The era of the store in which it was read.
         self.era = era
         # How often each version has appeared.
@@ -52,6 +63,30 @@
         self.is_settled = versions.is_settled()
         # When, by the monotonic and by the wall clock.
         self.read_at = read_at
+        # The numbers of the plans that haven't ended, but for the one in
+        # force, and when this router first knew by number of those that have.
+        self.open_numbers = set()
+        self.ended_at = {}
+        known = before.ended_at if before and before.era == era else {}
+        for plan in versions.plans[:-1]:
+            if plan.has_ended():
+                number = plan.number
+                self.ended_at[number] = known.get(number, read_at[0])
+            else:
+                self.open_numbers.add(plan.number)
+
+    def settle(self, now):
+        """Take another router's word that all follow the plan in force."""
+        self.is_settled = True
+        for number in self.open_numbers:
+            self.ended_at[number] = now
+        self.open_numbers = set()
+
+    def list_over(self, ended_before):
+        """Return the plans that are known to have ended before a time."""
+        return {
+            number for number, at in self.ended_at.items() if at < ended_before
+        }
 
     def get_number(self):
         """Return the number of the plan in force, 0 if there is none."""
@@ -76,6 +111,7 @@
         '_missing',
         '_wanted',
         '_own_numbers',
+        '_plan_keep_ms',
         '_wall_offset_ms',
     )
 
@@ -96,6 +132,7 @@
         self._wanted = {}
         # By service the number of the last plan that this router wrote.
         self._own_numbers = {}
+        self._plan_keep_ms = PLAN_KEEP_MS * random.uniform(1, 1 + KEEP_SPREAD)
 
     def list_usable(self, service):
         """Return the versions that are in the record and have targets.
@@ -154,21 +191,18 @@
     def mark_settled(self, service, number):
         """Take another router's word that all follow a plan."""
         if number > 0 and number == self.get_plan_number(service):
-            self._views[service].is_settled = True
+            self._views[service].settle(self._clock.now())
 
-    def find_version(self, versions, key, max_age_ms):
-        """Return the version of a stream that is at most so old.
+    def find_version(self, versions, key):
+        """Return the version of a stream, None if it isn't certain.
 
         `versions` is what `read` returned, and `key` that of the stream, see
-        `version_plans`.  Returns None if the version isn't certain.
+        `version_plans`.
         """
         if len(versions.appearances) == 1 and not self._store.era:
             # No record was lost, so no stream began at a version without one.
             return next(iter(versions.appearances))
-        earliest_ms, _ = self._bound_wall_ms()
-        return versions.find_version(
-            key, earliest_ms - max_age_ms - version_plans.CLOCK_ERROR_MS
-        )
+        return versions.find_version(key)
 
     def _bound_wall_ms(self):
         """Return the earliest and the latest time that it may be now."""
@@ -269,7 +303,9 @@
         } - returned
         usable = {v: n for v, n in (counts or {}).items() if v in present}
         shares = version_plans.compute_shares(usable)
-        is_changed = bool(added or returned or ended)
+        is_changed = bool(
+            added or returned or ended or self._list_over(service)
+        )
         if not is_changed and not self._is_plan_due(
             service, shares, view_revision
         ):
@@ -281,6 +317,13 @@
             added = added | (set(known) - ended)
         self._write(service, added, returned, ended, shares, view_revision)
 
+    def _list_over(self, service):
+        """Return the numbers of the plans that are to be removed."""
+        view = self._views.get(service)
+        if not self._is_current(service):
+            return set()
+        return view.list_over(self._clock.now() - self._plan_keep_ms)
+
     def _is_plan_due(self, service, shares, view_revision):
         plan = self.get_plan(service)
         if plan is None or not shares:
@@ -301,17 +344,23 @@
             version: self._missing[service, version][1]
             for version in returned | ended
         }
+        over = self._list_over(service)
         plans_before = {}
 
         def change(versions):
             before = dict(versions.appearances)
+            is_first = not versions.plan_count
+            if is_first and (self._store.era or not shares):
+                # Streams began by plans of another era, or without one.
+                versions.add_lost_plans(latest_ms)
             plans_before['count'] = versions.plan_count
             for version in added:
                 versions.appearances.setdefault(version, 1)
             for version in returned:
                 count = versions.appearances.get(version, 0)
                 versions.appearances[version] = max(count, seen[version] + 1)
-            versions.remove_expired(latest_ms)
+            versions.end_expired(latest_ms)
+            is_shorter = versions.remove_plans(over)
             for version in ended:
                 is_seen = versions.appearances.get(version) == seen[version]
                 if is_seen and versions.may_remove(version):
@@ -325,7 +374,8 @@
             is_new_plan = versions.add_plan(
                 known_shares, view_revision, latest_ms
             )
-            is_changed = is_new_plan or versions.appearances != before
+            is_other = versions.appearances != before
+            is_changed = is_new_plan or is_shorter or is_other
             return True if is_changed else base.UNCHANGED
 
         versions = self._change(service, change)
@@ -365,7 +415,7 @@
             change_and_speak,
         )
         self._wanted.pop(service, None)
-        view = _View(era, versions, read_at)
+        view = _View(era, versions, read_at, self._views.get(service))
         # Another task may have read a later plan meanwhile.
         is_later = view.get_number() >= self.get_plan_number(service)
         is_same_era = began_in in (None, era) and era == self._store.era
--- a/tests/edge/test_stated_origins.py
+++ b/tests/edge/test_stated_origins.py
@@ -134,6 +134,22 @@
                 whole = self.resume_all(fleet, streams, names_request, left_ms)
                 self.assertEqual(STREAM_COUNT, whole)
 
+    # The same where the routers die before they have written what began the
+    # streams: those whose key has moved are refused.
+    def test_all_routers_are_killed_before_they_write(self):
+        for names_request in (False, True):
+            fleet = self.make_fleet(ERRORS_MS)
+            fleet.write_pages = lambda: None
+            streams = self.begin_streams(fleet)
+            self.release_half(fleet)
+            fleet.clock.advance(WAITED_MS)
+            self.kill_all(fleet)
+            whole = self.resume_all(
+                fleet, streams, names_request, version_fleets.TIMEOUT_MS
+            )
+            self.assertGreater(whole, 0)
+            self.assertLess(whole, STREAM_COUNT)
+
     # The same where the routers that were told of a stream stay away.
     def test_page_of_a_router_that_is_away(self):
         fleet = self.make_fleet()
