Model: a page that states what began a stream

Cause: the model of plans had a record alone. Change: the first router may write what began the stream before it dies, and who resumes it goes by the page where the record isn't certain; guard as_begun.

--- a/spec/plans.py
+++ b/spec/plans.py
@@ -3,8 +3,9 @@
 Plans replace each other in the store's record, each for one key: the first and
 the last name version 1, the one between version 2.  A router begins a stream
 by the plan that it knows, which may have been replaced, and loses its memory.
-A caller resumes the stream at another router, which knows the record alone.
-The record may be lost: the store comes back from a copy.
+A caller resumes the stream at another router, which knows the record alone,
+and what the first router may have written of the stream before that.  The
+record may be lost: the store comes back from a copy.
 
 Safety: the stream goes on at the version that began it.
 """
@@ -24,6 +25,8 @@
     'lasting',
     # What began before the record's history is uncertain.
     'complete',
+    # A page states the version at which the stream began.
+    'as_begun',
 )
 # The version that each plan names for the key.
 VERSIONS = (1, 2, 1)
@@ -31,11 +34,12 @@
 # `current` is the plan in force and `known` the one that the first router
 # knows.  Plans from `oldest` on may have begun a stream that can be resumed,
 # those from `first` on are on record.  `began_by` is the plan by which the
-# stream began, -1 for none; `began` and `taken` are its versions, 0 for none.
+# stream began, -1 for none; `began`, `stated` and `taken` are its versions, 0
+# for none.
 State = collections.namedtuple(
-    'State', 'current known oldest first began_by began taken'
+    'State', 'current known oldest first began_by began stated taken'
 )
-INITIAL = State(0, 0, 0, 0, -1, 0, 0)
+INITIAL = State(0, 0, 0, 0, -1, 0, 0, 0)
 
 
 def protocol(guards=frozenset(GUARDS)):
@@ -74,9 +78,9 @@
 
 
 def _begin_steps(s, guards):
-    """The first router begins the stream."""
+    """The first router begins the stream, and writes it to its page."""
     if s.began:
-        return []
+        return _write_steps(s, guards)
     allowed = {VERSIONS[s.known]} if 'by_plan' in guards else {1, 2}
     return [
         (
@@ -87,10 +91,26 @@
     ]
 
 
+def _write_steps(s, guards):
+    """The first router states what began the stream, at any time."""
+    if s.stated:
+        return []
+    version = s.began if 'as_begun' in guards else VERSIONS[s.current]
+    return [(f'a page states {version}', s._replace(stated=version))]
+
+
 def _resume_steps(s, guards):
-    """The stream is resumed by what the record says."""
+    """The stream is resumed by what the record or the page says."""
     if not s.began or s.taken:
         return []
+    by_record = _resume_by_record(s, guards)
+    if by_record or not s.stated:
+        return by_record
+    return [(f'the page names {s.stated}', s._replace(taken=s.stated))]
+
+
+def _resume_by_record(s, guards):
+    """Return the steps that the plans on record allow."""
     if 'complete' in guards and s.first > s.oldest:
         return []
     numbers = range(max(s.oldest, s.first), s.current + 1)
