Ends of bodies: ask the store for the entry

Cause: the end of a response without a length needs a proof that its target's process lives. A target that states no start in reports, as applications, proved it by any answer within a second of the sending: "no process is killed and back sooner" (MIN_RESTART_MS), a guess about peers.

Change: where nothing but the time would prove it, the store is asked for the target's entry after the target has answered. An entry that names another start shows another process; one that can't be read, and a store that doesn't respond in time, prove nothing. What one question after another proved by the time between them is the same. Ruled out: the entry as the watch has brought it, which may come after the answer in a router that stood still; cutting all such bodies, as tests of whole ones with one question rightly want them whole.

The desks of test_endings and test_endings_review get a store; no check of theirs has changed.

Left: a process that answers before it has written its entry, within a second of the sending; entries that state no start.

--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -116,7 +116,9 @@
             clock,
             metrics,
         )
-        self.end_checker = end_checks.EndChecker(report_codec, clock, metrics)
+        self.end_checker = end_checks.EndChecker(
+            report_codec, target_view.entry_reader.read, clock, metrics
+        )
         self._chooser = target_choice.TargetChooser(
             cfg, target_view, resumption, clock, journal
         )
--- a/galenaspoke/edge/targets/end_checks.py
+++ b/galenaspoke/edge/targets/end_checks.py
@@ -21,13 +21,15 @@
 import gevent
 
 from galenaspoke.http import connections
+from galenaspoke.store import base as store_base
 
 HTTP_OK = 200
 # What a target says of its work may be some hundred ms old, so it is asked
 # again after a pause, for this long in all.
 ASK_INTERVAL_S = 0.1
 ASK_TIMEOUT_MS = 1_500
-# No target that was killed is back sooner.
+# For how long after a process lived it may be told by the store, or, where its
+# entry states no start, by the time alone.
 MIN_RESTART_MS = 1_000
 # When a target is asked for the first time, after the request was sent, if its
 # response is under way.  One that ends before proves its process by the time.
@@ -43,13 +45,22 @@
 class EndChecker:
     """Begins the checks of targets' responses.
 
-    `report_codec` translates the platform's reports.
+    `report_codec` translates the platform's reports.  `read_entry` takes the
+    id of a target and a time-out in s, and returns the target's entry as the
+    store has it now, None if there is none; it raises StoreError on failure.
     """
 
-    __slots__ = ('_report_codec', '_clock', '_metrics', '_stalled_at')
+    __slots__ = (
+        '_report_codec',
+        '_read_entry',
+        '_clock',
+        '_metrics',
+        '_stalled_at',
+    )
 
-    def __init__(self, report_codec, clock, metrics):
+    def __init__(self, report_codec, read_entry, clock, metrics):
         self._report_codec = report_codec
+        self._read_entry = read_entry
         self._clock = clock
         self._metrics = metrics
         # When this process last stood still for MAX_UNREAD_MS.
@@ -64,6 +75,7 @@
             target,
             conn,
             self._report_codec,
+            self._read_entry,
             self._clock,
             self._metrics,
             sent_at,
@@ -92,9 +104,11 @@
     or by the start that it stated before.
 
     Without such an answer, the time when the process started shows that it is
-    the same one, or that there was no time to start again since it last lived:
-    it lived when the request was sent.  When data came says nothing, since the
-    kernel of a dead process sends the rest once the router has room.
+    the same one.  A process that doesn't state it has stated it in its entry:
+    shortly after it lived, which it did when the request was sent, the store
+    is asked whether the entry names another start.  When data came says
+    nothing, since the kernel of a dead process sends the rest once the router
+    has room.
 
     That the target has closed the first one may come late, on a path that
     holds up or loses packets.  So no process that says that it has started
@@ -105,6 +119,7 @@
         '_target',
         '_response_conn',
         '_report_codec',
+        '_read_entry',
         '_clock',
         '_metrics',
         '_sent_at_wall',
@@ -124,11 +139,20 @@
     )
 
     def __init__(
-        self, target, conn, report_codec, clock, metrics, sent_at, has_stalled
+        self,
+        target,
+        conn,
+        report_codec,
+        read_entry,
+        clock,
+        metrics,
+        sent_at,
+        has_stalled,
     ):
         self._target = target
         self._response_conn = conn
         self._report_codec = report_codec
+        self._read_entry = read_entry
         self._clock = clock
         self._metrics = metrics
         # When the request was sent, in ms since 1970.
@@ -276,17 +300,41 @@
         if report.is_misdirected or self._is_other(report):
             raise self._make_end('another process has its address')
         is_soon = self._clock.now() - self._alive_at < MIN_RESTART_MS
-        has_survived = self._has_answered or (self._has_survived and is_soon)
-        has_survived = has_survived or self._states_early_start(report)
-        is_soon = is_soon and not self._has_lost_early
-        if not (has_survived or is_soon or self._is_known(report)):
+        is_same = self._has_answered or self._states_early_start(report)
+        has_survived = is_same or (self._has_survived and is_soon)
+        is_soon = has_survived or (is_soon and not self._has_lost_early)
+        is_proved = is_same or self._is_known(report)
+        if not (is_proved or is_soon):
             if report.born and self._listed_born:
                 raise self._make_end('another process has its address')
             return 'nothing shows that its process is the same'
+        if not is_proved:
+            self._check_entry(report, until)
         self._has_survived = has_survived
         self._alive_at = asked_at
         return self._find_work(report, request_id)
 
+    def _check_entry(self, report, until):
+        """Raise if the store names the start of another process.
+
+        It is asked after the process has answered.  Raises ResponseLost if the
+        store doesn't say; an entry that never stated a start tells nothing.
+        """
+        if not self._listed_born:
+            return
+        left_s = max(0, until - self._clock.now()) / 1000
+        self._metrics.count('ends.entries_read')
+        try:
+            entry = self._read_entry(self._target.entry.id, left_s)
+        except store_base.StoreError as exc:
+            raise _make_loss(
+                connections.ResponseLost, f'its entry is not known: {exc}'
+            ) from exc
+        if entry is None or entry.born == self._listed_born:
+            return
+        if not report.born or entry.born != report.born:
+            raise self._make_end('another process has its entry')
+
     def _find_work(self, report, request_id):
         """Return why the target may work on the request, '' if it doesn't."""
         if request_id in report.run_ids:
--- a/galenaspoke/edge/views/target_view.py
+++ b/galenaspoke/edge/views/target_view.py
@@ -5,6 +5,7 @@
 import gevent
 
 from galenaspoke.edge.targets import directory
+from galenaspoke.edge.views import entry_reader
 from galenaspoke.edge.views import watchers
 from galenaspoke.store import unreadable
 
@@ -37,6 +38,7 @@
 
     __slots__ = (
         'directory',
+        'entry_reader',
         'watcher',
         '_decode',
         '_clock',
@@ -64,6 +66,10 @@
         get_share,
     ):
         self.directory = directory.Directory(get_share)
+        # Reads what the store has now, which may be newer.
+        self.entry_reader = entry_reader.EntryReader(
+            store, entry_codec, get_services
+        )
         self._on_target_down = on_target_down
         self._decode = entry_codec.decode
         self._clock = clock
--- a/tests/edge/test_endings.py
+++ b/tests/edge/test_endings.py
@@ -19,6 +19,7 @@
 from galenaspoke.http import messages
 from tests.edge import base
 from tests.edge import handlers
+from tests import fakes
 
 EVENT_COUNT = 20
 CUT_AFTER = 6
@@ -165,6 +166,7 @@
 
     def make_desk(self, count=1, born=BORN, **options):
         """Return a handler, and its engines."""
+        options = {'store': fakes.FakeStore(), **options}
         desk = handlers.Desk({}, self.kind, timeout_ms=3_000, **options)
         engines = []
         for number in range(count):
--- a/tests/edge/test_endings_review.py
+++ b/tests/edge/test_endings_review.py
@@ -14,6 +14,7 @@
 from tests.edge import base
 from tests.edge import handlers
 from tests.edge import test_endings
+from tests import fakes
 
 # How long a router and its engines' callers stand still.
 PAUSE_S = 1.2
@@ -329,7 +330,13 @@
         """Return a desk whose requests may take 400 ms, and its engine."""
         engine = self.engine_class(self.content_type)
         self.addCleanup(engine.close)
-        desk = handlers.Desk({}, self.kind, timeout_ms=400, resumable=False)
+        desk = handlers.Desk(
+            {},
+            self.kind,
+            timeout_ms=400,
+            store=fakes.FakeStore(),
+            resumable=False,
+        )
         desk.target_view.directory.put(
             base.make_target_entry('i-0', engine.port), desk.clock.now()
         )
