Ends of bodies: a new entry shows another process

A target that states no start in reports and answers both while its body is under way and after the end proved the end by that, whatever its entry says. On a path that holds up a dead process's body, both answers may be those of the process that has taken its place, and the entry that it has written wasn't looked at.

Change: a target knows that an entry has named another incarnation in its place (Target.is_replaced). An answer that states no start then shows another process. This costs no question: it goes by the entries that the router has heard of, so it doesn't depend on the store either.

Left: entries that this router hasn't heard of yet, where the target was asked early.

--- a/galenaspoke/edge/targets/directory.py
+++ b/galenaspoke/edge/targets/directory.py
@@ -36,6 +36,7 @@
         'read_pacer',
         'in_flight',
         'is_removed',
+        'is_replaced',
         'is_leaving',
         'is_missing',
         'paused_until',
@@ -56,6 +57,8 @@
         self.in_flight = 0
         # Whether it left or was replaced by another incarnation.
         self.is_removed = False
+        # Whether an entry has named another incarnation in its place.
+        self.is_replaced = False
         # Whether it or its entry has said that it leaves, and whether it has
         # no entry at present.
         self.is_leaving = False
@@ -244,6 +247,7 @@
                 known.is_leaving = entry.identity() in self._leaving
                 return True
             known.mark_removed()
+            known.is_replaced = known.entry.identity() != entry.identity()
         target = Target(entry, self._get_share)
         target.is_leaving = entry.identity() in self._leaving
         self._targets[entry.id] = target
--- a/galenaspoke/edge/targets/end_checks.py
+++ b/galenaspoke/edge/targets/end_checks.py
@@ -112,7 +112,8 @@
 
     That the target has closed the first one may come late, on a path that
     holds up or loses packets.  So no process that says that it has started
-    after the request was sent proves anything.
+    after the request was sent proves anything, nor one that doesn't say when,
+    once the target's entry names another start.
     """
 
     __slots__ = (
@@ -299,6 +300,8 @@
             return 'a gateway has no answer of the target'
         if report.is_misdirected or self._is_other(report):
             raise self._make_end('another process has its address')
+        if self._target.is_replaced and not report.born:
+            raise self._make_end('another process has its entry')
         is_soon = self._clock.now() - self._alive_at < MIN_RESTART_MS
         is_same = self._has_answered or self._states_early_start(report)
         has_survived = is_same or (self._has_survived and is_soon)
--- a/tests/edge/test_entries_of_ends.py
+++ b/tests/edge/test_entries_of_ends.py
@@ -13,6 +13,7 @@
 from galenaspoke.platform import target_entries
 from galenaspoke.store import base as store_base
 from tests.edge import base
+from tests.edge import test_delayed_ends
 from tests.edge import test_endings
 from tests.edge import test_proofs_of_bodies
 from tests import fakes
@@ -116,6 +117,39 @@
         base.stall(STALL_S)
 
 
+class SlowReplacedEngine(test_delayed_ends.ReplacedEngine):
+    """An engine that is replaced while its response is on the way for long.
+
+    Neither process has reports.
+    """
+
+    report = test_endings.UNSUPPORTED
+    on_replaced = staticmethod(lambda: None)
+
+    def _run(self, sock, head):
+        super()._run(sock, head)
+        self.on_replaced()
+        gevent.sleep(test_proofs_of_bodies.LONG_S)
+
+
+class DelayedEndTest(test_proofs_of_bodies.TimedTestCase):
+    """Bodies that are held up until their target is asked early."""
+
+    engine_class = SlowReplacedEngine
+
+    # Guards against a new process that answers early and after the end, while
+    # the entry that it has written isn't looked at.
+    def test_body_is_not_whole(self):
+        desk, (engine,) = self.make_desk()
+        engine.on_replaced = lambda: self._put_entry(desk, engine)
+        self.assertFalse(self.ask(desk)[1])
+        self.assertGreater(engine.report_count, 1)
+
+    def _put_entry(self, desk, engine):
+        entry = base.make_target_entry('i-0', engine.port, born=engine.born)
+        desk.target_view.directory.put(entry, desk.clock.now())
+
+
 class WholeBodyTest(EntryTestCase):
     """Engines that live, whose bodies are whole."""
 
