Money: forget durable draws where the store states no era

Cause: VolatileDraws dropped durable draws only where it counted them, and it counts none while the store states no era. So each draw of a process stayed in memory, and each further one read them all. Ruled out: keeping nothing at all without eras, since a store may begin to state its era, and then a copy may lack the draws of the last 8 s.

Change: each draw first drops those that every copy includes, whether or not eras are stated.

Conclusion: what is kept depends on the draws of the last 8 s.

--- a/galenaspoke/edge/money/volatile_draws.py
+++ b/galenaspoke/edge/money/volatile_draws.py
@@ -37,7 +37,7 @@
     def record_draw(self, budget, tokens):
         """Record that a draw was written; this confirms earlier ones too."""
         now = self._clock.now()
-        draws = self._draws[budget]
+        draws = self._drop_durable(budget)
         for i, (amount, at) in enumerate(draws):
             if at == _UNCONFIRMED:
                 draws[i] = (amount, now)
@@ -66,9 +66,7 @@
         """
         if not self._store.has_eras:
             return 0
-        draws = self._draws[budget]
-        while draws and self._is_durable(draws[0][1]):
-            draws.popleft()
+        draws = self._drop_durable(budget)
         return unrecorded + sum(tokens for tokens, _ in draws)
 
     def count_durable_closed(self, budget, closed):
@@ -87,5 +85,15 @@
         del self._closed[budget]
         return min(tokens, closed)
 
+    def _drop_durable(self, budget):
+        """Forget the draws that every copy includes; return the others.
+
+        That is also done while the store states no era: it may begin to.
+        """
+        draws = self._draws[budget]
+        while draws and self._is_durable(draws[0][1]):
+            draws.popleft()
+        return draws
+
     def _is_durable(self, at):
         return durability.is_durable(at, self._store.confirmed_at)
