Admission: keep only where moved routes led, not whole catalogs

Cause: to tell whether the route of a resumed stream has moved, admission kept each catalog that a request was admitted by whole for 3 minutes after it was replaced; nothing bounded them.

Change: EarlierRoutes keeps, for each replaced catalog, the splits of the routes that lead elsewhere in the one after it, and until when; one that moved no route is told by the next.

Ruled out: a time for each service of a route, since prefixes that hide each other then give answers that no catalog gave.

--- a/galenaspoke/core/catalog.py
+++ b/galenaspoke/core/catalog.py
@@ -59,11 +59,7 @@
 
         Each service covers an interval as wide as its share.
         """
-        for service, share in self.splits:
-            point -= share
-            if point < 0:
-                return service
-        return self.splits[-1][0]
+        return choose_service(self.splits, point)
 
     def is_repeatable(self):
         """Return True if a request may run more than once."""
@@ -121,6 +117,23 @@
     idle_timeout_ms: int = 15_000
 
 
+def choose_service(splits, point):
+    """Return the name of the service at `point`, see Route."""
+    for service, share in splits:
+        point -= share
+        if point < 0:
+            return service
+    return splits[-1][0]
+
+
+def list_prefixes(path):
+    """Yield the prefixes of a path up to a slash, the longest first."""
+    end = path.rfind('/')
+    while end >= 0:
+        yield path[: end + 1]
+        end = path.rfind('/', 0, end)
+
+
 class Catalog:
     """One generation of the configuration."""
 
@@ -160,14 +173,38 @@
         by_prefix = self._routes.get(host)
         if by_prefix is None:
             return None
-        end = path.rfind('/')
-        while end >= 0:
-            route = by_prefix.get(path[: end + 1])
+        for prefix in list_prefixes(path):
+            route = by_prefix.get(prefix)
             if route is not None:
                 return route
-            end = path.rfind('/', 0, end)
         return None
 
+    def get_splits(self, host, prefix):
+        """Return the splits of the route with just this prefix, or None."""
+        route = self._routes.get(host, {}).get(prefix)
+        return None if route is None else route.splits
+
+    def list_moved(self, newer):
+        """Return where routes led that lead elsewhere in a newer Catalog.
+
+        That is their splits by host and prefix, None for a route that only
+        the newer one has.  It holds no other part of either Catalog.
+        """
+        moved = {}
+        known = {}
+        for host, prefix, splits in self._list_splits():
+            if newer.get_splits(host, prefix) != splits:
+                moved[host, prefix] = known.setdefault(splits, splits)
+        for host, prefix, _ in newer._list_splits():
+            if self.get_splits(host, prefix) is None:
+                moved[host, prefix] = None
+        return moved
+
+    def _list_splits(self):
+        for host, by_prefix in self._routes.items():
+            for prefix, route in by_prefix.items():
+                yield host, prefix, route.splits
+
     def find_account(self, api_key):
         """Return the account to which an API key belongs, or None."""
         name = self._accounts_by_api_key.get(api_key)
--- a/galenaspoke/edge/serving/admission.py
+++ b/galenaspoke/edge/serving/admission.py
@@ -5,21 +5,16 @@
 the latest; if it can't, the caller is asked to retry later.
 """
 
-import collections
 import hashlib
 import random
 
 from galenaspoke.edge import outcomes
+from galenaspoke.edge.serving import earlier_routes
 from galenaspoke.edge.serving import request_context
-from galenaspoke.edge.streams import resumption
-from galenaspoke.edge.streams import stream_versions
 
 # Bounds of random retry-after times.
 STALE_CONFIG_RETRY_AFTER_MS = (500, 1_200)
 POISON_RETRY_AFTER_MS = (20_000, 30_000)
-# Streams that began by a configuration which was replaced longer ago aren't
-# resumed any more.
-KEEP_CATALOG_MS = resumption.CONFIG_LAG_MS + stream_versions.MAX_STREAM_AGE_MS
 
 _SPLIT_POINT_BYTES = 8
 
@@ -43,8 +38,7 @@
         '_header_codec',
         '_accept_until',
         '_finish_by',
-        '_catalog',
-        '_replaced',
+        '_earlier_routes',
     )
 
     def __init__(self, config_view, poison_detector, header_codec):
@@ -58,10 +52,9 @@
         # accepted if their deadline is no later than `_finish_by`.
         self._accept_until = None
         self._finish_by = None
-        # The catalog of the last request, and those before with when they were
-        # found to be replaced, the oldest first.
-        self._catalog = config_view.catalog
-        self._replaced = collections.deque()
+        self._earlier_routes = earlier_routes.EarlierRoutes(
+            config_view.catalog
+        )
 
     def refuse_head(self, req):
         """Return a Refusal of a request whatever its body is, or None.
@@ -81,7 +74,7 @@
             if not self._poison_detector.begin_trial(culprit):
                 return refuse_poison(culprit)
             context.is_trial = True
-        self._record_catalog(req.arrived_at)
+        self._earlier_routes.record(self._config_view.catalog, req.arrived_at)
         if context.metadata.is_resumption():
             context.earlier_services = self._list_earlier_services(context)
         return context
@@ -121,28 +114,13 @@
         _set_service(context, services, service)
         return context
 
-    def _record_catalog(self, now):
-        """Keep a catalog that was replaced while streams of it may last."""
-        catalog = self._config_view.catalog
-        if catalog is not self._catalog:
-            self._replaced.append((self._catalog, now))
-            self._catalog = catalog
-        while self._replaced and now - self._replaced[0][1] > KEEP_CATALOG_MS:
-            self._replaced.popleft()
-
     def _list_earlier_services(self, context):
         """Return which services a request had, and until when."""
-        host, path = _parse_host(context.req), context.req.path
-        point = _split_point(context.metadata)
-        routes = (
-            (catalog.match(host, path), until)
-            for catalog, until in self._replaced
+        services = self._earlier_routes.list_services(
+            _parse_host(context.req),
+            context.req.path,
+            _split_point(context.metadata),
         )
-        services = [
-            (route.choose_service(point), until)
-            for route, until in routes
-            if route is not None
-        ]
         if not context.metadata.affinity_key():
             services += [
                 (service, context.arrived_at)
--- a/tests/edge/test_guessed_origins.py
+++ b/tests/edge/test_guessed_origins.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from galenaspoke.core import clock
+from galenaspoke.edge.serving import earlier_routes
 from tests.edge import test_streams_after_moves
 from tests.edge import version_fleets
 
@@ -148,7 +149,9 @@
         for name in lost:
             # It has never had another configuration.
             desk = fleet.desks[name]
-            desk.admission._catalog = desk.config_view.catalog
+            desk.admission._earlier_routes = earlier_routes.EarlierRoutes(
+                desk.config_view.catalog
+            )
             desk.versions.record.update('other', {'v2'}, {'v2': 2})
         new = fleet.begin('front-1', version_fleets.STREAM_EVENTS + 1)
         self.assertEqual({'v2'}, new.versions)
