--- a/bench/edge_budgets.py
+++ b/bench/edge_budgets.py
@@ -1,7 +1,8 @@
 """Checks what tenants consumed, and whose keys were taken.
 
-- BUDGET: what a tenant's callers had got by some time, with the input of the
-  requests that ran for them, is more than its `Prepaid` was at that time.
+- BUDGET: what a tenant's callers had got by some time, with the input that the
+  requests stated which ran for them, is more than its `Prepaid` was at that
+  time.
 - KEY: a request with a key that no configuration had was run, or one with a
   key that was in force and never taken away was told 401.
 
@@ -71,7 +72,7 @@
         tokens = 0
         if not has_input and attempt.status == 200 and runs.get(attempt.id):
             has_input = True
-            tokens += req.input_tokens
+            tokens += req.stated_input_tokens
         if req.kind == 'stream' and attempt.status == 200:
             tokens += attempt.count_tokens()
         charges.append(Charge(attempt.ended_at, tokens, attempt.id))
--- a/bench/edge_callers.py
+++ b/bench/edge_callers.py
@@ -81,6 +81,14 @@
         """Return whether its events are so long that they fill buffers."""
         return self.name != self.key
 
+    @property
+    def stated_input_tokens(self):
+        """Return how many input tokens its attempts state.
+
+        Only streams have `X-Token-Usage`; others consume no tokens.
+        """
+        return self.input_tokens if self.kind == 'stream' else 0
+
     def count_events(self):
         """Return the number of events that the caller has so far."""
         return sum(len(attempt.events) for attempt in self.attempts)
--- a/tests/bench/test_edge_budgets.py
+++ b/tests/bench/test_edge_budgets.py
@@ -1,16 +1,23 @@
 """What tenants consumed, by attempts and logs made up here."""
 
+import random
 import time
+import types
 import unittest
 
 from bench import edge_budgets
 from bench import edge_callers
 from bench import edge_checks
 from bench import edge_events
+from bench import edge_sessions
+from bench import site_profiles
 from bench import tenants
 from standins import platform_documents
 
 TALK = '/stream/talk/'
+TELL = '/stream/tell/'
+ASK = '/plain/ask/'
+BOOK = '/plain/book/'
 INPUT_TOKENS = 100
 
 
@@ -32,10 +39,12 @@
         self.runs = {}
         self.requests = []
 
-    def add(self, *outputs, status=200, key='a', ran=True, after_s=0):
+    def add(
+        self, *outputs, status=200, key='a', ran=True, after_s=0, prefix=TALK
+    ):
         """Add a request whose attempts brought so many tokens each."""
         number = len(self.requests)
-        req = edge_callers.Request(f'k{number}', TALK, sum(outputs))
+        req = edge_callers.Request(f'k{number}', prefix, sum(outputs))
         req.tenant = self.tenant
         req.input_tokens = INPUT_TOKENS
         first = 1
@@ -83,6 +92,53 @@
         self.add(0)
         self.assertEqual(self.find(), [])
 
+    # Guards against BUDGET where tenants ask applications, whose requests
+    # state no tokens.
+    def test_requests_to_applications(self):
+        """They cost nothing, whatever ran."""
+        for prefix in (ASK, BOOK):
+            for _ in range(5):
+                self.add(0, prefix=prefix)
+        self.assertEqual(self.find(), [])
+
+    def test_streams_beside_requests_to_applications(self):
+        """Each stream costs its input, also one that may not be resumed."""
+        self.add(30, 20)
+        self.add(0, prefix=ASK)
+        self.add(0, prefix=TELL)
+        self.assertEqual(self.find(), [])
+        self.add(1, prefix=TELL, ran=False)
+        self.assertEqual(self.find(), ['BUDGET'])
+
+    # Guards against a check that charges other tokens than callers state.
+    def test_input_is_what_callers_state(self):
+        """All classes of requests are charged as their headers say."""
+        profile = site_profiles.default()
+        fleet = types.SimpleNamespace(tenants=self.tenants, profile=profile)
+        caller = edge_sessions.Caller('c0', fleet, random.Random(1), [])
+        kinds = set()
+        for cls in profile.classes:
+            prefix = cls.route.prefix
+            req = edge_callers.Request('k', prefix, 1, cls.route)
+            req.input_tokens = cls.input_tokens
+            attempt = edge_callers.Attempt('k.0', FakeRouter(), 1)
+            attempt.status = 200
+            req.attempts.append(attempt)
+            sent = caller._encode(req, attempt, 1.0).decode().lower()
+            _, _, usage = sent.partition('x-token-usage: ')
+            stated = int(usage.partition(',')[0]) if usage else 0
+            (charge,) = edge_budgets.list_charges(req, {'k.0': ['a run']})
+            self.assertEqual((prefix, stated), (prefix, charge.tokens))
+            kinds.add((req.kind, stated > 0))
+        self.assertEqual(
+            {
+                ('stream', True),
+                ('idempotent', False),
+                ('non_idempotent', False),
+            },
+            kinds,
+        )
+
     def test_topup(self):
         """What a later version allows holds from then on."""
         self.add(150)
