HTTP: peers that read slowly aren't cut off while they acknowledge

Cause: TCP_USER_TIMEOUT, 3 s on all connections, is there for peers without power. While a peer's receive window is shut, Linux counts that time as well, though each probe is acknowledged; it starts anew only once the first unsent segment fits the window as a whole, which it never does with a small receive buffer. Connections to engines have the same option.

Ruled out: a longer option (a silent peer is noticed as much later); keep-alive alone (the kernel sends none while bytes wait); TCP_INFO's age of the last acknowledgement alone (the kernel doubles the pause between probes).

Change: `http/patience.py` looks once a second at the sockets on which something was sent and not acknowledged. While bytes wait and the peer answers, the option is off, and the pause between probes is at most 1 s (TCP_RTO_MAX_MS, Linux 6.15). Once two probes or retransmissions are unanswered for 1.5 s, the option is back, and the kernel cuts the connection with the same error as before. A caller's connection that is closed with a rest keeps it for 30 s at most, so it stays bounded. Where the kernel tells no TCP_INFO, all is as before.

Conclusion: a silent peer is noticed as soon as before, and a slow one may take its time. Not covered: a process that stands still for the first 2 s of a shut window, since the option is on until the first check.

--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -10,6 +10,7 @@
 
 from galenaspoke.http import buffers
 from galenaspoke.http import messages
+from galenaspoke.http import patience
 from galenaspoke.http import sockets
 from galenaspoke.http import turns
 
@@ -387,6 +388,7 @@
     def _send(self, data):
         try:
             sent = self._send_at_once(data)
+            patience.process_watch.add(self._sock)
             if sent < len(data):
                 self._send_rest(data, sent)
         except OSError as exc:
@@ -409,6 +411,7 @@
             self._sock.settimeout(SEND_PAUSE_MS / 1000)
             while left:
                 left = left[self._sock.send(left) :]
+                patience.process_watch.add(self._sock)
         finally:
             self._sock.settimeout(None)
             self._unsent_bytes = 0
@@ -468,6 +471,7 @@
         if self._ends_by_close and not self._must_reset:
             self._set_linger(_LINGER_BY_DEFAULT)
         self._share.close()
+        patience.process_watch.release(self._sock)
         self._sock.close()
 
     def _set_linger(self, value):
--- a/galenaspoke/http/sending.py
+++ b/galenaspoke/http/sending.py
@@ -9,6 +9,8 @@
 
 import gevent
 
+from galenaspoke.http import patience
+
 
 class Sender:
     """Sends one request after another on one socket.
@@ -37,6 +39,7 @@
             sent = self._sock._sock.sendmsg([data, body])
         except BlockingIOError:
             sent = 0
+        patience.process_watch.add(self._sock)
         body_sent = max(0, sent - len(data))
         left = [memoryview(data)[sent:], memoryview(body)[body_sent:]]
         if any(left):
@@ -70,7 +73,9 @@
         read a request for longer.
         """
         try:
-            return self._sock.send(data)
+            sent = self._sock.send(data)
+            patience.process_watch.add(self._sock)
+            return sent
         except TimeoutError as exc:
             if exc.errno is None:
                 return 0
--- a/galenaspoke/http/sockets.py
+++ b/galenaspoke/http/sockets.py
@@ -6,13 +6,19 @@
     sockets.is_open_and_empty(sock)
 """
 
+import contextlib
 import socket as std_socket
 
 # The connection fails if the peer doesn't acknowledge sent data for this long.
+# The kernel counts a shut receive window as well, see `patience`.
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# The longest pause between two probes of a shut window, or retransmissions, by
+# the kernel's default.  The option is not in the standard library.
+TCP_RTO_MAX_MS = 44
+MAX_PROBE_PAUSE_MS = 120_000
 
 
 def peek(sock):
@@ -47,3 +53,25 @@
     sock.setsockopt(
         tcp, std_socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
     )
+
+
+def set_unacknowledged_timeout(sock, timeout_ms):
+    """Set how long the kernel waits for acknowledgements, 0 for its default.
+
+    Does nothing if the socket is closed.
+    """
+    _set_tcp_option(sock, std_socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
+def set_max_probe_pause(sock, pause_ms=MAX_PROBE_PAUSE_MS):
+    """Limit the pause between two probes of a shut window.
+
+    Without a limit each is twice as long as the one before, also on kernels
+    before 6.15, where this does nothing.
+    """
+    _set_tcp_option(sock, TCP_RTO_MAX_MS, pause_ms)
+
+
+def _set_tcp_option(sock, option, value):
+    with contextlib.suppress(OSError):
+        sock.setsockopt(std_socket.IPPROTO_TCP, option, value)
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -1,5 +1,6 @@
-"""Callers that don't read their responses."""
+"""Callers that don't read their responses, and engines that are as slow."""
 
+import unittest
 from unittest import mock
 
 import gevent
@@ -9,6 +10,7 @@
 from galenaspoke.edge.serving import caller_connections
 from galenaspoke.http import messages
 from tests.edge import base
+from tests.edge import handlers
 from tests.edge import stopping
 
 # A test that takes longer has failed.
@@ -16,6 +18,18 @@
 MAX_PAUSE_MS = 300
 
 
+# What a slow caller's kernel holds for it, and how it reads: 5,500 bytes a
+# second, which takes some 11 s for a response that fits the router's buffer.
+RECEIVE_BUFFER_BYTES = 6_144
+READ_BYTES = 550
+READ_PAUSE_S = 0.1
+BODY_BYTES = 60_000
+# How long an engine reads nothing of a request, longer than the kernel waits
+# for a peer that is silent.
+ENGINE_PAUSE_S = 4.5
+REQUEST_BYTES = 16_777_216
+
+
 class SlowReaderTest(stopping.StopTestCase):
     """Streams that go on for as long as they are taken."""
 
@@ -78,3 +92,58 @@
                 received = len(remote.recv(65_536))
                 self.assertGreater(received, 0)
                 left_bytes -= received
+
+
+class FullWindowTest(stopping.StopTestCase):
+    """Whole responses that wait in the router's kernel for a slow caller."""
+
+    def run_engine(self, remote, _):
+        """Answer at once."""
+        self.started.append(remote)
+        remote.sendall(handlers.encode_response(body=bytes(BODY_BYTES)))
+
+    def read_slowly(self, request):
+        """Return how many bytes come before the response ends."""
+        address = ('127.0.0.1', self.router._server.server_port)
+        with socket.socket() as remote:
+            remote.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
+            remote.connect(address)
+            remote.sendall(request)
+            received = 0
+            while received <= BODY_BYTES:
+                gevent.sleep(READ_PAUSE_S)
+                data = remote.recv(READ_BYTES)
+                if not data:
+                    break
+                received += len(data)
+            return received
+
+    # Guards against a response of which the rest is dropped, since the
+    # caller's receive window is shut most of the time.
+    def test_caller_that_reads_slowly(self):
+        self.assertGreater(self.read_slowly(self.REQUEST), BODY_BYTES)
+
+    # Guards against the same once the router has closed the connection.
+    def test_caller_of_a_closed_connection(self):
+        request = self.REQUEST.replace(b'Host:', b'Connection: close\r\nHost:')
+        self.assertGreater(self.read_slowly(request), BODY_BYTES)
+
+
+class SlowEngineTest(unittest.TestCase):
+    """A request that its engine doesn't read for a while."""
+
+    # Guards against a request that is lost though its engine reads on.
+    def test_engine_that_reads_slowly(self):
+        conn, remote = base.connect_to_peer(self)
+        conn.send(b'POST / HTTP/1.1\r\n\r\n', bytes(REQUEST_BYTES))
+        gevent.sleep(ENGINE_PAUSE_S)
+        remote.settimeout(TIMEOUT_S)
+        received = 0
+        while received < REQUEST_BYTES:
+            data = remote.recv(1_048_576)
+            self.assertTrue(data)
+            received += len(data)
+        base.wait_until(conn.is_fully_sent)
+        self.assertIsNone(conn._sender.error)
