Tests: routers' clocks and a release of half of the engines stand once

Cause: two test modules had the same clock that is apart, and four the same release of two engines of four. Change: VersionFleet starts routers with a time of day that is ahead, and releases half of its engines. Conclusion: no assertion changed.

--- a/tests/edge/test_guessed_origins.py
+++ b/tests/edge/test_guessed_origins.py
@@ -6,7 +6,6 @@
 import unittest
 from unittest import mock
 
-from galenaspoke.core import clock
 from galenaspoke.edge.serving import earlier_routes
 from tests.edge import test_streams_after_moves
 from tests.edge import version_fleets
@@ -18,22 +17,6 @@
 CLOCK_ERRORS_MS = (-6_000, 0, 2_000, 6_000, 12_000)
 
 
-class SkewedClock(clock.ManualClock):
-    """A clock whose time of day differs from that of another one."""
-
-    __slots__ = ('_other', '_error_ms')
-
-    def __init__(self, other, error_ms):
-        self._other = other
-        self._error_ms = error_ms
-
-    def now(self):
-        return self._other.now()
-
-    def wall(self):
-        return self._other.wall() + self._error_ms
-
-
 class ClockTest(unittest.TestCase):
     """Streams whose version is found by a plan, by clocks that differ."""
 
@@ -54,17 +37,13 @@
 
     def release_half(self, fleet):
         """Replace half of the engines by others of another version."""
-        for name in 'ab':
-            fleet.add_engine(f'new-{name}', 'v2')
-            fleet.remove_engine(name)
+        fleet.release_half()
         fleet.exchange()
 
     def start(self, fleet, names, error_ms):
         """Start routers whose clocks differ by so much."""
-        steady, fleet.clock = fleet.clock, SkewedClock(fleet.clock, error_ms)
         for name in names:
-            fleet.start(name)
-        fleet.clock = steady
+            fleet.start(name, error_ms)
 
     def count_after_power_loss(self, error_ms):
         """Return how many streams go on at another version.
--- a/tests/edge/test_out_of_step_plans.py
+++ b/tests/edge/test_out_of_step_plans.py
@@ -29,9 +29,7 @@
 
     def release_half(self, routers=IN_STEP):
         """Replace two of the four targets; only `routers` learn of it."""
-        for name in 'ab':
-            self.fleet.add_engine(f'new-{name}', 'v2', routers)
-            self.fleet.remove_engine(name, routers)
+        self.fleet.release_half(routers)
         self.fleet.exchange()
 
     def begin_streams(self, router):
--- a/tests/edge/test_stated_origins.py
+++ b/tests/edge/test_stated_origins.py
@@ -7,7 +7,6 @@
 
 import unittest
 
-from galenaspoke.core import clock
 from tests.edge import version_fleets
 
 STREAM_COUNT = 40
@@ -21,22 +20,6 @@
 TIME_OFF_MS = 500
 
 
-class ApartClock(clock.ManualClock):
-    """A clock whose time of day differs from that of another one."""
-
-    __slots__ = ('_other', '_error_ms')
-
-    def __init__(self, other, error_ms):
-        self._other = other
-        self._error_ms = error_ms
-
-    def now(self):
-        return self._other.now()
-
-    def wall(self):
-        return self._other.wall() + self._error_ms
-
-
 class ReleaseTest(unittest.TestCase):
     """Streams that begin before half of the engines are replaced."""
 
@@ -52,11 +35,8 @@
 
     def start_all(self, fleet):
         """Start all routers, each with its own clock."""
-        true = fleet.clock
         for number in range(ROUTER_COUNT):
-            fleet.clock = ApartClock(true, self.errors_ms[number])
-            fleet.start(f'front-{number}')
-        fleet.clock = true
+            fleet.start(f'front-{number}', self.errors_ms[number])
         fleet.read_lists()
         fleet.read_targets()
 
@@ -76,9 +56,7 @@
 
     def release_half(self, fleet):
         """Replace half of the engines by others of another version."""
-        for name in 'ab':
-            fleet.add_engine(f'new-{name}', 'v2')
-            fleet.remove_engine(name)
+        fleet.release_half()
         fleet.exchange()
 
     def resume_all(self, fleet, streams, names_request, left_ms=None):
--- a/tests/edge/test_streams_after_power_loss.py
+++ b/tests/edge/test_streams_after_power_loss.py
@@ -103,12 +103,6 @@
             for stream in streams:
                 self.assertEqual({'v1'}, stream.versions)
 
-    def release_half(self, fleet, **options):
-        """Replace two of the four targets; `options` say who learns of it."""
-        for name in 'ab':
-            fleet.add_engine(f'new-{name}', 'v2', **options)
-            fleet.remove_engine(name, **options)
-
     def check_late_routers(self, fleet):
         """Check streams that late routers begin just after a release."""
         fleet.clock.advance(LATE_MS)
@@ -119,7 +113,7 @@
     # Guards against plans that count as out of use too soon.
     def test_router_that_learns_late_of_the_new_version(self):
         fleet = self.make_fleet(OLD)
-        self.release_half(fleet, routers=('front-0',))
+        fleet.release_half(('front-0',))
         self.check_late_routers(fleet)
 
     def test_late_router_and_clocks_that_differ(self):
@@ -128,14 +122,14 @@
                 clock.ManualClock, 'wall', lambda self: self.now() + error_ms
             ):
                 fleet = self.make_fleet(OLD)
-                self.release_half(fleet, routers=('front-0',))
+                fleet.release_half(('front-0',))
             self.check_late_routers(fleet)
 
     def test_clock_that_steps(self):
         for step_ms in (-5_000, 5_000):
             fleet = self.make_fleet(OLD)
             streams = self.begin_streams(fleet)
-            self.release_half(fleet)
+            fleet.release_half()
             self.lose_power(fleet)
             fleet.clock.advance(version_fleets.TIMEOUT_MS - TIME_OFF_MS - 1)
             with mock.patch.object(
@@ -152,7 +146,7 @@
         fleet = self.make_fleet(OLD)
         fleet.timeout_ms = LONG_WAIT_MS
         streams = self.begin_streams(fleet)
-        self.release_half(fleet)
+        fleet.release_half()
         fleet.exchange()
         fleet.clock.advance(waited_ms)
         self.lose_power(fleet)
@@ -187,7 +181,7 @@
         fleet = self.make_fleet(OLD)
         fleet.timeout_ms = LONG_WAIT_MS
         streams = self.begin_streams(fleet)
-        self.release_half(fleet)
+        fleet.release_half()
         fleet.exchange()
         fleet.clock.advance(25_000)
         for desk in fleet.desks.values():
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -23,6 +23,7 @@
 import msgspec
 
 from galenaspoke.core import catalog
+from galenaspoke.core import clock as clocks
 from galenaspoke.edge.serving import caller_connections
 from galenaspoke.edge.streams import service_versions
 from galenaspoke.http import messages
@@ -42,6 +43,24 @@
 _LAST_EVENT_ID = re.compile(rb'\r\nlast-event-id: (\d+)\r\n', re.IGNORECASE)
 
 
+class SkewedClock(clocks.ManualClock):
+    """A clock whose time of day is ahead of that of another one."""
+
+    __slots__ = ('_other', '_ahead_ms')
+
+    def __init__(self, other, ahead_ms):
+        self._other = other
+        self._ahead_ms = ahead_ms
+
+    def now(self):
+        """Return the other clock's monotonic time."""
+        return self._other.now()
+
+    def wall(self):
+        """Return the other clock's time of day, and what this is ahead."""
+        return self._other.wall() + self._ahead_ms
+
+
 class Stream:
     """What one client has of its stream, over all its attempts."""
 
@@ -227,16 +246,20 @@
 
     # Routers.
 
-    def start(self, name):
-        """Start a router, or restart it: it has forgotten everything."""
+    def start(self, name, ahead_ms=0):
+        """Start a router, or restart it: it has forgotten everything.
+
+        Its time of day is ahead of the true one by `ahead_ms`.
+        """
         self.kill(name)
+        clock = SkewedClock(self.clock, ahead_ms) if ahead_ms else self.clock
         cfg = base.make_edge_settings(name, peer_listen=name)
-        self.members[name] = base.make_members(cfg, self.store, self.clock)
+        self.members[name] = base.make_members(cfg, self.store, clock)
         self.desks[name] = handlers.Desk(
             {},
             catalog.RequestKind.STREAM,
             timeout_ms=TIMEOUT_MS,
-            clock=self.clock,
+            clock=clock,
             routers=self.members[name].routers,
             members=self.members[name],
             store=self.store,
@@ -356,6 +379,15 @@
         self.store.revision += 1
         self.read_targets(*routers)
 
+    def release_half(self, routers=()):
+        """Replace the engines a and b by others of another version.
+
+        All routers learn of it at once, or some; nothing is agreed on yet.
+        """
+        for name in 'ab':
+            self.add_engine(f'new-{name}', 'v2', routers)
+            self.remove_engine(name, routers)
+
     # Clients.
 
     def begin(self, router, event_count=2):
