--- a/bench/edge_sessions.py
+++ b/bench/edge_sessions.py
@@ -42,8 +42,6 @@
 PADDED_SHARE = 0.04
 PADDING = edge_callers.PADDING_START + 'x' * 20_000
 STALL_S = (0.5, 2.5)
-# The share of callers that resume without naming the request before.
-NAMELESS_SHARE = 0.2
 # The share of callers that state the same wait on each try, whatever is left.
 RESTATING_SHARE = 0.4
 UNKNOWN_KEY_SHARE = 0.01
@@ -290,7 +288,7 @@
         last_id = req.get_last_id()
         if last_id:
             began_id = ''
-            if self._rng.random() >= NAMELESS_SHARE:
+            if self._rng.random() >= self._fleet.profile.nameless_share:
                 began_id = next(a.id for a in req.attempts if a.events)
             headers += platform_documents.make_resuming_headers(
                 last_id, began_id
--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -233,6 +233,11 @@
 @click.option('--garbled', default=0.02, help='Responses that are garbled.')
 @click.option('--skew-ms', default=6_000, help="Of engines' clocks, at most.")
 @click.option('--router-skew-ms', default=4_000, help="Of routers' clocks.")
+@click.option(
+    '--nameless',
+    default=site_profiles.NAMELESS_SHARE,
+    help="Callers that don't name what they resume.",
+)
 @click.option(
     '--control-path/--no-control-path',
     default=True,
@@ -243,11 +248,23 @@
 @click.option('--product', default=None, help='Where galenaspoke is.')
 @click.option('--report', default=None, help='A file for the counts as JSON.')
 @click.option('--keep/--no-keep', default=False, help='Keep all logs.')
-def main(site, ids, seconds, callers, floods, only, report, keep, **fields):
+def main(
+    site,
+    ids,
+    seconds,
+    callers,
+    nameless,
+    floods,
+    only,
+    report,
+    keep,
+    **fields,
+):
     """Run callers and faults drawn from SEED, and check what happened."""
     profile = _read_profile(site)
     if ids:
         profile.engine_options['ids'] = ids
+    profile.nameless_share = nameless
     options = fleet_options.FleetOptions(profile=profile, **fields)
     callers = profile.callers if callers is None else callers
     directory = tempfile.mkdtemp(prefix=f'galenaspoke-edge-{options.seed}-')
--- a/bench/site_profiles.py
+++ b/bench/site_profiles.py
@@ -39,6 +39,8 @@
     'lost': 0.02,
     'common': 0.03,
 }
+# The share of callers that resume without naming the request before.
+NAMELESS_SHARE = 0.2
 KINDS = {'stream': 'stream', 'safe': 'idempotent', 'unsafe': 'non_idempotent'}
 _PREFIXES = {'stream': '/stream', 'safe': '/plain', 'unsafe': '/plain'}
 
@@ -135,6 +137,7 @@
 
     `engine_options` are options of model engines by their name, and
     `troubles` the kinds of faults, None for all that there are.
+    `nameless_share` of the callers that resume don't name the request before.
     """
 
     __slots__ = (
@@ -152,12 +155,14 @@
         'tenants',
         'engine_options',
         'troubles',
+        'nameless_share',
     )
 
     def __init__(self, name, **fields):
         self.name = name
         self.memory_tokens = platform_documents.MEMORY_TOKENS
         self.troubles = None
+        self.nameless_share = NAMELESS_SHARE
         for field, value in fields.items():
             setattr(self, field, value)
 
