Tests: a stream of the same content is begun in one place

Cause: two test modules made such a stream by the same lines. Change: VersionFleet.begin_again. Conclusion: no assertion changed.

--- a/tests/edge/test_stated_origins.py
+++ b/tests/edge/test_stated_origins.py
@@ -148,15 +148,10 @@
         fleet = self.make_fleet()
         streams = self.begin_streams(fleet)
         self.release_half(fleet)
-        again = []
-        for number, stream in enumerate(streams):
-            twin = version_fleets.Stream(
-                fleet._make_id(), fleet.clock.now(), stream.prompt
-            )
-            router = f'front-{number % ROUTER_COUNT}'
-            fleet._request(twin, router, twin.first_id, (), 2)
-            fleet.streams.append(twin)
-            again.append(twin)
+        again = [
+            fleet.begin_again(stream, f'front-{number % ROUTER_COUNT}')
+            for number, stream in enumerate(streams)
+        ]
         moved = sum(stream.versions == {'v2'} for stream in again)
         self.assertGreater(moved, 0)
         whole = self.resume_all(fleet, again, names_request=False)
--- a/tests/edge/test_twin_streams.py
+++ b/tests/edge/test_twin_streams.py
@@ -6,7 +6,6 @@
 import unittest
 
 from tests.edge import test_stated_origins
-from tests.edge import version_fleets
 
 LONG_WAIT_MS = 900_000
 STEPS = 16
@@ -26,15 +25,6 @@
     begin_streams = test_stated_origins.ReleaseTest.begin_streams
     release_half = test_stated_origins.ReleaseTest.release_half
 
-    def begin_again(self, fleet, stream, router):
-        """Begin a stream with the content of another one; return it."""
-        twin = version_fleets.Stream(
-            fleet._make_id(), fleet.clock.now(), stream.prompt
-        )
-        fleet._request(twin, router, twin.first_id, (), 2)
-        fleet.streams.append(twin)
-        return twin
-
     def resume_all(self, fleet, streams):
         """Resume streams without a name; return how many are mixed."""
         for number, stream in enumerate(streams):
@@ -50,7 +40,7 @@
         self.release_half(fleet)
         fleet.network.cut_off('front-0')
         fleet.write_pages = lambda: None
-        again = [self.begin_again(fleet, s, 'front-0') for s in streams]
+        again = [fleet.begin_again(s, 'front-0') for s in streams]
         fleet.kill('front-0')
         self.assertEqual(0, self.resume_all(fleet, again))
 
@@ -61,7 +51,7 @@
         self.release_half(fleet)
         fleet.write_pages = lambda: None
         again = [
-            self.begin_again(fleet, stream, f'front-{number % 3}')
+            fleet.begin_again(stream, f'front-{number % 3}')
             for number, stream in enumerate(streams)
         ]
         self.kill_all(fleet)
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -398,6 +398,13 @@
         self.streams.append(stream)
         return stream
 
+    def begin_again(self, stream, router):
+        """Begin a stream with the content of another one; return it."""
+        twin = Stream(self._make_id(), self.clock.now(), stream.prompt)
+        self._request(twin, router, twin.first_id, (), 2)
+        self.streams.append(twin)
+        return twin
+
     def resume_elsewhere(self, stream, router):
         """Resume a stream while the engine that made it is down."""
         engine = self.engines[stream.engine]
