Callers: no time-out of the kernel applies to what waits for them

Cause: all connections got TCP_USER_TIMEOUT (3 s), which counts a shut receive window as silence, and took it off again only where TCP_INFO showed unsent bytes. So the state that cuts was the default, and a kernel had to tell of the caller for it to be spared.

Ruled out: asking TCP_INFO in another way (what a kernel leaves out can't be asked), a longer time-out (it cuts the same callers later), keeping it where silence is shown (below).

Change: callers get no such option while their connection is open. Keep-alive finds an idle one after 10 s in place of 3: two lost probes are no proof on a harmed link. Once a connection is closed the kernel keeps the rest for 30 s, as before, and now on each kernel.

Conclusion: no caller is cut off unless something shows that it is gone.

--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -10,7 +10,6 @@
 
 from galenaspoke.http import buffers
 from galenaspoke.http import messages
-from galenaspoke.http import patience
 from galenaspoke.http import sockets
 from galenaspoke.http import turns
 
@@ -89,7 +88,7 @@
     )
 
     def __init__(self, sock, clock, get_limits):
-        sockets.configure(sock)
+        sockets.configure_caller(sock)
         self._sock = sock
         self._clock = clock
         self._get_limits = get_limits
@@ -388,7 +387,6 @@
     def _send(self, data):
         try:
             sent = self._send_at_once(data)
-            patience.process_watch.add(self._sock)
             if sent < len(data):
                 self._send_rest(data, sent)
         except OSError as exc:
@@ -411,7 +409,6 @@
             self._sock.settimeout(SEND_PAUSE_MS / 1000)
             while left:
                 left = left[self._sock.send(left) :]
-                patience.process_watch.add(self._sock)
         finally:
             self._sock.settimeout(None)
             self._unsent_bytes = 0
@@ -471,7 +468,9 @@
         if self._ends_by_close and not self._must_reset:
             self._set_linger(_LINGER_BY_DEFAULT)
         self._share.close()
-        patience.process_watch.release(self._sock)
+        sockets.set_unacknowledged_timeout(
+            self._sock, sockets.CLOSED_TIMEOUT_MS
+        )
         self._sock.close()
 
     def _set_linger(self, value):
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -379,7 +379,7 @@
     except OSError as exc:
         raise NotSent(f'connect: {exc}') from exc
     sock.settimeout(None)
-    sockets.configure(sock)
+    sockets.configure_peer(sock)
     return Connection(sock, max_body_bytes, f'{host}:{port}', pacer)
 
 
--- a/galenaspoke/http/patience.py
+++ b/galenaspoke/http/patience.py
@@ -25,9 +25,6 @@
 SILENT_MS = 1_500
 # While the time-out is off, the peer is probed as often as this.
 PROBE_PAUSE_MS = 1_000
-# How long the kernel keeps what a peer behind a shut window hasn't taken once
-# the connection is closed.
-CLOSED_TIMEOUT_MS = 30_000
 
 
 class Watch:
@@ -51,18 +48,6 @@
         if self._task is None or self._task.ready():
             self._task = gevent.spawn(self._run)
 
-    def release(self, sock):
-        """Forget a socket that is about to be closed.
-
-        The kernel still sends what is left, for at most CLOSED_TIMEOUT_MS.
-        """
-        self._forget(sock)
-        info = tcp_info.read(sock)
-        if info is not None and info.unsent_bytes and not is_silent(info):
-            sockets.set_unacknowledged_timeout(sock, CLOSED_TIMEOUT_MS)
-            # A limit would also shorten how long the kernel sends the rest.
-            sockets.set_max_probe_pause(sock)
-
     def check(self):
         """Adjust the time-outs to what the kernel knows now."""
         for sock in list(self._sockets):
--- a/galenaspoke/http/sockets.py
+++ b/galenaspoke/http/sockets.py
@@ -2,19 +2,24 @@
 
 Example::
 
-    sockets.configure(sock)
+    sockets.configure_peer(sock)
     sockets.is_open_and_empty(sock)
 """
 
 import contextlib
 import socket as std_socket
 
-# The connection fails if the peer doesn't acknowledge sent data for this long.
-# The kernel counts a shut receive window as well, see `patience`.
+# A connection to a peer fails if it doesn't acknowledge sent data for this
+# long.  The kernel counts a shut receive window as well, see `patience`.
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
+# How a silent peer is found while nothing is under way to it: after 3 s.
+PEER_KEEPALIVE = (1, 1, 2)
+# Callers are found to be gone after 10 s: their links are worse, and what
+# waits for one is bounded by its deadline.
+CALLER_KEEPALIVE = (4, 2, 3)
+# How long the kernel keeps what a caller hasn't taken once its connection is
+# closed.
+CLOSED_TIMEOUT_MS = 30_000
 # The longest pause between two probes of a shut window, or retransmissions, by
 # the kernel's default.  The option is not in the standard library.
 TCP_RTO_MAX_MS = 44
@@ -42,17 +47,37 @@
     return False
 
 
-def configure(sock):
-    """Disable Nagle's algorithm and detect an unreachable peer soon."""
-    tcp = std_socket.IPPROTO_TCP
-    sock.setsockopt(tcp, std_socket.TCP_NODELAY, 1)
+def configure_peer(sock):
+    """Prepare a connection to a target, the store, a relay or a router.
+
+    One that is unreachable is noticed within UNACKNOWLEDGED_TIMEOUT_MS.
+    """
+    _configure(sock, PEER_KEEPALIVE)
+    set_unacknowledged_timeout(sock, UNACKNOWLEDGED_TIMEOUT_MS)
+
+
+def configure_caller(sock):
+    """Prepare a connection that a caller has made.
+
+    No time-out of the kernel applies while something waits for the caller:
+    where the kernel doesn't tell a shut receive window from silence, a caller
+    that reads slowly would be cut off.
+    """
+    _configure(sock, CALLER_KEEPALIVE)
+
+
+def _configure(sock, keepalive):
+    """Disable Nagle's algorithm and probe an idle connection.
+
+    `keepalive` has the time without a packet and the pause between probes, in
+    s, and the number of probes.
+    """
+    sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
     sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, std_socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(tcp, std_socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, std_socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(
-        tcp, std_socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
-    )
+    idle_s, interval_s, probes = keepalive
+    _set_tcp_option(sock, std_socket.TCP_KEEPIDLE, idle_s)
+    _set_tcp_option(sock, std_socket.TCP_KEEPINTVL, interval_s)
+    _set_tcp_option(sock, std_socket.TCP_KEEPCNT, probes)
 
 
 def set_unacknowledged_timeout(sock, timeout_ms):
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -1,5 +1,6 @@
 """Callers that don't read their responses, and engines that are as slow."""
 
+import os
 import unittest
 from unittest import mock
 
@@ -7,11 +8,15 @@
 from gevent import socket
 
 from galenaspoke.core import catalog
+from galenaspoke.core import clock as clocks
 from galenaspoke.edge.serving import caller_connections
 from galenaspoke.http import messages
+from galenaspoke.http import sockets
 from tests.edge import base
 from tests.edge import handlers
 from tests.edge import stopping
+from tests.http import kernels
+from tests.http import test_patience
 
 # A test that takes longer has failed.
 TIMEOUT_S = 20
@@ -28,6 +33,8 @@
 # for a peer that is silent.
 ENGINE_PAUSE_S = 4.5
 REQUEST_BYTES = 16_777_216
+# How long a caller is out of reach, longer than an engine may be.
+SILENCE_S = 4.5
 
 
 class SlowReaderTest(stopping.StopTestCase):
@@ -131,6 +138,57 @@
         self.assertGreater(self.read_slowly(request), BODY_BYTES)
 
 
+class UntoldFullWindowTest(FullWindowTest):
+    """The same where the kernel tells nothing of a connection.
+
+    Guards against callers that are cut off unless the kernel shows that they
+    are there.
+    """
+
+    def setUp(self):
+        super().setUp()
+        kernels.pretend(self, kernels.TELLS_NOTHING)
+
+
+class SilentCallerTest(stopping.StopTestCase):
+    """A caller whose link carries nothing for a while."""
+
+    run_engine = FullWindowTest.run_engine
+
+    # Guards against a response that is dropped since its caller was out of
+    # reach for some seconds.
+    def test_caller_that_is_silent_for_a_while(self):
+        address = ('127.0.0.1', self.router._server.server_port)
+        with socket.create_connection(address) as remote:
+            remote.sendall(self.REQUEST)
+            test_patience.fall_silent(remote)
+            base.wait_until(lambda: self.started)
+            gevent.sleep(SILENCE_S)
+            test_patience.be_heard(remote)
+            received = 0
+            remote.settimeout(TIMEOUT_S)
+            while received <= BODY_BYTES:
+                data = remote.recv(65_536)
+                self.assertTrue(data)
+                received += len(data)
+
+
+class ClosedConnectionTest(unittest.TestCase):
+    """What the kernel does with the rest once a connection is closed."""
+
+    # Guards against a rest that is dropped, or kept without a bound.
+    def test_rest_has_its_time(self):
+        local, _ = base.make_tcp_pair(self)
+        conn = caller_connections.CallerConnection(
+            local, clocks.Clock(), catalog.Limits
+        )
+        # A second descriptor, which shows the options of the same socket.
+        with socket.socket(fileno=os.dup(local.fileno())) as copy:
+            conn.close()
+            timeout_ms = test_patience.read_timeout_ms(copy)
+        self.assertEqual(sockets.CLOSED_TIMEOUT_MS, timeout_ms)
+
+
 class SlowEngineTest(unittest.TestCase):
     """A request that its engine doesn't read for a while."""
 
--- a/tests/http/test_patience.py
+++ b/tests/http/test_patience.py
@@ -20,6 +20,7 @@
 
 # The kernel's number of the option that attaches a filter to a socket.
 SO_ATTACH_FILTER = 26
+SO_DETACH_FILTER = 27
 # The one instruction of a filter that accepts no byte.
 DROP = struct.pack('HBBI', 6, 0, 0, 0)
 # More than the time-out, less than its double.
@@ -38,6 +39,11 @@
     )
 
 
+def be_heard(sock):
+    """Let a socket that has fallen silent acknowledge again."""
+    sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+
+
 def read_option(sock, option):
     """Return a TCP option of a socket, None if the kernel doesn't know it."""
     try:
@@ -56,7 +62,7 @@
 
     def setUp(self):
         self.sock, self.remote = base.make_tcp_pair(self)
-        sockets.configure(self.sock)
+        sockets.configure_peer(self.sock)
 
     def fill(self):
         """Send as much as the buffers take."""
@@ -141,21 +147,11 @@
             (None, sockets.MAX_PROBE_PAUSE_MS),
         )
 
-    # Guards against the rest of a response that is dropped once its
-    # connection is closed.
-    def test_close_before_all_was_taken(self):
-        self.fill()
-        patience.process_watch.release(self.sock)
-        self.assertEqual(
-            patience.CLOSED_TIMEOUT_MS, read_timeout_ms(self.sock)
-        )
-
     # Guards against a kernel without these figures on which nothing is sent.
     def test_unknown_state(self):
         with mock.patch.object(tcp_info, 'read', return_value=None):
             self.fill()
             patience.process_watch.check()
-            patience.process_watch.release(self.sock)
         self.assertEqual(
             sockets.UNACKNOWLEDGED_TIMEOUT_MS, read_timeout_ms(self.sock)
         )
