Callers: bytes that the kernel takes show that one reads on

What callers saw: one that reads on, slowly, was cut off after SEND_PAUSE_MS (10 s) with its response in the middle.

Cause: the pause was counted between two times that the socket became writable, which happens once a third of its buffer (262,144 bytes) is free: a caller that reads under 8,700 bytes a second needs longer than 10 s for that.

Change: a full buffer is tried once a second. What the kernel takes then is the caller's progress, which needs no option of any kernel.

Test: LittleRoomTest.test_caller_that_reads_slowly fails on (75 KB a second against a pause of 0.3 s); test_caller_that_reads_nothing holds the bound, before and after.

--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -25,6 +25,8 @@
 RELAYED_BYTE_S = 0.000_000_05
 # A caller that takes nothing of its response for so long is cut off.
 SEND_PAUSE_MS = 10_000
+# How often it is tried whether it has taken a little.
+SEND_INTERVAL_MS = 1_000
 # The event loop's flag for a readable socket.
 _READ_EVENT = 1
 # Makes the close of a connection reset it.
@@ -406,14 +408,35 @@
             # All of it is held until the last byte is sent.
             self._unsent_bytes = len(data)
             self._count_held_bytes()
-            self._sock.settimeout(SEND_PAUSE_MS / 1000)
             while left:
-                left = left[self._sock.send(left) :]
+                left = left[self._send_some(left) :]
         finally:
             self._sock.settimeout(None)
             self._unsent_bytes = 0
             self._resize_share()
 
+    def _send_some(self, data):
+        """Return how many bytes the caller has made room for.
+
+        The socket becomes writable once a third of its buffer is free; a
+        caller that reads slowly makes room for less meanwhile.  Raises
+        TimeoutError if it makes none for SEND_PAUSE_MS.
+        """
+        waited_ms = 0
+        while waited_ms < SEND_PAUSE_MS:
+            interval_ms = min(SEND_INTERVAL_MS, SEND_PAUSE_MS - waited_ms)
+            self._sock.settimeout(interval_ms / 1000)
+            try:
+                return self._sock.send(data)
+            except TimeoutError as exc:
+                if exc.errno is not None:
+                    raise
+            sent = self._send_at_once(data)
+            if sent:
+                return sent
+            waited_ms += interval_ms
+        raise TimeoutError('the caller reads nothing')
+
     def close_if_idle(self):
         """Close the connection, unless there is a request or unread bytes.
 
--- a/tests/edge/base.py
+++ b/tests/edge/base.py
@@ -131,27 +131,33 @@
     return connections.Connection(local, owner=owner, pacer=pacer), remote
 
 
-def make_tcp_pair(case):
+def make_tcp_pair(case, send_buffer_bytes=None, receive_buffer_bytes=None):
     """Return both ends of a TCP connection: the accepted one, and the other.
 
-    The test case closes them.
+    The test case closes them.  The buffers are what the first end holds to
+    send and the second one to read; None for the kernel's default.
     """
+    remote = socket.socket()
+    _set_buffer(remote, socket.SO_RCVBUF, receive_buffer_bytes)
     with socket.socket() as listener:
+        _set_buffer(listener, socket.SO_SNDBUF, send_buffer_bytes)
         listener.bind(('127.0.0.1', 0))
         listener.listen(1)
-        remote = socket.create_connection(listener.getsockname())
+        remote.connect(listener.getsockname())
         local, _ = listener.accept()
     case.addCleanup(local.close)
     case.addCleanup(remote.close)
     return local, remote
 
 
-def connect_to_peer(case):
+def connect_to_peer(case, receive_buffer_bytes=None):
     """Return a Connection over TCP and the socket at its other end.
 
-    The test case closes them.
+    The test case closes them.  `receive_buffer_bytes` is what the other end
+    holds, by the kernel's default if it is None.
     """
     with socket.socket() as listener:
+        _set_buffer(listener, socket.SO_RCVBUF, receive_buffer_bytes)
         listener.bind(('127.0.0.1', 0))
         listener.listen(1)
         conn = connections.connect(*listener.getsockname(), 1)
@@ -161,6 +167,11 @@
     return conn, remote
 
 
+def _set_buffer(sock, option, size):
+    if size is not None:
+        sock.setsockopt(socket.SOL_SOCKET, option, size)
+
+
 def stall(seconds):
     """Let the whole process stand still.
 
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -1,6 +1,7 @@
 """Callers that don't read their responses, and engines that are as slow."""
 
 import os
+import time
 import unittest
 from unittest import mock
 
@@ -10,6 +11,7 @@
 from galenaspoke.core import catalog
 from galenaspoke.core import clock as clocks
 from galenaspoke.edge.serving import caller_connections
+from galenaspoke.http import listening
 from galenaspoke.http import messages
 from galenaspoke.http import sockets
 from tests.edge import base
@@ -35,6 +37,11 @@
 REQUEST_BYTES = 16_777_216
 # How long a caller is out of reach, longer than an engine may be.
 SILENCE_S = 4.5
+# How a caller reads that makes room for a third of the router's buffer only
+# after MAX_PAUSE_MS.
+TRICKLE_BYTES = 1_500
+TRICKLE_PAUSE_S = 0.02
+TRICKLE_S = 3
 
 
 class SlowReaderTest(stopping.StopTestCase):
@@ -173,6 +180,50 @@
                 received += len(data)
 
 
+class LittleRoomTest(unittest.TestCase):
+    """A caller that makes room for less than wakes its sender."""
+
+    # Guards against a caller that reads on and is taken for one that doesn't.
+    def test_caller_that_reads_slowly(self):
+        for name, value_ms in (
+            ('SEND_PAUSE_MS', MAX_PAUSE_MS),
+            ('SEND_INTERVAL_MS', MAX_PAUSE_MS // 6),
+        ):
+            patcher = mock.patch.object(
+                caller_connections, name, value_ms, create=True
+            )
+            patcher.start()
+            self.addCleanup(patcher.stop)
+        local, remote = base.make_tcp_pair(
+            self, listening.SOCKET_BUFFER_BYTES, RECEIVE_BUFFER_BYTES
+        )
+        conn = caller_connections.CallerConnection(
+            local, clocks.Clock(), catalog.Limits
+        )
+        # Far more than is read here.
+        task = gevent.spawn(conn.send, bytes(REQUEST_BYTES))
+        self.addCleanup(task.kill)
+        until = time.monotonic() + TRICKLE_S
+        while time.monotonic() < until:
+            gevent.sleep(TRICKLE_PAUSE_S)
+            self.assertTrue(remote.recv(TRICKLE_BYTES))
+        self.assertFalse(task.ready())
+
+    # Guards against a caller that takes nothing and isn't cut off.
+    def test_caller_that_reads_nothing(self):
+        patcher = mock.patch.object(
+            caller_connections, 'SEND_PAUSE_MS', MAX_PAUSE_MS
+        )
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        local, _ = base.make_tcp_pair(self)
+        conn = caller_connections.CallerConnection(
+            local, clocks.Clock(), catalog.Limits
+        )
+        with self.assertRaises(caller_connections.CallerDisconnected):
+            conn.send(bytes(REQUEST_BYTES))
+
+
 class ClosedConnectionTest(unittest.TestCase):
     """What the kernel does with the rest once a connection is closed."""
 
