Requests: what an engine has taken shows that it lives, on each kernel

What callers saw: a long request to an engine that reads it slowly is lost after 3 s (a 502 or another try), where the kernel tells less of a connection.

Cause: the same time-out, off again only on what TCP_INFO tells. These connections need it: a request to an engine without power must fail soon.

Change: what shows that a peer takes bytes takes the time-out off: the socket buffer was full and takes more (the process counts that itself, and tries each second); part of the request is acknowledged (SIOCOUTQ, as old as 2.4); or, as before, unsent bytes behind answered probes. A peer without power does none of these, so it is noticed as before. Silence that the kernel tells sets it again, and the next request does.

Tests: test_slow_readers NoInfoTest (2), UntoldUnsentBytesTest (2) and NothingToldTest fail on, with a reset by the peer. test_patience plays shut windows, silence with one byte and with a full buffer, and a window that opens on five kinds of kernel; silence is noticed within 5 s on each. test_unknown_state asked for the time-out where TCP_INFO says nothing; it asks that where SIOCOUTQ says nothing either, since that tells enough now.

--- a/galenaspoke/http/patience.py
+++ b/galenaspoke/http/patience.py
@@ -2,14 +2,21 @@
 
 The kernel fails a connection whose peer acknowledges nothing for
 `sockets.UNACKNOWLEDGED_TIMEOUT_MS`.  It counts the time for which the peer's
-receive window is shut as well, though the peer acknowledges each probe.  While
-bytes wait for such a window, the time-out is off, unless the probes remain
-unanswered.
+receive window is shut as well, though the peer acknowledges each probe.  So
+the time-out goes off as soon as something shows that the peer takes bytes:
+
+- the socket buffer was full, and takes more;
+- part of the request is acknowledged, and the rest waits;
+- bytes wait for a shut window, and the probes are answered.
+
+A kernel that doesn't tell the last of these may tell the second, and each
+shows the first.  Where a kernel tells that probes remain unanswered, the
+time-out is on again.
 
 Example::
 
     sock.send(data)
-    patience.process_watch.add(sock)
+    patience.process_watch.add(sock, len(data))
 """
 
 import gevent
@@ -33,50 +40,85 @@
     A socket leaves it once all was acknowledged, or with its connection.
     """
 
-    __slots__ = ('_sockets', '_patient', '_task')
+    __slots__ = ('_sizes', '_patient', '_lifted', '_task')
 
     def __init__(self):
-        self._sockets = set()
+        # The bytes of the request that was sent last, by socket.
+        self._sizes = {}
         # Those whose window was shut since, and whether the time-out is off.
         self._patient = {}
+        # Those for which `lift` took it off.
+        self._lifted = set()
         # Checks the sockets while there are any.
         self._task = None
 
-    def add(self, sock):
-        """Watch a socket on which something has just been sent."""
-        self._sockets.add(sock)
-        if self._task is None or self._task.ready():
-            self._task = gevent.spawn(self._run)
+    def add(self, sock, size):
+        """Watch a socket on which a request of `size` bytes is being sent.
+
+        Nothing of earlier requests is under way.
+        """
+        self._sizes[sock] = size
+        self._start()
+
+    def lift(self, sock):
+        """Take the time-out off: the peer has shown that it takes bytes.
+
+        Unless the peer falls silent, it stays off until `restore`.
+        """
+        self._lifted.add(sock)
+        self._sizes.setdefault(sock, 0)
+        if not self._patient.get(sock):
+            self._patient[sock] = True
+            sockets.set_unacknowledged_timeout(sock, 0)
+        self._start()
+
+    def restore(self, sock):
+        """Set the time-out again, before another request."""
+        self._forget(sock)
+        _set_default_timeout(sock)
 
     def check(self):
         """Adjust the time-outs to what the kernel knows now."""
-        for sock in list(self._sockets):
+        for sock in list(self._sizes):
             self._check_socket(sock)
 
     def _check_socket(self, sock):
         info = tcp_info.read(sock)
-        if info is None:
-            self._forget(sock)
-        elif not (info.unsent_bytes or info.unacknowledged_packets):
-            if sock in self._patient:
-                _set_default_timeout(sock)
-                sockets.set_max_probe_pause(sock)
+        unacknowledged = sockets.count_unacknowledged_bytes(sock)
+        if info is None and unacknowledged is None:
             self._forget(sock)
-        elif is_silent(info):
+        elif info is not None and is_silent(info):
             if self._patient.get(sock):
                 _set_default_timeout(sock)
                 self._patient[sock] = False
-        elif info.unsent_bytes and not self._patient.get(sock):
-            sockets.set_unacknowledged_timeout(sock, 0)
+        elif self._waits_for_window(sock, info, unacknowledged):
+            if not self._patient.get(sock):
+                sockets.set_unacknowledged_timeout(sock, 0)
+                self._patient[sock] = True
             sockets.set_max_probe_pause(sock, PROBE_PAUSE_MS)
-            self._patient[sock] = True
+        elif not _is_under_way(info, unacknowledged):
+            if sock in self._patient and sock not in self._lifted:
+                _set_default_timeout(sock)
+                sockets.set_max_probe_pause(sock)
+            self._forget(sock)
+
+    def _waits_for_window(self, sock, info, unacknowledged):
+        """Return whether a peer that lives doesn't take all of a request."""
+        if info is not None and info.unsent_bytes:
+            return True
+        return 0 < (unacknowledged or 0) < self._sizes[sock]
 
     def _forget(self, sock):
-        self._sockets.discard(sock)
+        self._sizes.pop(sock, None)
         self._patient.pop(sock, None)
+        self._lifted.discard(sock)
+
+    def _start(self):
+        if self._task is None or self._task.ready():
+            self._task = gevent.spawn(self._run)
 
     def _run(self):
-        while self._sockets:
+        while self._sizes:
             gevent.sleep(CHECK_INTERVAL_S)
             self.check()
 
@@ -93,5 +135,12 @@
     sockets.set_unacknowledged_timeout(sock, sockets.UNACKNOWLEDGED_TIMEOUT_MS)
 
 
+def _is_under_way(info, unacknowledged):
+    """Return whether something that was sent may not have arrived."""
+    if unacknowledged is not None:
+        return unacknowledged > 0
+    return bool(info.unsent_bytes or info.unacknowledged_packets)
+
+
 # The watch of this process.
 process_watch = Watch()
--- a/galenaspoke/http/sending.py
+++ b/galenaspoke/http/sending.py
@@ -7,10 +7,16 @@
     sender.is_done()    # whether all of it was sent
 """
 
+import contextlib
+
 import gevent
+from gevent import socket
 
 from galenaspoke.http import patience
 
+# How often a full socket buffer is tried.
+TRY_INTERVAL_S = 1
+
 
 class Sender:
     """Sends one request after another on one socket.
@@ -20,11 +26,13 @@
     stream.
     """
 
-    __slots__ = ('error', '_sock', '_task')
+    __slots__ = ('error', '_sock', '_is_patient', '_task')
 
     def __init__(self, sock):
         self.error = None
         self._sock = sock
+        # Whether the kernel's time-out is off for the latest request.
+        self._is_patient = False
         # Sends what the socket buffer did not take at once.
         self._task = None
 
@@ -39,7 +47,10 @@
             sent = self._sock._sock.sendmsg([data, body])
         except BlockingIOError:
             sent = 0
-        patience.process_watch.add(self._sock)
+        if self._is_patient:
+            self._is_patient = False
+            patience.process_watch.restore(self._sock)
+        patience.process_watch.add(self._sock, len(data) + len(body))
         body_sent = max(0, sent - len(data))
         left = [memoryview(data)[sent:], memoryview(body)[body_sent:]]
         if any(left):
@@ -69,14 +80,18 @@
     def _send_some(self, data):
         """Return how many bytes were sent.
 
-        The socket's timeout is that of the greenlet that reads; a peer may
-        read a request for longer.
+        The socket becomes writable once a third of its buffer is free, so a
+        peer that reads slowly is noticed only by trying.  The socket's timeout
+        is that of the greenlet that reads; a peer may read a request for
+        longer.
         """
+        with contextlib.suppress(TimeoutError):
+            socket.wait(self._sock._write_event, TRY_INTERVAL_S)
         try:
-            sent = self._sock.send(data)
-            patience.process_watch.add(self._sock)
-            return sent
-        except TimeoutError as exc:
-            if exc.errno is None:
-                return 0
-            raise
+            sent = self._sock._sock.send(data)
+        except BlockingIOError:
+            return 0
+        # There is room again, so the peer has acknowledged something.
+        self._is_patient = True
+        patience.process_watch.lift(self._sock)
+        return sent
--- a/galenaspoke/http/sockets.py
+++ b/galenaspoke/http/sockets.py
@@ -7,7 +7,10 @@
 """
 
 import contextlib
+import fcntl
 import socket as std_socket
+import struct
+import termios
 
 # A connection to a peer fails if it doesn't acknowledge sent data for this
 # long.  The kernel counts a shut receive window as well, see `patience`.
@@ -24,6 +27,7 @@
 # the kernel's default.  The option is not in the standard library.
 TCP_RTO_MAX_MS = 44
 MAX_PROBE_PAUSE_MS = 120_000
+_INT = struct.Struct('i')
 
 
 def peek(sock):
@@ -80,6 +84,18 @@
     _set_tcp_option(sock, std_socket.TCP_KEEPCNT, probes)
 
 
+def count_unacknowledged_bytes(sock):
+    """Return how much was sent and not acknowledged, None if not told.
+
+    What the kernel still has to send is included.
+    """
+    try:
+        raw = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, _INT.pack(0))
+    except (OSError, ValueError):
+        return None
+    return _INT.unpack(raw)[0]
+
+
 def set_unacknowledged_timeout(sock, timeout_ms):
     """Set how long the kernel waits for acknowledgements, 0 for its default.
 
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -243,16 +243,50 @@
 class SlowEngineTest(unittest.TestCase):
     """A request that its engine doesn't read for a while."""
 
-    # Guards against a request that is lost though its engine reads on.
-    def test_engine_that_reads_slowly(self):
-        conn, remote = base.connect_to_peer(self)
-        conn.send(b'POST / HTTP/1.1\r\n\r\n', bytes(REQUEST_BYTES))
+    KERNEL = kernels.TELLS_ALL
+
+    def setUp(self):
+        kernels.pretend(self, self.KERNEL)
+
+    def read_late(self, conn, remote, size):
+        """Read a request of `size` bytes after a while, at an engine."""
+        conn.send(b'POST / HTTP/1.1\r\n\r\n', bytes(size))
         gevent.sleep(ENGINE_PAUSE_S)
         remote.settimeout(TIMEOUT_S)
         received = 0
-        while received < REQUEST_BYTES:
+        while received < size:
             data = remote.recv(1_048_576)
             self.assertTrue(data)
             received += len(data)
         base.wait_until(conn.is_fully_sent)
         self.assertIsNone(conn._sender.error)
+
+    # Guards against a request that is lost though its engine reads on.
+    def test_engine_that_reads_slowly(self):
+        conn, remote = base.connect_to_peer(self)
+        self.read_late(conn, remote, REQUEST_BYTES)
+
+    # Guards against the same, where the socket buffer takes all of it.
+    def test_request_that_fits_the_buffer(self):
+        if self.KERNEL is kernels.TELLS_NOTHING:
+            self.skipTest('nothing shows that the engine takes bytes')
+        conn, remote = base.connect_to_peer(self, RECEIVE_BUFFER_BYTES)
+        self.read_late(conn, remote, BODY_BYTES)
+
+
+class UntoldUnsentBytesTest(SlowEngineTest):
+    """The same where the kernel doesn't tell the unsent bytes."""
+
+    KERNEL = kernels.TELLS_NO_UNSENT_BYTES
+
+
+class NoInfoTest(SlowEngineTest):
+    """The same where the kernel has no TCP_INFO."""
+
+    KERNEL = kernels.TELLS_NO_INFO
+
+
+class NothingToldTest(SlowEngineTest):
+    """The same where the kernel tells nothing of a connection."""
+
+    KERNEL = kernels.TELLS_NOTHING
--- a/tests/http/kernels.py
+++ b/tests/http/kernels.py
@@ -57,6 +57,15 @@
         _replace(case, sockets, 'count_unacknowledged_bytes', _read_nothing)
 
 
+def pretend_no_probe_limit(case):
+    """Let a test case run on a kernel before 6.15."""
+
+    def ignore(sock, pause_ms=0):
+        """Do nothing."""
+
+    _replace(case, sockets, 'set_max_probe_pause', ignore)
+
+
 def _replace(case, module, name, function):
     patcher = mock.patch.object(module, name, function, create=True)
     patcher.start()
--- a/tests/http/test_patience.py
+++ b/tests/http/test_patience.py
@@ -8,15 +8,14 @@
 import struct
 import time
 import unittest
-from unittest import mock
 
 import gevent
 from gevent import socket
 
 from galenaspoke.http import patience
 from galenaspoke.http import sockets
-from galenaspoke.http import tcp_info
 from tests.edge import base
+from tests.http import kernels
 
 # The kernel's number of the option that attaches a filter to a socket.
 SO_ATTACH_FILTER = 26
@@ -57,20 +56,24 @@
     return read_option(sock, socket.TCP_USER_TIMEOUT)
 
 
-class PatienceTest(unittest.TestCase):
+class PeerTests:
     """One connection whose other end doesn't read."""
 
+    KERNEL = kernels.TELLS_ALL
+
     def setUp(self):
+        kernels.pretend(self, self.KERNEL)
         self.sock, self.remote = base.make_tcp_pair(self)
         sockets.configure_peer(self.sock)
 
     def fill(self):
         """Send as much as the buffers take."""
         self.sock.setblocking(False)
+        sent = 0
         with self.assertRaises(BlockingIOError):
             while True:
-                self.sock._sock.send(bytes(65_536))
-        patience.process_watch.add(self.sock)
+                sent += self.sock._sock.send(bytes(65_536))
+        patience.process_watch.add(self.sock, sent)
 
     def find_error(self):
         """Return the number of the socket's error, 0 if there is none."""
@@ -93,13 +96,13 @@
         while time.monotonic() < until:
             gevent.sleep(0.02)
             self.assertEqual(0, self.find_error())
-        self.assertTrue(tcp_info.read(self.sock).unsent_bytes)
+        self.assertTrue(kernels.read_all(self.sock).unsent_bytes)
 
     # Guards against a peer without power that is taken for a slow reader.
     def test_silence(self):
         fall_silent(self.remote)
         self.sock.sendall(b'x')
-        patience.process_watch.add(self.sock)
+        patience.process_watch.add(self.sock, 1)
         self.wait_for_cut()
 
     # Guards against the same, with more to send than fits the window.
@@ -108,23 +111,6 @@
         self.fill()
         self.wait_for_cut()
 
-    # Guards against the same, after its window was shut.
-    def test_silence_behind_a_shut_window(self):
-        self.fill()
-        base.wait_until(lambda: read_timeout_ms(self.sock) == 0)
-        fall_silent(self.remote)
-        self.wait_for_cut()
-
-    # Guards against the same, after it was shut for so long that the kernel
-    # probes seldom by itself.
-    def test_silence_after_a_long_pause(self):
-        if read_option(self.sock, sockets.TCP_RTO_MAX_MS) is None:
-            self.skipTest('the kernel is older than 6.15')
-        self.fill()
-        gevent.sleep(SHUT_S)
-        fall_silent(self.remote)
-        self.wait_for_cut()
-
     # Guards against a time-out that is off for good.
     def test_window_that_opens(self):
         self.fill()
@@ -147,11 +133,58 @@
             (None, sockets.MAX_PROBE_PAUSE_MS),
         )
 
+
+class PatienceTest(PeerTests, unittest.TestCase):
+    """Kernels that tell all, or nothing."""
+
+    # Guards against a peer that falls silent after its window was shut.
+    def test_silence_behind_a_shut_window(self):
+        self.fill()
+        base.wait_until(lambda: read_timeout_ms(self.sock) == 0)
+        fall_silent(self.remote)
+        self.wait_for_cut()
+
+    # Guards against the same, after it was shut for so long that the kernel
+    # probes seldom by itself.
+    def test_silence_after_a_long_pause(self):
+        if read_option(self.sock, sockets.TCP_RTO_MAX_MS) is None:
+            self.skipTest('the kernel is older than 6.15')
+        self.fill()
+        gevent.sleep(SHUT_S)
+        fall_silent(self.remote)
+        self.wait_for_cut()
+
     # Guards against a kernel without these figures on which nothing is sent.
     def test_unknown_state(self):
-        with mock.patch.object(tcp_info, 'read', return_value=None):
-            self.fill()
-            patience.process_watch.check()
+        kernels.pretend(self, kernels.TELLS_NOTHING)
+        self.fill()
+        patience.process_watch.check()
         self.assertEqual(
             sockets.UNACKNOWLEDGED_TIMEOUT_MS, read_timeout_ms(self.sock)
         )
+
+
+class OldKernelTest(PeerTests, unittest.TestCase):
+    """The same on a kernel before 6.15, which probes seldom."""
+
+    def setUp(self):
+        super().setUp()
+        kernels.pretend_no_probe_limit(self)
+
+
+class UntoldUnsentBytesTest(PeerTests, unittest.TestCase):
+    """The same on a kernel that doesn't tell the unsent bytes."""
+
+    KERNEL = kernels.TELLS_NO_UNSENT_BYTES
+
+
+class ZerosTest(PeerTests, unittest.TestCase):
+    """The same on a kernel that fills in the state alone."""
+
+    KERNEL = kernels.TELLS_ZEROS
+
+
+class NoInfoTest(PeerTests, unittest.TestCase):
+    """The same on a kernel without TCP_INFO."""
+
+    KERNEL = kernels.TELLS_NO_INFO
