Ends of bodies: whether a peer has closed is told by the socket's events too

What callers saw: half of a body without a length told as whole (MIXED), where the kernel has no TCP_INFO: 1 of 65 tests of ends of bodies, played with tcp_info.read returning None on (LostConnectionTest .test_engine_that_does_not).

Cause: the check whether the first connection is still open took a missing answer for "closed", so the check's own connection didn't count as an early one and its loss was not noticed.

Change: POLLRDHUP, which Linux has told since 2.6.17, is asked where TCP_INFO says nothing or that the connection is open.

--- a/galenaspoke/edge/targets/end_checks.py
+++ b/galenaspoke/edge/targets/end_checks.py
@@ -223,8 +223,7 @@
 
     def _is_under_way(self):
         """Return whether the target hasn't closed the first connection."""
-        info = self._response_conn.tcp_info()
-        return info is not None and not info.is_closed_by_peer
+        return not self._response_conn.is_closed_by_peer()
 
     def _ask_early(self):
         """Ask on the second connection while the response is under way."""
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -334,9 +334,14 @@
         """Return whether an idle connection is open with nothing to read."""
         return sockets.is_open_and_empty(self._sock)
 
-    def tcp_info(self):
-        """Return the connection's TcpInfo, None if there is none."""
-        return tcp_info.read(self._sock)
+    def is_closed_by_peer(self):
+        """Return whether the kernel has heard that the peer has closed it.
+
+        That holds also if bytes that came before have not been read.
+        """
+        info = tcp_info.read(self._sock)
+        is_closed = info is not None and info.is_closed_by_peer
+        return is_closed or sockets.is_closed_by_peer(self._sock)
 
     def interrupt(self, why):
         """Make a greenlet that waits for the peer fail at once.
--- a/galenaspoke/http/sockets.py
+++ b/galenaspoke/http/sockets.py
@@ -8,10 +8,13 @@
 
 import contextlib
 import fcntl
+import select
 import socket as std_socket
 import struct
 import termios
 
+from gevent import monkey
+
 # A connection to a peer fails if it doesn't acknowledge sent data for this
 # long.  The kernel counts a shut receive window as well, see `patience`.
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
@@ -70,6 +73,23 @@
     _configure(sock, CALLER_KEEPALIVE)
 
 
+def is_closed_by_peer(sock):
+    """Return whether a peer has closed or reset a connection.
+
+    Bytes that came before may wait to be read.  A socket that is closed here
+    counts as closed by its peer.
+    """
+    closed = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+    # gevent's own may take its place, which doesn't know these events.
+    poller = monkey.get_original('select', 'poll')()
+    try:
+        poller.register(sock.fileno(), select.POLLRDHUP)
+        events = poller.poll(0)
+    except (OSError, ValueError):
+        return True
+    return any(found & (closed | select.POLLNVAL) for _, found in events)
+
+
 def _configure(sock, keepalive):
     """Disable Nagle's algorithm and probe an idle connection.
 
--- a/tests/http/test_tcp_info.py
+++ b/tests/http/test_tcp_info.py
@@ -5,6 +5,7 @@
 
 from gevent import socket
 
+from galenaspoke.http import sockets
 from galenaspoke.http import tcp_info
 from tests.edge import base
 
@@ -46,3 +47,16 @@
         self.reset()
         base.settle()
         self.assertTrue(self.is_closed_by_peer())
+
+
+class PolledTest(ClosedTest):
+    """The same by the events of the socket, which need no TCP_INFO."""
+
+    def is_closed_by_peer(self):
+        return sockets.is_closed_by_peer(self.sock)
+
+    # Guards against an end that is hidden by what has not been read.
+    def test_closed_with_unread_bytes(self):
+        self.remote.sendall(b'x')
+        self.remote.shutdown(socket.SHUT_WR)
+        base.wait_until(self.is_closed_by_peer)
