Budgets: an event of engines that don't state its size may hold all output

Cause: what a configuration leaves out was taken for 1 token an event.

Change: such an event may hold the whole output that its request allows, as for a service that no configuration has. An application's event stays one token.

--- a/galenaspoke/core/catalog.py
+++ b/galenaspoke/core/catalog.py
@@ -68,6 +68,10 @@
         return self.kind is RequestKind.IDEMPOTENT
 
 
+# More than any request may generate: one event may hold all of its output.
+UNKNOWN_EVENT_TOKENS = 2**53
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Service:
     """A service, that is a group of equivalent targets.
@@ -75,9 +79,10 @@
     `slots` is the number of requests that each target processes at a time, 0
     if not stated.  `memory_tokens` is the capacity of a target's KV cache, 0
     if the targets are not model engines.  `event_tokens` is the maximum
-    number of output tokens in one event.  A target is cold for
-    `cold_start_ms` after its start; while cold it takes `cold_rate_per_s`
-    requests a second from all routers together, 0 if that isn't limited.
+    number of output tokens in one event, UNKNOWN_EVENT_TOKENS if not stated.
+    A target is cold for `cold_start_ms` after its start; while cold it takes
+    `cold_rate_per_s` requests a second from all routers together, 0 if that
+    isn't limited.
     """
 
     name: str
--- a/galenaspoke/platform/configuration.py
+++ b/galenaspoke/platform/configuration.py
@@ -4,6 +4,8 @@
 refused as a whole: the one before stays in force.
 """
 
+import math
+
 from galenaspoke.core import catalog
 from galenaspoke.utils import decoding
 
@@ -139,12 +141,23 @@
         max_conns=_get_number(entry, 'MaxConns'),
         slots=_get_number(engine, 'Slots'),
         memory_tokens=_get_number(engine, 'KvCapacity'),
-        event_tokens=_get_number(engine, 'Stride', 1),
+        event_tokens=_decode_event_tokens(engine),
         cold_start_ms=int(1000 * _get_number(entry, 'ColdStartS')),
         cold_rate_per_s=_get_number(entry, 'ColdPerS'),
     )
 
 
+def _decode_event_tokens(engine):
+    """Return how many tokens an event may hold; 1 if it is no model engine.
+
+    An engine that doesn't state it may put all output into one event.
+    """
+    if not engine:
+        return 1
+    tokens = math.ceil(_get_number(engine, 'Stride'))
+    return tokens if tokens > 0 else catalog.UNKNOWN_EVENT_TOKENS
+
+
 def _decode_accounts(entries):
     accounts = []
     account_names_by_key = {}
