Budgets: events count as the largest that any recent configuration states

Change: `event_sizes` keeps the largest size that a service had in the last CONFIG_LAG_MS (2 minutes, as for streams that are resumed), and a request is charged by the largest from then until its end.

Price: an account whose service's events become smaller is charged the larger ones for 2 minutes more. Not covered: a router that starts after the change, and one that is out of the store's reach until its streams have ended.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -223,6 +223,9 @@
         self.config_view.set_required_generation(math.inf)
         self.config_view.add_listener(self.target_view.redecode)
         self.config_view.add_listener(self.budget_manager.apply_new_limits)
+        self.config_view.add_listener(
+            self.request_handler.charges.apply_new_catalog
+        )
         gevent.spawn(self.target_view.sweep)
         gevent.spawn(self.request_handler.end_checker.watch_stalls)
         self._versions.start(
--- a/galenaspoke/edge/serving/admission.py
+++ b/galenaspoke/edge/serving/admission.py
@@ -10,6 +10,7 @@
 
 from galenaspoke.edge import outcomes
 from galenaspoke.edge.serving import earlier_routes
+from galenaspoke.edge.serving import event_sizes
 from galenaspoke.edge.serving import request_context
 
 # Bounds of random retry-after times.
@@ -39,6 +40,7 @@
         '_accept_until',
         '_finish_by',
         '_earlier_routes',
+        'event_sizes',
     )
 
     def __init__(self, config_view, poison_detector, header_codec):
@@ -55,6 +57,8 @@
         self._earlier_routes = earlier_routes.EarlierRoutes(
             config_view.catalog
         )
+        # The EventSizes of the services.
+        self.event_sizes = event_sizes.EventSizes()
 
     def refuse_head(self, req):
         """Return a Refusal of a request whatever its body is, or None.
@@ -96,6 +100,7 @@
         # Those of the configuration that has the route: a newer one may be
         # installed while the account is confirmed.
         services = self._config_view.catalog.services
+        self.event_sizes.record(self._config_view.catalog, req.arrived_at)
         account = None
         if self._config_view.catalog.requires_key and not route.public:
             account = self._find_account(metadata)
@@ -112,8 +117,21 @@
             )
         service = route.choose_service(_split_point(metadata))
         _set_service(context, services, service)
+        self._set_event_tokens(context, services)
         return context
 
+    def _set_event_tokens(self, context, services):
+        """Set what an event of a request costs at most."""
+        service = services.get(context.service)
+        if service is None:
+            # Nothing tells: one event may hold the whole output.
+            context.event_tokens = context.metadata.output_tokens
+            return
+        context.event_tokens = max(
+            service.event_tokens,
+            self.event_sizes.find_largest(context.service, context.arrived_at),
+        )
+
     def _list_earlier_services(self, context):
         """Return which services a request had, and until when."""
         services = self._earlier_routes.list_services(
@@ -196,17 +214,13 @@
 
 
 def _set_service(context, services, name):
-    """Set a request's service, and what its events cost at most.
+    """Set a request's service, and how many events it may send.
 
     Only a model engine is bound to the output tokens that a request states,
     and to those that its memory holds.
     """
     context.service = name
     service = services.get(name)
-    # Without a service that tells, one event may hold the whole output.
-    context.event_tokens = (
-        service.event_tokens if service else context.metadata.output_tokens
-    )
     if service and service.memory_tokens:
         context.max_events = (
             context.metadata.output_tokens or service.memory_tokens
--- a/galenaspoke/edge/serving/request_context.py
+++ b/galenaspoke/edge/serving/request_context.py
@@ -22,6 +22,7 @@
         'route',
         'service',
         'event_tokens',
+        'reservation',
         'max_events',
         'earlier_services',
         'account',
@@ -55,8 +56,10 @@
         self.account = account
         self.service = None
         # The maximum number of output tokens in one event of its service, by
-        # the configuration that admitted it.
+        # any configuration since shortly before it was admitted.
         self.event_tokens = 1
+        # The Reservation of its account's tokens, None if there is none.
+        self.reservation = None
         # How many events a run may have at most, 0 if that isn't known.
         self.max_events = 0
         # Pairs of a service at which a stream that is resumed may have begun
--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -9,12 +9,12 @@
 import gevent
 
 from galenaspoke.core import catalog
-from galenaspoke.edge.money import reservations
 from galenaspoke.edge import outcomes
 from galenaspoke.edge.serving import admission
 from galenaspoke.edge.serving import attempt_recorder
 from galenaspoke.edge.serving import attempts
 from galenaspoke.edge.serving import caller_connections
+from galenaspoke.edge.serving import charges
 from galenaspoke.edge.serving import refusals
 from galenaspoke.edge.serving import request_context
 from galenaspoke.edge.serving import responses
@@ -25,10 +25,6 @@
 from galenaspoke.edge.targets import incarnations
 from galenaspoke.http import messages
 
-# The longest time that a request waits for its budget reservation, in ms and
-# as a share of the time that it has left, whichever is shorter.
-RESERVE_TIMEOUT_MS = 1_000
-RESERVE_TIMEOUT_SHARE = 0.25
 # The read timeout of an attempt that another one may follow: this share of the
 # remaining time, or this many times the route's latency target, whichever is
 # shorter.  The last attempt, and any attempt of a request that isn't
@@ -56,11 +52,10 @@
     __slots__ = (
         'open_request_count',
         'end_checker',
+        'charges',
         '_cfg',
         '_admission',
-        '_config_view',
         '_target_view',
-        '_budget_manager',
         '_retry_budget',
         '_header_codec',
         '_clock',
@@ -95,9 +90,14 @@
         self.open_request_count = 0
         self._cfg = cfg
         self._admission = admission
-        self._config_view = config_view
         self._target_view = target_view
-        self._budget_manager = budget_manager
+        self.charges = charges.Charges(
+            config_view,
+            budget_manager,
+            admission.event_sizes,
+            clock,
+            metrics,
+        )
         self._retry_budget = retry_budget
         self._header_codec = header_codec
         self._clock = clock
@@ -222,13 +222,11 @@
         except _DeadlineExceeded:
             return refusals.from_deadline(context)
 
-    # Budgets.
-
     def _reserve_and_run(self, context, caller):
         """Reserve tokens, run attempts, settle; return the result."""
-        reservation = self._reserve(context)
-        if isinstance(reservation, outcomes.Refusal):
-            return reservation
+        refusal = self.charges.reserve(context)
+        if refusal is not None:
+            return refusal
         self._retry_budget.record_request(context.service)
         try:
             with self._limit_time(context):
@@ -236,29 +234,7 @@
         except _DeadlineExceeded:
             return refusals.from_deadline(context)
         finally:
-            if reservation is not None:
-                context.charged_tokens = min(
-                    reservation.amount, context.consumed_tokens()
-                )
-                reservation.settle(context.charged_tokens)
-
-    def _reserve(self, context):
-        """Return a Reservation, None if none is needed, or a Refusal."""
-        account = context.account
-        amount = context.metadata.max_tokens()
-        if account is None or account.prepaid is None or not amount:
-            return None
-        remaining_ms = context.remaining_ms(self._clock.now())
-        timeout_ms = min(
-            RESERVE_TIMEOUT_MS, RESERVE_TIMEOUT_SHARE * remaining_ms
-        )
-        reservation = self._budget_manager.reserve(
-            account.name, amount, timeout_ms
-        )
-        if not isinstance(reservation, reservations.ReservationFailure):
-            return reservation
-        self._metrics.count(f'refused.{reservation.shortage.value}')
-        return refusals.from_reservation_failure(reservation)
+            self.charges.settle(context)
 
     # Attempts.
 
--- a/tests/edge/test_changed_configurations.py
+++ b/tests/edge/test_changed_configurations.py
@@ -1,7 +1,7 @@
 """Requests that are running, or yet to come, when the configuration changes.
 
-What a request costs is fixed when it is admitted, and what a connection may
-send follows the configuration in force.
+What a request costs is the most that any configuration says which may be in
+force while it runs, and what a connection may send follows the one in force.
 """
 
 import unittest
@@ -51,21 +51,24 @@
         )
         self.addCleanup(self.desk.close)
         self.budgets = Budgets()
-        self.desk.handler._budget_manager = self.budgets
+        self.desk.handler.charges._budget_manager = self.budgets
         self.route = self.desk.config_view.catalog.match('desk', '/a/x')
         self.next_services = []
+        # After the stream.
+        self.last_generation = 2
         self.install(1, [catalog.Service('pool', '/', 100, event_tokens=6)])
 
-    def install(self, generation, services):
+    def install(self, generation, services, prepaid=1_000):
         """Put a configuration in force."""
         self.desk.config_view.catalog = catalog.Catalog(
             generation,
             [self.route],
             services,
-            [catalog.Account('desk', prepaid=1_000)],
+            [catalog.Account('desk', prepaid=prepaid)],
             {'k': 'desk'},
             catalog.Limits(),
         )
+        self.desk.handler.charges.apply_new_catalog()
 
     def stream(self, remote, _):
         """Send a stream; after its first event the configuration changes."""
@@ -75,7 +78,7 @@
             remote.sendall(head + messages.encode_chunk(event))
             if not number:
                 gevent.sleep(0.02)
-                self.install(2, self.next_services)
+                self.install(self.last_generation, self.next_services)
         remote.sendall(b'0\r\n\r\n')
 
     def charge(self):
@@ -85,7 +88,9 @@
             pairs=[(b'api-key', b'k'), (b'x-token-usage', usage)]
         )
         self.assertEqual(200, caller.status)
-        self.assertEqual(2, self.desk.config_view.catalog.generation)
+        self.assertEqual(
+            self.last_generation, self.desk.config_view.catalog.generation
+        )
         (charged,) = self.budgets.charged
         return charged
 
@@ -104,6 +109,26 @@
             INPUT_TOKENS + EVENT_COUNT * EVENT_TOKENS, self.charge()
         )
 
+    # Guards against an account that gets more than its budget: a router that
+    # learns late of larger events charged them as the smaller ones of before.
+    def test_service_with_larger_events(self):
+        self.next_services = [
+            catalog.Service('pool', '/', 100, event_tokens=7)
+        ]
+        self.assertEqual(INPUT_TOKENS + EVENT_COUNT * 7, self.charge())
+
+    # Guards against the same: targets still send events as large as the
+    # configuration said that was replaced a moment before the request.
+    def test_service_that_had_larger_events_before(self):
+        self.next_services = [
+            catalog.Service('pool', '/', 100, event_tokens=1)
+        ]
+        self.install(2, self.next_services)
+        self.last_generation = 3
+        self.assertEqual(
+            INPUT_TOKENS + EVENT_COUNT * EVENT_TOKENS, self.charge()
+        )
+
     # A route may name a service that is not configured: nothing then tells how
     # much an event holds.
     def test_service_that_was_never_configured(self):
