Budgets: running requests are charged if their account gets a limit

Cause: whether a request is charged was read once, at its admission, and a limit that came while it ran was applied to later ones alone.

Change: once a configuration limits an account, its running requests reserve their most at once; what one has used is charged at its end.

Test: ChargeTest.test_account_that_gets_a_limit fails on: nothing is charged.

Not covered: requests that have ended while no configuration limited their account.

--- a/galenaspoke/edge/serving/charges.py
+++ b/galenaspoke/edge/serving/charges.py
@@ -2,7 +2,8 @@
 
 A request is charged by what the configurations say that may be in force while
 it runs, not only by the one that admitted it: its events count as the largest
-that its service may send.
+that its service may send, and it is charged as well if its account gets a
+limit meanwhile.
 
 Example::
 
@@ -12,6 +13,8 @@
         charges.settle(context)
 """
 
+import gevent
+
 from galenaspoke.edge.money import reservations
 from galenaspoke.edge.serving import refusals
 
@@ -33,6 +36,7 @@
         '_event_sizes',
         '_clock',
         '_metrics',
+        '_unlimited',
     )
 
     def __init__(
@@ -43,6 +47,8 @@
         self._event_sizes = event_sizes
         self._clock = clock
         self._metrics = metrics
+        # The contexts of running requests whose accounts had no limit.
+        self._unlimited = set()
 
     def reserve(self, context):
         """Reserve the most that a request may cost; return a Refusal or None.
@@ -51,7 +57,10 @@
         """
         account = context.account
         amount = context.metadata.max_tokens()
-        if account is None or account.prepaid is None or not amount:
+        if account is None or not amount:
+            return None
+        if account.prepaid is None:
+            self._unlimited.add(context)
             return None
         remaining_ms = context.remaining_ms(self._clock.now())
         timeout_ms = min(
@@ -66,6 +75,7 @@
 
     def settle(self, context):
         """Charge what a request that has ended has used."""
+        self._unlimited.discard(context)
         if context.reservation is None:
             return
         now = self._clock.now()
@@ -80,5 +90,29 @@
         context.reservation.settle(context.charged_tokens)
 
     def apply_new_catalog(self):
-        """React to a new configuration."""
-        self._event_sizes.record(self._config_view.catalog, self._clock.now())
+        """React to a new configuration, which may limit running requests."""
+        catalog = self._config_view.catalog
+        self._event_sizes.record(catalog, self._clock.now())
+        for context in list(self._unlimited):
+            account = catalog.accounts.get(context.account.name)
+            if account is not None and account.prepaid is not None:
+                gevent.spawn(self._reserve_late, context)
+
+    def _reserve_late(self, context):
+        """Reserve for a running request whose account has a limit now."""
+        result = self._budget_manager.reserve(
+            context.account.name,
+            context.metadata.max_tokens(),
+            RESERVE_TIMEOUT_MS,
+        )
+        if isinstance(result, reservations.ReservationFailure):
+            self._metrics.count('charges.unreserved')
+        elif context.reservation is not None:
+            # Another configuration came at the same time.
+            result.settle(0)
+        else:
+            has_ended = context not in self._unlimited
+            self._unlimited.discard(context)
+            context.reservation = result
+            if has_ended:
+                self.settle(context)
--- a/tests/edge/test_changed_configurations.py
+++ b/tests/edge/test_changed_configurations.py
@@ -129,6 +129,16 @@
             INPUT_TOKENS + EVENT_COUNT * EVENT_TOKENS, self.charge()
         )
 
+    # Guards against running requests that are charged nothing, though their
+    # account has a limit before they end.
+    def test_account_that_gets_a_limit(self):
+        services = [catalog.Service('pool', '/', 100, event_tokens=6)]
+        self.install(1, services, prepaid=None)
+        self.next_services = services
+        self.assertEqual(
+            INPUT_TOKENS + EVENT_COUNT * EVENT_TOKENS, self.charge()
+        )
+
     # A route may name a service that is not configured: nothing then tells how
     # much an event holds.
     def test_service_that_was_never_configured(self):
