--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -8,6 +8,7 @@
 
 import gevent
 
+from galenaspoke.edge.serving import caller_sending
 from galenaspoke.http import buffers
 from galenaspoke.http import messages
 from galenaspoke.http import sockets
@@ -23,10 +24,6 @@
 PIPELINED_REQUEST_S = 0.001
 # The work of relaying a byte of a stream.
 RELAYED_BYTE_S = 0.000_000_05
-# A caller that takes nothing of its response for so long is cut off.
-SEND_PAUSE_MS = 10_000
-# How often it is tried whether it has taken a little.
-SEND_INTERVAL_MS = 1_000
 # The event loop's flag for a readable socket.
 _READ_EVENT = 1
 # Makes the close of a connection reset it.
@@ -85,6 +82,7 @@
         '_unparsed',
         '_parse_error',
         '_sock',
+        '_sender',
         '_clock',
         '_get_limits',
     )
@@ -92,6 +90,7 @@
     def __init__(self, sock, clock, get_limits):
         sockets.configure_caller(sock)
         self._sock = sock
+        self._sender = caller_sending.CallerSender(sock, self._hold_unsent)
         self._clock = clock
         self._get_limits = get_limits
         self.parser = messages.RequestParser(get_limits())
@@ -388,55 +387,18 @@
 
     def _send(self, data):
         try:
-            sent = self._send_at_once(data)
-            if sent < len(data):
-                self._send_rest(data, sent)
+            self._sender.send(data)
         except OSError as exc:
             raise CallerDisconnected(f'send: {exc}') from exc
 
-    def _send_at_once(self, data):
-        """Return how many bytes the socket's buffer has taken."""
-        try:
-            return self._sock._sock.send(data)
-        except BlockingIOError:
-            return 0
-
-    def _send_rest(self, data, sent):
-        """Send what is left after `sent` bytes, as the caller reads it."""
-        left = memoryview(data)[sent:]
-        try:
-            # All of it is held until the last byte is sent.
-            self._unsent_bytes = len(data)
+    def _hold_unsent(self, unsent_bytes):
+        """Count the bytes that wait for the caller."""
+        self._unsent_bytes = unsent_bytes
+        if unsent_bytes:
             self._count_held_bytes()
-            while left:
-                left = left[self._send_some(left) :]
-        finally:
-            self._sock.settimeout(None)
-            self._unsent_bytes = 0
+        else:
             self._resize_share()
 
-    def _send_some(self, data):
-        """Return how many bytes the caller has made room for.
-
-        The socket becomes writable once a third of its buffer is free; a
-        caller that reads slowly makes room for less meanwhile.  Raises
-        TimeoutError if it makes none for SEND_PAUSE_MS.
-        """
-        waited_ms = 0
-        while waited_ms < SEND_PAUSE_MS:
-            interval_ms = min(SEND_INTERVAL_MS, SEND_PAUSE_MS - waited_ms)
-            self._sock.settimeout(interval_ms / 1000)
-            try:
-                return self._sock.send(data)
-            except TimeoutError as exc:
-                if exc.errno is not None:
-                    raise
-            sent = self._send_at_once(data)
-            if sent:
-                return sent
-            waited_ms += interval_ms
-        raise TimeoutError('the caller reads nothing')
-
     def close_if_idle(self):
         """Close the connection, unless there is a request or unread bytes.
 
--- a/galenaspoke/http/sending.py
+++ b/galenaspoke/http/sending.py
@@ -7,12 +7,10 @@
     sender.is_done()    # whether all of it was sent
 """
 
-import contextlib
-
 import gevent
-from gevent import socket
 
 from galenaspoke.http import patience
+from galenaspoke.http import sockets
 
 # How often a full socket buffer is tried.
 TRY_INTERVAL_S = 1
@@ -80,18 +78,12 @@
     def _send_some(self, data):
         """Return how many bytes were sent.
 
-        The socket becomes writable once a third of its buffer is free, so a
-        peer that reads slowly is noticed only by trying.  The socket's timeout
-        is that of the greenlet that reads; a peer may read a request for
-        longer.
+        The socket's timeout is that of the greenlet that reads; a peer may
+        read a request for longer.
         """
-        with contextlib.suppress(TimeoutError):
-            socket.wait(self._sock._write_event, TRY_INTERVAL_S)
-        try:
-            sent = self._sock._sock.send(data)
-        except BlockingIOError:
-            return 0
-        # There is room again, so the peer has acknowledged something.
-        self._is_patient = True
-        patience.process_watch.lift(self._sock)
+        sent = sockets.send_some(self._sock, data, TRY_INTERVAL_S)
+        if sent:
+            # The buffer was full, so the peer has acknowledged something.
+            self._is_patient = True
+            patience.process_watch.lift(self._sock)
         return sent
--- a/galenaspoke/http/sockets.py
+++ b/galenaspoke/http/sockets.py
@@ -14,6 +14,7 @@
 import termios
 
 from gevent import monkey
+from gevent import socket
 
 # A connection to a peer fails if it doesn't acknowledge sent data for this
 # long.  The kernel counts a shut receive window as well, see `patience`.
@@ -73,6 +74,26 @@
     _configure(sock, CALLER_KEEPALIVE)
 
 
+def send_some(sock, data, wait_s):
+    """Wait for room; return how many bytes the socket buffer has taken.
+
+    It becomes writable once a third of it is free, so after `wait_s` seconds
+    it is tried all the same: a peer that reads slowly makes room for less.
+    Doesn't change the time-out of a gevent socket.
+    """
+    with contextlib.suppress(TimeoutError):
+        socket.wait(sock._write_event, wait_s)
+    return send_at_once(sock, data)
+
+
+def send_at_once(sock, data):
+    """Return how many bytes the buffer of a gevent socket has taken."""
+    try:
+        return sock._sock.send(data)
+    except BlockingIOError:
+        return 0
+
+
 def is_closed_by_peer(sock):
     """Return whether a peer has closed or reset a connection.
 
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -11,6 +11,7 @@
 from galenaspoke.core import catalog
 from galenaspoke.core import clock as clocks
 from galenaspoke.edge.serving import caller_connections
+from galenaspoke.edge.serving import caller_sending
 from galenaspoke.http import listening
 from galenaspoke.http import messages
 from galenaspoke.http import sockets
@@ -53,7 +54,7 @@
         super().setUp()
         self.sent_bytes = 0
         patcher = mock.patch.object(
-            caller_connections,
+            caller_sending,
             'SEND_PAUSE_MS',
             MAX_PAUSE_MS,
         )
@@ -189,9 +190,7 @@
             ('SEND_PAUSE_MS', MAX_PAUSE_MS),
             ('SEND_INTERVAL_MS', MAX_PAUSE_MS // 6),
         ):
-            patcher = mock.patch.object(
-                caller_connections, name, value_ms, create=True
-            )
+            patcher = mock.patch.object(caller_sending, name, value_ms)
             patcher.start()
             self.addCleanup(patcher.stop)
         local, remote = base.make_tcp_pair(
@@ -212,7 +211,7 @@
     # Guards against a caller that takes nothing and isn't cut off.
     def test_caller_that_reads_nothing(self):
         patcher = mock.patch.object(
-            caller_connections, 'SEND_PAUSE_MS', MAX_PAUSE_MS
+            caller_sending, 'SEND_PAUSE_MS', MAX_PAUSE_MS
         )
         patcher.start()
         self.addCleanup(patcher.stop)
