Requests: what the socket buffer has not taken doesn't count as acknowledged

Cause: compared the unacknowledged bytes with the whole request, also with the part that had not been handed to the kernel yet, so a request larger than the socket buffer looked half acknowledged.

Change: they are compared with what the buffer took at once.

Test: test_engine_without_power on five kinds of kernel.

--- a/galenaspoke/http/patience.py
+++ b/galenaspoke/http/patience.py
@@ -43,7 +43,7 @@
     __slots__ = ('_sizes', '_patient', '_lifted', '_task')
 
     def __init__(self):
-        # The bytes of the request that was sent last, by socket.
+        # How many bytes of the latest request the socket buffer took at once.
         self._sizes = {}
         # Those whose window was shut since, and whether the time-out is off.
         self._patient = {}
@@ -53,9 +53,9 @@
         self._task = None
 
     def add(self, sock, size):
-        """Watch a socket on which a request of `size` bytes is being sent.
+        """Watch a socket whose buffer has just taken `size` bytes.
 
-        Nothing of earlier requests is under way.
+        They begin a request, and nothing of earlier ones is under way.
         """
         self._sizes[sock] = size
         self._start()
@@ -103,7 +103,7 @@
             self._forget(sock)
 
     def _waits_for_window(self, sock, info, unacknowledged):
-        """Return whether a peer that lives doesn't take all of a request."""
+        """Return whether a peer that lives doesn't take all that was sent."""
         if info is not None and info.unsent_bytes:
             return True
         return 0 < (unacknowledged or 0) < self._sizes[sock]
--- a/galenaspoke/http/sending.py
+++ b/galenaspoke/http/sending.py
@@ -48,7 +48,7 @@
         if self._is_patient:
             self._is_patient = False
             patience.process_watch.restore(self._sock)
-        patience.process_watch.add(self._sock, len(data) + len(body))
+        patience.process_watch.add(self._sock, sent)
         body_sent = max(0, sent - len(data))
         left = [memoryview(data)[sent:], memoryview(body)[body_sent:]]
         if any(left):
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -1,5 +1,6 @@
 """Callers that don't read their responses, and engines that are as slow."""
 
+import errno
 import os
 import time
 import unittest
@@ -265,6 +266,20 @@
         conn, remote = base.connect_to_peer(self)
         self.read_late(conn, remote, REQUEST_BYTES)
 
+    # Guards against a long request that waits for an engine without power.
+    def test_engine_without_power(self):
+        conn, remote = base.connect_to_peer(self)
+        test_patience.fall_silent(remote)
+        started_at = time.monotonic()
+        conn.send(b'POST / HTTP/1.1\r\n\r\n', bytes(REQUEST_BYTES))
+        base.wait_until(
+            conn.is_fully_sent, timeout_s=test_patience.MAX_SILENCE_S
+        )
+        self.assertEqual(errno.ETIMEDOUT, conn._sender.error.errno)
+        self.assertLess(
+            time.monotonic() - started_at, test_patience.MAX_SILENCE_S
+        )
+
     # Guards against the same, where the socket buffer takes all of it.
     def test_request_that_fits_the_buffer(self):
         if self.KERNEL is kernels.TELLS_NOTHING:
