Soak: configurations that state smaller events than engines send, by name only

It isn't drawn unless named, since a router that starts meanwhile knows no other size, which remains.

--- a/bench/edge_faults.py
+++ b/bench/edge_faults.py
@@ -80,12 +80,11 @@
         self._weights.update(site.list_weights())
         if not only and troubles is not None:
             only = site_faults.list_names(troubles)
-        if only:
-            self._weights = {
-                fault: weight
-                for fault, weight in self._weights.items()
-                if fault.__name__.lstrip('_') in only
-            }
+        self._weights = {
+            fault: weight
+            for fault, weight in self._weights.items()
+            if _is_drawn(fault.__name__.lstrip('_'), only)
+        }
         self._tasks = []
         self._is_stopping = False
 
@@ -312,3 +311,10 @@
         gevent.sleep(rng.uniform(*STORE_S))
         store.is_down = False
         store.slow_s = 0.0
+
+
+def _is_drawn(name, only):
+    """Return whether a fault is drawn, where `only` names some or none."""
+    if only:
+        return name in only
+    return name not in site_faults.DRAWN_BY_NAME_ONLY
--- a/bench/edge_fleet.py
+++ b/bench/edge_fleet.py
@@ -298,11 +298,12 @@
         """
         self.store.turn_away(self._entrances[machine.name], how)
 
-    def publish(self, timeout_ms=None, extra_routes=None):
+    def publish(self, timeout_ms=None, extra_routes=None, stride=None):
         """Publish a new version of the configuration.
 
         `timeout_ms` is that of a route that has the default one; others' is
-        changed by as much.  What isn't given stays.
+        changed by as much.  What isn't given stays, but for `stride`, the
+        tokens of an event, which is the engines' own then.
         """
         self._config_version += self._rng.randint(1, 3)
         if timeout_ms is not None:
@@ -315,7 +316,7 @@
             platform_documents.Engines(
                 edge_machines.SLOTS,
                 self.profile.memory_tokens,
-                self.profile.stride,
+                self.profile.stride if stride is None else stride,
             ),
             self.tenants.begin_version(),
         )
--- a/bench/site_faults.py
+++ b/bench/site_faults.py
@@ -31,6 +31,10 @@
 TURNED_AWAY_S = (0.5, 6.0)
 TURNED_AWAY_SHARE = 0.35
 WAYS_TO_TURN_AWAY = (503, 429, platform_store.RESET, platform_store.SILENCE)
+# For how long configurations state smaller events than engines send.
+SMALLER_EVENTS_S = (0.2, 2.0)
+# A router that starts meanwhile knows no other size, which is a known fault.
+DRAWN_BY_NAME_ONLY = ('change_sizes',)
 MAX_REVOKED = 3
 TOP_UP_SHARE = (0.2, 0.6)
 
@@ -116,6 +120,7 @@
             self.turn_away: 1.5,
             self.revoke: 1,
             self.top_up: 2,
+            self.change_sizes: 1,
         }
 
     # Engines.
@@ -193,6 +198,13 @@
             gevent.sleep(pause_s)
             left_s -= pause_s
 
+    def change_sizes(self, rng):
+        """Publish that events are smaller than they are, for a while."""
+        self._note('change_sizes', 'store')
+        self._fleet.publish(stride=1)
+        gevent.sleep(rng.uniform(*SMALLER_EVENTS_S))
+        self._fleet.publish()
+
     def publish_many(self, rng):
         """Publish a configuration with many routes."""
         self._note('publish_many', 'store')
--- a/tests/bench/test_site_faults.py
+++ b/tests/bench/test_site_faults.py
@@ -31,12 +31,14 @@
             ]
         )
         self.published = 0
+        self.strides = []
         self.turned_away = []
         self.log = types.SimpleNamespace(write=lambda **fields: None)
 
-    def publish(self, extra_routes=None):
-        """Count a configuration."""
+    def publish(self, extra_routes=None, stride=None):
+        """Count a configuration, and keep the events that it states."""
         self.published += 1
+        self.strides.append(stride)
 
     def turn_away(self, machine, how):
         """Keep whom the store refuses."""
@@ -101,6 +103,20 @@
         self.assertEqual(ample.prepaid, 100_000)
         self.assertEqual(self.fleet.published, 1)
 
+    def test_change_sizes(self):
+        """Events are stated as smaller, and then as they are."""
+        with mock.patch.object(site_faults, 'SMALLER_EVENTS_S', (0, 0)):
+            self.faults.change_sizes(self.rng)
+        self.assertEqual(self.fleet.strides, [1, None])
+
+    def test_faults_drawn_by_name_only(self):
+        """They are drawn neither from all nor for a site's troubles."""
+        for troubles in (None, KINDS):
+            faults = edge_faults.Faults(self.fleet, 1, troubles=troubles)
+            self.assertNotIn('change_sizes', faults.list_names())
+        faults = edge_faults.Faults(self.fleet, 1, ('change_sizes',))
+        self.assertEqual(faults.list_names(), {'change_sizes'})
+
     def test_revoke(self):
         """Keys are replaced by new ones."""
         self.faults.revoke(self.rng)
