--- a/tests/edge/test_late_in_grace.py
+++ b/tests/edge/test_late_in_grace.py
@@ -13,6 +13,7 @@
 
 from galenaspoke.core import catalog
 from galenaspoke.edge import main
+from galenaspoke.edge.serving import charges
 from galenaspoke.edge.serving import request_handler
 from tests.edge import base
 from tests.edge import stopping
@@ -147,9 +148,7 @@
         def wait(*_):
             self.may_finish.wait()
 
-        with mock.patch.object(
-            request_handler.RequestHandler, '_reserve', wait
-        ):
+        with mock.patch.object(charges.Charges, 'reserve', wait):
             answers = self.stop_under_load()
         # None has run.
         self.check_all_answered(answers, (503,))
