Streams: what is remembered of a content counts once others have answered

What callers saw: pieces of two software versions in one stream (ORDER).

Cause: a caller that names no request is found by the content that it repeats. The router joined what it remembered with what four others told, and took the silence of those that it could not reach for "nothing known". So a router that was cut off, or starved for 120 ms, went on with the first try of a request, though another router had begun it again at the new version.

--- a/galenaspoke/edge/membership/router_list.py
+++ b/galenaspoke/edge/membership/router_list.py
@@ -132,6 +132,26 @@
             self._ranks[key] = rank
         return Share(router_count, part_count, rank < part_count)
 
+    def is_alone(self):
+        """Return whether there certainly is no other router."""
+        return self._count == 1
+
+    def list_certain_holders(self, key, count):
+        """Return the other routers that keep `key`, whoever has told them.
+
+        A router tells the `count` first ones but itself.  So those are certain
+        that are among the first ones with this router counted; the very first
+        of the others always is.
+        """
+        own = rendezvous.locate(self._name)
+        begin = rendezvous.locate(key)
+        addresses = self.list_holders(key, count)
+        if len(addresses) < count:
+            return addresses
+        last = rendezvous.locate(self.list_holder_names(key, count)[-1])
+        is_holder = _is_between(begin, own, last)
+        return addresses[: count - 1] if is_holder else addresses
+
     def list_holders(self, key, count):
         """Return the addresses of the other routers that keep `key`."""
         names = self.list_holder_names(key, count)
@@ -147,3 +167,10 @@
         begin = bisect.bisect(self._ring, position)
         ring = self._ring[begin:] + self._ring[:begin]
         return [name for _, name in ring[:count]]
+
+
+def _is_between(begin, position, end):
+    """Return whether a position is met on the ring before `end`."""
+    if begin <= end:
+        return begin <= position < end
+    return position >= begin or position < end
--- a/galenaspoke/edge/streams/resumption.py
+++ b/galenaspoke/edge/streams/resumption.py
@@ -12,7 +12,9 @@
 - else none: the request is refused.
 
 A caller may not name the request that it resumes.  Then its stream is one of
-those with the same content, and their origins must agree.
+those with the same content, and their origins must agree.  A router that is
+cut off may know of some of them only, so what is remembered or stated of the
+content counts once a router has answered that knows of all.
 
 Example::
 
@@ -158,12 +160,33 @@
 
     def _find_origin(self, context, key):
         """Return what is Found of the stream with a StreamKey."""
+        if not key.request:
+            return self._find_by_content(context, key)
         origins = self._streams.find(key)
-        source = 'own' if origins else 'noted'
-        if not (origins and key.request):
-            origins |= self._notes.ask(key)
         if origins:
-            return _choose(origins, source)
+            return _choose(origins, 'own')
+        origins = self._notes.ask(key).origins
+        if origins:
+            return _choose(origins, 'noted')
+        return self._find_stored(context, key)
+
+    def _find_by_content(self, context, key):
+        """Return what is Found of a stream whose request isn't named."""
+        origins = self._streams.find(key)
+        source = 'own' if origins else 'noted'
+        told = self._notes.ask(key)
+        origins |= told.origins
+        if told.is_complete:
+            if origins:
+                return _choose(origins, source)
+            return self._find_stored(context, key)
+        found = self._find_recorded(context)
+        if found.origin is None:
+            return Found(None, f'{found.source}, and no answer')
+        return _choose(origins | {found.origin}, found.source)
+
+    def _find_stored(self, context, key):
+        """Return what is Found by the record or by pages."""
         found = self._find_recorded(context)
         if found.origin is not None:
             return found
--- a/galenaspoke/edge/streams/version_notes.py
+++ b/galenaspoke/edge/streams/version_notes.py
@@ -12,10 +12,11 @@
     notes = VersionNotes(streams, routers, send, clock, is_stale)
     gevent.spawn(notes.run)
     notes.add(StreamKey('9c41', '5c1e'), Origin('pool', 'v1'))
-    notes.ask(StreamKey('', '5c1f'))     # {Origin('pool', 'v2')}, as told
+    notes.ask(StreamKey('', '5c1f')).origins     # {Origin('pool', 'v2')}
 """
 
 import collections
+import dataclasses
 import itertools
 import random
 
@@ -65,6 +66,18 @@
 Message = Note | Question | Answer
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Told:
+    """The Origins that other routers know a stream may have.
+
+    `is_complete` states that a router has answered which every other one
+    tells of streams with its content, so that silence isn't taken for a no.
+    """
+
+    origins: set
+    is_complete: bool
+
+
 class _Inquiry:
     """A question that waits for its answers."""
 
@@ -177,14 +190,14 @@
                 self._send(address, msgspec.msgpack.encode(note))
 
     def ask(self, key):
-        """Return the Origins that other routers know a stream may have.
+        """Return what is Told by other routers of a stream.
 
         Waits until one knows the request that began it, or all have answered,
         for ASK_ATTEMPTS times ASK_TIMEOUT_S at most.
         """
         addresses = self._routers.list_holders(key.content, ASKED_COUNT)
         if not addresses:
-            return set()
+            return Told(set(), self._routers.is_alone())
         number = next(self._numbers)
         inquiry = _Inquiry(set(addresses), bool(key.request))
         self._inquiries[number] = inquiry
@@ -199,7 +212,11 @@
                     break
         finally:
             del self._inquiries[number]
-        return inquiry.get_origins()
+        certain = self._routers.list_certain_holders(key.content, HOLDER_COUNT)
+        return Told(
+            inquiry.get_origins(),
+            any(address in inquiry.answers for address in certain),
+        )
 
     def handle(self, data, address):
         """Handle a datagram from another router."""
--- a/tests/edge/test_version_notes.py
+++ b/tests/edge/test_version_notes.py
@@ -77,20 +77,20 @@
     def test_question_is_answered(self):
         first, second, _ = self.peers
         second.streams.remember(make_key('9c41'), V2)
-        self.assertEqual({V2}, first.notes.ask(make_key('9c41')))
-        self.assertEqual(set(), first.notes.ask(make_key('77')))
+        self.assertEqual({V2}, first.notes.ask(make_key('9c41')).origins)
+        self.assertEqual(set(), first.notes.ask(make_key('77')).origins)
 
     def test_router_that_is_dead(self):
         first, second, third = self.peers
         third.task.kill()
         second.streams.remember(make_key('9c41'), V2)
-        self.assertEqual({V2}, first.notes.ask(make_key('9c41')))
-        self.assertEqual(set(), first.notes.ask(make_key('77')))
+        self.assertEqual({V2}, first.notes.ask(make_key('9c41')).origins)
+        self.assertEqual(set(), first.notes.ask(make_key('77')).origins)
 
     def test_no_other_router(self):
         peer = Peer()
         self.addCleanup(peer.task.kill)
-        self.assertEqual(set(), peer.notes.ask(make_key('9c41')))
+        self.assertEqual(set(), peer.notes.ask(make_key('9c41')).origins)
 
     # Guards against a stream that goes on at the first version that was said
     # of two.
@@ -121,7 +121,7 @@
         for data in (b'', b'\xff' * 40, b'{"a": 1}', b'\x93\xa4note\x01\x02'):
             second.datagrams.send(first.address, data)
         second.streams.remember(make_key('9c41'), V2)
-        self.assertEqual({V2}, first.notes.ask(make_key('9c41')))
+        self.assertEqual({V2}, first.notes.ask(make_key('9c41')).origins)
 
 
 class MemoryTest(unittest.TestCase):
