Streams: a caller that has gone is noticed before its stream counts as begun

What callers saw: a request whose first try brought nothing began again at another version; resumed without a name it was refused, or, at a router that nobody answered, joined with the first try's version (ORDER).

Cause: a router that stood still finds an engine's first event and the end of the caller's connection waiting side by side. If it took the event first, it remembered the stream and told two others, though it had reached nobody.

Change: before a stream counts as begun its caller's socket is looked at once.

What reaches the kernel of a caller that goes just then still counts.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -371,6 +371,8 @@
         if first is not None:
             self._context.read_tokens, self._context.read_ms = first
         if not self._caller.response_started:
+            # What has reached nobody may be begun again at another version.
+            self._caller.raise_if_gone()
             self._context.record_first_byte(now)
             self._context.stream_version = self._target.entry.version
             self._on_begin(self._context, self._target)
--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -315,17 +315,14 @@
         watcher = gevent.get_hub().loop.io(self._sock.fileno(), _READ_EVENT)
 
         def check():
-            try:
-                is_closed = not sockets.peek(self._sock)
-            except BlockingIOError:
+            found = _peek(self._sock)
+            if found is None:
                 return
-            except OSError:
-                is_closed = True
-            # Otherwise bytes of the next request have arrived, which are read
-            # later.  Until then the socket stays readable, so a disconnect
-            # can't be detected.
+            # If bytes of the next request have arrived, they are read later.
+            # Until then the socket stays readable, so a disconnect can't be
+            # detected.
             watcher.stop()
-            if is_closed:
+            if not found:
                 task.kill(
                     CallerDisconnected('closed by the caller'), block=False
                 )
@@ -344,6 +341,15 @@
             watcher.stop()
             watcher.close()
 
+    def raise_if_gone(self):
+        """Raise CallerDisconnected if the caller has closed the connection.
+
+        A process that stood still may learn of what came for a caller before
+        it learns that the caller has gone.
+        """
+        if _peek(self._sock) == b'':
+            raise CallerDisconnected('closed by the caller')
+
     def send_response(self, status, headers, body):
         """Send a complete response."""
         self.response_started = True
@@ -463,3 +469,16 @@
             self._sock.setsockopt(
                 std_socket.SOL_SOCKET, std_socket.SO_LINGER, value
             )
+
+
+def _peek(sock):
+    """Return the next byte of a socket, b'' if its peer has closed it.
+
+    Returns None if there is nothing to read.
+    """
+    try:
+        return sockets.peek(sock)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b''
--- a/tests/edge/handlers.py
+++ b/tests/edge/handlers.py
@@ -126,6 +126,9 @@
         """Return a context manager that never cancels."""
         return gevent.Timeout(None)
 
+    def raise_if_gone(self):
+        """Do nothing: this caller stays."""
+
     def send_response(self, status, pairs, body):
         """Record a whole response."""
         self.response_started = True
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -131,6 +131,9 @@
         self.response_started = False
         self.data = b''
 
+    def raise_if_gone(self):
+        """Do nothing: this caller stays."""
+
     def start_chunked_response(self, status, pairs):
         """Return a head with the status and the response's stamp."""
         self.response_started = True
--- a/tests/edge/version_fleets.py
+++ b/tests/edge/version_fleets.py
@@ -235,8 +235,9 @@
         self.network = Network(self.desks)
         self.members = {}
         self.streams = []
-        # How long clients wait for a response.
+        # How long clients wait for a response, and how they read it.
         self.timeout_ms = TIMEOUT_MS
+        self.caller_class = LosingCaller
         self._numbers = itertools.count()
         for name, version in versions.items():
             self.add_engine(name, version)
@@ -436,7 +437,7 @@
         return None
 
     def _request(self, stream, router, request_id, pairs, event_count):
-        caller = LosingCaller(event_count)
+        caller = self.caller_class(event_count)
         left_ms = self.timeout_ms - (self.clock.now() - stream.began_at)
         pairs = (
             (b'x-deadline-ms', b'%d' % max(1, left_ms)),
