--- a/bench/edge_faults.py
+++ b/bench/edge_faults.py
@@ -72,6 +72,7 @@
             self._harm_link: 4,
             self._cut_store_link: 2,
             self._cut_control_path: 2,
+            self._isolate_router: 2,
             self._harm_store: 1,
             self._lose_power: 0.4,
             self._kill_routers: 0.4,
@@ -282,6 +283,29 @@
         gevent.sleep(seconds)
         setattr(path.relays[machine.ip], name, False)
 
+    def _isolate_router(self, rng):
+        """Cut a router off from all others; callers and engines reach it.
+
+        Its direct path to the store is cut in half of the cases as well.
+        """
+        path = self._fleet.control_path
+        if path is None:
+            return
+        machine = rng.choice(self._fleet.routers)
+        relay = path.relays[machine.ip]
+        seconds = rng.uniform(*CONTROL_CUT_S)
+        links = [machine.link] if rng.random() < 1 / 2 else []
+        self._note(
+            'isolate_router', machine.name, s=seconds, store=bool(links)
+        )
+        relay.drops_to = relay.drops_from = True
+        for link in links:
+            link.drops_to_near = link.drops_to_far = True
+        gevent.sleep(seconds)
+        relay.drops_to = relay.drops_from = False
+        for link in links:
+            link.drops_to_near = link.drops_to_far = False
+
     def _harm(self, fault, link, rng):
         how = rng.choice(('delay', 'limit', 'reset', 'close', 'silence'))
         self._note(f'{how}_{fault}', link.listen)
