Connections: a status that is none of HTTP is no answer

Cause: every status below 200 counted as an interim response. One without a length is never complete, so it wasn't dropped either: its body went to the caller behind "HTTP/1.1 0 -". With a length it was dropped with its body, and what followed counted as the answer. Statuses from 600 up were passed on.

Change: the parser of all connections to engines, store, relays and routers takes statuses from 100 to 599 alone; others end the connection, and what had been sent may have run (502).

--- a/galenaspoke/http/messages.py
+++ b/galenaspoke/http/messages.py
@@ -53,6 +53,8 @@
 # The start of a response.  Within the head of another one, that one was cut
 # off, and the two can't be told apart.
 _STATUS_LINE = re.compile(rb'HTTP/1\.\d \d{3}')
+# All others are no statuses of HTTP; below the final ones are the interim ones.
+_STATUSES = range(100, 600)
 _MIN_FINAL_STATUS = 200
 _BODILESS_STATUSES = (204, 304)
 _PHRASES = {
@@ -414,6 +416,8 @@
         if _STATUS_LINE.search(b'\n'.join([self._reason, *values])):
             raise BadResponse('a response began within the head of another')
         response.status = self._parser.get_status_code()
+        if response.status not in _STATUSES:
+            raise BadResponse(f'the status {response.status} is none of HTTP')
         response.keep_alive = self._parser.should_keep_alive()
         response.is_head_complete = True
         names = {name for name, _ in response.headers}
