--- a/galenaspoke/http/messages.py
+++ b/galenaspoke/http/messages.py
@@ -53,7 +53,7 @@
 # The start of a response.  Within the head of another one, that one was cut
 # off, and the two can't be told apart.
 _STATUS_LINE = re.compile(rb'HTTP/1\.\d \d{3}')
-# All others are no statuses of HTTP; below the final ones are the interim ones.
+# Others are no statuses of HTTP; those below the final ones are interim.
 _STATUSES = range(100, 600)
 _MIN_FINAL_STATUS = 200
 _BODILESS_STATUSES = (204, 304)
