--- a/tests/edge/test_reset_uploads.py
+++ b/tests/edge/test_reset_uploads.py
@@ -6,6 +6,7 @@
 """
 
 import socket as std_socket
+
 import gevent
 
 from galenaspoke.core import catalog
