Streams: who hears some routers, but none that knows all, asks the pages too

Found by running all tests of the edge fleet. It also took a list that it read before it had registered for proof that there is no other router.

Change: silence of all is told apart from silence of one. Who hears anybody isn't cut off, so memory, record and pages count together and must agree; who hears nobody goes by the record alone.

--- a/galenaspoke/edge/membership/router_list.py
+++ b/galenaspoke/edge/membership/router_list.py
@@ -133,8 +133,11 @@
         return Share(router_count, part_count, rank < part_count)
 
     def is_alone(self):
-        """Return whether there certainly is no other router."""
-        return self._count == 1
+        """Return whether there certainly is no other router.
+
+        That is said of a list that was read after this router had registered.
+        """
+        return not self._names and self._settled_era == self._get_era()
 
     def list_certain_holders(self, key, count):
         """Return the other routers that keep `key`, whoever has told them.
--- a/galenaspoke/edge/streams/resumption.py
+++ b/galenaspoke/edge/streams/resumption.py
@@ -13,8 +13,9 @@
 
 A caller may not name the request that it resumes.  Then its stream is one of
 those with the same content, and their origins must agree.  A router that is
-cut off may know of some of them only, so what is remembered or stated of the
-content counts once a router has answered that knows of all.
+cut off may know of some of them only.  So what is remembered of the content
+counts alone if a router has answered that knows of all, and with what the
+record and the pages state if any has; else the record decides.
 
 Example::
 
@@ -168,7 +169,11 @@
         origins = self._notes.ask(key).origins
         if origins:
             return _choose(origins, 'noted')
-        return self._find_stored(context, key)
+        found = self._find_recorded(context)
+        if found.origin is not None:
+            return found
+        origins = self._pages.find(key)
+        return _choose(origins, 'page') if origins else found
 
     def _find_by_content(self, context, key):
         """Return what is Found of a stream whose request isn't named."""
@@ -176,21 +181,14 @@
         source = 'own' if origins else 'noted'
         told = self._notes.ask(key)
         origins |= told.origins
-        if told.is_complete:
-            if origins:
-                return _choose(origins, source)
-            return self._find_stored(context, key)
-        found = self._find_recorded(context)
-        if found.origin is None:
-            return Found(None, f'{found.source}, and no answer')
-        return _choose(origins | {found.origin}, found.source)
-
-    def _find_stored(self, context, key):
-        """Return what is Found by the record or by pages."""
+        if origins and told.is_complete:
+            return _choose(origins, source)
         found = self._find_recorded(context)
         if found.origin is not None:
-            return found
-        origins = self._pages.find(key)
+            return _choose(origins | {found.origin}, found.source)
+        if not told.is_heard:
+            return Found(None, f'{found.source}, and no answer')
+        origins |= self._pages.find(key)
         return _choose(origins, 'page') if origins else found
 
     def _find_recorded(self, context):
--- a/galenaspoke/edge/streams/version_notes.py
+++ b/galenaspoke/edge/streams/version_notes.py
@@ -71,11 +71,13 @@
     """The Origins that other routers know a stream may have.
 
     `is_complete` states that a router has answered which every other one
-    tells of streams with its content, so that silence isn't taken for a no.
+    tells of streams with its content, and `is_heard` that any has: silence
+    says nothing of a stream.
     """
 
     origins: set
     is_complete: bool
+    is_heard: bool
 
 
 class _Inquiry:
@@ -197,7 +199,8 @@
         """
         addresses = self._routers.list_holders(key.content, ASKED_COUNT)
         if not addresses:
-            return Told(set(), self._routers.is_alone())
+            is_alone = self._routers.is_alone()
+            return Told(set(), is_complete=is_alone, is_heard=is_alone)
         number = next(self._numbers)
         inquiry = _Inquiry(set(addresses), bool(key.request))
         self._inquiries[number] = inquiry
@@ -215,7 +218,8 @@
         certain = self._routers.list_certain_holders(key.content, HOLDER_COUNT)
         return Told(
             inquiry.get_origins(),
-            any(address in inquiry.answers for address in certain),
+            is_complete=any(router in inquiry.answers for router in certain),
+            is_heard=bool(inquiry.answers),
         )
 
     def handle(self, data, address):
--- a/tests/edge/test_router_list.py
+++ b/tests/edge/test_router_list.py
@@ -38,7 +38,14 @@
                         if other is not own:
                             self.assertLessEqual(set(certain), knows)
 
+    # Guards against a router that starts beside all others, finds only itself
+    # on the list, and takes what it remembers for all.
     def test_alone(self):
         self.assertTrue(self.make_lists(1).popitem()[1].is_alone())
         self.assertFalse(self.make_lists(2).popitem()[1].is_alone())
-        self.assertFalse(router_list.RouterList('front-0').is_alone())
+        routers = router_list.RouterList('front-0')
+        self.assertFalse(routers.is_alone())
+        routers.replace({}, is_registered=False)
+        self.assertFalse(routers.is_alone())
+        routers.replace({'front-0': ''})
+        self.assertTrue(routers.is_alone())
