Callers: noticing a disconnect has a module of its own

What is found by memory where no page states it is logged by where it was remembered, not as "page".

--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -1,7 +1,6 @@
 """Connections of callers: read requests, send responses, see disconnects."""
 
 import contextlib
-import functools
 import socket as std_socket
 import struct
 import time
@@ -9,6 +8,7 @@
 import gevent
 
 from galenaspoke.edge.serving import caller_sending
+from galenaspoke.edge.serving import disconnects
 from galenaspoke.http import buffers
 from galenaspoke.http import messages
 from galenaspoke.http import sockets
@@ -24,8 +24,6 @@
 PIPELINED_REQUEST_S = 0.001
 # The work of relaying a byte of a stream.
 RELAYED_BYTE_S = 0.000_000_05
-# The event loop's flag for a readable socket.
-_READ_EVENT = 1
 # Makes the close of a connection reset it.
 _LINGER_NOT = struct.pack('ii', 1, 0)
 # What was sent reaches the peer first.
@@ -108,8 +106,7 @@
         self._is_closed = False
         # Whether the body of the current request has to be read.
         self._is_reading = False
-        # Starts to watch for a disconnect, None outside of
-        # `cancel_on_disconnect`.
+        # Watches for a disconnect, None outside of `cancel_on_disconnect`.
         self._watch = None
         self._share = buffers.process_account.open(SHARE_OWNER, self._cut)
         self._work = turns.Work(turns.caller_turns)
@@ -205,7 +202,7 @@
         self._active = self.parser.requests.popleft()
         self._is_reading = False
         if self._watch is not None:
-            self._watch()
+            self._watch.start()
 
     def _wait_for_room(self, req):
         """Leave the rest of a large body unread while there is no room.
@@ -312,34 +309,22 @@
         A response that ends with the connection is cut if the block fails.
         """
         task = gevent.getcurrent()
-        watcher = gevent.get_hub().loop.io(self._sock.fileno(), _READ_EVENT)
-
-        def check():
-            found = _peek(self._sock)
-            if found is None:
-                return
-            # If bytes of the next request have arrived, they are read later.
-            # Until then the socket stays readable, so a disconnect can't be
-            # detected.
-            watcher.stop()
-            if not found:
-                task.kill(
-                    CallerDisconnected('closed by the caller'), block=False
-                )
 
+        def cancel():
+            task.kill(CallerDisconnected('closed by the caller'), block=False)
+
+        self._watch = disconnects.DisconnectWatch(self._sock, cancel)
         # Until the request is complete, reading it shows a disconnect.
-        self._watch = functools.partial(watcher.start, check)
         if not self._is_reading:
-            self._watch()
+            self._watch.start()
         try:
             yield
         except BaseException:
             self._must_reset = self._ends_by_close
             raise
         finally:
+            self._watch.close()
             self._watch = None
-            watcher.stop()
-            watcher.close()
 
     def raise_if_gone(self):
         """Raise CallerDisconnected if the caller has closed the connection.
@@ -347,7 +332,7 @@
         A process that stood still may learn of what came for a caller before
         it learns that the caller has gone.
         """
-        if _peek(self._sock) == b'':
+        if disconnects.is_closed(self._sock):
             raise CallerDisconnected('closed by the caller')
 
     def send_response(self, status, headers, body):
@@ -469,16 +454,3 @@
             self._sock.setsockopt(
                 std_socket.SOL_SOCKET, std_socket.SO_LINGER, value
             )
-
-
-def _peek(sock):
-    """Return the next byte of a socket, b'' if its peer has closed it.
-
-    Returns None if there is nothing to read.
-    """
-    try:
-        return sockets.peek(sock)
-    except BlockingIOError:
-        return None
-    except OSError:
-        return b''
--- a/galenaspoke/edge/streams/resumption.py
+++ b/galenaspoke/edge/streams/resumption.py
@@ -188,8 +188,10 @@
             return _choose(origins | {found.origin}, found.source)
         if not told.is_heard:
             return Found(None, f'{found.source}, and no answer')
-        origins |= self._pages.find(key)
-        return _choose(origins, 'page') if origins else found
+        stated = self._pages.find(key)
+        if stated:
+            return _choose(origins | stated, 'page')
+        return _choose(origins, source) if origins else found
 
     def _find_recorded(self, context):
         """Return what is Found by the record of the service's versions."""
