--- a/bench/edge_sessions.py
+++ b/bench/edge_sessions.py
@@ -61,18 +61,22 @@
     """How a caller behaves in one attempt.
 
     It leaves after `leave_after` pieces of data if that isn't None, and reads
-    nothing for `stall_s` after the head of a response.
+    nothing for `stall_s` after the head of a response.  A stream that
+    `loses_begin` is lost on its way with its first event, so that the caller
+    begins it again; `lost_begin_share` of those that may be resumed are.
     """
 
-    __slots__ = ('is_slow', 'leave_after', 'stall_s')
+    __slots__ = ('is_slow', 'leave_after', 'stall_s', 'loses_begin')
 
-    def __init__(self, rng, req):
+    def __init__(self, rng, req, lost_begin_share):
         self.is_slow = rng.random() < SLOW_SHARE
         self.leave_after = None
         if rng.random() < LEAVING_SHARE:
             most = min(req.pieces, MAX_LEAVING_AFTER)
             self.leave_after = rng.randint(0, most)
         self.stall_s = rng.uniform(*STALL_S) if req.is_padded else 0.0
+        may_begin_again = req.is_resumable and not req.count_events()
+        self.loses_begin = may_begin_again and rng.random() < lost_begin_share
 
 
 class Caller:
@@ -251,7 +255,8 @@
 
         Returns the head of the response if the connection may be used again.
         """
-        manner = Manner(self._rng, req)
+        share = self._fleet.profile.lost_begin_share
+        manner = Manner(self._rng, req, share)
         is_stream = req.kind == 'stream'
         conn.sock.settimeout(req.patience_s if is_stream else SILENCE_S)
         if manner.is_slow:
@@ -315,6 +320,8 @@
     """Read a body; return whether the caller stayed until its end."""
     pieces = conn.iter_body(message, ends_with_connection=True)
     for count, data in enumerate(pieces, 1):
+        if manner.loses_begin:
+            raise raw_http.Disconnected('lost on the way')
         attempt.body += data
         if req.kind == 'stream' and attempt.status == 200:
             edge_events.take_events(attempt)
--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -238,6 +238,11 @@
     default=site_profiles.NAMELESS_SHARE,
     help="Callers that don't name what they resume.",
 )
+@click.option(
+    '--lost-begins',
+    default=site_profiles.LOST_BEGIN_SHARE,
+    help='Streams whose first event gets lost on its way.',
+)
 @click.option(
     '--control-path/--no-control-path',
     default=True,
@@ -254,6 +259,7 @@
     seconds,
     callers,
     nameless,
+    lost_begins,
     floods,
     only,
     report,
@@ -265,6 +271,7 @@
     if ids:
         profile.engine_options['ids'] = ids
     profile.nameless_share = nameless
+    profile.lost_begin_share = lost_begins
     options = fleet_options.FleetOptions(profile=profile, **fields)
     callers = profile.callers if callers is None else callers
     directory = tempfile.mkdtemp(prefix=f'galenaspoke-edge-{options.seed}-')
--- a/bench/site_profiles.py
+++ b/bench/site_profiles.py
@@ -41,6 +41,8 @@
 }
 # The share of callers that resume without naming the request before.
 NAMELESS_SHARE = 0.2
+# The share of streams whose first event gets lost on its way to the caller.
+LOST_BEGIN_SHARE = 0.04
 KINDS = {'stream': 'stream', 'safe': 'idempotent', 'unsafe': 'non_idempotent'}
 _PREFIXES = {'stream': '/stream', 'safe': '/plain', 'unsafe': '/plain'}
 
@@ -137,7 +139,8 @@
 
     `engine_options` are options of model engines by their name, and
     `troubles` the kinds of faults, None for all that there are.
-    `nameless_share` of the callers that resume don't name the request before.
+    `nameless_share` of the callers that resume don't name the request before,
+    and `lost_begin_share` of the streams are begun twice.
     """
 
     __slots__ = (
@@ -156,6 +159,7 @@
         'engine_options',
         'troubles',
         'nameless_share',
+        'lost_begin_share',
     )
 
     def __init__(self, name, **fields):
@@ -163,6 +167,7 @@
         self.memory_tokens = platform_documents.MEMORY_TOKENS
         self.troubles = None
         self.nameless_share = NAMELESS_SHARE
+        self.lost_begin_share = LOST_BEGIN_SHARE
         for field, value in fields.items():
             setattr(self, field, value)
 
