--- a/tests/bench/test_edge_sessions.py
+++ b/tests/bench/test_edge_sessions.py
@@ -69,12 +69,15 @@
         """Start a router that answers so, and a caller."""
         self.router = FakeRouter(answer)
         self.addCleanup(self.router.stop)
-        fleet = types.SimpleNamespace(
+        self.fleet = types.SimpleNamespace(
             routers=[self.router],
             tenants=tenants.Tenants([]),
             profile=site_profiles.default(),
         )
-        self.caller = edge_sessions.Caller('c0', fleet, random.Random(1), [])
+        self.fleet.profile.lost_begin_share = 0.0
+        self.caller = edge_sessions.Caller(
+            'c0', self.fleet, random.Random(1), []
+        )
         self.set('LEAVING_SHARE', 0.0)
         self.set('SLOW_SHARE', 0.0)
         self.set('OLD_HTTP_SHARE', 0.0)
@@ -109,6 +112,21 @@
         self.assertEqual(again.get('last-event-id'), '11')
         self.assertIn(again.get('resumes'), ('', 'k.0'))
 
+    def test_lost_begin(self):
+        """A stream whose first event gets lost is begun again."""
+
+        def answer(sock, count):
+            sock.sendall(HEAD + b'Content-Length: 500\r\n\r\n')
+            sock.sendall(encode_event('k', 6, 1, 6))
+            return False
+
+        self.start(answer)
+        self.fleet.profile.lost_begin_share = 1.0
+        req = self.send()
+        self.assertEqual(['cut', 'cut'], [a.outcome for a in req.attempts])
+        self.assertEqual(0, req.count_events())
+        self.assertEqual('', self.router.asked[1].get('last-event-id'))
+
     def answer_old_http(self, ending):
         """Return the outcome of a stream by HTTP/1.0 that ends so."""
 
