Streams: a router that is cut off may have begun one that others know otherwise

What callers saw: pieces of two software versions in one stream (ORDER), the mirror of: the router that is out of step begins the stream, and one that is in touch takes it up.

Cause: a router that is cut off while a release goes on begins streams by the plan that it knows, and nobody learns of them. Who took up such a stream for a caller that names no request went by what is known of the content: another try of the request, or another request. That the earlier plan had not ended, since that router had not answered, was looked at only where nobody knew anything.

Change: plans that were replaced within a minute and that some router hasn't been heard to leave count beside what is remembered; if they name another version, the stream is refused as not run.

Tried and reverted: to let a stream begin only once another router says that it knows of it.

--- a/galenaspoke/edge/streams/resumption.py
+++ b/galenaspoke/edge/streams/resumption.py
@@ -15,7 +15,9 @@
 those with the same content, and their origins must agree.  A router that is
 cut off may know of some of them only.  So what is remembered of the content
 counts alone if a router has answered that knows of all, and with what the
-record and the pages state if any has; else the record decides.
+record and the pages state if any has; else the record decides.  A router that
+is cut off may also have begun the stream by a plan that others have left, and
+nobody knows of it.
 
 Example::
 
@@ -181,6 +183,8 @@
         source = 'own' if origins else 'noted'
         told = self._notes.ask(key)
         origins |= told.origins
+        if origins:
+            origins |= self._list_untold(context)
         if origins and told.is_complete:
             return _choose(origins, source)
         found = self._find_recorded(context)
@@ -193,6 +197,16 @@
             return _choose(origins | stated, 'page')
         return _choose(origins, source) if origins else found
 
+    def _list_untold(self, context):
+        """Return at which Origins an unheard router may begin a stream."""
+        versions = self._record.list_open_versions(
+            context.service, _plan_key(context)
+        )
+        return {
+            stream_versions.Origin(context.service, version)
+            for version in versions
+        }
+
     def _find_recorded(self, context):
         """Return what is Found by the record of the service's versions."""
         record = self._record.read(context.service)
--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -15,6 +15,7 @@
     record.read('pool').appearances     # {'v1': 1}, from the store
 """
 
+import math
 import random
 
 import gevent
@@ -36,6 +37,9 @@
 KEEP_SPREAD = 0.5
 # How long a request waits for the record.
 READ_TIMEOUT_S = 0.4
+# A router that doesn't say for so long that it follows a plan is taken to be
+# gone by those who know better what began a stream.
+UNHEARD_MS = stream_versions.MAX_STREAM_AGE_MS
 # A router reads the record again after this long, to learn that it can.
 REREAD_MS = 60_000
 
@@ -45,17 +49,19 @@
 
     __slots__ = (
         'era',
+        'plans',
         'appearances',
         'plan',
         'is_settled',
         'read_at',
-        'open_numbers',
+        'open_since',
         'ended_at',
     )
 
     def __init__(self, era, versions, read_at, before=None):
         # The era of the store in which it was read.
         self.era = era
+        self.plans = versions.plans
         # How often each version has appeared.
         self.appearances = dict(versions.appearances)
         # The plan in force, None if there is none.
@@ -63,24 +69,23 @@
         self.is_settled = versions.is_settled()
         # When, by the monotonic and by the wall clock.
         self.read_at = read_at
-        # The numbers of the plans that haven't ended, but for the one in
-        # force, and when this router first knew by number of those that have.
-        self.open_numbers = set()
+        # When this router first knew, by number, of the plans that were
+        # replaced and haven't ended, and of those that have ended.
+        self.open_since = {}
         self.ended_at = {}
-        known = before.ended_at if before and before.era == era else {}
         for plan in versions.plans[:-1]:
-            if plan.has_ended():
-                number = plan.number
-                self.ended_at[number] = known.get(number, read_at[0])
-            else:
-                self.open_numbers.add(plan.number)
+            times = self.ended_at if plan.has_ended() else self.open_since
+            times[plan.number] = read_at[0]
+        if before is not None and before.era == era:
+            _keep_earlier(self.open_since, before.open_since)
+            _keep_earlier(self.ended_at, before.ended_at)
 
     def settle(self, now):
         """Take another router's word that all follow the plan in force."""
         self.is_settled = True
-        for number in self.open_numbers:
+        for number in self.open_since:
             self.ended_at[number] = now
-        self.open_numbers = set()
+        self.open_since = {}
 
     def list_over(self, ended_before):
         """Return the plans that are known to have ended before a time."""
@@ -93,6 +98,11 @@
         return self.plan.number if self.plan else 0
 
 
+def _keep_earlier(times, before):
+    """Replace times by those of the same keys in another dict."""
+    times.update((key, before[key]) for key in times.keys() & before.keys())
+
+
 class VersionRecord:
     """Keeps the record up to date, and reads it.
 
@@ -178,6 +188,23 @@
         """Return whether all routers are known to follow the last plan."""
         return self._views[service].is_settled
 
+    def list_open_versions(self, service, key):
+        """Return at which versions a router may begin streams, unheard.
+
+        They are those of plans that were replaced a while ago, and that not
+        all routers are known to have left; None stands for a plan that was
+        lost.
+        """
+        view = self._views.get(service)
+        if view is None:
+            return set()
+        since = self._clock.now() - UNHEARD_MS
+        return {
+            None if plan.is_lost() else version_plans.choose_version(plan, key)
+            for plan in view.plans
+            if view.open_since.get(plan.number, -math.inf) >= since
+        }
+
     def is_author(self, service):
         """Return whether this router wrote the plan in force."""
         number = self.get_plan_number(service)
--- a/tests/edge/test_isolated_routers.py
+++ b/tests/edge/test_isolated_routers.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from galenaspoke.edge.streams import version_notes
+from galenaspoke.edge.streams import version_record
 from tests.edge import test_stated_origins
 
 CUT_OFF = 'front-0'
@@ -100,7 +101,7 @@
         self.assertEqual(len(streams), whole)
 
     # Guards against false refusals: once the router is in touch again, it asks
-    # the others, and who names nothing and began but once goes on.
+    # the others, and follows their plan.
     def test_router_is_in_touch_again(self):
         fleet = self.make_fleet()
         fleet.network.cut_off(CUT_OFF)
@@ -109,6 +110,8 @@
             fleet.begin(OTHER) for _ in range(test_stated_origins.STREAM_COUNT)
         ]
         fleet.network.heal()
+        fleet.read_targets(CUT_OFF)
+        fleet.exchange()
         self.assertEqual(len(streams), self.resume_all(fleet, streams))
 
     # Guards against false refusals while there is a single version.
@@ -119,3 +122,49 @@
             fleet.begin(OTHER) for _ in range(test_stated_origins.STREAM_COUNT)
         ]
         self.assertEqual(len(streams), self.resume_all(fleet, streams))
+
+
+class UnheardRouterTest(unittest.TestCase):
+    """Streams that a router begins by an earlier plan while nobody hears it.
+
+    Guards against the mirror of the above: what others remember of a content
+    is another try of the request, or another request.
+    """
+
+    make_fleet = test_stated_origins.ReleaseTest.make_fleet
+    start_all = test_stated_origins.ReleaseTest.start_all
+    setUp = IsolatedRouterTest.setUp
+
+    def test_begun_by_an_earlier_plan(self):
+        fleet = self.make_fleet()
+        fleet.network.cut_off(CUT_OFF)
+        fleet.release_half(('front-1', 'front-2'))
+        fleet.exchange()
+        streams = [
+            fleet.begin(OTHER) for _ in range(test_stated_origins.STREAM_COUNT)
+        ]
+        fleet.write_pages = lambda: None
+        again = [fleet.begin_again(stream, CUT_OFF) for stream in streams]
+        for number, stream in enumerate(again):
+            stream.first_id = b''
+            fleet.resume(stream, f'front-{1 + number % 2}')
+        self.assertEqual(0, sum(len(s.versions) > 1 for s in again))
+        whole = sum(stream.is_whole() for stream in again)
+        settled = sum(stream.versions == {'v1'} for stream in streams)
+        self.assertEqual(settled, whole)
+
+    # Guards against false refusals for as long as a router is away, which may
+    # be for good.
+    def test_router_that_stays_away(self):
+        fleet = self.make_fleet()
+        fleet.network.cut_off(CUT_OFF)
+        fleet.release_half(('front-1', 'front-2'))
+        fleet.exchange()
+        fleet.clock.advance(version_record.UNHEARD_MS + 1)
+        streams = [
+            fleet.begin(OTHER) for _ in range(test_stated_origins.STREAM_COUNT)
+        ]
+        for stream in streams:
+            stream.first_id = b''
+            fleet.resume(stream, 'front-2')
+        self.assertEqual(len(streams), fleet.count_whole())
