--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -15,11 +15,11 @@
     record.read('pool').appearances     # {'v1': 1}, from the store
 """
 
-import math
 import random
 
 import gevent
 
+from galenaspoke.edge.streams import record_view
 from galenaspoke.edge.streams import service_versions
 from galenaspoke.edge.streams import stream_versions
 from galenaspoke.edge.streams import version_plans
@@ -44,65 +44,6 @@
 REREAD_MS = 60_000
 
 
-class _View:
-    """What this router last read of the record of one service."""
-
-    __slots__ = (
-        'era',
-        'plans',
-        'appearances',
-        'plan',
-        'is_settled',
-        'read_at',
-        'open_since',
-        'ended_at',
-    )
-
-    def __init__(self, era, versions, read_at, before=None):
-        # The era of the store in which it was read.
-        self.era = era
-        self.plans = versions.plans
-        # How often each version has appeared.
-        self.appearances = dict(versions.appearances)
-        # The plan in force, None if there is none.
-        self.plan = versions.get_plan()
-        self.is_settled = versions.is_settled()
-        # When, by the monotonic and by the wall clock.
-        self.read_at = read_at
-        # When this router first knew, by number, of the plans that were
-        # replaced and haven't ended, and of those that have ended.
-        self.open_since = {}
-        self.ended_at = {}
-        for plan in versions.plans[:-1]:
-            times = self.ended_at if plan.has_ended() else self.open_since
-            times[plan.number] = read_at[0]
-        if before is not None and before.era == era:
-            _keep_earlier(self.open_since, before.open_since)
-            _keep_earlier(self.ended_at, before.ended_at)
-
-    def settle(self, now):
-        """Take another router's word that all follow the plan in force."""
-        self.is_settled = True
-        for number in self.open_since:
-            self.ended_at[number] = now
-        self.open_since = {}
-
-    def list_over(self, ended_before):
-        """Return the plans that are known to have ended before a time."""
-        return {
-            number for number, at in self.ended_at.items() if at < ended_before
-        }
-
-    def get_number(self):
-        """Return the number of the plan in force, 0 if there is none."""
-        return self.plan.number if self.plan else 0
-
-
-def _keep_earlier(times, before):
-    """Replace times by those of the same keys in another dict."""
-    times.update((key, before[key]) for key in times.keys() & before.keys())
-
-
 class VersionRecord:
     """Keeps the record up to date, and reads it.
 
@@ -133,7 +74,7 @@
         # The wall clock may step and the monotonic one stops while the machine
         # is suspended; both together bound the time.
         self._wall_offset_ms = clock.wall() - clock.now()
-        # The last _View by service.
+        # The last RecordView by service.
         self._views = {}
         # By service and version, of those in the record without targets: when
         # to remove it, and its appearances so far.
@@ -201,8 +142,7 @@
         since = self._clock.now() - UNHEARD_MS
         return {
             None if plan.is_lost() else version_plans.choose_version(plan, key)
-            for plan in view.plans
-            if view.open_since.get(plan.number, -math.inf) >= since
+            for plan in view.list_open(since)
         }
 
     def is_author(self, service):
@@ -442,7 +382,9 @@
             change_and_speak,
         )
         self._wanted.pop(service, None)
-        view = _View(era, versions, read_at, self._views.get(service))
+        view = record_view.RecordView(
+            era, versions, read_at, self._views.get(service)
+        )
         # Another task may have read a later plan meanwhile.
         is_later = view.get_number() >= self.get_plan_number(service)
         is_same_era = began_in in (None, era) and era == self._store.era
