Record of versions: which replaced plans count, said rightly

The docstring had it the other way round: plans that were replaced a while ago. They are those that were replaced within UNHEARD_MS. Comments alone; no code changes.

--- a/galenaspoke/edge/streams/version_record.py
+++ b/galenaspoke/edge/streams/version_record.py
@@ -37,8 +37,8 @@
 KEEP_SPREAD = 0.5
 # How long a request waits for the record.
 READ_TIMEOUT_S = 0.4
-# A router that doesn't say for so long that it follows a plan is taken to be
-# gone by those who know better what began a stream.
+# For how long a router that doesn't say that it follows the plan in force may
+# have begun streams that others know otherwise.
 UNHEARD_MS = stream_versions.MAX_STREAM_AGE_MS
 # A router reads the record again after this long, to learn that it can.
 REREAD_MS = 60_000
@@ -132,9 +132,9 @@
     def list_open_versions(self, service, key):
         """Return at which versions a router may begin streams, unheard.
 
-        They are those of plans that were replaced a while ago, and that not
-        all routers are known to have left; None stands for a plan that was
-        lost.
+        They are those of plans that were replaced within UNHEARD_MS, and that
+        not all routers are known to have left; None stands for a plan that
+        was lost.
         """
         view = self._views.get(service)
         if view is None:
