--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -429,11 +429,21 @@
     default=False,
     help='Take a stream without a length as whole if its target closes it.',
 )
-def main(settings, metrics_port, accept_closed_streams):
+@click.option(
+    '--doubt-closed-streams/--no-doubt-closed-streams',
+    default=False,
+    help='Take one as whole only if something shows that it was the end.',
+)
+def main(settings, metrics_port, accept_closed_streams, doubt_closed_streams):
     """Run the edge router."""
+    if accept_closed_streams and doubt_closed_streams:
+        raise click.UsageError(
+            'closed streams can be accepted or doubted, not both'
+        )
     cfg = dataclasses.replace(
         startup.load_settings_or_exit(settings),
         accept_closed_streams=accept_closed_streams,
+        doubt_closed_streams=doubt_closed_streams,
     )
     sys.exit(EdgeRouter(cfg, metrics_port, settings).run())
 
--- a/galenaspoke/edge/metadata.py
+++ b/galenaspoke/edge/metadata.py
@@ -102,7 +102,8 @@
     and `run_ids` the ids of the requests that it works on, as far as it names
     them.  `is_misdirected` is True if another target answered, `is_readable`
     False if what answered said nothing of itself, and `is_relayed` True if it
-    was a gateway that has no answer of the target.
+    was a gateway that has no answer of the target.  `is_leaving` is True if
+    the target says that it leaves.
     """
 
     born: int = 0
@@ -110,3 +111,4 @@
     is_misdirected: bool = False
     is_readable: bool = True
     is_relayed: bool = False
+    is_leaving: bool = False
--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -52,10 +52,14 @@
     """What shows that a response without a length has ended.
 
     Its target lives and doesn't work on the request any more.  MOST: all
-    output that the request allows has come.  ALIVE: nothing else.
+    output that the request allows has come.  UNDOUBTED: nothing speaks against
+    the end, and CHECKED: nor did another target that was asked to go on.
+    ALIVE: nothing else.
     """
 
     MOST = 'most'
+    UNDOUBTED = 'undoubted'
+    CHECKED = 'checked'
     ALIVE = 'alive'
 
 
@@ -115,14 +119,27 @@
 class Closed:
     """The target lives, and its stream is no end of what the caller has.
 
-    It has closed a stream whose end nothing proves.  If `is_unfit` is true,
-    its events don't begin where those that the caller has end.
+    It has closed a stream, and something speaks against its end.  If
+    `is_unfit` is true, its events don't begin where those that the caller has
+    end.
     """
 
-    why: str = 'closed, without a length: nothing shows that it was the end'
+    why: str
     is_unfit: bool = False
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Ended:
+    """The target lives and has closed a stream, as it may at its end.
+
+    Nothing speaks against it, and another target may be asked whether the
+    stream goes on.  `finish` takes the Proof that holds then, tells the caller
+    that its response is complete, and returns the Served.
+    """
+
+    finish: object
+
+
 def random_delay_ms(bounds_ms):
     """Return a random time in ms between two bounds.
 
--- a/galenaspoke/edge/serving/attempt_recorder.py
+++ b/galenaspoke/edge/serving/attempt_recorder.py
@@ -45,7 +45,13 @@
         """
         is_ejected = False
         if isinstance(outcome, outcomes.Served):
-            self._record_served(context, target, outcome, events)
+            is_ok = outcome.status == HTTP_OK
+            self._record_served(
+                context, target, events, is_ok, outcome.is_framed
+            )
+            return
+        if isinstance(outcome, outcomes.Ended):
+            self._record_served(context, target, events, True, False)
             return
         if isinstance(outcome, outcomes.NotRun):
             is_ejected = self._record_not_run(target, outcome)
@@ -82,17 +88,15 @@
             context.has_survived = True
             self._poison_detector.record_survived(context.crash_keys())
 
-    def _record_served(self, context, target, outcome, events):
+    def _record_served(self, context, target, events, is_ok, is_framed):
         """Clear a request of the crashes that it is suspected of."""
         target.health.record_success()
         is_stream = context.route.kind is catalog.RequestKind.STREAM
         # Where a stream without a length goes on, its end proves little.
         has_run = (
-            outcome.is_framed
-            or not is_stream
-            or events > poison.MAX_SUSPECT_EVENTS
+            is_framed or not is_stream or events > poison.MAX_SUSPECT_EVENTS
         )
-        if outcome.status == HTTP_OK and has_run:
+        if is_ok and has_run:
             self._poison_detector.record_survived(context.crash_keys())
 
     def _record_not_run(self, target, outcome):
--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -2,7 +2,6 @@
 
 from galenaspoke.core import catalog
 from galenaspoke.edge import outcomes
-from galenaspoke.edge.serving import stream_ends
 from galenaspoke.edge.streams import event_limits
 from galenaspoke.edge.streams import sse
 from galenaspoke.edge.targets import incarnations
@@ -40,7 +39,7 @@
     when events come. `may_retry` returns whether another target may be tried
     after this one. `acquire` takes how long the target may take to respond, in
     ms, and returns a connection to it; it raises NotSent on failure.
-    `end_checker` is the EndChecker.
+    `end_checker` is the EndChecker, and `end_judge` the EndJudge.
     """
 
     __slots__ = (
@@ -56,6 +55,7 @@
         '_may_retry',
         '_acquire',
         '_end_checker',
+        '_end_judge',
         '_timeout_s',
         '_sent_at',
         '_metadata',
@@ -75,6 +75,7 @@
         may_retry,
         acquire,
         end_checker,
+        end_judge,
     ):
         self._cfg = cfg
         self._context = context
@@ -88,6 +89,7 @@
         self._may_retry = may_retry
         self._acquire = acquire
         self._end_checker = end_checker
+        self._end_judge = end_judge
         self._timeout_s = None
         # When the request was sent.
         self._sent_at = 0
@@ -222,7 +224,9 @@
             )
         if response.is_framed:
             return self._relay(conn, response, None)
-        check = self._end_checker.begin(self._target, conn, self._sent_at)
+        check = self._end_checker.begin(
+            self._target, conn, self._sent_at, _is_stream(response)
+        )
         try:
             return self._relay(conn, response, check)
         finally:
@@ -235,7 +239,8 @@
         is_stream_route = (
             self._context.route.kind is catalog.RequestKind.STREAM
         )
-        if response.status == OK and end_check and is_stream_route:
+        has_doubt = end_check and self._cfg.doubt_closed_streams
+        if response.status == OK and has_doubt and is_stream_route:
             # Streams that are closed early have no proof, whatever their type.
             raise connections.ResponseLost('no stream, and without a length')
         body = self._wait(
@@ -276,6 +281,7 @@
         order = self._context.event_order
         order.begin_run()
         has_events = False
+        has_new_events = False
         is_open = True
         while True:
             read_at = self._clock.now()
@@ -286,6 +292,9 @@
             has_events = has_events or bool(events)
             if undelivered:
                 self._relay_events(response, undelivered)
+                has_new_events = has_new_events or any(
+                    event.has_data() for event in undelivered
+                )
             if end_check is not None:
                 end_check.record_unread(self._clock.now() - read_at)
             if order.is_unfit:
@@ -301,6 +310,7 @@
                 # Only whole events show that the stream gets on.
                 conn.set_read_timeout(self._timeout_s)
             is_open = self._receive_more(conn, response)
+        closed_at = self._clock.now()
         # A stream that goes on may have had no more events.
         has_begun = has_events or bool(self._context.last_event_id)
         if not response.is_framed and not has_begun:
@@ -319,12 +329,23 @@
         if self._may_have_stopped(response):
             raise connections.ResponseLost('it ended at the deadline')
         self._confirm_end(end_check)
-        proof = None
-        if not response.is_framed:
-            proof = stream_ends.find_proof(self._cfg, self._context)
-            if proof is None:
-                self._context.record_closed(self._target)
-                return outcomes.Closed()
+        if response.is_framed:
+            return self._finish_stream(response, None)
+        proof = self._end_judge.find_proof(self._context)
+        if proof is not None:
+            return self._finish_stream(response, proof)
+        doubt = self._end_judge.find_doubt(
+            self._context, self._target, end_check, has_new_events, closed_at
+        )
+        self._context.record_closed(self._target, has_new_events)
+        if doubt:
+            return outcomes.Closed(f'closed, without a length: {doubt}')
+        return outcomes.Ended(
+            lambda proof: self._finish_stream(response, proof)
+        )
+
+    def _finish_stream(self, response, proof):
+        """Tell the caller that its stream is complete; return the Served."""
         is_chunked = self._context.req.takes_chunks
         self._send_body(response, messages.LAST_CHUNK if is_chunked else b'')
         return outcomes.Served(response.status, response.is_framed, proof)
--- a/galenaspoke/edge/serving/request_context.py
+++ b/galenaspoke/edge/serving/request_context.py
@@ -33,6 +33,8 @@
         'event_order',
         'stream_version',
         'closer_ids',
+        'closed_by_id',
+        'checked_id',
         'first_byte_ms',
         'event_count',
         'output_count',
@@ -83,6 +85,12 @@
         # The ids of the targets that have closed the stream, without a proof
         # that it has ended, after the last event that the caller has.
         self.closer_ids = set()
+        # The id of the target that brought the last event and closed the
+        # stream after it; empty if none did.
+        self.closed_by_id = ''
+        # The id of the last event when a second run was asked whether the
+        # stream goes on, None if none was.
+        self.checked_id = None
         # How long the caller waited for the first byte of the response.
         self.first_byte_ms = None
         # The number of events with data that were sent to the caller; others
@@ -128,6 +136,11 @@
         """The id of the last event that the caller has; empty if none."""
         return self.event_order.last_id
 
+    @property
+    def was_closed_early(self):
+        """Whether a second run has shown that the first was closed early."""
+        return self.checked_id not in (None, self.last_event_id)
+
     def remaining_ms(self, now):
         """Return the time until the deadline, negative once it has passed."""
         return self.deadline - now
@@ -153,9 +166,14 @@
         if self.first_byte_ms is None:
             self.first_byte_ms = now - self.arrived_at
 
-    def record_closed(self, target):
-        """Record that a target closed the stream after the last event."""
+    def record_closed(self, target, has_events):
+        """Record that a target closed the stream after the last event.
+
+        `has_events` is whether it has brought that event.
+        """
         self.closer_ids.add(target.entry.id)
+        if has_events:
+            self.closed_by_id = target.entry.id
 
     def record_events(self, events, now):
         """Record events that are sent to the caller."""
@@ -171,6 +189,7 @@
         self.event_count += len(pieces)
         self.output_count += sum(event.is_output() for event in pieces)
         self.closer_ids.clear()
+        self.closed_by_id = ''
 
     def consumed_tokens(self):
         """Return the tokens that the request used of its account's budget.
--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -18,9 +18,11 @@
 from galenaspoke.edge.serving import refusals
 from galenaspoke.edge.serving import request_context
 from galenaspoke.edge.serving import responses
+from galenaspoke.edge.serving import stream_ends
 from galenaspoke.edge.serving import target_choice
 from galenaspoke.edge.streams import event_steps
 from galenaspoke.edge.streams import resumption as resumptions
+from galenaspoke.edge.targets import close_history
 from galenaspoke.edge.targets import end_checks
 from galenaspoke.edge.targets import incarnations
 from galenaspoke.http import messages
@@ -36,6 +38,9 @@
 # events, whichever is longer.
 STREAM_READ_TIMEOUT_MS = 1_500
 STREAM_READ_TIMEOUT_GAPS = 4
+# How long a second run may take to show whether a stream goes on that seems to
+# have ended; its caller waits for the end meanwhile.
+END_CHECK_TIMEOUT_MS = 1_000
 
 
 class _DeadlineExceeded(Exception):
@@ -46,12 +51,17 @@
     """The process is about to end."""
 
 
+class _EndCheckTimeout(Exception):
+    """A second run has not shown in time whether a stream goes on."""
+
+
 class RequestHandler:
     """Handles the requests that one router receives."""
 
     __slots__ = (
         'open_request_count',
         'end_checker',
+        'close_history',
         'charges',
         '_cfg',
         '_admission',
@@ -65,6 +75,7 @@
         '_recorder',
         '_resumption',
         '_incarnation_checker',
+        '_end_judge',
         '_chooser',
         '_event_steps',
         '_undecided_tasks',
@@ -119,6 +130,8 @@
         self.end_checker = end_checks.EndChecker(
             report_codec, target_view.entry_reader.read, clock, metrics
         )
+        self.close_history = close_history.CloseHistory(clock)
+        self._end_judge = stream_ends.EndJudge(cfg, self.close_history, clock)
         self._chooser = target_choice.TargetChooser(
             cfg, target_view, resumption, clock, journal
         )
@@ -257,12 +270,71 @@
             # A failure's body has no share of the account, and isn't needed.
             outcome = None
             outcome = self._run_attempt(context, target, caller)
+            if isinstance(outcome, outcomes.Ended):
+                outcome = self._check_end(context, target, caller, outcome)
             if isinstance(outcome, outcomes.Served):
+                self._count_proof(outcome)
                 return outcome
         return refusals.from_last_outcome(
             context, outcome, self._chooser.compute_pause_ms(context)
         )
 
+    def _check_end(self, context, closer, caller, ended):
+        """Ask another target, at times, whether a stream goes on.
+
+        Returns the Served if it has ended, and that nothing shows that it goes
+        on; else the outcome of the other target's run.
+        """
+        target = self._choose_end_checker(context, ended)
+        if target is None:
+            return ended.finish(outcomes.Proof.UNDOUBTED)
+        context.checked_id = context.last_event_id
+        outcome = self._run_end_check(context, target, caller)
+        goes_on = context.was_closed_early
+        if goes_on:
+            self.close_history.record_early(context.service, closer.entry.id)
+        self._metrics.count('ends.early' if goes_on else 'ends.checked')
+        self._journal.note(
+            'end.checked',
+            id=context.metadata.request_id,
+            closer=closer.entry.id,
+            target=target.entry.id,
+            goes_on=goes_on,
+            outcome=type(outcome).__name__,
+        )
+        if goes_on or context.event_order.fault:
+            self._metrics.count('ends.closed')
+            return outcome
+        if isinstance(outcome, outcomes.Served):
+            return outcome
+        if isinstance(outcome, outcomes.Ended):
+            return ended.finish(outcomes.Proof.CHECKED)
+        return ended.finish(outcomes.Proof.UNDOUBTED)
+
+    def _choose_end_checker(self, context, ended):
+        """Return the target to ask whether a stream goes on, None for none."""
+        may_ask = context.is_repeatable() and context.event_order.can_go_on()
+        if not may_ask or not self.close_history.take_check(context.service):
+            return None
+        target = self._chooser.choose(context, ended)
+        if target is None or self._admission.find_poison(context):
+            return None
+        return target if self._take_retry(context, ended) else None
+
+    def _run_end_check(self, context, target, caller):
+        """Return the outcome of a second run, None if it took too long."""
+        timer = gevent.Timeout.start_new(
+            END_CHECK_TIMEOUT_MS / 1000, _EndCheckTimeout()
+        )
+        try:
+            return self._run_attempt(context, target, caller, timer.close)
+        except (_EndCheckTimeout, _DeadlineExceeded, _Abandoned):
+            if context.was_closed_early:
+                raise
+            return None
+        finally:
+            timer.close()
+
     def _take_retry(self, context, outcome):
         """Return whether another target may be tried after `outcome`.
 
@@ -276,7 +348,7 @@
                 return self._retry_budget.take_retry(context.service)
         elif not context.is_repeatable():
             return False
-        elif isinstance(outcome, outcomes.Closed):
+        elif isinstance(outcome, (outcomes.Closed, outcomes.Ended)):
             if not context.event_order.can_go_on():
                 return False
         if context.sent_count >= context.route.max_attempts:
@@ -287,8 +359,11 @@
         self._metrics.count('retries.taken')
         return True
 
-    def _run_attempt(self, context, target, caller):
-        """Run an attempt at one target and record its outcome."""
+    def _run_attempt(self, context, target, caller, on_events=None):
+        """Run an attempt at one target and record its outcome.
+
+        `on_events` is called when events come, if it isn't None.
+        """
         context.tried_ids.append(target.entry.id)
         context.event_times.clear()
         context.has_survived = False
@@ -312,10 +387,11 @@
             self._clock,
             self._target_view.record_response,
             self._resumption.record_begin,
-            self._recorder.record_events,
+            self._make_event_recorder(on_events),
             lambda: self._may_retry(context),
             lambda timeout_ms: self._acquire(context, target, timeout_ms),
             self.end_checker,
+            self._end_judge,
         )
         try:
             # That this attempt did not run says nothing about earlier ones.
@@ -332,7 +408,7 @@
             target.in_flight -= 1
             target.wait_estimator.record_end(context)
             self._chooser.record_attempt(context, target)
-        if isinstance(outcome, outcomes.Served):
+        if isinstance(outcome, (outcomes.Served, outcomes.Ended)):
             self._event_steps.record(context.service, order)
         self._recorder.record(
             context,
@@ -341,17 +417,27 @@
             self._clock.now() - started_at,
             context.event_count - events_before,
         )
-        self._count_end(outcome)
-        return outcome
-
-    def _count_end(self, outcome):
-        """Count what showed that a response without a length has ended."""
-        if isinstance(outcome, outcomes.Served) and outcome.proof:
-            self._metrics.count(f'ends.proved.{outcome.proof.value}')
-        elif isinstance(outcome, outcomes.Closed):
+        if isinstance(outcome, outcomes.Closed):
             self._metrics.count(
                 'streams.unfit' if outcome.is_unfit else 'ends.closed'
             )
+        return outcome
+
+    def _make_event_recorder(self, on_events):
+        """Return what is called with the context and target on events."""
+        if on_events is None:
+            return self._recorder.record_events
+
+        def record_events(context, target):
+            on_events()
+            self._recorder.record_events(context, target)
+
+        return record_events
+
+    def _count_proof(self, served):
+        """Count what showed that a response without a length has ended."""
+        if served.proof is not None:
+            self._metrics.count(f'ends.proved.{served.proof.value}')
 
     def _acquire(self, context, target, timeout_ms):
         """Return a connection to a target; raise NotSent on failure.
--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -1,28 +1,94 @@
-"""Proofs that a stream without a length has ended.
+"""Whether a stream without a length has ended where its target closed it.
 
-A target that lives may close such a stream early, as one that is emptied or
-reaches the end of its grace does.  That it lives and doesn't work on the
-request any more is no proof then, and neither is that another target closes
-the stream at the same place.
+Its target lives and doesn't work on it any more.  A response may end so, by
+the platform's rules, so such a stream has ended unless something speaks
+against it: its target leaves and ends all that it has open, it has closed
+other streams early, or nothing came in a run that was to go on.  Where the
+stream may be resumed, a second run can show that it goes on.
+
+An operator may know more: that targets close no stream early, or that some do
+so in ways that nothing shows.  Then only a proof counts.
 
 Example::
 
-    stream_ends.find_proof(cfg, context)    # Proof.MOST
+    judge = EndJudge(cfg, history, clock)
+    judge.find_proof(context)                          # Proof.MOST
+    judge.find_doubt(context, target, check, has_events, closed_at)
 """
 
+import gevent
+
 from galenaspoke.edge import outcomes
 
+# A target that leaves, and ends its streams as it does, is gone by then.
+LEAVING_MS = 1_000
+# How often it is asked until then.
+ASK_INTERVAL_MS = 250
+
 
-def find_proof(cfg, context):
-    """Return the Proof that a stream has ended, None if there is none.
+class EndJudge:
+    """Says whether streams that targets have closed count as ended.
 
-    Its target has closed it, lives and doesn't work on the request any more.
+    `cfg` are the EdgeSettings, and `history` is the CloseHistory.
     """
-    if _has_most(context):
-        return outcomes.Proof.MOST
-    if cfg.accept_closed_streams:
-        return outcomes.Proof.ALIVE
-    return None
+
+    __slots__ = ('_cfg', '_history', '_clock')
+
+    def __init__(self, cfg, history, clock):
+        self._cfg = cfg
+        self._history = history
+        self._clock = clock
+
+    def find_proof(self, context):
+        """Return the Proof that a stream has ended, None if there is none."""
+        if _has_most(context):
+            return outcomes.Proof.MOST
+        if self._cfg.accept_closed_streams:
+            return outcomes.Proof.ALIVE
+        return None
+
+    def find_doubt(self, context, target, check, has_events, closed_at):
+        """Return what speaks against the end of a stream, '' for nothing.
+
+        `check` is the EndCheck that has confirmed that the target lives.
+        `has_events` is whether the target has brought any, and `closed_at`
+        when it closed the stream.  May wait for LEAVING_MS if it leaves.
+        """
+        if self._cfg.doubt_closed_streams:
+            return 'nothing shows that it was the end'
+        target_id = target.entry.id
+        if not has_events and context.closed_by_id in ('', target_id):
+            return 'no event came where it was to go on'
+        if has_events and context.was_closed_early:
+            return 'it was closed early before'
+        if self._history.closes_early(target_id):
+            return 'its target has closed a stream early'
+        if not (target.may_leave() or check.says_leaving):
+            return ''
+        return self._find_doubt_of_leaving(context, target, check, closed_at)
+
+    def _find_doubt_of_leaving(self, context, target, check, closed_at):
+        """Return why a target that leaves may have closed it early."""
+        target_id = target.entry.id
+        self._history.record_close(target_id, closed_at)
+        if check.lists_others:
+            # It hasn't ended all that it had open.
+            return ''
+        if not self._outlives(context, check, closed_at):
+            return 'its target leaves, and is gone'
+        if self._history.was_among_others(target_id, closed_at):
+            return 'its target leaves, and closed others with it'
+        return ''
+
+    def _outlives(self, context, check, closed_at):
+        """Return whether a target lives on for LEAVING_MS after the end."""
+        until = closed_at + LEAVING_MS
+        request_id = context.metadata.request_id
+        while self._clock.now() < until:
+            gevent.sleep(ASK_INTERVAL_MS / 1000)
+            if not check.is_alive(request_id):
+                return False
+        return True
 
 
 def _has_most(context):
--- a/galenaspoke/edge/serving/target_choice.py
+++ b/galenaspoke/edge/serving/target_choice.py
@@ -58,7 +58,9 @@
         if context.remaining_ms(now) < MIN_REMAINING_MS:
             return None
         target = self._choose_among(self._list_untried(context), context, now)
-        if target is None and isinstance(last_outcome, outcomes.Closed):
+        if target is None and isinstance(
+            last_outcome, (outcomes.Closed, outcomes.Ended)
+        ):
             accepting = self._list_accepting(context)
             others = [
                 target
--- a/galenaspoke/edge/settings.py
+++ b/galenaspoke/edge/settings.py
@@ -17,9 +17,11 @@
     neither.  `evacuation_ms` is how soon an evacuation of a failure domain
     must be obeyed, 0 if operators evacuate none.  `memory_mb` is how much
     memory the process may use, 0 if that isn't known; `store_writes_per_s` is
-    the same of the write calls that the store takes from all routers.  With
-    `accept_closed_streams` a stream without a length that its target closes is
-    whole if the target lives.
+    the same of the write calls that the store takes from all routers.  A
+    stream without a length that its target closes is whole if the target lives
+    and nothing speaks against it; with `accept_closed_streams` if the target
+    lives, with `doubt_closed_streams` only if something shows that it was the
+    end.
     """
 
     name: str
@@ -37,6 +39,7 @@
     memory_mb: float = 0
     store_writes_per_s: float = 0
     accept_closed_streams: bool = False
+    doubt_closed_streams: bool = False
 
 
 def split_address(address):
--- a/galenaspoke/edge/startup.py
+++ b/galenaspoke/edge/startup.py
@@ -35,6 +35,8 @@
         journal.note('reload.refused', why=str(exc))
         return
     new_cfg = dataclasses.replace(
-        new_cfg, accept_closed_streams=cfg.accept_closed_streams
+        new_cfg,
+        accept_closed_streams=cfg.accept_closed_streams,
+        doubt_closed_streams=cfg.doubt_closed_streams,
     )
     journal.note('reload', changed=new_cfg != cfg)
--- /dev/null
+++ b/galenaspoke/edge/targets/close_history.py
@@ -0,0 +1,95 @@
+"""What is known of targets that close streams without a length.
+
+A second run of such a stream, asked to go on after its last event, shows
+whether the first one was closed early.  Not every stream is checked so: the
+first ones of a service, and a share of the later ones.  A target that has
+closed a stream early is doubted for a while.
+
+Example::
+
+    history = CloseHistory(clock)
+    if history.take_check('pool'):
+        ...                               # a second run has brought events
+        history.record_early('pool', 'i-7f3a')
+    history.closes_early('i-7f3a')        # True
+"""
+
+import collections
+
+# How many streams of a service are checked one after another, and of how many
+# one is checked from then on.
+FIRST_CHECKS = 8
+CHECK_INTERVAL = 32
+# For how long a target is doubted that has closed a stream early.
+DOUBT_MS = 600_000
+# Streams that a target closes within this time were ended together.
+TOGETHER_MS = 50
+# The services, and the targets, of which anything is kept.
+MAX_SERVICES = 256
+MAX_TARGETS = 1_024
+# The latest closes that are kept of a target.
+MAX_CLOSES = 64
+
+
+class CloseHistory:
+    """Checks by service, early closes and the times of closes by target."""
+
+    __slots__ = ('_clock', '_unchecked', '_doubted_until', '_closes')
+
+    def __init__(self, clock):
+        self._clock = clock
+        # By service: how many checks are left of the first ones, and how many
+        # streams have passed since the latest check.
+        self._unchecked = collections.OrderedDict()
+        # By target id: until when it is doubted.
+        self._doubted_until = collections.OrderedDict()
+        # By target id: when it closed its latest streams.
+        self._closes = collections.OrderedDict()
+
+    def take_check(self, service):
+        """Return whether the stream that has just ended is to be checked."""
+        first, passed = self._unchecked.pop(service, (FIRST_CHECKS, 0))
+        passed += 1
+        is_due = first > 0 or passed >= CHECK_INTERVAL
+        if is_due:
+            first, passed = max(0, first - 1), 0
+        _put(self._unchecked, service, (first, passed), MAX_SERVICES)
+        return is_due
+
+    def record_early(self, service, target_id):
+        """Record that a target has closed a stream before its end."""
+        until = self._clock.now() + DOUBT_MS
+        _put(self._doubted_until, target_id, until, MAX_TARGETS)
+        _put(self._unchecked, service, (FIRST_CHECKS, 0), MAX_SERVICES)
+
+    def closes_early(self, target_id):
+        """Return whether a target has closed a stream early lately."""
+        until = self._doubted_until.get(target_id)
+        if until is None:
+            return False
+        if self._clock.now() < until:
+            return True
+        del self._doubted_until[target_id]
+        return False
+
+    def record_close(self, target_id, closed_at):
+        """Record when a target closed a stream."""
+        closes = self._closes.get(target_id)
+        if closes is None:
+            closes = collections.deque(maxlen=MAX_CLOSES)
+        closes.append(closed_at)
+        _put(self._closes, target_id, closes, MAX_TARGETS)
+
+    def was_among_others(self, target_id, closed_at):
+        """Return whether a target closed other streams at that time, too."""
+        closes = self._closes.get(target_id, ())
+        near = [at for at in closes if abs(at - closed_at) <= TOGETHER_MS]
+        return len(near) > 1
+
+
+def _put(entries, key, value, most):
+    """Put an entry last; drop the first one if there are too many."""
+    entries.pop(key, None)
+    entries[key] = value
+    if len(entries) > most:
+        entries.popitem(last=False)
--- a/galenaspoke/edge/targets/end_checks.py
+++ b/galenaspoke/edge/targets/end_checks.py
@@ -34,6 +34,9 @@
 # When a target is asked for the first time, after the request was sent, if its
 # response is under way.  One that ends before proves its process by the time.
 EARLY_QUESTION_MS = 500
+# The same for a stream, after its head came.  What its target answers while
+# the stream is under way shows best which process it is.
+STREAM_QUESTION_MS = 50
 # How much the wall clocks of a router and a target may differ.
 MAX_CLOCK_ERROR_MS = 17_000
 # A target may give up a response that was not read for this long.
@@ -66,11 +69,16 @@
         # When this process last stood still for MAX_UNREAD_MS.
         self._stalled_at = -math.inf
 
-    def begin(self, target, conn, sent_at):
+    def begin(self, target, conn, sent_at, is_stream=False):
         """Return the EndCheck of a response whose head has just come.
 
-        `conn` is its connection, and `sent_at` when the request was sent.
+        `conn` is its connection, `sent_at` when the request was sent, and
+        `is_stream` whether the response comes bit by bit.
         """
+        now = self._clock.now()
+        ask_at = max(now, sent_at + EARLY_QUESTION_MS)
+        if is_stream:
+            ask_at = now + STREAM_QUESTION_MS
         return EndCheck(
             target,
             conn,
@@ -79,6 +87,7 @@
             self._clock,
             self._metrics,
             sent_at,
+            ask_at,
             lambda: self._stalled_at >= sent_at,
         )
 
@@ -132,11 +141,14 @@
         '_is_early',
         '_has_answered',
         '_early_born',
+        '_early_run_ids',
         '_alive_at',
         '_has_survived',
         '_has_lost_early',
         '_was_listed',
         '_unread_ms',
+        'says_leaving',
+        'lists_others',
     )
 
     def __init__(
@@ -148,6 +160,7 @@
         clock,
         metrics,
         sent_at,
+        ask_at,
         has_stalled,
     ):
         self._target = target
@@ -169,6 +182,7 @@
         # and when its process started, by that answer; 0 if it didn't say so.
         self._has_answered = False
         self._early_born = 0
+        self._early_run_ids = ()
         # The latest time at which the process is known to have lived.
         self._alive_at = sent_at
         # Whether it has answered since on the connection of such an answer.
@@ -179,8 +193,12 @@
         self._was_listed = False
         # The longest time for which nothing of the response was read.
         self._unread_ms = 0
+        # Whether the target has said, since its response ended, that it
+        # leaves, and that it works on other requests.
+        self.says_leaving = False
+        self.lists_others = False
         self._connect_task = gevent.spawn(self._try_to_connect)
-        wait_ms = max(0, sent_at + EARLY_QUESTION_MS - clock.now())
+        wait_ms = max(0, ask_at - clock.now())
         self._early_task = gevent.spawn_later(wait_ms / 1000, self._ask_early)
 
     def record_unread(self, unread_ms):
@@ -201,6 +219,14 @@
             raise
         self._metrics.count('ends.proved')
 
+    def is_alive(self, request_id):
+        """Return whether the target still lives, after `confirm`."""
+        try:
+            self._ask_while_doubtful(request_id)
+        except connections.ResponseLost:
+            return False
+        return True
+
     def close(self):
         """End the check."""
         self._early_task.kill(block=False)
@@ -253,6 +279,7 @@
         if not is_own or not self._is_under_way():
             return False
         self._early_born = report.born
+        self._early_run_ids = report.run_ids
         return True
 
     def _drop_answered(self):
@@ -270,15 +297,18 @@
         # An answer that comes from now on is no early one.
         self._early_task.kill()
         self._drop_answered()
+        self._ask_while_doubtful(request_id)
+        # Only now: what came during a stall is read before that is noticed.
+        if self._has_stalled() or self._unread_ms >= MAX_UNREAD_MS:
+            why = 'it was not read for too long'
+            raise _make_loss(connections.ResponseLost, why)
+
+    def _ask_while_doubtful(self, request_id):
         until = self._clock.now() + ASK_TIMEOUT_MS
         while doubt := self._ask(request_id, until):
             if self._clock.now() >= until:
                 raise _make_loss(connections.ResponseLost, doubt)
             gevent.sleep(ASK_INTERVAL_S)
-        # Only now: what came during a stall is read before that is noticed.
-        if self._has_stalled() or self._unread_ms >= MAX_UNREAD_MS:
-            why = 'it was not read for too long'
-            raise _make_loss(connections.ResponseLost, why)
 
     def _ask(self, request_id, until):
         """Ask the target once; return why that proves nothing, '' if it does.
@@ -342,6 +372,10 @@
         if request_id in report.run_ids:
             self._was_listed = True
             return 'the target still works on the request'
+        self.says_leaving = report.is_leaving
+        # A report that never listed it may be older than the response.
+        was_listed = self._was_listed or request_id in self._early_run_ids
+        self.lists_others = was_listed and bool(report.run_ids)
         if self._was_listed and not report.is_readable:
             return 'the target worked on the request a moment ago'
         return ''
--- a/galenaspoke/platform/reports.py
+++ b/galenaspoke/platform/reports.py
@@ -21,6 +21,8 @@
 _UNSUPPORTED_STATUSES = (400, 404, 405)
 # The statuses with which a gateway says that it got no response.
 _GATEWAY_STATUSES = (502, 504)
+# The state of a target that leaves.
+_LEAVING = 'draining'
 # Headers that only responses to callers' requests carry.
 _CALLER_HEADERS = (b'x-request-id', b'x-response-stamp')
 
@@ -30,6 +32,9 @@
     born: Annotated[int, msgspec.Meta(ge=0)] = 0
     # What it works on: a list for each request, which begins with its id.
     Runs: Any = ()
+    # Whether it is ready, and in how many ms it leaves if it is known to.
+    State: Any = None
+    leaves_ms: Any = None
 
 
 _decoder = msgspec.json.Decoder(_Report)
@@ -73,7 +78,11 @@
         report = _decode(status, body)
     except ValueError:
         return metadata.TargetReport(is_readable=False)
-    return metadata.TargetReport(report.born, _list_run_ids(report.Runs))
+    return metadata.TargetReport(
+        report.born,
+        _list_run_ids(report.Runs),
+        is_leaving=_is_leaving(report),
+    )
 
 
 def _decode(status, body):
@@ -85,6 +94,13 @@
         raise ValueError(str(exc)) from exc
 
 
+def _is_leaving(report):
+    """Return whether a report says that its target leaves."""
+    if isinstance(report.State, str):
+        return report.State == _LEAVING
+    return isinstance(report.leaves_ms, int | float)
+
+
 def _list_run_ids(runs):
     """Return the ids in a list of runs, without what is no id."""
     if not isinstance(runs, list):
--- a/tests/edge/test_closed_review.py
+++ b/tests/edge/test_closed_review.py
@@ -57,6 +57,12 @@
             )
         self.assertFalse(self.ask(desk)[1])
 
+
+class DoubtedSecondRunTest(SecondRunTest):
+    """The same where the operator doubts that closed streams have ended."""
+
+    doubts = True
+
     # Guards against a run that isn't told where to go on, as events have no
     # numbers, and confirms an end (ORDER).
     def test_stream_without_numbers(self):
@@ -94,6 +100,8 @@
 class OutputTest(test_endings.EndingTestCase):
     """Streams that are whole if all output that they may have has come."""
 
+    doubts = True
+
     def close_early(self, engine):
         """Let an engine close its stream in the middle, and live."""
         engine.cut_at = test_endings.CUT_AFTER
--- a/tests/edge/test_closed_streams.py
+++ b/tests/edge/test_closed_streams.py
@@ -111,6 +111,30 @@
         for engine in engines:
             engine._run = functools.partial(run, engine, engine._run)
 
+    def _make_deaf_run(self, engine):
+        run = engine._run
+        return lambda sock, head: run(
+            sock, re.sub(rb'(?i)last-event-id', b'x-other', head)
+        )
+
+    def _make_leaving_run(self, desk, engine, number):
+        run = engine._run
+
+        def run_and_leave(sock, head):
+            entry = base.make_target_entry(
+                f'i-{number}', engine.port, born=engine.born, leaving=True
+            )
+            desk.target_view.directory.put(entry, desk.clock.now())
+            run(sock, head)
+
+        return run_and_leave
+
+
+class DoubtedEarlyCloseTest(EarlyCloseTest):
+    """The same where the operator doubts that closed streams have ended."""
+
+    doubts = True
+
     def test_stream_that_may_not_be_resumed_is_broken(self):
         desk, _ = self.make_closing_desk(resumable=False)
         self.check_is_broken(desk, test_endings.CUT_AFTER - 1)
@@ -147,12 +171,6 @@
             engine._run = self._make_deaf_run(engine)
         self.check_is_broken(desk, test_endings.CUT_AFTER - 1)
 
-    def _make_deaf_run(self, engine):
-        run = engine._run
-        return lambda sock, head: run(
-            sock, re.sub(rb'(?i)last-event-id', b'x-other', head)
-        )
-
     def test_empty_retry_budget(self):
         desk, _ = self.make_closing_desk(
             2, settings={'retry_slack': 0, 'retry_ratio': 0.0}
@@ -167,18 +185,6 @@
         pieces = test_endings.EVENT_COUNT
         self.check_is_broken(desk, pieces, usage=b'9,90')
 
-    def _make_leaving_run(self, desk, engine, number):
-        run = engine._run
-
-        def run_and_leave(sock, head):
-            entry = base.make_target_entry(
-                f'i-{number}', engine.port, born=engine.born, leaving=True
-            )
-            desk.target_view.directory.put(entry, desk.clock.now())
-            run(sock, head)
-
-        return run_and_leave
-
     # Guards against one event that passes for all of a stream that goes on.
     def test_output_before_a_resumption_is_not_known(self):
         desk, (engine,) = self.make_desk()
--- a/tests/edge/test_end_proofs.py
+++ b/tests/edge/test_end_proofs.py
@@ -169,6 +169,8 @@
 class HandoverTest(test_endings_review.ReviewTestCase):
     """An address that leads to the process before when the entry is new."""
 
+    doubts = True
+
     # Guards against a known process that proves the end of a response of the
     # one before, which still had the address when the request was sent.
     def test_response_is_not_whole(self):
@@ -216,6 +218,8 @@
 class SteppedClockTest(test_endings_review.ReviewTestCase):
     """Wall clocks of which one is 8 s ahead and the other 8 s behind."""
 
+    doubts = True
+
     def test_response_is_not_whole(self):
         class BehindEngine(test_delayed_ends.ReplacedEngine):
             """Its clock is 8 s behind."""
--- a/tests/edge/test_endings.py
+++ b/tests/edge/test_endings.py
@@ -59,6 +59,8 @@
     and ends the response there unless `goes_on`.
     """
 
+    # What its reports say besides.
+    state = b''
     # What it answers when it is asked for a report; None for its own.
     report = None
     head = HEAD
@@ -112,7 +114,11 @@
             sock.sendall(self.report)
             return
         runs = b','.join(b'["%s",9,9,0]' % run_id for run_id in self.runs)
-        body = b'{"born":%d,"Runs":[%s]}' % (self.born, runs)
+        body = b'{%s"born":%d,"Runs":[%s]}' % (
+            self.state,
+            self.born,
+            runs,
+        )
         sock.sendall(encode_report(body))
 
     def _run(self, sock, head):
@@ -163,10 +169,17 @@
 
     kind = catalog.RequestKind.STREAM
     content_type = b'text/event-stream'
+    # Whether the router doubts that closed streams have ended.
+    doubts = False
 
     def make_desk(self, count=1, born=BORN, **options):
         """Return a handler, and its engines."""
         options = {'store': fakes.FakeStore(), **options}
+        settings = options.get('settings') or {}
+        options['settings'] = {
+            'doubt_closed_streams': self.doubts,
+            **settings,
+        }
         desk = handlers.Desk({}, self.kind, timeout_ms=3_000, **options)
         engines = []
         for number in range(count):
@@ -223,14 +236,6 @@
         self.assertEqual(CUT_AFTER - 1, self.count_pieces(caller))
         self.assertFalse(is_whole)
 
-    # The same where the engine is back before the router looks.
-    def test_stream_of_an_engine_that_is_back_is_not_whole(self):
-        desk, (engine,) = self.make_desk(resumable=False)
-        engine.cut_at = CUT_AFTER
-        engine.cut = engine.restart
-        _, is_whole = self.ask(desk)
-        self.assertFalse(is_whole)
-
     def test_resumable_stream_goes_on_elsewhere(self):
         desk, engines = self.make_desk(count=2)
         self.kill_first(engines)
@@ -268,6 +273,20 @@
             self.assertFalse(is_whole, report)
 
 
+class DoubtedKilledStreamTest(KilledStreamTest):
+    """The same where the operator doubts that closed streams have ended."""
+
+    doubts = True
+
+    # The same where the engine is back before the router looks.
+    def test_stream_of_an_engine_that_is_back_is_not_whole(self):
+        desk, (engine,) = self.make_desk(resumable=False)
+        engine.cut_at = CUT_AFTER
+        engine.cut = engine.restart
+        _, is_whole = self.ask(desk)
+        self.assertFalse(is_whole)
+
+
 class UnreadStreamTest(EndingTestCase):
     """Streams that the router doesn't read for a while.
 
--- a/tests/edge/test_endings_review.py
+++ b/tests/edge/test_endings_review.py
@@ -109,11 +109,6 @@
         self.assertEqual(test_endings.CUT_AFTER - 1, self.count_pieces(caller))
         self.assertFalse(is_whole)
 
-    def test_stream_with_reports_is_not_whole(self):
-        desk, (engine,) = self.make_desk(resumable=False)
-        _, is_whole = self.ask(desk)
-        self.assertFalse(is_whole)
-
     # The same where the first attempt to connect was refused.
     def test_refused_connection_is_no_proof(self):
         real = directory.Target.connect
@@ -135,9 +130,22 @@
         self.assertFalse(is_whole)
 
 
+class DoubtedReplacedEngineTest(ReplacedEngineTest):
+    """The same where the operator doubts that closed streams have ended."""
+
+    doubts = True
+
+    def test_stream_with_reports_is_not_whole(self):
+        desk, (engine,) = self.make_desk(resumable=False)
+        _, is_whole = self.ask(desk)
+        self.assertFalse(is_whole)
+
+
 class ClosedStreamTest(ReviewTestCase):
     """Streams that a living engine closes in the middle."""
 
+    doubts = True
+
     # Guards against an engine that closes the connection, lives on and
     # doesn't work on the request any more (third column of the users' table).
     def test_stream_that_is_closed_early_is_not_whole(self):
--- a/tests/edge/test_guessed_ends.py
+++ b/tests/edge/test_guessed_ends.py
@@ -30,6 +30,29 @@
         self.assertEqual(test_endings.CUT_AFTER - 1, self.count_pieces(caller))
         self.assertFalse(is_whole)
 
+    # The same where a caller resumes a stream, and no engine sends a piece.
+    def test_no_engine_sends_an_event(self):
+        desk, engines = self.make_desk(2, max_attempts=3)
+        for engine in engines:
+            test_closed_review.replace_run(
+                engine, test_closed_review.close_if_resumed
+            )
+        _, is_whole = self.ask(
+            desk,
+            usage=MORE_USAGE,
+            pairs=[
+                (LAST_EVENT_ID, b'5'),
+                (b'resumes', handlers.REQUEST_ID),
+            ],
+        )
+        self.assertFalse(is_whole)
+
+
+class DoubtedSecondCloseTest(SecondCloseTest):
+    """The same where the operator doubts that closed streams have ended."""
+
+    doubts = True
+
     # Guards against a stream that is told whole though cut, since the engine
     # at which it is to go on closes it before its first event (ORDER).
     def test_second_engine_closes_at_once(self):
@@ -58,20 +81,3 @@
         for engine in engines:
             test_closed_review.replace_run(engine, run)
         self.check_is_broken(desk)
-
-    # The same where a caller resumes a stream, and no engine sends a piece.
-    def test_no_engine_sends_an_event(self):
-        desk, engines = self.make_desk(2, max_attempts=3)
-        for engine in engines:
-            test_closed_review.replace_run(
-                engine, test_closed_review.close_if_resumed
-            )
-        _, is_whole = self.ask(
-            desk,
-            usage=MORE_USAGE,
-            pairs=[
-                (LAST_EVENT_ID, b'5'),
-                (b'resumes', handlers.REQUEST_ID),
-            ],
-        )
-        self.assertFalse(is_whole)
--- a/tests/edge/test_guessed_ends_review.py
+++ b/tests/edge/test_guessed_ends_review.py
@@ -87,6 +87,25 @@
 class SecondRunTest(ReviewTestCase):
     """Second runs that are taken for a proof that a stream has ended."""
 
+    # Guards against a second run that states an end before the last event that
+    # the caller has, since it was asked for an earlier one (ORDER).
+    def test_second_run_is_not_asked_for_an_earlier_end(self):
+        desk, engines = self.make_desk(2, max_attempts=3)
+        heads = self.script(
+            engines, self.send(1, 2, 3), self.send(is_chunked=True)
+        )
+        _, is_whole = self.ask(desk, usage=MORE_USAGE)
+        # No target is asked for what the caller has, so an end that it states
+        # is one after that.
+        self.assertIn(LAST_EVENT_ID + b': 3\r\n', heads[1])
+        self.assertTrue(is_whole)
+
+
+class DoubtedSecondRunTest(SecondRunTest):
+    """The same where the operator doubts that closed streams have ended."""
+
+    doubts = True
+
     # Guards against a piece at which each engine closes the stream, whose
     # second close passes for a proof (ORDER).
     def test_engines_close_before_the_same_event(self):
@@ -106,19 +125,6 @@
         _, is_whole = self.ask(desk, usage=MORE_USAGE)
         self.assertFalse(is_whole)
 
-    # Guards against a second run that states an end before the last event that
-    # the caller has, since it was asked for an earlier one (ORDER).
-    def test_second_run_is_not_asked_for_an_earlier_end(self):
-        desk, engines = self.make_desk(2, max_attempts=3)
-        heads = self.script(
-            engines, self.send(1, 2, 3), self.send(is_chunked=True)
-        )
-        _, is_whole = self.ask(desk, usage=MORE_USAGE)
-        # No target is asked for what the caller has, so an end that it states
-        # is one after that.
-        self.assertIn(LAST_EVENT_ID + b': 3\r\n', heads[1])
-        self.assertTrue(is_whole)
-
 
 class JoinTest(ReviewTestCase):
     """Places at which the pieces of two runs are joined."""
@@ -238,6 +244,12 @@
         is_complete = caller.body.count(b'data: x\n') == 6
         self.assertTrue(is_complete or not is_whole)
 
+
+class DoubtedSingleRunTest(SingleRunTest):
+    """The same where the operator doubts that closed streams have ended."""
+
+    doubts = True
+
     # Guards against an event that has an id and holds no token, and yet counts
     # as one of the tokens that the request allows (ORDER).
     def test_event_without_text_is_no_token(self):
--- a/tests/edge/test_interrupted_streams.py
+++ b/tests/edge/test_interrupted_streams.py
@@ -14,7 +14,9 @@
 from galenaspoke.core import clock
 from galenaspoke.edge import outcomes
 from galenaspoke.edge.serving import attempts
+from galenaspoke.edge.serving import stream_ends
 from galenaspoke.edge.streams import sse
+from galenaspoke.edge.targets import close_history
 from galenaspoke.edge.targets import health
 from galenaspoke.edge.targets import wait_estimates
 from galenaspoke.http import messages
@@ -110,7 +112,7 @@
 class FakeEndChecker:
     """Confirms the end of each response; its targets live."""
 
-    def begin(self, target, conn, sent_at):
+    def begin(self, target, conn, sent_at, is_stream):
         """Return a check that confirms everything."""
         return self
 
@@ -164,6 +166,12 @@
         req.arrived_at = self.clock.now()
         self.context = base.make_stream_context(req)
 
+    def make_end_judge(self):
+        """Return an EndJudge that knows nothing of any target."""
+        history = close_history.CloseHistory(self.clock)
+        cfg = base.make_edge_settings()
+        return stream_ends.EndJudge(cfg, history, self.clock)
+
     def run_attempt(self, *pieces, close=True, read_request=False):
         """Return the outcome of an attempt whose target sends `pieces`.
 
@@ -185,6 +193,7 @@
             lambda: True,
             self.target.acquire_connection,
             FakeEndChecker(),
+            self.make_end_judge(),
         )
         task = gevent.spawn(attempt.run, 50)
         gevent.sleep(0)
@@ -445,6 +454,7 @@
             lambda: True,
             target.acquire_connection,
             FakeEndChecker(),
+            self.make_end_judge(),
         )
         with self.assertRaises(gevent.Timeout):
             with gevent.Timeout(0.01):
