HTTP messages: parsing of requests and of responses get a module each

Cause: `http/messages.py` held three jobs in 488 lines: the messages and their encoders, the parser of what callers send, and the parser of what peers send with its bounds. Each parser has its own state and shares none.

Change: RequestParser is in `http/request_parsing.py`, ResponseParser with its bounds (MAX_HEAD_BYTES, MAX_INTERIM_RESPONSES, MAX_HELD_RESPONSES, MAX_FRAMING_BYTES) in `http/response_parsing.py`. Messages, errors, encoders and the bounds that both use stay. The bodies differ from before in the prefix `messages.` alone. Tests name the new modules; no check changed.

Run: tests.http and tests.edge.test_{busy_callers,endless_bytes, pipelined_requests,floods}: 172 tests passed.

--- a/galenaspoke/edge/serving/caller_connections.py
+++ b/galenaspoke/edge/serving/caller_connections.py
@@ -11,6 +11,7 @@
 from galenaspoke.edge.serving import disconnects
 from galenaspoke.http import buffers
 from galenaspoke.http import messages
+from galenaspoke.http import request_parsing
 from galenaspoke.http import sockets
 from galenaspoke.http import turns
 
@@ -91,7 +92,7 @@
         self._sender = caller_sending.CallerSender(sock, self._hold_unsent)
         self._clock = clock
         self._get_limits = get_limits
-        self.parser = messages.RequestParser(get_limits())
+        self.parser = request_parsing.RequestParser(get_limits())
         # Whether another request may follow on this connection.
         self.keep_alive = True
         # Whether the head of the current response has been sent.
--- a/galenaspoke/http/connections.py
+++ b/galenaspoke/http/connections.py
@@ -16,6 +16,7 @@
 from galenaspoke.http import buffers
 from galenaspoke.http import messages
 from galenaspoke.http import pacing
+from galenaspoke.http import response_parsing
 from galenaspoke.http import sending
 from galenaspoke.http import sockets
 from galenaspoke.http import tcp_info
@@ -96,7 +97,7 @@
         owner='',
         pacer=None,
     ):
-        self.parser = messages.ResponseParser(max_body_bytes)
+        self.parser = response_parsing.ResponseParser(max_body_bytes)
         self._share = buffers.process_account.open(owner, self._cut)
         # The response that `read_head` returned last, None once it was
         # released.
--- a/tests/edge/test_busy_callers.py
+++ b/tests/edge/test_busy_callers.py
@@ -9,7 +9,7 @@
 from galenaspoke.core import catalog
 from galenaspoke.core import clock
 from galenaspoke.edge.serving import caller_connections
-from galenaspoke.http import messages
+from galenaspoke.http import request_parsing
 from tests.edge import base
 
 CONNECTIONS = 20
@@ -23,13 +23,15 @@
 
     def setUp(self):
         self.parsed_bytes = self.most_parsed = 0
-        feed = messages.RequestParser.feed
+        feed = request_parsing.RequestParser.feed
 
         def count(parser, data):
             self.parsed_bytes += len(data)
             feed(parser, data)
 
-        patcher = mock.patch.object(messages.RequestParser, 'feed', count)
+        patcher = mock.patch.object(
+            request_parsing.RequestParser, 'feed', count
+        )
         patcher.start()
         self.addCleanup(patcher.stop)
 
--- a/tests/edge/test_endless_bytes.py
+++ b/tests/edge/test_endless_bytes.py
@@ -16,6 +16,8 @@
 from galenaspoke.http import connections
 from galenaspoke.http import messages
 from galenaspoke.http import pacing
+from galenaspoke.http import request_parsing
+from galenaspoke.http import response_parsing
 from galenaspoke.store import paths
 from tests.edge import base
 from tests.edge import handlers
@@ -81,7 +83,7 @@
         self.assertLessEqual(engine.sent_bytes, max_bytes + SOCKET_BYTES)
         return desk, caller
 
-    def check_failure(self, engine, max_bytes=messages.MAX_HEAD_BYTES):
+    def check_failure(self, engine, max_bytes=response_parsing.MAX_HEAD_BYTES):
         """Check that the caller learns that the request may have run."""
         desk, caller = self.check(
             engine, max_bytes, timeout_ms=LONG_DEADLINE_MS
@@ -316,7 +318,7 @@
     def test_store_head(self):
         self.serve(EndlessEngine(OK_HEAD + b'A: ', b'a' * 10_000))
         self.call_store()
-        self.check_closed(messages.MAX_HEAD_BYTES)
+        self.check_closed(response_parsing.MAX_HEAD_BYTES)
 
     def test_store_body(self):
         self.serve(EndlessEngine(OK_HEAD + b'\r\n', b'a' * 100_000))
@@ -344,7 +346,7 @@
     """A caller that sends a trailer without end."""
 
     def test_trailer(self):
-        parser = messages.RequestParser(catalog.Limits())
+        parser = request_parsing.RequestParser(catalog.Limits())
         parser.feed(
             b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n'
             b'1\r\na\r\n0\r\nA: '
@@ -355,7 +357,7 @@
         self.assertEqual(431, caught.exception.status)
 
     def test_long_body_is_not_taken_for_a_trailer(self):
-        parser = messages.RequestParser(catalog.Limits())
+        parser = request_parsing.RequestParser(catalog.Limits())
         parser.feed(
             b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n'
         )
--- a/tests/edge/test_pipelined_requests.py
+++ b/tests/edge/test_pipelined_requests.py
@@ -8,6 +8,7 @@
 from galenaspoke.core import clock
 from galenaspoke.edge.serving import caller_connections
 from galenaspoke.http import messages
+from galenaspoke.http import request_parsing
 from tests.edge import base
 
 TINY_REQUEST = b'GET /%d HTTP/1.1\r\nHost: a\r\n\r\n'
@@ -89,14 +90,14 @@
 
     # Guards against heads whose objects take thirty times their bytes.
     def test_many_headers(self):
-        parser = messages.RequestParser(catalog.Limits())
+        parser = request_parsing.RequestParser(catalog.Limits())
         with self.assertRaises(messages.BadRequest) as raised:
             parser.feed(b'GET / HTTP/1.1\r\nHost: a\r\n' + b'A: b\r\n' * 200)
         self.assertEqual(431, raised.exception.status)
 
     # Guards against a bound below what callers and proxies send.
     def test_usual_number_of_headers(self):
-        parser = messages.RequestParser(catalog.Limits())
+        parser = request_parsing.RequestParser(catalog.Limits())
         parser.feed(
             b'GET / HTTP/1.1\r\nHost: a\r\n' + b'A: b\r\n' * 100 + b'\r\n'
         )
--- a/tests/http/test_smuggling.py
+++ b/tests/http/test_smuggling.py
@@ -8,6 +8,7 @@
 
 from galenaspoke.core import catalog
 from galenaspoke.http import messages
+from galenaspoke.http import request_parsing
 
 LIMITS = catalog.Limits(header_bytes=200, body_bytes=10)
 HEAD = b'POST /a/ HTTP/1.1\r\nHost: desk\r\n'
@@ -15,7 +16,7 @@
 
 def parse(*pieces):
     """Return the requests that some pieces of bytes contain."""
-    parser = messages.RequestParser(LIMITS)
+    parser = request_parsing.RequestParser(LIMITS)
     for piece in pieces:
         parser.feed(piece)
     return list(parser.requests)
