Edge router: the serving of accepted connections gets a module

Cause: `edge/main.py` builds, starts and stops the router's components in 442 lines, and also served each accepted connection: its set of open connections, the loop over a connection's requests, and what is refused before a request is whole. That is a job of its own with a state of its own.

Change: `edge/serving/caller_server.py` has CallerServer with these, moved as they were. It calls the RequestHandler through a closure, as `edge.main` did through its attribute. The click options and the order of start and stop are as before. Tests read `router.callers.connections` for `router._connections` and `router.callers.serve` for `router._handle_connection`; no check changed.

Run: tests.edge.test_{early_refusals,late_in_grace,memory_of_callers, rolling_restart,slow_readers} and tests.utils.test_early_signals: 65 tests, all passed but one that was skipped, which skips itself.

Conclusion: no behaviour changed.

--- a/galenaspoke/edge/main.py
+++ b/galenaspoke/edge/main.py
@@ -23,7 +23,7 @@
 from galenaspoke.edge.money import budgets as edge_budgets
 from galenaspoke.edge.money import loan_protocol
 from galenaspoke.edge.serving import admission
-from galenaspoke.edge.serving import caller_connections
+from galenaspoke.edge.serving import caller_server
 from galenaspoke.edge.serving import request_handler
 from galenaspoke.edge.serving import retries
 from galenaspoke.edge import settings as edge_settings
@@ -36,7 +36,6 @@
 from galenaspoke.edge.views import watchers
 from galenaspoke.http import buffers
 from galenaspoke.http import listening
-from galenaspoke.http import messages
 from galenaspoke.platform import configuration
 from galenaspoke.platform import evacuations
 from galenaspoke.platform import headers
@@ -63,8 +62,6 @@
 # How long writes that are relayed for other routers get to be answered.
 RELAYED_CALLS_TIMEOUT_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
-# When callers may come back to a process that holds too much for them.
-MEMORY_RETRY_AFTER_S = 1
 
 
 class EdgeRouter:
@@ -84,7 +81,12 @@
         )
         self._stopping = event.Event()
         self.poison_detector = poison.PoisonDetector(self.clock, self.journal)
-        self._connections = set()
+        self.callers = caller_server.CallerServer(
+            lambda: self.config_view.catalog.limits,
+            lambda req, caller: self.request_handler.handle(req, caller),
+            self.clock,
+            self.metrics,
+        )
         paths = store_paths.StorePaths(
             cfg.store,
             platform_store.probe_url_path(relays.KIND),
@@ -244,7 +246,7 @@
         self.budget_manager.start()
         gevent.spawn(self._members.run)
         host, port = edge_settings.split_address(self.cfg.listen)
-        self._server = listening.serve(host, port, self._handle_connection)
+        self._server = listening.serve(host, port, self.callers.serve)
         application = status_pages.make_application(
             self.is_ready,
             lambda: self.metrics.encode(self._gauges()),
@@ -284,48 +286,6 @@
         )
         return bool(is_initialized and not self._stopping.is_set())
 
-    def _handle_connection(self, sock, _):
-        caller = caller_connections.CallerConnection(
-            sock, self.clock, lambda: self.config_view.catalog.limits
-        )
-        self._connections.add(caller)
-        try:
-            self._serve_requests(caller)
-        except (
-            caller_connections.CallerDisconnected,
-            caller_connections.OutOfMemory,
-        ):
-            pass
-        finally:
-            self._connections.discard(caller)
-            caller.close()
-
-    def _serve_requests(self, caller):
-        while caller.keep_alive:
-            try:
-                req = caller.begin_request()
-            except messages.BadRequest as exc:
-                self._refuse(caller, exc.status, [], str(exc))
-                return
-            except caller_connections.OutOfMemory as exc:
-                if not caller.is_idle():
-                    pause = b'%d' % MEMORY_RETRY_AFTER_S
-                    headers = [(b'Retry-After', pause)]
-                    self._refuse(caller, 503, headers, str(exc))
-                return
-            if req is None:
-                return
-            self.request_handler.handle(req, caller)
-        if caller.has_unread_request():
-            caller.linger()
-
-    def _refuse(self, caller, status, headers, detail):
-        """Answer a request that has not been read whole, and read no more."""
-        self.metrics.count(f'answers.{status}')
-        caller.keep_alive = False
-        caller.send_response(status, headers, detail.encode())
-        caller.linger()
-
     def stop(self):
         """Shut down gracefully; return the exit code.
 
@@ -340,9 +300,9 @@
         self.admission.begin_shutdown(started_at + ACCEPT_ALL_MS, deadline)
         self._wait_until(started_at + BALANCER_DELAY_MS, lambda: False)
         self._close_idle_connections()
-        self._wait_until(deadline, lambda: not self._connections)
+        self._wait_until(deadline, lambda: not self.callers.connections)
         listening.finish_accepting(self._server)
-        self._wait_until(deadline, lambda: not self._connections)
+        self._wait_until(deadline, lambda: not self.callers.connections)
         self._abandon_open_requests()
         self.budget_manager.close()
         self._members.unregister()
@@ -357,11 +317,8 @@
         return EXIT_OK
 
     def _close_idle_connections(self):
-        callers = list(self._connections)
-        closed = sum(caller.close_if_idle() for caller in callers)
-        self.journal.note(
-            'stop.idle_closed', closed=closed, busy=len(callers) - closed
-        )
+        closed, busy = self.callers.close_idle()
+        self.journal.note('stop.idle_closed', closed=closed, busy=busy)
 
     def _abandon_open_requests(self):
         """Answer the requests that are still open; accept no more."""
@@ -393,7 +350,7 @@
     def _gauges(self):
         return {
             'open': self.request_handler.open_request_count,
-            'connections': len(self._connections),
+            'connections': len(self.callers.connections),
             'lines_shed': self.journal.dropped_lines,
             'held_bytes': buffers.process_account.held_bytes,
             'held_cut': buffers.process_account.cut_count,
--- a/tests/edge/stopping.py
+++ b/tests/edge/stopping.py
@@ -50,7 +50,7 @@
         self.router.budget_manager = mock.Mock()
         self.router._members = mock.Mock()
         self.router._server = listening.serve(
-            '127.0.0.1', 0, self.router._handle_connection
+            '127.0.0.1', 0, self.router.callers.serve
         )
 
     def tearDown(self):
--- a/tests/edge/test_early_refusals.py
+++ b/tests/edge/test_early_refusals.py
@@ -119,8 +119,8 @@
     def test_caller_that_keeps_the_connection_open(self):
         remote = self.connect()
         remote.sendall(self.make_head(b'Api-Key: no\r\n'))
-        base.wait_until(lambda: self.router._connections)
-        base.wait_until(lambda: not self.router._connections, TIMEOUT_S)
+        base.wait_until(lambda: self.router.callers.connections)
+        base.wait_until(lambda: not self.router.callers.connections, TIMEOUT_S)
 
     # Guards against a connection that is closed although all of its request
     # had been read.
@@ -147,9 +147,9 @@
     def test_caller_that_leaves_in_the_middle_of_its_body(self):
         remote = self.connect()
         remote.sendall(self.make_head(KEY) + b'a')
-        base.wait_until(lambda: self.router._connections)
+        base.wait_until(lambda: self.router.callers.connections)
         remote.close()
-        base.wait_until(lambda: not self.router._connections)
+        base.wait_until(lambda: not self.router.callers.connections)
         self.assertEqual([], self.started)
 
     # Guards against a pause in the body that lasts for ever.
@@ -167,7 +167,7 @@
         remote.sendall(bytes(BODY_BYTES))
         base.wait_until(lambda: self.started)
         remote.close()
-        base.wait_until(lambda: not self.router._connections)
+        base.wait_until(lambda: not self.router.callers.connections)
 
     # Guards against a request that no shutdown answers as its body hangs.
     def test_body_that_hangs_at_the_end_of_the_grace_period(self):
--- a/tests/edge/test_memory_of_callers.py
+++ b/tests/edge/test_memory_of_callers.py
@@ -56,7 +56,7 @@
         """Check that nothing is held once the callers have left."""
         for remote in remotes:
             remote.close()
-        base.wait_until(lambda: not self.router._connections)
+        base.wait_until(lambda: not self.router.callers.connections)
         self.assertEqual(0, self.account.held_bytes)
 
 
--- a/tests/edge/test_rolling_restart.py
+++ b/tests/edge/test_rolling_restart.py
@@ -196,12 +196,12 @@
     def test_no_request_is_sent_on_at_the_end_of_the_grace_period(self):
         (remote,) = self.connect(1)
         remote.sendall(self.REQUEST[:20])
-        (caller,) = self.router._connections
+        (caller,) = self.router.callers.connections
         base.wait_until(lambda: not caller.is_idle())
 
         def finish_request():
             remote.sendall(self.REQUEST[20:])
-            base.wait_until(lambda: not self.router._connections)
+            base.wait_until(lambda: not self.router.callers.connections)
 
         self.router.budget_manager.close = finish_request
         self.stop_without_grace()
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -95,7 +95,7 @@
     def test_caller_that_reads_nothing(self):
         self.connect()
         base.wait_until(lambda: self.started)
-        base.wait_until(lambda: not self.router._connections)
+        base.wait_until(lambda: not self.router.callers.connections)
         self.assertLess(self.sent_bytes, 1_500_000)
 
     # Guards against a caller that reads slowly and is cut off.
