Ledger client: what follows a store's copy gets a module

Cause: `edge/money/ledger_client.py` held two jobs in 443 lines: the calls to the ledger, and what a holder does after the store came back from a copy (statements, joining the pages of the new era, releasing what is unseen). The second had state of its own, `_statements` and `_checked_at`, that no other method used.

Change: `edge/money/copy_recovery.py` has CopyRecovery with these, moved as they were. LedgerClient still gives up the changes under way first, and then calls `begin_era`; `check_unseen` is given the cached page. `_checked_at` is cleared after VolatileDraws.begin_era rather than before it; neither reads the other and nothing yields between them.

Conclusion: no behaviour changed.

--- a/galenaspoke/edge/money/ledger_client.py
+++ b/galenaspoke/edge/money/ledger_client.py
@@ -11,7 +11,7 @@
 
 When the store comes back from a copy, changes under way are given up, the
 router states what it was granted, and it joins the pages of the new era; see
-`core.durability`.
+`copy_recovery`.
 
 Example::
 
@@ -19,12 +19,9 @@
     change.result.get()      # 12000 tokens, 0 or MOVED
 """
 
-import random
-
-import gevent
-
 from galenaspoke.core import durability
 from galenaspoke.core import ledger
+from galenaspoke.edge.money import copy_recovery
 from galenaspoke.edge.money import ledger_pages
 from galenaspoke.edge.money import page_changes
 from galenaspoke.edge.money import reservations
@@ -41,10 +38,6 @@
 # owner dies, the tokens that it holds are in doubt and can't be spent until an
 # operator settles them; the rest of the budget can.
 MAX_HELD_SHARE = 0.04
-# In a new era of the store, each router joins its pages within this time.
-JOIN_SPREAD_S = 0.5
-# How often a router checks whether anything is unseen still.
-CHECK_INTERVAL_MS = 1_000
 # An owner reports what it has spent once this share of the limit is not
 # reported, even if it draws nothing.
 REPORT_SHARE = 0.04
@@ -75,10 +68,9 @@
         '_store',
         '_pages',
         '_members',
-        '_statements',
         '_draws',
         '_changes',
-        '_checked_at',
+        '_recovery',
         '_metrics',
         '_journal',
         '_book',
@@ -106,15 +98,19 @@
         self._store = store
         self._pages = ledger_pages.LedgerPages(store, eras)
         self._members = members
-        self._statements = statements.Statements(
-            cfg, self.holder_name, store, eras, journal
-        )
         self._draws = volatile_draws.VolatileDraws(clock, store)
         self._changes = page_changes.PageChanges(
             self.holder_name, cfg, journal, get_catalog, book, self._draws
         )
-        # When it was last checked whether anything is unseen, by page.
-        self._checked_at = {}
+        self._recovery = copy_recovery.CopyRecovery(
+            statements.Statements(cfg, self.holder_name, store, eras, journal),
+            members,
+            clock,
+            journal,
+            book,
+            self._changes,
+            self._submit,
+        )
         self._clock = clock
         self._metrics = metrics
         self._journal = journal
@@ -347,74 +343,15 @@
         for writer in writers:
             writer.abort(store_base.EraChanged('the era of the store rose'))
         self._changes.returning.clear()
-        self._checked_at.clear()
         self._draws.begin_era()
-        granted = {
-            budget: self._book.get_balance(budget).granted
-            for budget in self._book.budgets()
-            if self._book.get_balance(budget).granted
-        }
-        gevent.spawn(
-            self._statements.write,
-            granted,
-            self._members.list_vouched_eras(),
-        )
-        for budget in granted:
-            gevent.spawn_later(
-                random.uniform(0, JOIN_SPREAD_S), self._join_page, budget
-            )
-
-    def _join_page(self, budget):
-        """Join the page of a budget that this holder has tokens of."""
-
-        def update(page):
-            must_write = self._changes.prepare(page, self._page_name(budget))
-            self._changes.report_spending(page)
-            return must_write or page_writer.Unchanged(None)
-
-        self._submit(budget, update)
+        self._recovery.begin_era()
 
     def check_unseen(self, budget):
         """Release the unseen tokens of a budget's page, if that is safe.
 
         It is once every router that may have drawn them has made a statement.
         """
-        page = self.get_cached_page(budget)
-        page_name = self._page_name(budget)
-        now = self._clock.now()
-        if page is None or not page.lost_eras:
-            return
-        if now - self._checked_at.get(page_name, 0) < CHECK_INTERVAL_MS:
-            return
-        self._checked_at[page_name] = now
-        try:
-            stated = self._statements.read_complete(page.lost_eras)
-        except store_base.StoreError as exc:
-            self._journal.note('money.statements_unread', why=str(exc))
-            return
-        if stated is None:
-            return
-
-        def update(page):
-            self._changes.prepare(page, self._page_name(budget))
-            for statement in stated:
-                self._changes.join_as(
-                    page,
-                    statement.holder,
-                    self._select(statement.granted, page_name),
-                )
-            return durability.release(page) or page_writer.Unchanged(False)
-
-        self._submit(budget, update)
-        self._journal.note('money.all_stated', page=page_name)
-
-    def _select(self, granted_by_budget, page_name):
-        """Return the items of the budgets on a page."""
-        return {
-            budget: granted
-            for budget, granted in granted_by_budget.items()
-            if self._page_name(budget) == page_name
-        }
+        self._recovery.check_unseen(budget, self.get_cached_page(budget))
 
     # Pages.
 
