HTTP messages: requests and responses share the look-up of a header

Cause: Request.header and Response.header were the same eight lines twice.

Change: both get it from a base class without state; slots and what a message takes in memory stay as they were.

Conclusion: no behaviour changed.

--- a/galenaspoke/http/messages.py
+++ b/galenaspoke/http/messages.py
@@ -66,7 +66,23 @@
     """A peer sent more of something than any sound one does."""
 
 
-class Request:
+class _Message:
+    """Something with `headers`.
+
+    They are pairs of the lower-case name and the value, both as bytes.
+    """
+
+    __slots__ = ()
+
+    def header(self, name, default=''):
+        """Return a header's first value; `name` must be in lower case."""
+        for header_name, value in self.headers:
+            if header_name == name:
+                return value.decode('latin-1')
+        return default
+
+
+class Request(_Message):
     """A caller's request; `is_complete` once all of it has arrived."""
 
     __slots__ = (
@@ -86,7 +102,6 @@
     def __init__(self):
         self.method = b''
         self.url = b''
-        # Pairs of the lower-case name and the value, both as bytes.
         self.headers = []
         self.body = bytearray()
         self.keep_alive = True
@@ -116,15 +131,8 @@
             + len(self.body)
         )
 
-    def header(self, name, default=''):
-        """Return a header's first value; `name` must be in lower case."""
-        for header_name, value in self.headers:
-            if header_name == name:
-                return value.decode('latin-1')
-        return default
-
 
-class Response:
+class Response(_Message):
     """A peer's response.
 
     `body` holds the bytes that were not taken yet; `is_complete` is set once
@@ -153,13 +161,6 @@
         self.is_framed = False
         self.keep_alive = True
 
-    def header(self, name, default=''):
-        """Return a header's first value; `name` must be in lower case."""
-        for header_name, value in self.headers:
-            if header_name == name:
-                return value.decode('latin-1')
-        return default
-
     def take_body(self):
         """Return and remove the bytes of the body that have arrived.
 
