Specifications: one function joins the steps of transitions

Cause: spec/{eras,grants,restarts}.py each had the same closure that lists the steps of several transitions under the guards that are enabled.

Change: `protocols.join_steps` is that closure, once. The other protocols list their steps by hand, in other ways, and stay.

--- a/spec/eras.py
+++ b/spec/eras.py
@@ -52,15 +52,11 @@
 
 def protocol(guards=frozenset(GUARDS)):
     """Return the protocol with the given guards enabled."""
-
-    def steps_from(state):
-        steps = []
-        for transitions in TRANSITIONS:
-            steps += transitions(state, guards)
-        return steps
-
     return protocols.build(
-        'eras', INITIAL, steps_from, {'no_overspend': _no_overspend}
+        'eras',
+        INITIAL,
+        protocols.join_steps(TRANSITIONS, guards),
+        {'no_overspend': _no_overspend},
     )
 
 
--- a/spec/grants.py
+++ b/spec/grants.py
@@ -51,15 +51,12 @@
 
 def protocol(guards=frozenset(GUARDS)):
     """Return the protocol with the given guards enabled."""
-
-    def steps_from(state):
-        steps = []
-        for transitions in (_draw, _spend, _join, _arrive, _recover):
-            steps += transitions(state, guards)
-        return steps
-
+    transitions = (_draw, _spend, _join, _arrive, _recover)
     return protocols.build(
-        'grants', INITIAL, steps_from, {'no_overspend': _no_overspend}
+        'grants',
+        INITIAL,
+        protocols.join_steps(transitions, guards),
+        {'no_overspend': _no_overspend},
     )
 
 
--- a/spec/protocols.py
+++ b/spec/protocols.py
@@ -29,3 +29,19 @@
         transitions=transitions,
         invariants=invariants,
     )
+
+
+def join_steps(transitions, guards):
+    """Return a function that lists the steps of all `transitions`, in order.
+
+    Each transition takes a state and the guards that are enabled, and returns
+    steps as `build` has them.
+    """
+
+    def steps_from(state):
+        steps = []
+        for list_steps in transitions:
+            steps += list_steps(state, guards)
+        return steps
+
+    return steps_from
--- a/spec/restarts.py
+++ b/spec/restarts.py
@@ -46,15 +46,11 @@
 
 def protocol(guards=frozenset(GUARDS)):
     """Return the protocol with the given guards enabled."""
-
-    def steps_from(state):
-        steps = []
-        for transitions in TRANSITIONS:
-            steps += transitions(state, guards)
-        return steps
-
     return protocols.build(
-        'restarts', INITIAL, steps_from, {'no_overspend': _no_overspend}
+        'restarts',
+        INITIAL,
+        protocols.join_steps(TRANSITIONS, guards),
+        {'no_overspend': _no_overspend},
     )
 
 
