Soak: LOST, whole answers that are told broken beside planned work

Change: lost_checks finds an attempt whose engine's last run sent its whole answer while the caller was told broken (cut, or 502), beside a SIGTERM or SIGHUP of its router or a configuration, with no unplanned disruption near; fault_history reads that from faults.log, which now has spans of faults, configurations, and starts of processes. Others are counted by framing. A garbled run no longer passes for whole in this check: the engines log it.

--- a/bench/edge_callers.py
+++ b/bench/edge_callers.py
@@ -124,6 +124,8 @@
         'api_key',
         'is_old_http',
         'is_framed',
+        'has_given_up',
+        'is_slow_reader',
     )
 
     def __init__(self, attempt_id, router, first):
@@ -148,6 +150,10 @@
         self.is_old_http = False
         # Whether the response states where its body ends.
         self.is_framed = True
+        # Whether its caller ended a response that was 'cut'.
+        self.has_given_up = False
+        # Whether its caller read slowly, or for a while not at all.
+        self.is_slow_reader = False
 
     def count_tokens(self):
         """Return the number of tokens in its events."""
--- a/bench/edge_checks.py
+++ b/bench/edge_checks.py
@@ -14,6 +14,7 @@
 - STARVED: while callers or an engine flooded a router, callers of a service
   that is well got less than half of the answers that they get otherwise.
 - ENDED: a router or relay ended though no fault ended it.
+- LOST: see lost_checks.
 """
 
 import collections
@@ -37,6 +38,7 @@
     'MEMORY',
     'STARVED',
     'ENDED',
+    'LOST',
 )
 
 
@@ -46,7 +48,8 @@
     `ids` is what its events' ids are, `after` the id of the event that it went
     on after, 0 if it began, and `first` the token that it was to begin with.
     `how` is how it ended, 'killed' if the log doesn't say, with the `events`
-    and `tokens` that it had sent, -1 if that isn't known.
+    and `tokens` that it had sent, -1 if that isn't known, at `ended_ms`.  It
+    `is_garbled` if bytes beside its response came on the connection.
     """
 
     __slots__ = (
@@ -62,6 +65,8 @@
         'how',
         'events',
         'tokens',
+        'ended_ms',
+        'is_garbled',
     )
 
     def __init__(self, entry):
@@ -77,12 +82,16 @@
         self.how = 'killed'
         self.events = -1
         self.tokens = -1
+        self.ended_ms = 0
+        self.is_garbled = entry.get('follows_garbage', False)
 
     def end(self, entry):
         """Record how it ended."""
         self.how = entry['how']
         self.events = entry.get('events', -1)
         self.tokens = entry.get('tokens', -1)
+        self.ended_ms = entry['at']
+        self.is_garbled = self.is_garbled or bool(entry.get('extra'))
 
     def describe(self):
         """Return what it did, for a timeline."""
@@ -102,7 +111,9 @@
     `repetitions` count the places where tokens are missing or come again, by
     the framings of the runs of the attempt that brought them.  `peaks_mb` has
     the most memory that a process took, by its machine's name, and `floods`
-    the FloodResults.
+    the FloodResults.  `wholes` counts the attempts whose last run sent its
+    whole answer, and `broken_wholes`, by kind and framing, those of them that
+    were told broken and break no rule.
     """
 
     __slots__ = (
@@ -117,6 +128,8 @@
         'datagrams',
         'peaks_mb',
         'floods',
+        'wholes',
+        'broken_wholes',
     )
 
     def __init__(self):
@@ -131,6 +144,8 @@
         self.datagrams = {}
         self.peaks_mb = {}
         self.floods = []
+        self.wholes = 0
+        self.broken_wholes = collections.Counter()
 
     def add(self, rule, text):
         """Add a violation."""
@@ -162,6 +177,8 @@
             'datagrams': dict(self.datagrams),
             'peaks_mb': self.peaks_mb,
             'floods': [result.describe() for result in self.floods],
+            'wholes': self.wholes,
+            'broken_wholes': dict(self.broken_wholes),
         }
 
 
--- a/bench/edge_faults.py
+++ b/bench/edge_faults.py
@@ -6,10 +6,12 @@
 
 import random
 import signal
+import time
 
 import gevent
 
 from bench import edge_machines
+from bench import fault_history
 from bench import flood_callers
 from bench import site_faults
 from standins import edge_floods
@@ -40,6 +42,8 @@
 POWER_STORE_S = (0.2, 2.0)
 FLOOD_S = (0.5, 2.5)
 FLOOD_CALLERS = 20
+# The name of all work that is planned at routers and in configurations.
+PLANNED = 'planned'
 
 
 class Faults:
@@ -50,8 +54,12 @@
     def __init__(self, fleet, seed, only=(), troubles=None):
         """Draw from all faults, or from those that `only` names.
 
-        `troubles` are the kinds that a site has, None for all.
+        `only` may name PLANNED for all planned work.  `troubles` are the kinds
+        that a site has, None for all.
         """
+        only = set(only)
+        if PLANNED in only:
+            only.update(fault_history.PLANNED)
         self._fleet = fleet
         self._seed = seed
         self._weights = {
@@ -110,9 +118,16 @@
             return
         faults, weights = zip(*self._weights.items())
         while not self._is_stopping:
-            rng.choices(faults, weights)[0](rng)
+            self._play(rng.choices(faults, weights)[0], rng)
             gevent.sleep(rng.uniform(*PAUSE_S))
 
+    def _play(self, fault, rng):
+        """Play a fault, and log for how long it went on."""
+        began = time.time_ns() // 1_000_000
+        fault(rng)
+        name = fault.__name__.lstrip('_')
+        self._fleet.log.write(what='span', fault=name, began=began)
+
     def _note(self, fault, name, **fields):
         self._fleet.log.write(what='fault', fault=fault, name=name, **fields)
 
--- a/bench/edge_fleet.py
+++ b/bench/edge_fleet.py
@@ -23,6 +23,7 @@
 
 import gevent
 
+from bench import closed_streams
 from bench import edge_machines
 from bench import processes
 from bench import tenants
@@ -54,6 +55,9 @@
         self.profile = options.profile
         self.tenants = tenants.Tenants(self.profile.tenants)
         self._options = options
+        self._router_flags = closed_streams.list_flags(
+            options.closed_streams, options.product
+        )
         self._timeout_ms = platform_documents.DEFAULT_TIMEOUT_MS
         self._extra_routes = 0
         self._rng = random.Random(f'{options.seed} fleet')
@@ -247,6 +251,7 @@
         if machine in self.routers:
             port = str(platform_documents.METRICS_PORT)
             command = ['galenaspoke.edge.main', '--metrics-port', port]
+            command += self._router_flags
 
         def make_argv():
             skew_ms = self._options.router_skew_ms
@@ -310,6 +315,11 @@
             self._timeout_ms = timeout_ms
         if extra_routes is not None:
             self._extra_routes = extra_routes
+        self.log.write(
+            what='published',
+            version=self._config_version,
+            timeout_ms=self._timeout_ms,
+        )
         config = platform_documents.make_full_config(
             self._config_version,
             self._make_routes(),
@@ -351,7 +361,7 @@
         while True:
             for machine in self.machines:
                 if machine.process.is_alive():
-                    if machine.kill_at and time.monotonic() > machine.kill_at:
+                    if machine.has_overrun():
                         machine.process.kill()
                 elif not machine.is_down:
                     self._record_end(machine)
@@ -368,6 +378,8 @@
             name=machine.name,
             code=code,
             by_fault=machine.may_end,
+            after_grace=machine.has_overrun(),
+            handed_over=machine.next_service is not None,
         )
         if not machine.may_end:
             machine.ended_alone.append(code)
@@ -384,4 +396,5 @@
         machine.kill_at = None
         machine.prepare()
         machine.process.start()
+        self.log.write(what='started', name=machine.name)
         machine.is_down = False
--- a/bench/edge_machines.py
+++ b/bench/edge_machines.py
@@ -89,6 +89,10 @@
         self.restart_after_s = after_s
         self.end(number, grace_s)
 
+    def has_overrun(self):
+        """Return whether its process should have stopped by now."""
+        return bool(self.kill_at) and time.monotonic() > self.kill_at
+
     def is_steady(self):
         """Return whether its process runs and is to go on."""
         return not (self.is_down or self.may_end)
@@ -130,7 +134,7 @@
         return [*argv, *FLOODING_OPTIONS]
     argv += ['--slots', str(SLOTS), '--early', str(options.early)]
     argv += ['--garbled', str(options.garbled)]
-    for name, value in options.profile.engine_options.items():
+    for name, value in options.list_engine_options().items():
         argv += [f'--{name}', str(value)]
     return argv
 
--- a/bench/edge_sessions.py
+++ b/bench/edge_sessions.py
@@ -221,6 +221,8 @@
                 attempt.outcome, attempt.why = 'cut', 'the router was killed'
         except (OSError, raw_http.Disconnected) as exc:
             attempt.outcome, attempt.why = 'cut', repr(exc)
+            if isinstance(exc, TimeoutError):
+                attempt.has_given_up = True
         except gevent.Timeout:
             attempt.outcome, attempt.why = 'left', 'no time left'
         finally:
@@ -258,6 +260,7 @@
         """
         share = self._fleet.profile.lost_begin_share
         manner = Manner(self._rng, req, share)
+        attempt.is_slow_reader = manner.is_slow or manner.stall_s > 0
         is_stream = req.kind == 'stream'
         conn.sock.settimeout(req.patience_s if is_stream else SILENCE_S)
         if manner.is_slow:
@@ -322,6 +325,7 @@
     pieces = conn.iter_body(message, ends_with_connection=True)
     for count, data in enumerate(pieces, 1):
         if manner.loses_begin:
+            attempt.has_given_up = True
             raise raw_http.Disconnected('lost on the way')
         attempt.body += data
         if req.kind == 'stream' and attempt.status == 200:
--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -21,14 +21,17 @@
 import click  # noqa: E402
 import gevent  # noqa: E402
 
+from bench import closed_streams  # noqa: E402
 from bench import edge_budgets  # noqa: E402
 from bench import edge_callers  # noqa: E402
 from bench import edge_checks  # noqa: E402
 from bench import edge_faults  # noqa: E402
 from bench import edge_fleet  # noqa: E402
 from bench import edge_sessions  # noqa: E402
+from bench import fault_history  # noqa: E402
 from bench import fleet_options  # noqa: E402
 from bench import flood_windows  # noqa: E402
+from bench import lost_checks  # noqa: E402
 from bench import memory  # noqa: E402
 from bench import site_profiles  # noqa: E402
 from standins import edge_divisions  # noqa: E402
@@ -83,7 +86,7 @@
         watch.read()
     finally:
         fleet.stop()
-    findings = _check(fleet, requests)
+    findings = _check(fleet, requests, options.closed_streams)
     edge_checks.check_floods(findings, results)
     _check_memory(findings, fleet, watch.peaks_mb)
     return findings
@@ -107,10 +110,12 @@
     ]
 
 
-def _check(fleet, requests):
+def _check(fleet, requests, mode):
     paths = sorted(fleet.directory.glob('*.runs'))
     runs = edge_checks.read_runs(paths)
     findings = edge_checks.check(requests, runs)
+    history = fault_history.read(fleet.directory / 'faults.log')
+    lost_checks.check(findings, requests, runs, history, mode)
     tenants = edge_budgets.check(findings, requests, runs, fleet.tenants)
     _write_lines(fleet.directory / 'tenants.log', tenants)
     for machine in [*fleet.routers, *fleet.relays]:
@@ -163,6 +168,7 @@
     )
     print(f'without a length, engine gone: {dict(ended)}, told whole: {whole}')
     _print_closed(findings)
+    _print_broken(findings)
     print(
         f'gaps: {dict(findings.gaps)},'
         f' repetitions: {dict(findings.repetitions)}'
@@ -202,6 +208,17 @@
         )
 
 
+def _print_broken(findings):
+    """Print how many whole answers were told broken."""
+    count = len(findings.violations[lost_checks.RULE])
+    others = findings.broken_wholes
+    print(
+        f'whole told broken: beside planned work {count},'
+        f' else {sum(others.values())} {dict(sorted(others.items()))},'
+        f' of {findings.wholes} whole'
+    )
+
+
 def _sum(counts, how):
     return sum(count for key, count in counts.items() if key[0] == how)
 
@@ -230,6 +247,11 @@
     help="What events' ids count.",
 )
 @click.option('--early', default=0.08, help='Responses that end early.')
+@click.option(
+    '--closed-streams',
+    type=click.Choice(closed_streams.MODES),
+    help='What routers take streams without a length for; by --early else.',
+)
 @click.option('--garbled', default=0.02, help='Responses that are garbled.')
 @click.option('--skew-ms', default=6_000, help="Of engines' clocks, at most.")
 @click.option('--router-skew-ms', default=4_000, help="Of routers' clocks.")
@@ -249,7 +271,7 @@
     help='Whether routers reach each other by relays that can be cut.',
 )
 @click.option('--floods', default=2, help='Cases of floods at the end.')
-@click.option('--only', multiple=True, help='A fault; all if none is given.')
+@click.option('--only', multiple=True, help='A fault, or planned.')
 @click.option('--product', default=None, help='Where galenaspoke is.')
 @click.option('--report', default=None, help='A file for the counts as JSON.')
 @click.option('--keep/--no-keep', default=False, help='Keep all logs.')
--- a/bench/fleet_options.py
+++ b/bench/fleet_options.py
@@ -8,6 +8,7 @@
 
 import pathlib
 
+from bench import closed_streams as modes
 from bench import site_profiles
 
 
@@ -22,6 +23,7 @@
     garble, and `skew_ms` how far engines' clocks are ahead or behind at most;
     `router_skew_ms` is the same of routers, drawn anew for each start.
     With `control_path` the path between routers can be harmed.
+    `closed_streams` is one of its module's MODES, by `early` if it is None.
     """
 
     __slots__ = (
@@ -37,6 +39,7 @@
         'skew_ms',
         'router_skew_ms',
         'control_path',
+        'closed_streams',
     )
 
     def __init__(
@@ -53,6 +56,7 @@
         router_skew_ms=4_000,
         control_path=True,
         profile=None,
+        closed_streams=None,
     ):
         self.profile = profile or site_profiles.default()
         self.seed = seed
@@ -66,6 +70,17 @@
         self.skew_ms = skew_ms
         self.router_skew_ms = router_skew_ms
         self.control_path = control_path
+        self.closed_streams = modes.choose(closed_streams, early)
+
+    def list_engine_options(self):
+        """Return what engines are told beside the shares, by name.
+
+        Where no response ends early, none ends early at every engine either.
+        """
+        options = dict(self.profile.engine_options)
+        if not self.early:
+            options['common'] = 0.0
+        return options
 
 
 def _choose(number, default):
--- a/standins/edge_runs.py
+++ b/standins/edge_runs.py
@@ -2,7 +2,8 @@
 
 By request id the log has each run: the incarnation, the versions, how the
 response is framed, what an event's id is, after which event the run goes on,
-and the first token that it is to send.  A second line has how the run ended,
+the first token that it is to send, and whether bytes that belong to no
+response came before on its connection.  A second line has how the run ended,
 with the events and tokens that were sent.  A run without it was killed.  A
 request may run again before its first run has ended, so runs are numbered.
 """
@@ -47,6 +48,7 @@
         '_runs',
         '_numbers',
         '_late_responses',
+        '_garbled',
     )
 
     def __init__(self, instance, entry, log, rng, settings):
@@ -64,6 +66,8 @@
         # Responses that come once more where the next one is due, by their
         # connection.
         self._late_responses = {}
+        # Connections on which one came.
+        self._garbled = set()
 
     def is_any(self):
         """Return whether there is a run."""
@@ -75,11 +79,15 @@
 
     def take_late_response(self, conn):
         """Return what comes on a connection before the next response."""
-        return self._late_responses.pop(conn, b'')
+        late = self._late_responses.pop(conn, b'')
+        if late:
+            self._garbled.add(conn)
+        return late
 
     def forget(self, conn):
         """Forget a connection that is closed."""
         self._late_responses.pop(conn, None)
+        self._garbled.discard(conn)
 
     def make_stamp(self, request_id):
         """Return what the engine signs a response with."""
@@ -104,7 +112,7 @@
         )
         number = next(self._numbers)
         self._runs[conn] = number, run
-        self._log_run(path, number, run)
+        self._log_run(path, number, run, conn in self._garbled)
         how = 'cancelled'
         try:
             self._respond(conn, run)
@@ -157,7 +165,7 @@
         if how in RESETS:
             raw_http.reset(conn.sock)
 
-    def _log_run(self, path, number, run):
+    def _log_run(self, path, number, run, follows_garbage):
         self._log_begin(
             path,
             run.id,
@@ -165,6 +173,7 @@
             number=number,
             after=run.after,
             first=run.first,
+            follows_garbage=follows_garbage,
         )
 
     def _log_begin(self, path, request_id, framing, **fields):
--- a/standins/platform_documents.py
+++ b/standins/platform_documents.py
@@ -56,8 +56,10 @@
 DEFAULT_TIMEOUT_MS = 8_000
 # Within that time a new configuration holds everywhere.
 CONFIG_APPLY_MS = 2_000
+# For so long after a disruption what it touched is not judged.
+STABLE_WINDOW_MS = 3_000
 _BOUNDS = {
-    'StableWindowMs': 3000,
+    'StableWindowMs': STABLE_WINDOW_MS,
     'DrainMs': 2000,
     'GraceS': GRACE_S,
     'ConfigApplyMs': CONFIG_APPLY_MS,
--- a/tests/bench/test_edge_faults.py
+++ b/tests/bench/test_edge_faults.py
@@ -7,6 +7,7 @@
 import gevent
 
 from bench import edge_faults
+from bench import fault_history
 from standins import platform_documents
 from tests.bench import fakes
 
@@ -25,11 +26,15 @@
         self.store = types.SimpleNamespace(is_down=False)
         self.control_path = None
         self.faults = []
+        self.spans = []
         self.log = self
 
     def write(self, **fields):
-        """Take a line of the log."""
-        self.faults.append(fields['fault'])
+        """Take a line of the log; a span has what a fault noted before."""
+        if fields['what'] == 'span':
+            self.spans.append(fields['fault'])
+        else:
+            self.faults.append(fields['fault'])
 
 
 class FaultsTest(unittest.TestCase):
@@ -69,6 +74,21 @@
             self.assertEqual(set(machine.process.numbers), {signal.SIGKILL})
             self.assertTrue(machine.may_end)
 
+    def test_span(self):
+        """It is logged for how long a fault went on, once it is over."""
+        faults = edge_faults.Faults(self.fleet, 1, ('lose_power',))
+        faults.start()
+        gevent.sleep(0.01)
+        self.assertEqual(self.fleet.spans, [])
+        faults.stop()
+        self.assertEqual(set(self.fleet.spans), {'lose_power'})
+
+    def test_planned_work(self):
+        """One name stands for all planned work, and for nothing else."""
+        fleet = self.fleet
+        names = edge_faults.Faults(fleet, 1, ('planned',)).list_names()
+        self.assertEqual(names, set(fault_history.PLANNED))
+
     def test_no_fault(self):
         """A name that is none of theirs leaves all out."""
         self.play('none')
