--- a/bench/edge_checks.py
+++ b/bench/edge_checks.py
@@ -27,6 +27,8 @@
 from standins import platform_documents
 
 MAX_LISTED = 40
+# What may follow a response and leaves it alone; late bytes meet the next one.
+UNGARBLED = (None, edge_plans.LATE)
 # How runs end that an engine closes early that lives, or lives on for a while.
 CLOSED = (edge_plans.CLOSED, edge_plans.LEAVING)
 RULES = (
@@ -91,7 +93,8 @@
         self.events = entry.get('events', -1)
         self.tokens = entry.get('tokens', -1)
         self.ended_ms = entry['at']
-        self.is_garbled = self.is_garbled or bool(entry.get('extra'))
+        if entry.get('extra') not in UNGARBLED:
+            self.is_garbled = True
 
     def describe(self):
         """Return what it did, for a timeline."""
--- a/bench/fault_history.py
+++ b/bench/fault_history.py
@@ -40,12 +40,13 @@
 # their processes end.
 PLANNED_AT_ENGINES = (
     'drain_engine',
-    'release',
     'roll_release',
     'scale_in',
     'scale_out',
 )
 MS_PER_S = 1_000
+# How long before its line in the log a process may have ended.
+NOTICED_MS = 200
 
 
 class Span:
@@ -118,8 +119,9 @@
             )
 
     def _take_end(self, entry):
-        span = Span(f'{entry["name"]} ended', entry['at'], math.inf)
-        self._down[entry['name']] = span
+        name = entry['name']
+        span = Span(f'{name} ended', entry['at'] - NOTICED_MS, math.inf)
+        self._down[name] = span
         if _is_disruption(entry):
             self.disruptions.append(span)
 
--- a/tests/bench/test_edge_checks.py
+++ b/tests/bench/test_edge_checks.py
@@ -354,6 +354,21 @@
         self.assertEqual((run.ids, run.after, run.first), LATER_RUN)
         self.assertEqual((run.events, run.tokens), (2, 5))
 
+    def test_bytes_beside_a_response(self):
+        """A run is garbled by what follows it, or came before it."""
+        for begin, ending, is_garbled in (
+            ({}, {}, False),
+            ({'follows_garbage': False}, {'extra': None}, False),
+            ({'follows_garbage': True}, {'extra': None}, True),
+            ({}, {'extra': 'within'}, True),
+            ({}, {'extra': 'again'}, True),
+            ({}, {'extra': 'late'}, False),
+        ):
+            run = {**self.RUN, 'id': 'k.1', 'number': 2, **begin}
+            runs = self.read(run, {**self.END, 'how': 'whole', **ending})
+            self.assertEqual(runs['k.1'][0].is_garbled, is_garbled)
+            self.assertEqual(runs['k.1'][0].ended_ms, 6)
+
     def test_two_runs_of_one_attempt(self):
         """One that ends once the other has begun ends by itself."""
         first = {**self.RUN, 'id': 'k.1', 'number': 2}
--- a/tests/bench/test_lost_checks.py
+++ b/tests/bench/test_lost_checks.py
@@ -1,11 +1,15 @@
 """Whole answers that are told broken, from callers and logs made up here."""
 
+import json
+import pathlib
+import tempfile
 import unittest
 
 from bench import closed_streams
 from bench import edge_callers
 from bench import edge_checks
 from bench import fault_history
+from bench import fleet_options
 from bench import lost_checks
 
 TALK = '/stream/talk/'
@@ -248,6 +252,14 @@
             self.assert_lost(is_lost, ended, start(name, up_ms), stop)
             self.assert_lost(True, ended, start(name, up_ms - 1), stop)
 
+    def test_end_that_is_noticed_late(self):
+        """A process ended a little before its line in the log."""
+        stop = note('stop_router', FRESH_MS)
+        killed = end('model-0', ENDED_MS + 200, -9)
+        self.assert_lost(False, stop, killed)
+        killed = end('model-0', ENDED_MS + 201, -9)
+        self.assert_lost(True, stop, killed)
+
     # What else excuses it.
 
     def test_deadline(self):
@@ -375,6 +387,30 @@
         self.assertEqual(self.check().wholes, 2)
 
 
+class HistoryTest(unittest.TestCase):
+    """What is read from a log."""
+
+    def test_read(self):
+        """Lines that say nothing of planned work or faults are left out."""
+        lines = [
+            {'what': 'clock', 'name': ROUTER, 'ms': 5, 'at': 1},
+            publish(2, 7_000),
+            note('hup', 3),
+            note('roll_term', 4),
+            span('roll_term', 4, 9),
+            span('harm_link', 5, 10),
+        ]
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / 'faults.log'
+            path.write_text('\n'.join(map(json.dumps, lines)))
+            history = fault_history.read(path)
+        self.assertEqual(history.publications, [(2, 7_000)])
+        self.assertEqual({ROUTER: [3]}, history.reloads)
+        self.assertEqual({ROUTER: [4]}, history.stops)
+        names = [span.name for span in history.disruptions]
+        self.assertEqual(names, ['harm_link'])
+
+
 class ClosedStreamsTest(unittest.TestCase):
     """Which flags routers get."""
 
@@ -385,3 +421,41 @@
         for mode in closed_streams.MODES:
             self.assertEqual(closed_streams.choose(mode, 0.08), mode)
             self.assertEqual(closed_streams.choose(mode, 0.0), mode)
+
+    def test_engines(self):
+        """Where no response ends early, none has a common end either."""
+        options = fleet_options.FleetOptions(early=0.0)
+        self.assertEqual(options.closed_streams, 'judge')
+        self.assertEqual(options.list_engine_options()['common'], 0.0)
+        options = fleet_options.FleetOptions(early=0.01)
+        self.assertEqual(options.closed_streams, 'doubt')
+        own = options.profile.engine_options
+        self.assertEqual(options.list_engine_options(), own)
+        self.assertGreater(own['common'], 0.0)
+
+    def make_product(self, directory, text):
+        """Make a package whose router says this."""
+        folder = pathlib.Path(directory) / 'galenaspoke' / 'edge'
+        folder.mkdir(parents=True)
+        for package in (folder.parent, folder):
+            (package / '__init__.py').touch()
+        (folder / 'main.py').write_text(f'print({text!r})\n')
+
+    def test_flags(self):
+        """A flag is passed where the product's code knows it."""
+        cases = (
+            ('doubt', '--doubt-closed-streams / ', ['--doubt-closed-streams']),
+            ('doubt', '--accept-closed-streams', []),
+            (
+                'accept',
+                '--accept-closed-streams / ',
+                ['--accept-closed-streams'],
+            ),
+            ('accept', '', []),
+            ('judge', '--doubt-closed-streams', []),
+        )
+        for mode, text, flags in cases:
+            with tempfile.TemporaryDirectory() as directory:
+                self.make_product(directory, text)
+                found = closed_streams.list_flags(mode, directory)
+            self.assertEqual(found, flags, (mode, text))
--- a/tests/standins/test_edge_engine.py
+++ b/tests/standins/test_edge_engine.py
@@ -118,6 +118,8 @@
             self.ask(conn, 'k.1')
             self.assertEqual(self.read(conn), first)
             self.assertEqual(self.read(conn), ('k.1', first[1]))
+        follows = [run['follows_garbage'] for run in self.read_log('run')]
+        self.assertEqual(follows, [False, True])
 
     def test_flood(self):
         """It floods once it was told to, for the time that it was told."""
