Soak: count the whole answers for which LOST holds

Cause: where faults overlap all the time, no window without an unplanned one may be left, and LOST empty would prove nothing; the output didn't say so.

Change: wholes_beside_work counts, by kind and framing, the whole answers beside planned work that nothing excuses, whatever their callers were told.

--- a/bench/edge_checks.py
+++ b/bench/edge_checks.py
@@ -116,7 +116,8 @@
     the most memory that a process took, by its machine's name, and `floods`
     the FloodResults.  `wholes` counts the attempts whose last run sent its
     whole answer, and `broken_wholes`, by kind and framing, those of them that
-    were told broken and break no rule.
+    were told broken and break no rule; `wholes_beside_work` counts, likewise,
+    those for which LOST holds, whatever their callers were told.
     """
 
     __slots__ = (
@@ -133,6 +134,7 @@
         'floods',
         'wholes',
         'broken_wholes',
+        'wholes_beside_work',
     )
 
     def __init__(self):
@@ -149,6 +151,7 @@
         self.floods = []
         self.wholes = 0
         self.broken_wholes = collections.Counter()
+        self.wholes_beside_work = collections.Counter()
 
     def add(self, rule, text):
         """Add a violation."""
@@ -182,6 +185,7 @@
             'floods': [result.describe() for result in self.floods],
             'wholes': self.wholes,
             'broken_wholes': dict(self.broken_wholes),
+            'wholes_beside_work': dict(self.wholes_beside_work),
         }
 
 
--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -212,10 +212,12 @@
     """Print how many whole answers were told broken."""
     count = len(findings.violations[lost_checks.RULE])
     others = findings.broken_wholes
+    beside = findings.wholes_beside_work
     print(
         f'whole told broken: beside planned work {count},'
         f' else {sum(others.values())} {dict(sorted(others.items()))},'
-        f' of {findings.wholes} whole'
+        f' of {findings.wholes} whole,'
+        f' LOST held for {dict(sorted(beside.items()))}'
     )
 
 
--- a/bench/lost_checks.py
+++ b/bench/lost_checks.py
@@ -73,16 +73,26 @@
     """
     for case in list_cases(requests, runs):
         findings.wholes += 1
+        work = _find_work_that_counts(case, history, mode)
+        if work is not None:
+            findings.wholes_beside_work[case.name_framing()] += 1
         if not _is_told_broken(case.attempt):
             continue
-        work = find_planned_work(case, history)
-        is_chosen = mode == closed_streams.DOUBT and case.is_closed_stream
-        if work is None or is_chosen or _is_excused(case, history):
+        if work is None:
             findings.broken_wholes[case.name_framing()] += 1
         else:
             findings.add(RULE, case.describe(work))
 
 
+def _find_work_that_counts(case, history, mode):
+    """Return the planned work beside which the rule holds, or None."""
+    if mode == closed_streams.DOUBT and case.is_closed_stream:
+        return None
+    if _is_excused(case, history):
+        return None
+    return find_planned_work(case, history)
+
+
 def list_cases(requests, runs):
     """Return a Case for each attempt whose last run sent a whole answer."""
     cases = []
--- a/tests/bench/test_edge_soak.py
+++ b/tests/bench/test_edge_soak.py
@@ -67,11 +67,7 @@
             *('--only', 'planned'),
         )
         self.assertIsNotNone(report, output)
-        closed = sum(
-            count
-            for key, count in report['unframed'].items()
-            if key.startswith('/stream/') and ' whole ' in key
-        )
+        closed = report['wholes_beside_work'].get('stream none', 0)
         self.assertGreaterEqual(closed, MIN_CLOSED_STREAMS, output)
         self.assertEqual(report['violations']['LOST'], [], output)
         self.assertEqual(code, 0, output)
--- a/tests/bench/test_lost_checks.py
+++ b/tests/bench/test_lost_checks.py
@@ -133,6 +133,18 @@
         self.history = make_history(*entries)
         self.assertEqual(self.count(), is_lost, entries)
 
+    def test_answers_for_which_the_rule_holds(self):
+        """They are counted whatever their callers were told."""
+        for outcome in ('whole', 'cut'):
+            self.attempt.outcome = outcome
+            counted = self.check().wholes_beside_work
+            self.assertEqual({'stream none': 1}, counted)
+        self.mode = closed_streams.DOUBT
+        self.assertEqual(self.check().wholes_beside_work.total(), 0)
+        self.mode = closed_streams.JUDGE
+        self.history = make_history()
+        self.assertEqual(self.check().wholes_beside_work.total(), 0)
+
     # Planned work.
 
     def test_no_planned_work(self):
