--- a/bench/edge_callers.py
+++ b/bench/edge_callers.py
@@ -125,7 +125,7 @@
         'is_old_http',
         'is_framed',
         'has_given_up',
-        'is_slow_reader',
+        'has_stalled',
     )
 
     def __init__(self, attempt_id, router, first):
@@ -152,8 +152,8 @@
         self.is_framed = True
         # Whether its caller ended a response that was 'cut'.
         self.has_given_up = False
-        # Whether its caller read slowly, or for a while not at all.
-        self.is_slow_reader = False
+        # Whether its caller read nothing at all for a while.
+        self.has_stalled = False
 
     def count_tokens(self):
         """Return the number of tokens in its events."""
--- a/bench/edge_sessions.py
+++ b/bench/edge_sessions.py
@@ -260,7 +260,7 @@
         """
         share = self._fleet.profile.lost_begin_share
         manner = Manner(self._rng, req, share)
-        attempt.is_slow_reader = manner.is_slow or manner.stall_s > 0
+        attempt.has_stalled = manner.stall_s > 0
         is_stream = req.kind == 'stream'
         conn.sock.settimeout(req.patience_s if is_stream else SILENCE_S)
         if manner.is_slow:
--- a/bench/lost_checks.py
+++ b/bench/lost_checks.py
@@ -130,7 +130,7 @@
 
 def _is_excused(case, history):
     return (
-        case.attempt.is_slow_reader
+        case.attempt.has_stalled
         or history.is_disturbed(case.sent_ms, case.ended_ms)
         or _has_reached_deadline(case, history)
         or _is_late_in_grace(case, history)
--- a/tests/bench/test_lost_checks.py
+++ b/tests/bench/test_lost_checks.py
@@ -353,7 +353,7 @@
         self.assertEqual(self.check().broken_wholes.total(), 0)
         self.assertEqual(self.count(), 0)
         self.attempt.has_given_up = False
-        self.attempt.is_slow_reader = True
+        self.attempt.has_stalled = True
         self.assertEqual(self.count(), 0)
         self.assertEqual({'stream none': 1}, self.check().broken_wholes)
 
