--- a/bench/edge_checks.py
+++ b/bench/edge_checks.py
@@ -14,6 +14,7 @@
 - STARVED: while callers or an engine flooded a router, callers of a service
   that is well got less than half of the answers that they get otherwise.
 - ENDED: a router or relay ended though no fault ended it.
+- LOST: see lost_checks.
 """
 
 import collections
@@ -26,6 +27,8 @@
 from standins import platform_documents
 
 MAX_LISTED = 40
+# What may follow a response and leaves it alone; late bytes meet the next one.
+UNGARBLED = (None, edge_plans.LATE)
 # How runs end that an engine closes early that lives, or lives on for a while.
 CLOSED = (edge_plans.CLOSED, edge_plans.LEAVING)
 RULES = (
@@ -37,6 +40,7 @@
     'MEMORY',
     'STARVED',
     'ENDED',
+    'LOST',
 )
 
 
@@ -46,7 +50,8 @@
     `ids` is what its events' ids are, `after` the id of the event that it went
     on after, 0 if it began, and `first` the token that it was to begin with.
     `how` is how it ended, 'killed' if the log doesn't say, with the `events`
-    and `tokens` that it had sent, -1 if that isn't known.
+    and `tokens` that it had sent, -1 if that isn't known, at `ended_ms`.  It
+    `is_garbled` if bytes beside its response came on the connection.
     """
 
     __slots__ = (
@@ -62,6 +67,8 @@
         'how',
         'events',
         'tokens',
+        'ended_ms',
+        'is_garbled',
     )
 
     def __init__(self, entry):
@@ -77,12 +84,17 @@
         self.how = 'killed'
         self.events = -1
         self.tokens = -1
+        self.ended_ms = 0
+        self.is_garbled = entry.get('follows_garbage', False)
 
     def end(self, entry):
         """Record how it ended."""
         self.how = entry['how']
         self.events = entry.get('events', -1)
         self.tokens = entry.get('tokens', -1)
+        self.ended_ms = entry['at']
+        if entry.get('extra') not in UNGARBLED:
+            self.is_garbled = True
 
     def describe(self):
         """Return what it did, for a timeline."""
@@ -102,7 +114,10 @@
     `repetitions` count the places where tokens are missing or come again, by
     the framings of the runs of the attempt that brought them.  `peaks_mb` has
     the most memory that a process took, by its machine's name, and `floods`
-    the FloodResults.
+    the FloodResults.  `wholes` counts the attempts whose last run sent its
+    whole answer, and `broken_wholes`, by kind and framing, those of them that
+    were told broken and break no rule; `wholes_beside_work` counts, likewise,
+    those for which LOST holds, whatever their callers were told.
     """
 
     __slots__ = (
@@ -117,6 +132,9 @@
         'datagrams',
         'peaks_mb',
         'floods',
+        'wholes',
+        'broken_wholes',
+        'wholes_beside_work',
     )
 
     def __init__(self):
@@ -131,6 +149,9 @@
         self.datagrams = {}
         self.peaks_mb = {}
         self.floods = []
+        self.wholes = 0
+        self.broken_wholes = collections.Counter()
+        self.wholes_beside_work = collections.Counter()
 
     def add(self, rule, text):
         """Add a violation."""
@@ -162,6 +183,9 @@
             'datagrams': dict(self.datagrams),
             'peaks_mb': self.peaks_mb,
             'floods': [result.describe() for result in self.floods],
+            'wholes': self.wholes,
+            'broken_wholes': dict(self.broken_wholes),
+            'wholes_beside_work': dict(self.wholes_beside_work),
         }
 
 
