A connection that isn't made in time is no word that a target has gone

Cause: the check of a response without a length asks its target on a second connection. Where that could not be made, for any reason, the target counted as gone, and its whole response as cut off with it, and the request as a suspect of a crash. Only a refused connection says that nothing listens; one that times out (a full backlog, a lost SYN, an engine at its MaxConns) says nothing: an absence that was taken for a statement.

Change: `EndCheck._ask` asks again, within the 1.5 s that it has anyway. If no connection is made by then the response is lost as before.

Conclusion: no new way to be told whole: what answers later is judged by the same rules. The price is up to 1.2 s more until a request goes on elsewhere whose target's host is dead behind an orderly end.

--- a/galenaspoke/edge/targets/end_checks.py
+++ b/galenaspoke/edge/targets/end_checks.py
@@ -283,7 +283,7 @@
     def _ask(self, request_id, until):
         """Ask the target once; return why that proves nothing, '' if it does.
 
-        Raises PeerClosed if the process is gone.
+        Raises PeerClosed if the process is gone, or was never reached.
         """
         asked_at = self._clock.now()
         try:
@@ -291,7 +291,10 @@
                 self._connect()
             report = self._read_report(until)
         except connections.NotSent as exc:
-            raise self._make_end(exc) from exc
+            is_refused = isinstance(exc, connections.Refused)
+            if is_refused or self._clock.now() >= until:
+                raise self._make_end(exc) from exc
+            return f'no connection: {exc}'
         except (connections.ResponseLost, connections.ReadTimeout) as exc:
             self._has_lost_early = self._has_lost_early or self._is_early
             return f'no report: {exc}'
