A kept connection tells a process while the store is away

Cause: a body without a length that ends within a second, of a target that states its start in its entry alone, is told whole only if the store names no other start. While the store can't be asked each such body was cut off (502), whole or not, and once more wherever it was sent again.

Change: where the store doesn't say, the answer after the end suffices if it came on a connection that had carried a response before the request was sent. Such a connection ends with its process. So the process behind it has lived from before the sending until after the end; the process that sent the response lived after the sending, at the same address. One that was only made (a gateway's queue), that was released after the sending, or on which bytes wait, proves nothing.

Figures: tests/edge/test_unshown_answers.py KeptConnectionTest.test_body_is_ whole failed before and passes.

What could be told whole wrongly: a body of one of two processes that share an address, listed already. A target that closes the connection after each response has no kept one; its bodies are still cut off while the store is away.

--- a/galenaspoke/edge/targets/end_checks.py
+++ b/galenaspoke/edge/targets/end_checks.py
@@ -110,6 +110,11 @@
     nothing, since the kernel of a dead process sends the rest once the router
     has room.
 
+    While the store can't be asked, an answer on a kept connection tells it, if
+    that had carried a response before the request was sent: it ends with its
+    process, and the one that answers a request later at the same address is
+    the same.
+
     That the target has closed the first one may come late, on a path that
     holds up or loses packets.  So no process that says that it has started
     after the request was sent proves anything, nor one that doesn't say when,
@@ -123,6 +128,7 @@
         '_read_entry',
         '_clock',
         '_metrics',
+        '_sent_at',
         '_sent_at_wall',
         '_listed_born',
         '_has_stalled',
@@ -130,6 +136,7 @@
         '_early_task',
         '_conn',
         '_is_early',
+        '_is_kept',
         '_has_answered',
         '_early_born',
         '_alive_at',
@@ -156,7 +163,8 @@
         self._read_entry = read_entry
         self._clock = clock
         self._metrics = metrics
-        # When the request was sent, in ms since 1970.
+        self._sent_at = sent_at
+        # The same in ms since 1970.
         self._sent_at_wall = clock.wall() - (clock.now() - sent_at)
         # When the target's process started, by the entry at this time.
         self._listed_born = target.entry.born
@@ -165,6 +173,8 @@
         self._conn = None
         # Whether it was made while the response was under way.
         self._is_early = False
+        # Whether the target answered a request on it before the sending.
+        self._is_kept = False
         # Whether the target answered on it while the response was under way,
         # and when its process started, by that answer; 0 if it didn't say so.
         self._has_answered = False
@@ -219,6 +229,7 @@
         now = self._clock.now()
         self._conn = self._target.acquire_last_connection(now)
         self._is_early = self._is_under_way()
+        self._is_kept = _is_kept_since(self._conn, self._sent_at)
         self._has_answered = False
 
     def _is_under_way(self):
@@ -260,10 +271,15 @@
 
         What waits there may be a copy of the answer.
         """
-        if self._has_answered and not self._conn.is_open_and_empty():
+        if self._conn is None or self._conn.is_open_and_empty():
+            return
+        if self._has_answered:
             self._conn.close()
             self._conn = None
             self._has_lost_early = True
+        else:
+            # What waits there may pass for one.
+            self._is_kept = False
 
     def _ask_until_known(self, request_id):
         self._connect_task.join()
@@ -323,7 +339,8 @@
         """Raise if the store names the start of another process.
 
         It is asked after the process has answered.  Raises ResponseLost if the
-        store doesn't say; an entry that never stated a start tells nothing.
+        store doesn't say, unless that answer came on a kept connection; an
+        entry that never stated a start tells nothing.
         """
         if not self._listed_born:
             return
@@ -332,6 +349,8 @@
         try:
             entry = self._read_entry(self._target.entry.id, left_s)
         except store_base.StoreError as exc:
+            if self._is_kept:
+                return
             raise _make_loss(
                 connections.ResponseLost, f'its entry is not known: {exc}'
             ) from exc
@@ -417,5 +436,13 @@
         return _make_loss(error, why)
 
 
+def _is_kept_since(conn, sent_at):
+    """Return whether a request was answered on a connection before a time.
+
+    One that was only made may not have reached a process yet.
+    """
+    return conn.request_count > 0 and conn.idle_since < sent_at
+
+
 def _make_loss(error, why):
     return error(f'closed, without a length: {why}')
--- a/tests/edge/test_unshown_answers.py
+++ b/tests/edge/test_unshown_answers.py
@@ -4,13 +4,145 @@
 not told whole.
 """
 
+import itertools
 from unittest import mock
 
+import gevent
+
 from galenaspoke.edge.targets import directory
 from galenaspoke.http import connections
+from tests.edge import base
+from tests.edge import handlers
 from tests.edge import test_endings
+from tests.edge import test_entries_of_ends
 from tests.edge import test_proofs_of_bodies
 
+BODY_HEAD = (
+    b'HTTP/1.1 200 -\r\nX-Request-Id: %s\r\nX-Response-Stamp: s\r\n'
+    b'Keep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok'
+)
+# How many requests are sent at once, so that as many connections are kept.
+KEPT_COUNT = 2
+PAUSE_S = 0.02
+
+
+class KeepingEngine(test_proofs_of_bodies.TimedEngine):
+    """An engine without reports that keeps the connections of its answers.
+
+    Its first responses state a length, and come once they are all asked for.
+    """
+
+    report = test_endings.UNSUPPORTED
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.keeps = True
+
+    def _serve(self, sock):
+        try:
+            while head := sock.recv(65_536):
+                if head.startswith(b'GET /report '):
+                    self._send_report(sock)
+                elif self.keeps:
+                    gevent.sleep(PAUSE_S)
+                    sock.sendall(BODY_HEAD % handlers.REQUEST_ID)
+                else:
+                    self.run_count += 1
+                    self._run(sock, head)
+                    break
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+
+class KeptConnectionTest(test_entries_of_ends.EntryTestCase):
+    """Bodies that come at once, while the store is away."""
+
+    engine_class = KeepingEngine
+
+    def setUp(self):
+        super().setUp()
+        self.engine.cut_at = None
+        tasks = [
+            gevent.spawn(self.desk.request, handlers.Caller())
+            for _ in range(KEPT_COUNT)
+        ]
+        gevent.joinall(tasks, raise_error=True)
+        self.target = self.desk.target_view.directory.get('i-0')
+        self.assertEqual(KEPT_COUNT, len(self.target._idle))
+        # The clock's times are whole ms.
+        gevent.sleep(PAUSE_S)
+        self.engine.keeps = False
+        self.store.down = True
+
+    # Guards against whole bodies that are cut off since the store can't be
+    # asked, though their process answers on a connection that is older.
+    def test_body_is_whole(self):
+        caller, is_whole = self.ask(self.desk)
+        self.assertTrue(is_whole)
+        self.assertEqual(test_endings.EVENT_COUNT, self.count_pieces(caller))
+        self.assertEqual(1, self.engine.report_count)
+
+    # Guards against a new process that proves the end of a body of the one
+    # before, whose kept connections ended with it.
+    def test_body_of_a_replaced_engine_is_not_whole(self):
+        self.engine.cut_at = test_endings.CUT_AFTER
+        self.engine.cut = self.engine.restart
+        self.assertFalse(self.ask(self.desk)[1])
+        self.assertGreater(self.engine.report_count, 0)
+
+    # The same where the new process has answered on a connection since.
+    def test_connection_that_was_made_since_is_no_proof(self):
+        self._close_kept()
+        self.engine.cut_at = test_endings.CUT_AFTER
+        self.engine.cut = self._replace_and_keep
+        self.connect = self.target.connect
+        error = connections.NotSent('connect: timed out')
+        # Of the connections of its own only that of the request is made.
+        results = itertools.chain([self.connect()], itertools.repeat(error))
+        with mock.patch.object(
+            directory.Target, 'connect', side_effect=results
+        ):
+            self.assertFalse(self.ask(self.desk)[1])
+        self.assertEqual(2, self.engine.report_count)
+
+    # The same where nothing has answered on the kept connection: a gateway may
+    # keep it until another process is there.
+    def test_connection_without_an_answer_is_no_proof(self):
+        for conn in self.target._idle:
+            conn.request_count = 0
+        self.assertFalse(self.ask(self.desk)[1])
+
+    # Guards against a late response on the kept connection that passes for an
+    # answer of the process that has ended.
+    def test_late_response_is_no_proof(self):
+        self.engine.cut_at = test_endings.CUT_AFTER
+        self.engine.cut = self._answer_and_restart
+        self.assertFalse(self.ask(self.desk)[1])
+
+    def _close_kept(self):
+        for conn in self.target._idle:
+            conn.close()
+        self.target._idle = []
+        socks = self.engine._socks
+        base.wait_until(lambda: all(sock.closed for sock in socks))
+        self.engine._socks = []
+
+    def _replace_and_keep(self):
+        self.engine.restart()
+        conn = self.connect()
+        conn.send(b'GET /report HTTP/1.1\r\n\r\n')
+        conn.read_response()
+        self.target.release_connection(conn, self.desk.clock.now(), 10_000)
+
+    def _answer_and_restart(self):
+        gevent.sleep(PAUSE_S)
+        for sock in self.engine._socks:
+            if not sock.closed and sock not in self.engine._busy:
+                sock.sendall(test_endings.UNSUPPORTED)
+        self.engine.restart()
+
 
 class UnreachedEngineTest(test_proofs_of_bodies.TimedTestCase):
     """Engines to which a connection isn't made in time, once."""
