An early question that is lost is asked again

Cause: a body without a length that takes over half a second, of a target that states its start in its entry alone, is told whole only if the target has answered a question while it was under way. That was asked once. If it was lost (reset by an engine at its MaxConns, a kept connection that ran out) the body was cut off at its end, 502, though nothing said so and there was time.

Change: it is asked up to three times, 0.2 s apart, as long as the response is under way and the entry states a start. An answer after a lost question isn't enough by itself: the process of the response may have ended with that question, and the end of its own connection may come late. So the store has to name no other start as well.

Conclusion: the price is up to two questions more for a response whose first one was lost. Told whole wrongly could be: a body whose process was replaced before the second question, with the end of its connection lost on the way and the new process's entry not yet written.

--- a/galenaspoke/edge/targets/end_checks.py
+++ b/galenaspoke/edge/targets/end_checks.py
@@ -34,6 +34,9 @@
 # When a target is asked for the first time, after the request was sent, if its
 # response is under way.  One that ends before proves its process by the time.
 EARLY_QUESTION_MS = 500
+# How often it is asked so if the questions are lost, and after which pauses.
+MAX_EARLY_QUESTIONS = 3
+EARLY_INTERVAL_S = 0.2
 # How much the wall clocks of a router and a target may differ.
 MAX_CLOCK_ERROR_MS = 17_000
 # A target may give up a response that was not read for this long.
@@ -138,6 +141,7 @@
         '_is_early',
         '_is_kept',
         '_has_answered',
+        '_is_answer_late',
         '_early_born',
         '_alive_at',
         '_has_survived',
@@ -179,6 +183,9 @@
         # and when its process started, by that answer; 0 if it didn't say so.
         self._has_answered = False
         self._early_born = 0
+        # Whether a question before that answer was lost, perhaps with the
+        # process of the response.
+        self._is_answer_late = False
         # The latest time at which the process is known to have lived.
         self._alive_at = sent_at
         # Whether it has answered since on the connection of such an answer.
@@ -237,10 +244,24 @@
         return not self._response_conn.is_closed_by_peer()
 
     def _ask_early(self):
-        """Ask on the second connection while the response is under way."""
+        """Ask on a second connection while the response is under way.
+
+        A question that is lost says nothing: it is asked again.  Then the
+        target's entry has to tell the process as well, see `_ask`, so that is
+        done only if the entry states a start.
+        """
         self._connect_task.join()
-        if self._conn is None or not self._is_early:
-            return
+        for _ in range(MAX_EARLY_QUESTIONS):
+            if self._conn is not None and self._is_early:
+                self._ask_early_once()
+            is_over = self._conn is not None or not self._is_under_way()
+            if is_over or not self._listed_born:
+                return
+            gevent.sleep(EARLY_INTERVAL_S)
+            self._try_to_connect()
+
+    def _ask_early_once(self):
+        """Ask on the second connection; keep it if that tells a process."""
         conn, self._conn = self._conn, None
         is_usable = False
         try:
@@ -257,6 +278,7 @@
         if is_usable:
             self._conn = conn
             self._has_answered = True
+            self._is_answer_late = self._has_lost_early
 
     def _record_early(self, report):
         """Record an early report; return whether it identifies a process."""
@@ -324,7 +346,8 @@
         is_same = self._has_answered or self._states_early_start(report)
         has_survived = is_same or (self._has_survived and is_soon)
         is_soon = has_survived or (is_soon and not self._has_lost_early)
-        is_proved = is_same or self._is_known(report)
+        is_certain = is_same and not self._is_answer_late
+        is_proved = is_certain or self._is_known(report)
         if not (is_proved or is_soon):
             if report.born and self._listed_born:
                 raise self._make_end('another process has its address')
--- a/tests/edge/test_unshown_answers.py
+++ b/tests/edge/test_unshown_answers.py
@@ -4,10 +4,12 @@
 not told whole.
 """
 
+import functools
 import itertools
 from unittest import mock
 
 import gevent
+from gevent import socket
 
 from galenaspoke.edge.targets import directory
 from galenaspoke.http import connections
@@ -23,7 +25,10 @@
 )
 # How many requests are sent at once, so that as many connections are kept.
 KEPT_COUNT = 2
+RESET_AT_CLOSE = b'\1\0\0\0\0\0\0\0'
 PAUSE_S = 0.02
+# How long a body takes in which several questions are asked.
+LONGER_S = 1.5
 
 
 class KeepingEngine(test_proofs_of_bodies.TimedEngine):
@@ -190,3 +195,74 @@
         error = connections.Refused
         self.assertFalse(self.ask_unreached(desk, error, 2))
         self.assertEqual(0, engine.report_count)
+
+
+class LostQuestionTest(test_proofs_of_bodies.TimedTestCase):
+    """Long bodies whose early question is lost, as at a full engine."""
+
+    make_long_desk = test_proofs_of_bodies.LongBodyTest.make_long_desk
+
+    def make_lossy_desk(self, pause):
+        """Return a desk, and its engine, which resets the first question."""
+        desk, engine = self.make_long_desk(pause)
+        engine.report = test_endings.UNSUPPORTED
+        engine._send_report = functools.partial(
+            self._reset_first, engine, engine._send_report
+        )
+        return desk, engine
+
+    def _reset_first(self, engine, send_report, sock):
+        if engine.report_count:
+            send_report(sock)
+            return
+        engine.report_count += 1
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        sock.close()
+
+    # Guards against whole bodies that are cut off since one early question
+    # had no answer, though there was time for another.
+    def test_body_is_whole(self):
+        desk, engine = self.make_lossy_desk(self._wait_longer)
+        self._write_entry(desk, engine.born)
+        self.assertTrue(self.ask(desk)[1])
+        self.assertEqual(3, engine.report_count)
+
+    # Guards against a new process that proves the end of a body of the one
+    # before, since it has answered a later question.
+    def test_body_of_a_replaced_engine_is_not_whole(self):
+        desk, engine = self.make_lossy_desk(self._wait_and_restart)
+        engine.goes_on = False
+        self._write_entry(desk, engine.born)
+        self.assertFalse(self.ask(desk)[1])
+        self.assertGreater(engine.report_count, 2)
+
+    # The same where the end of the response's connection comes late.
+    def test_end_that_comes_late(self):
+        desk, engine = self.make_lossy_desk(self._wait_longer)
+        self._write_entry(desk, engine.born + 1)
+        self.assertFalse(self.ask(desk)[1])
+        self.assertGreater(engine.report_count, 2)
+
+    # Guards against whole bodies that need the store though the first
+    # question was answered, and its connection was lost only after that.
+    def test_answer_to_the_first_question_needs_no_store(self):
+        close_idle = test_proofs_of_bodies.LongBodyTest._close_idle
+        desk, engine = self.make_long_desk(
+            lambda engine: close_idle(self, engine)
+        )
+        engine.born = test_proofs_of_bodies.get_wall_ms() - 3_000
+        desk.target_view.entry_reader._store.down = True
+        self.assertTrue(self.ask(desk)[1])
+
+    def _write_entry(self, desk, born):
+        store = desk.target_view.entry_reader._store
+        value = test_entries_of_ends.encode_entry(born)
+        store.put(test_entries_of_ends.KEY, 0, value)
+
+    def _wait_longer(self, engine):
+        gevent.sleep(LONGER_S)
+
+    def _wait_and_restart(self, engine):
+        self._wait_longer(engine)
+        engine._socks = [sock for sock in engine._socks if not sock.closed]
+        test_endings.Engine.restart(engine)
