Closed responses that are no streams are whole where streams are

Cause: a success without a length on a stream's route whose type is no stream of events was refused, since nothing shows that it wasn't closed early. That held also where the operator says that targets close none early (--accept-closed-streams): there streams were told whole, and these 502.

Change: the switch counts for both; the check that the target lives stays.

Without the switch these stay refused: what shows the end of a stream doesn't apply to them.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -235,7 +235,8 @@
         is_stream_route = (
             self._context.route.kind is catalog.RequestKind.STREAM
         )
-        if response.status == OK and end_check and is_stream_route:
+        may_be_closed = end_check and not self._cfg.accept_closed_streams
+        if response.status == OK and may_be_closed and is_stream_route:
             # Streams that are closed early have no proof, whatever their type.
             raise connections.ResponseLost('no stream, and without a length')
         body = self._wait(
--- a/tests/edge/test_unshown_answers.py
+++ b/tests/edge/test_unshown_answers.py
@@ -11,6 +11,7 @@
 import gevent
 from gevent import socket
 
+from galenaspoke.core import catalog
 from galenaspoke.edge.targets import directory
 from galenaspoke.http import connections
 from tests.edge import base
@@ -266,3 +267,28 @@
         self._wait_longer(engine)
         engine._socks = [sock for sock in engine._socks if not sock.closed]
         test_endings.Engine.restart(engine)
+
+
+class AcceptedBodyTest(test_endings.EndingTestCase):
+    """Responses on routes of streams that are none, without a length."""
+
+    kind = catalog.RequestKind.STREAM
+    content_type = b'application/json'
+
+    # Guards against whole responses that are refused though the operator says
+    # that targets close none early.
+    def test_response_is_whole(self):
+        settings = {'accept_closed_streams': True}
+        desk, _ = self.make_desk(resumable=False, settings=settings)
+        self.assertTrue(self.ask(desk)[1])
+
+    # The other way: nothing says that it wasn't closed early.
+    def test_response_that_may_be_cut_is_not_whole(self):
+        desk, _ = self.make_desk(resumable=False)
+        self.assertFalse(self.ask(desk)[1])
+
+    def test_response_of_a_killed_engine_is_not_whole(self):
+        settings = {'accept_closed_streams': True}
+        desk, (engine,) = self.make_desk(resumable=False, settings=settings)
+        engine.cut_at = test_endings.CUT_AFTER
+        self.assertFalse(self.ask(desk)[1])
