--- a/galenaspoke/edge/targets/end_checks.py
+++ b/galenaspoke/edge/targets/end_checks.py
@@ -37,6 +37,9 @@
 # The same for a stream, after its head came.  What its target answers while
 # the stream is under way shows best which process it is.
 STREAM_QUESTION_MS = 50
+# How often it is asked so if the questions are lost, and after which pauses.
+MAX_EARLY_QUESTIONS = 3
+EARLY_INTERVAL_S = 0.2
 # How much the wall clocks of a router and a target may differ.
 MAX_CLOCK_ERROR_MS = 17_000
 # A target may give up a response that was not read for this long.
@@ -119,6 +122,11 @@
     nothing, since the kernel of a dead process sends the rest once the router
     has room.
 
+    While the store can't be asked, an answer on a kept connection tells it, if
+    that had carried a response before the request was sent: it ends with its
+    process, and the one that answers a request later at the same address is
+    the same.
+
     That the target has closed the first one may come late, on a path that
     holds up or loses packets.  So no process that says that it has started
     after the request was sent proves anything, nor one that doesn't say when,
@@ -132,6 +140,7 @@
         '_read_entry',
         '_clock',
         '_metrics',
+        '_sent_at',
         '_sent_at_wall',
         '_listed_born',
         '_has_stalled',
@@ -139,7 +148,9 @@
         '_early_task',
         '_conn',
         '_is_early',
+        '_is_kept',
         '_has_answered',
+        '_is_answer_late',
         '_early_born',
         '_early_run_ids',
         '_alive_at',
@@ -169,7 +180,8 @@
         self._read_entry = read_entry
         self._clock = clock
         self._metrics = metrics
-        # When the request was sent, in ms since 1970.
+        self._sent_at = sent_at
+        # The same in ms since 1970.
         self._sent_at_wall = clock.wall() - (clock.now() - sent_at)
         # When the target's process started, by the entry at this time.
         self._listed_born = target.entry.born
@@ -178,11 +190,16 @@
         self._conn = None
         # Whether it was made while the response was under way.
         self._is_early = False
+        # Whether the target answered a request on it before the sending.
+        self._is_kept = False
         # Whether the target answered on it while the response was under way,
         # and when its process started, by that answer; 0 if it didn't say so.
         self._has_answered = False
         self._early_born = 0
         self._early_run_ids = ()
+        # Whether a question before that answer was lost, perhaps with the
+        # process of the response.
+        self._is_answer_late = False
         # The latest time at which the process is known to have lived.
         self._alive_at = sent_at
         # Whether it has answered since on the connection of such an answer.
@@ -245,6 +262,7 @@
         now = self._clock.now()
         self._conn = self._target.acquire_last_connection(now)
         self._is_early = self._is_under_way()
+        self._is_kept = _is_kept_since(self._conn, self._sent_at)
         self._has_answered = False
 
     def _is_under_way(self):
@@ -252,10 +270,24 @@
         return not self._response_conn.is_closed_by_peer()
 
     def _ask_early(self):
-        """Ask on the second connection while the response is under way."""
+        """Ask on a second connection while the response is under way.
+
+        A question that is lost says nothing: it is asked again.  Then the
+        target's entry has to tell the process as well, see `_ask`, so that is
+        done only if the entry states a start.
+        """
         self._connect_task.join()
-        if self._conn is None or not self._is_early:
-            return
+        for _ in range(MAX_EARLY_QUESTIONS):
+            if self._conn is not None and self._is_early:
+                self._ask_early_once()
+            is_over = self._conn is not None or not self._is_under_way()
+            if is_over or not self._listed_born:
+                return
+            gevent.sleep(EARLY_INTERVAL_S)
+            self._try_to_connect()
+
+    def _ask_early_once(self):
+        """Ask on the second connection; keep it if that tells a process."""
         conn, self._conn = self._conn, None
         is_usable = False
         try:
@@ -272,6 +304,7 @@
         if is_usable:
             self._conn = conn
             self._has_answered = True
+            self._is_answer_late = self._has_lost_early
 
     def _record_early(self, report):
         """Record an early report; return whether it identifies a process."""
@@ -287,10 +320,15 @@
 
         What waits there may be a copy of the answer.
         """
-        if self._has_answered and not self._conn.is_open_and_empty():
+        if self._conn is None or self._conn.is_open_and_empty():
+            return
+        if self._has_answered:
             self._conn.close()
             self._conn = None
             self._has_lost_early = True
+        else:
+            # What waits there may pass for one.
+            self._is_kept = False
 
     def _ask_until_known(self, request_id):
         self._connect_task.join()
@@ -313,7 +351,7 @@
     def _ask(self, request_id, until):
         """Ask the target once; return why that proves nothing, '' if it does.
 
-        Raises PeerClosed if the process is gone.
+        Raises PeerClosed if the process is gone, or was never reached.
         """
         asked_at = self._clock.now()
         try:
@@ -321,7 +359,10 @@
                 self._connect()
             report = self._read_report(until)
         except connections.NotSent as exc:
-            raise self._make_end(exc) from exc
+            is_refused = isinstance(exc, connections.Refused)
+            if is_refused or self._clock.now() >= until:
+                raise self._make_end(exc) from exc
+            return f'no connection: {exc}'
         except (connections.ResponseLost, connections.ReadTimeout) as exc:
             self._has_lost_early = self._has_lost_early or self._is_early
             return f'no report: {exc}'
@@ -335,7 +376,8 @@
         is_same = self._has_answered or self._states_early_start(report)
         has_survived = is_same or (self._has_survived and is_soon)
         is_soon = has_survived or (is_soon and not self._has_lost_early)
-        is_proved = is_same or self._is_known(report)
+        is_certain = is_same and not self._is_answer_late
+        is_proved = is_certain or self._is_known(report)
         if not (is_proved or is_soon):
             if report.born and self._listed_born:
                 raise self._make_end('another process has its address')
@@ -350,7 +392,8 @@
         """Raise if the store names the start of another process.
 
         It is asked after the process has answered.  Raises ResponseLost if the
-        store doesn't say; an entry that never stated a start tells nothing.
+        store doesn't say, unless that answer came on a kept connection; an
+        entry that never stated a start tells nothing.
         """
         if not self._listed_born:
             return
@@ -359,6 +402,8 @@
         try:
             entry = self._read_entry(self._target.entry.id, left_s)
         except store_base.StoreError as exc:
+            if self._is_kept:
+                return
             raise _make_loss(
                 connections.ResponseLost, f'its entry is not known: {exc}'
             ) from exc
@@ -448,5 +493,13 @@
         return _make_loss(error, why)
 
 
+def _is_kept_since(conn, sent_at):
+    """Return whether a request was answered on a connection before a time.
+
+    One that was only made may not have reached a process yet.
+    """
+    return conn.request_count > 0 and conn.idle_since < sent_at
+
+
 def _make_loss(error, why):
     return error(f'closed, without a length: {why}')
