--- a/bench/edge_fleet.py
+++ b/bench/edge_fleet.py
@@ -39,8 +39,6 @@
 RESTART_DELAY_S = (0.1, 1.2)
 SUPERVISE_INTERVAL_S = 0.05
 SAME_ID_SHARE = 0.3
-# The share of engines that are reached through a link that can be harmed.
-LINKED_SHARE = 0.5
 
 
 class Fleet:
@@ -90,10 +88,12 @@
         ]
         self.engines = [*models, *applications]
         # Engines of services of their own, which only floods are asked for.
-        self.flooding = [
-            self._make_flooding_engine(service)
-            for service in platform_documents.FAULTY_SERVICES
-        ]
+        self.flooding = []
+        if options.flooding:
+            self.flooding = [
+                self._make_flooding_engine(service)
+                for service in platform_documents.FAULTY_SERVICES
+            ]
         self._supervisor = None
 
     @property
@@ -140,7 +140,7 @@
     def _make_engine(self, kind, number, service):
         ip = self._new_ip()
         link = None
-        if self._rng.random() < LINKED_SHARE:
+        if self._rng.random() < self._options.linked_share:
             link = faulty_link.FaultyLink(
                 f'{ip}:{edge_machines.PROXY_PORT}',
                 f'{ip}:{edge_machines.ENGINE_PORT}',
@@ -221,8 +221,9 @@
                 machine.service = machine.next_service
                 machine.next_service = None
                 instance = self._draw_instance()
-            elif self._rng.random() >= SAME_ID_SHARE:
-                instance = self._draw_instance()
+            elif not machine.keeps_instance:
+                if self._rng.random() >= SAME_ID_SHARE:
+                    instance = self._draw_instance()
             machine.process.argv = make_argv()
 
         machine.prepare = prepare
@@ -247,6 +248,7 @@
         if machine in self.routers:
             port = str(platform_documents.METRICS_PORT)
             command = ['galenaspoke.edge.main', '--metrics-port', port]
+            command += self._options.router_flags
 
         def make_argv():
             skew_ms = self._options.router_skew_ms
@@ -314,7 +316,7 @@
             self._config_version,
             self._make_routes(),
             platform_documents.Engines(
-                edge_machines.SLOTS,
+                self._options.slots,
                 self.profile.memory_tokens,
                 self.profile.stride if stride is None else stride,
             ),
--- a/bench/edge_machines.py
+++ b/bench/edge_machines.py
@@ -42,6 +42,7 @@
         'service',
         'next_service',
         'restart_after_s',
+        'keeps_instance',
         'version',
         'clock_ms',
         'floods',
@@ -67,6 +68,8 @@
         self.next_service = None
         # How long the machine stays without a process, None if drawn.
         self.restart_after_s = None
+        # Whether an engine has the same id after each start.
+        self.keeps_instance = False
         # The version of an engine's software from its next start on.
         self.version = 'v1'
         # How far the machine's wall clock is ahead.
@@ -128,7 +131,7 @@
     argv += ['--clock-ms', str(machine.clock_ms)]
     if machine.floods:
         return [*argv, *FLOODING_OPTIONS]
-    argv += ['--slots', str(SLOTS), '--early', str(options.early)]
+    argv += ['--slots', str(options.slots), '--early', str(options.early)]
     argv += ['--garbled', str(options.garbled)]
     for name, value in options.profile.engine_options.items():
         argv += [f'--{name}', str(value)]
--- a/bench/fleet_options.py
+++ b/bench/fleet_options.py
@@ -8,8 +8,12 @@
 
 import pathlib
 
+from bench import edge_machines
 from bench import site_profiles
 
+# The share of engines that are reached through a link that can be harmed.
+LINKED_SHARE = 0.5
+
 
 class FleetOptions:
     """The size of a fleet and the seed of all that is drawn.
@@ -21,7 +25,10 @@
     the share of responses that engines end early, `garbled` of those that they
     garble, and `skew_ms` how far engines' clocks are ahead or behind at most;
     `router_skew_ms` is the same of routers, drawn anew for each start.
-    With `control_path` the path between routers can be harmed.
+    With `control_path` the path between routers can be harmed, and engines
+    that are reached through a link are `linked_share` of them.  `router_flags`
+    are further arguments of routers, `slots` how many requests an engine works
+    on, and `flooding` says whether there are engines that flood.
     """
 
     __slots__ = (
@@ -37,6 +44,10 @@
         'skew_ms',
         'router_skew_ms',
         'control_path',
+        'linked_share',
+        'router_flags',
+        'slots',
+        'flooding',
     )
 
     def __init__(
@@ -53,6 +64,10 @@
         router_skew_ms=4_000,
         control_path=True,
         profile=None,
+        linked_share=LINKED_SHARE,
+        router_flags=(),
+        slots=edge_machines.SLOTS,
+        flooding=True,
     ):
         self.profile = profile or site_profiles.default()
         self.seed = seed
@@ -66,6 +81,10 @@
         self.skew_ms = skew_ms
         self.router_skew_ms = router_skew_ms
         self.control_path = control_path
+        self.linked_share = linked_share
+        self.router_flags = list(router_flags)
+        self.slots = slots
+        self.flooding = flooding
 
 
 def _choose(number, default):
--- a/standins/edge_engine.py
+++ b/standins/edge_engine.py
@@ -15,6 +15,7 @@
 import os
 import random
 import select
+import signal
 import socket
 import sys
 import time
@@ -27,6 +28,7 @@
 from standins import common
 from standins import edge_divisions
 from standins import edge_floods
+from standins import edge_manners
 from standins import edge_modes
 from standins import edge_plans
 from standins import edge_runs
@@ -68,6 +70,7 @@
         self._rng = rng
         self._settings = settings
         self._is_model = entry['Service'].startswith('model')
+        self._manner = settings.manner or edge_manners.Manner()
         self._runs = edge_runs.Runs(instance, entry, log, rng, settings)
         self._modes = edge_modes.Modes(rng)
         self._slots = lock.BoundedSemaphore(entry['Slots'])
@@ -118,13 +121,22 @@
             raw_http.call(self._store, 'DELETE', path)
         except (OSError, raw_http.Disconnected):
             pass
-        if self._settings.shares.early and self._rng.random() < HASTY_SHARE:
+        if self._rng.random() < self._get_hasty_share():
             self._runs.end_all(edge_plans.LEAVING)
             gevent.sleep(self._rng.uniform(*LINGER_S))
         while self._runs.is_any():
             gevent.sleep(0.05)
         os._exit(0)
 
+    def _get_hasty_share(self):
+        if self._manner.hasty_share is not None:
+            return self._manner.hasty_share
+        return HASTY_SHARE if self._settings.shares.early else 0.0
+
+    def _freeze(self):
+        self._runs.end_all(edge_plans.FROZEN)
+        os.kill(os.getpid(), signal.SIGSTOP)
+
     def _stop_at_once(self):
         self._runs.end_all(edge_plans.SPOT)
         os._exit(1)
@@ -179,7 +191,8 @@
         flood = self._get_flood()
         if path == '/health' and flood == edge_floods.HEALTH:
             return self._send_flood(conn, 'health')
-        if path == '/health' or (path == '/report' and self._is_model):
+        has_report = self._is_model and self._manner.has_reports
+        if path == '/health' or (path == '/report' and has_report):
             make = self._make_health if path == '/health' else self._report
             conn.sock.sendall(make())
             return True
@@ -287,6 +300,8 @@
         if mode == edge_modes.SPOT:
             # Once the order is answered.
             gevent.spawn_later(SPOT_DELAY_S, self._stop_at_once)
+        elif mode == edge_modes.FREEZE:
+            gevent.spawn_later(SPOT_DELAY_S, self._freeze)
         else:
             share = order.get('share', 1.0)
             self._modes.set(mode, order['seconds'], share)
@@ -342,6 +357,7 @@
 @click.option('--clock-ms', default=0, help='How far its clock is ahead.')
 @click.option('--flood', default=None, help='A case of edge_floods.')
 @click.option('--connections', default=MAX_CONNECTIONS)
+@edge_manners.add_options
 def main(
     listen,
     announce,
@@ -360,9 +376,10 @@
     clock_ms,
     flood,
     connections,
-    **division,
+    **options,
 ):
     """Serve a service whose name begins with `model` or not, on LISTEN."""
+    manner = edge_manners.take(options)
     entry = {
         'Service': service,
         'Addr': announce,
@@ -382,7 +399,8 @@
         random.Random(seed),
         edge_plans.Settings(
             edge_plans.Shares(early, garbled, lost, common_ends),
-            edge_divisions.Division(**division),
+            edge_divisions.Division(**options),
+            manner,
         ),
     )
     if flood:
--- a/standins/edge_modes.py
+++ b/standins/edge_modes.py
@@ -17,6 +17,8 @@
 SHED = 'shed'
 # The engine's process ends in the middle of its streams.
 SPOT = 'spot'
+# The engine ends its streams, and its process is suspended; never drawn.
+FREEZE = 'freeze'
 # Connections on which a response came are gone: what is sent next is reset.
 FORGET = 'forget'
 # The endings of runs that other modes force.
--- a/standins/edge_plans.py
+++ b/standins/edge_plans.py
@@ -21,6 +21,8 @@
 EXIT = 'exit'
 ENDINGS = (RESET, CLOSED, LEFT, EXIT)
 ENDING_WEIGHTS = (0.4, 0.3, 0.2, 0.1)
+# Closed in the middle of an event or line; never drawn.
+HALF = 'half'
 # The share of them that ends before anything of the body.
 AT_ONCE_SHARE = 0.15
 # Bytes that are no response in place of one, and within a chunked one.
@@ -47,9 +49,10 @@
 HANG = 'hang'
 # Endings in place of a whole response, not in the middle of one.
 WITHOUT_RESPONSE = (GARBAGE, *LOST_ENDS, ERROR, HANG)
-# An engine that is stopped, or leaves, ends its runs so.
+# An engine that is stopped, leaves or is frozen ends its runs so.
 SPOT = 'spot'
 LEAVING = 'leaving'
+FROZEN = 'frozen'
 
 
 class Shares:
@@ -126,13 +129,17 @@
 
 
 class Settings:
-    """What an engine draws its runs from: Shares and a Division."""
+    """What an engine draws its runs from: Shares and a Division.
 
-    __slots__ = ('shares', 'division')
+    A Manner of edge_manners has what isn't drawn, None for nothing.
+    """
+
+    __slots__ = ('shares', 'division', 'manner')
 
-    def __init__(self, shares, division=None):
+    def __init__(self, shares, division=None, manner=None):
         self.shares = shares
         self.division = division or edge_divisions.Division()
+        self.manner = manner
 
 
 class Run:
@@ -171,6 +178,8 @@
         )
         if is_stream and forced is None:
             self._draw_common_end(settings.shares)
+        if settings.manner:
+            settings.manner.change(self.plan)
         self.is_stream = is_stream
         self.sent = 0
         self.sent_tokens = 0
--- a/standins/edge_responses.py
+++ b/standins/edge_responses.py
@@ -48,7 +48,7 @@
     def _write_parts(self, run, parts):
         for index, part in enumerate(parts):
             if run.plan.ending != edge_plans.WHOLE and index >= run.plan.at:
-                self._end_early(run.plan.ending)
+                self._end_early(run.plan, part)
             _work_on(part)
             self._write_part(run.plan.framing, part.data)
             run.sent += 1
@@ -76,11 +76,13 @@
         self.written.append(data)
         self._sock.sendall(data)
 
-    def _end_early(self, ending):
-        if ending == edge_plans.LEFT:
+    def _end_early(self, plan, part):
+        if plan.ending == edge_plans.LEFT:
             self._wait_for_peer()
-        if ending == edge_plans.BAD_CHUNK:
+        if plan.ending == edge_plans.BAD_CHUNK:
             self._sock.sendall(_BAD_CHUNK)
+        if plan.ending == edge_plans.HALF:
+            self._write_part(plan.framing, part.data[: len(part.data) // 2])
         raise EarlyEnd
 
     def _write_part(self, framing, data):
--- a/standins/edge_runs.py
+++ b/standins/edge_runs.py
@@ -9,10 +9,12 @@
 
 import itertools
 import os
+import time
 import zlib
 
 from standins import edge_bodies
 from standins import edge_floods
+from standins import edge_manners
 from standins import edge_plans
 from standins import edge_responses
 from standins import raw_http
@@ -25,8 +27,6 @@
     edge_plans.LOST,
     edge_plans.HANG,
 )
-# The share of streams that an engine resets when it ends them all.
-RESET_SHARE = 0.5
 # Engines' weights have one of so many versions.
 WEIGHT_VERSIONS = 9
 
@@ -47,6 +47,8 @@
         '_runs',
         '_numbers',
         '_late_responses',
+        '_manner',
+        '_listed',
     )
 
     def __init__(self, instance, entry, log, rng, settings):
@@ -64,6 +66,9 @@
         # Responses that come once more where the next one is due, by their
         # connection.
         self._late_responses = {}
+        self._manner = settings.manner or edge_manners.Manner()
+        # Pairs of an ended run that is still listed, and until when.
+        self._listed = []
 
     def is_any(self):
         """Return whether there is a run."""
@@ -71,7 +76,11 @@
 
     def list_reported(self):
         """Return the runs as a report of the engine lists them."""
-        return [[run.id, 100, run.sent, 5] for _, run in self._runs.values()]
+        now = time.monotonic()
+        self._listed = [pair for pair in self._listed if pair[1] > now]
+        runs = [run for _, run in self._runs.values()]
+        runs += [run for run, _ in self._listed]
+        return [[run.id, 100, run.sent, 5] for run in runs]
 
     def take_late_response(self, conn):
         """Return what comes on a connection before the next response."""
@@ -115,8 +124,8 @@
             # Otherwise it was ended with all others.
             if self._runs.pop(conn, None):
                 self._end(conn, number, run, how)
-        if how == edge_plans.WHOLE:
-            return run.plan.framing != 'none'
+        if how == edge_plans.WHOLE and run.plan.framing != 'none':
+            return self._manner.keeps_connections
         return how == edge_plans.ERROR
 
     def end_all(self, how):
@@ -124,7 +133,7 @@
         while self._runs:
             conn, (number, run) = self._runs.popitem()
             self._log_end(number, run, how)
-            if self._rng.random() < RESET_SHARE:
+            if self._rng.random() < self._manner.reset_share:
                 raw_http.reset(conn.sock)
             else:
                 conn.sock.close()
@@ -143,6 +152,8 @@
             ('X-Weight-Versions', str(self.weights)),
             ('X-Request-Id', run.id),
         ]
+        if run.plan.framing != 'none' and not self._manner.keeps_connections:
+            headers.append(('Connection', 'close'))
         writer = edge_responses.Writer(conn.sock, self._rng)
         writer.write_response(
             run, self._entry['Version'], headers, self.weights
@@ -152,6 +163,9 @@
 
     def _end(self, conn, number, run, how):
         self._log_end(number, run, how)
+        if self._manner.listed_s:
+            until = time.monotonic() + self._manner.listed_s
+            self._listed.append((run, until))
         if how == edge_plans.EXIT:
             os._exit(1)
         if how in RESETS:
