Bench: tests of the drill of ends; planned work has to show in the log

Cause: the drill had no test, and a signal that misses shows nothing.

Change: tests.bench.test_end_drill; each planned event needs its line in the log of the router; reports list only runs that ended early.

Conclusion: the tests are there, not run yet.

--- a/bench/end_drill.py
+++ b/bench/end_drill.py
@@ -109,6 +109,7 @@
     """Open answers, have the row's event happen; return Counts by route."""
     answers = end_answers.make_answers(row.event.name, routes, ANSWERS, scale)
     router = fleet.routers[0]
+    before = _count_signs(router, row.event)
     tasks = [gevent.spawn(answer.read, router) for answer in answers]
     after_s = EARLY_S
     if not row.event.is_early:
@@ -116,9 +117,17 @@
     gevent.sleep(after_s)
     row.event.happen(fleet)
     gevent.joinall(tasks, raise_error=True)
+    if row.event.sign and _count_signs(router, row.event) <= before:
+        raise RuntimeError(f'{router.name} shows no {row.event.sign}')
     return end_answers.count(answers, routes)
 
 
+def _count_signs(router, event):
+    """Return how often the router's log has the sign of an event."""
+    text = f'"event":"{event.sign}"'
+    return router.process.read_output().count(text)
+
+
 def run_world(rows, seed, scale, directory, product=None):
     """Play rows of one world in a fleet; yield pairs of a row and Counts."""
     routes = make_routes()
--- a/bench/end_rows.py
+++ b/bench/end_rows.py
@@ -21,6 +21,8 @@
 EXTRA_ROUTES = 1
 LISTED_S = 3.0
 EARLY_SHARE = 0.5
+# Of planned work that is none.
+NO_SIGN = ''
 FLAGS = {
     '': (),
     '+accept': ('--accept-closed-streams',),
@@ -42,36 +44,29 @@
     """What happens while the answers are open.
 
     `happen(fleet)` is called early if `is_early`, else when half of the
-    longest answer's time has passed.  Other events of a fleet may follow if
-    it `is_planned`.  `options` and `early`, the share of answers that end
-    early, are those of engines.
+    longest answer's time has passed.  Planned work, which other events of a
+    fleet may follow, has a `sign`: the event in the log of the router by which
+    it shows.  `options` and `early`, the share of answers that end early, are
+    those of engines.
     """
 
-    __slots__ = (
-        'name',
-        'happen',
-        'is_planned',
-        'is_early',
-        'early',
-        'options',
-    )
+    __slots__ = ('name', 'happen', 'is_early', 'sign', 'early', 'options')
 
     def __init__(
-        self,
-        name,
-        happen,
-        is_planned=False,
-        is_early=False,
-        early=0.0,
-        **options,
+        self, name, happen, is_early=False, sign=None, early=0.0, **options
     ):
         self.name = name
         self.happen = happen
-        self.is_planned = is_planned
         self.is_early = is_early
+        self.sign = sign
         self.early = early
         self.options = options
 
+    @property
+    def is_planned(self):
+        """Return whether it is planned work."""
+        return self.sign is not None
+
 
 class Row:
     """A framing with router flags and an event."""
@@ -124,6 +119,11 @@
     return [fleet.models[0], fleet.applications[0]]
 
 
+def _order(machine, mode):
+    if not machine.set_mode(mode, 1, 1):
+        raise RuntimeError(f'{machine.name} did not take the order {mode}')
+
+
 def _kill(fleet):
     for machine in _list_ending(fleet):
         machine.restart_after_s = AWAY_S
@@ -141,12 +141,12 @@
     for machine in _list_ending(fleet):
         machine.restart_after_s = AWAY_S
         machine.may_end = True
-        machine.set_mode(edge_modes.SPOT, 1, 1)
+        _order(machine, edge_modes.SPOT)
 
 
 def _freeze(fleet):
     for machine in _list_ending(fleet):
-        machine.set_mode(edge_modes.FREEZE, 1, 1)
+        _order(machine, edge_modes.FREEZE)
 
 
 def _leave(fleet):
@@ -164,11 +164,11 @@
     Framing('no-length-no-report', framing='none', reports='false'),
 )
 PLANNED = (
-    Event('calm', _stay_calm, is_planned=True, is_early=True),
-    Event('sighup', _reload, is_planned=True, is_early=True),
-    Event('configuration', _publish, is_planned=True, is_early=True),
+    Event('calm', _stay_calm, is_early=True, sign=NO_SIGN),
+    Event('sighup', _reload, is_early=True, sign='reload'),
+    Event('configuration', _publish, is_early=True, sign='config.installed'),
     # Last, since the router is gone after it.
-    Event('sigterm', _stop_router, is_planned=True, is_early=True),
+    Event('sigterm', _stop_router, is_early=True, sign='stop'),
 )
 ENDS = (
     Event('killed', _kill),
--- a/standins/edge_manners.py
+++ b/standins/edge_manners.py
@@ -30,9 +30,10 @@
     those that end early; both are drawn if they are None.  The connection is
     closed after each response unless the engine `keeps_connections`.
 
-    Its report lists a run for `listed_s` after its end.  `hasty_share` is how
-    often it ends its streams early when it leaves, None for the engine's
-    default, and `reset_share` the share of those that it resets then.
+    Its report lists a run that ended early for `listed_s` after that.
+    `hasty_share` is how often it ends its streams early when it leaves, None
+    for the engine's default, and `reset_share` the share of those that it
+    resets then.
     """
 
     __slots__ = (
@@ -97,7 +98,7 @@
     click.option(
         '--listed-s',
         default=0.0,
-        help='How long reports list a run after its end.',
+        help='How long reports list a run after its early end.',
     ),
     click.option(
         '--hasty',
--- a/standins/edge_runs.py
+++ b/standins/edge_runs.py
@@ -163,7 +163,7 @@
 
     def _end(self, conn, number, run, how):
         self._log_end(number, run, how)
-        if self._manner.listed_s:
+        if how != edge_plans.WHOLE and self._manner.listed_s:
             until = time.monotonic() + self._manner.listed_s
             self._listed.append((run, until))
         if how == edge_plans.EXIT:
