--- a/tests/edge/test_unshown_answers.py
+++ b/tests/edge/test_unshown_answers.py
@@ -429,9 +429,16 @@
 
     # The other way: nothing says that it wasn't closed early.
     def test_response_that_may_be_cut_is_not_whole(self):
-        desk, _ = self.make_desk(resumable=False)
+        settings = {'doubt_closed_streams': True}
+        desk, _ = self.make_desk(resumable=False, settings=settings)
         self.assertFalse(self.ask(desk)[1])
 
+    # Guards against whole ones that are refused though nothing speaks against
+    # them.
+    def test_response_that_nothing_speaks_against_is_whole(self):
+        desk, _ = self.make_desk(resumable=False)
+        self.assertTrue(self.ask(desk)[1])
+
     def test_response_of_a_killed_engine_is_not_whole(self):
         settings = {'accept_closed_streams': True}
         desk, (engine,) = self.make_desk(resumable=False, settings=settings)
