--- a/tests/edge/test_unshown_answers.py
+++ b/tests/edge/test_unshown_answers.py
@@ -12,8 +12,11 @@
 from gevent import socket
 
 from galenaspoke.core import catalog
+from galenaspoke.edge.serving import request_handler
 from galenaspoke.edge.targets import directory
+from galenaspoke.edge.targets import end_checks
 from galenaspoke.http import connections
+from galenaspoke.http import messages
 from tests.edge import base
 from tests.edge import handlers
 from tests.edge import test_endings
@@ -24,12 +27,24 @@
     b'HTTP/1.1 200 -\r\nX-Request-Id: %s\r\nX-Response-Stamp: s\r\n'
     b'Keep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok'
 )
+CHUNKED_HEAD = test_endings.HEAD.replace(
+    b'Content-Type', b'Transfer-Encoding: chunked\r\nContent-Type'
+)
+BUSY_HEAD = (
+    b'HTTP/1.1 503 -\r\nX-Request-Id: %s\r\nX-Not-Run: 1\r\n'
+    b'Content-Length: 0\r\n\r\n'
+)
 # How many requests are sent at once, so that as many connections are kept.
 KEPT_COUNT = 2
 RESET_AT_CLOSE = b'\1\0\0\0\0\0\0\0'
 PAUSE_S = 0.02
 # How long a body takes in which several questions are asked.
 LONGER_S = 1.5
+# How long targets of streams may be silent here, and how long one is.
+SILENCE_MS = 100
+SILENT_S = 0.4
+# For how long responses may be unread here.
+UNREAD_MS = 150
 
 
 class KeepingEngine(test_proofs_of_bodies.TimedEngine):
@@ -269,6 +284,136 @@
         test_endings.Engine.restart(engine)
 
 
+class ChunkingEngine(test_endings.Engine):
+    """An engine whose streams are chunked, or that is full.
+
+    It calls `cut` once, unless it `stays`.  One that `closes` sends its first
+    run without a length, and ends it there.
+    """
+
+    is_busy = False
+    stays = False
+    closes = False
+
+    def _run(self, sock, head):
+        if self.is_busy:
+            sock.sendall(BUSY_HEAD % handlers.REQUEST_ID)
+            return
+        if self.closes:
+            self.closes = False
+            super()._run(sock, head)
+            return
+        sock.sendall(CHUNKED_HEAD % (handlers.REQUEST_ID, self.content_type))
+        asked = head.lower().partition(b'last-event-id: ')[2]
+        first = int(asked.split(b'\r\n')[0]) + 1 if asked else 1
+        for number in range(first, test_endings.EVENT_COUNT + 1):
+            if number == self.cut_at:
+                self.cut_at = self.cut_at if self.stays else None
+                self.cut()
+            event = test_endings.encode_event(number)
+            sock.sendall(messages.encode_chunk(event))
+        sock.sendall(messages.LAST_CHUNK)
+
+
+class FullFleetTest(test_endings.EndingTestCase):
+    """Streams that break at an engine that lives while the other is full."""
+
+    def setUp(self):
+        for owner, name, value in (
+            (request_handler, 'STREAM_READ_TIMEOUT_MS', SILENCE_MS),
+            (request_handler, 'STREAM_READ_TIMEOUT_GAPS', 0),
+            (test_endings, 'Engine', ChunkingEngine),
+        ):
+            patch = mock.patch.object(owner, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.desk, self.engines = self.make_desk(2, max_attempts=3)
+
+    def check_whole(self, cut):
+        """Check that a stream is whole whose first engine calls `cut`."""
+        self.cut_first(cut)
+        caller, is_whole = self.ask(self.desk)
+        self.assertEqual(test_endings.EVENT_COUNT, self.count_pieces(caller))
+        self.assertTrue(is_whole)
+
+    def cut_first(self, cut):
+        """Let the engine that is asked first call `cut`; fill the other."""
+
+        def fill_and_cut(first):
+            for engine in self.engines:
+                engine.is_busy = engine is not first
+            cut(first)
+
+        for engine in self.engines:
+            engine.cut_at = test_endings.CUT_AFTER
+            engine.cut = functools.partial(fill_and_cut, engine)
+
+    # Guards against a stream that is broken off since its engine is silent
+    # and the other one full (LOST: "An engine's silence is no reason to end an
+    # answer sooner").
+    def test_silent_engine(self):
+        self.check_whole(lambda engine: gevent.sleep(SILENT_S))
+
+    # Guards against a stream that is broken off since its engine has closed it
+    # and the other one is full, though the first one would go on with it.
+    def test_engine_that_closes_early(self):
+        for engine in self.engines:
+            engine.closes = True
+        self.check_whole(self._forget_cut)
+
+    # The other way: a stream whose engine never goes on is not whole.
+    def test_engine_that_stays_silent(self):
+        self.cut_first(lambda engine: gevent.sleep(10))
+        for engine in self.engines:
+            engine.stays = True
+        self.assertFalse(self.ask(self.desk)[1])
+
+    # The same where the engine is killed.
+    def test_killed_engine(self):
+        self.cut_first(lambda engine: engine.kill())
+        self.assertFalse(self.ask(self.desk)[1])
+
+    def _forget_cut(self, engine):
+        engine.cut_at = None
+
+
+class AllOutputTest(test_endings.EndingTestCase):
+    """Streams of which all output has come that their requests allow.
+
+    What became of their engine says nothing of them.
+    """
+
+    # Guards against a whole stream that is broken off since its engine leaves
+    # after it.  Beside it: test_endings.KilledStreamTest.
+    def test_engine_that_ends_after_the_last_event(self):
+        self.check_whole(lambda engine: engine.kill())
+
+    # Guards against one that is broken off since its caller reads slowly.
+    # Beside it: test_endings.UnreadStreamTest.test_caller_that_reads_slowly.
+    def test_caller_that_reads_slowly(self):
+        with mock.patch.object(end_checks, 'MAX_UNREAD_MS', UNREAD_MS):
+            self.check_whole(lambda engine: None, SlowCaller())
+
+    def check_whole(self, cut, caller=None):
+        """Check that a stream is whole after whose last event is a `cut`."""
+        desk, (engine,) = self.make_desk(resumable=False)
+        engine.cut_at = test_endings.EVENT_COUNT + 1
+        engine.cut = functools.partial(cut, engine)
+        caller, is_whole = self.ask(desk, caller)
+        self.assertEqual(test_endings.EVENT_COUNT, self.count_pieces(caller))
+        self.assertTrue(is_whole)
+
+
+class SlowCaller(handlers.Caller):
+    """A caller that takes its time to read the first events."""
+
+    def send(self, data):
+        """Record bytes, the first ones late."""
+        if not self.body:
+            gevent.sleep(2 * UNREAD_MS / 1000)
+        super().send(data)
+
+
 class AcceptedBodyTest(test_endings.EndingTestCase):
     """Responses on routes of streams that are none, without a length."""
 
