Streams: all output that a request allows is an end, whatever came of its engine

What callers saw: all events of a stream without a length, as many as the request allows tokens, and then a reset, since its engine had gone a moment later, or since they had read slowly for two seconds (LOST beside planned work).

The check whether the engine lives came before the proof by output, and its silence was taken for a cut. Nothing is left to come then, so nothing can be missing.

Change: the proof by output is asked for first. A target that leaves is waited for no longer than the deadline allows.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -2,6 +2,7 @@
 
 from galenaspoke.core import catalog
 from galenaspoke.edge import outcomes
+from galenaspoke.edge.serving import stream_ends
 from galenaspoke.edge.streams import event_limits
 from galenaspoke.edge.streams import sse
 from galenaspoke.edge.targets import incarnations
@@ -328,12 +329,13 @@
                 return outcomes.Closed(order.fault, is_unfit=True)
         if self._may_have_stopped(response):
             raise connections.ResponseLost('it ended at the deadline')
-        self._confirm_end(end_check)
         if response.is_framed:
             return self._finish_stream(response, None)
-        proof = self._end_judge.find_proof(self._context)
-        if proof is not None:
-            return self._finish_stream(response, proof)
+        if stream_ends.has_most(self._context):
+            return self._finish_stream(response, outcomes.Proof.MOST)
+        self._confirm_end(end_check)
+        if self._cfg.accept_closed_streams:
+            return self._finish_stream(response, outcomes.Proof.ALIVE)
         doubt = self._end_judge.find_doubt(
             self._context, self._target, end_check, has_new_events, closed_at
         )
--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -11,19 +11,19 @@
 
 Example::
 
+    has_most(context)                  # True: no more can come
     judge = EndJudge(cfg, history, clock)
-    judge.find_proof(context)                          # Proof.MOST
     judge.find_doubt(context, target, check, has_events, closed_at)
 """
 
 import gevent
 
-from galenaspoke.edge import outcomes
-
 # A target that leaves, and ends its streams as it does, is gone by then.
 LEAVING_MS = 1_000
 # How often it is asked until then.
 ASK_INTERVAL_MS = 250
+# The least time before the deadline that is left to tell the caller.
+TELL_MS = 100
 
 
 class EndJudge:
@@ -39,14 +39,6 @@
         self._history = history
         self._clock = clock
 
-    def find_proof(self, context):
-        """Return the Proof that a stream has ended, None if there is none."""
-        if _has_most(context):
-            return outcomes.Proof.MOST
-        if self._cfg.accept_closed_streams:
-            return outcomes.Proof.ALIVE
-        return None
-
     def find_doubt(self, context, target, check, has_events, closed_at):
         """Return what speaks against the end of a stream, '' for nothing.
 
@@ -81,8 +73,11 @@
         return ''
 
     def _outlives(self, context, check, closed_at):
-        """Return whether a target lives on for LEAVING_MS after the end."""
-        until = closed_at + LEAVING_MS
+        """Return whether a target lives on for LEAVING_MS after the end.
+
+        If the deadline comes sooner, it lives on as long as that can wait.
+        """
+        until = min(closed_at + LEAVING_MS, context.deadline - TELL_MS)
         request_id = context.metadata.request_id
         while self._clock.now() < until:
             gevent.sleep(ASK_INTERVAL_MS / 1000)
@@ -91,11 +86,12 @@
         return True
 
 
-def _has_most(context):
+def has_most(context):
     """Return whether all output that the request allows has come.
 
-    Each event holds at least one token; how many it holds at most says nothing
-    of what came.  How many came before those of this response isn't known.
+    Then nothing is left to come, whatever became of the target.  Each event
+    holds at least one token; how many it holds at most says nothing of what
+    came.  How many came before those of this response isn't known.
     """
     metadata = context.metadata
     if metadata.is_resumption() or not metadata.output_tokens:
