Crashes: a part that no other request tells from trouble is tried soon

What targets survived before tells it from a culprit, but routers that have all just started know of nothing. Once the part is refused nothing that could clear it is sent for a minute.

Change: a part has contrast once a target of its service survived a request without it between two of its crashes; that is published with the suspects. Without contrast its crashes must go on for 1.5 s, and a trial comes 2 s after the last crash, another 8 s after that one if it crashed a target, at two routers at most; then the rare ones as before. Whether a crash was that of a trial is published: clocks of routers that differ would hide it. Parts with contrast and whole requests are as before.

Conclusion: how long a service is refused without proof is bounded, not which share of it.

--- a/galenaspoke/edge/crashes/crash_suspects.py
+++ b/galenaspoke/edge/crashes/crash_suspects.py
@@ -12,6 +12,11 @@
 while.  So a key that targets survived shortly before its last crash takes more
 crashes, further apart: it is a culprit only if something has changed.
 
+A part of prompts has contrast if a target of the same service survived a
+request without it between two of its crashes.  Without that nothing tells the
+part from trouble that all targets of the service have, so its crashes must go
+on for longer.
+
 Example::
 
     suspects = CrashSuspects()
@@ -42,6 +47,9 @@
 # The same for any key that targets survived shortly before.  More than the
 # clocks of routers differ by and the time over which they notice a power cut.
 SURVIVED_SIMULTANEOUS_MS = 2_000
+# The crashes of a part without contrast go on for this long.  It leaves half
+# of the StableWindowMs after the third crash to tell other routers.
+CONTRASTLESS_SPAN_MS = 1_500
 # A culprit that causes no further crash is forgotten after this time.
 CULPRIT_TTL_MS = 1_800_000
 # The rank of requests, above those of parts.
@@ -87,6 +95,8 @@
         '_cleared',
         '_ranks',
         '_survived',
+        '_uncontrasted',
+        '_contrasted',
         '_candidates',
         '_culprits',
     )
@@ -101,6 +111,11 @@
         # Name of a key to when targets last survived it, as far as it was
         # known when one of these crashes was added.
         self._survived = {}
+        # Service to the names of the parts without which no request has
+        # survived there since their first crash.
+        self._uncontrasted = collections.defaultdict(set)
+        # The names of the parts that have contrast.
+        self._contrasted = set()
         # The names of the keys that are suspects of enough crashes.  All
         # others, after a crash of many targets almost all, can't be culprits.
         self._candidates = set()
@@ -110,15 +125,27 @@
     def __bool__(self):
         return bool(self._crashes)
 
-    def add(self, key, identity, at, survived_at=None):
+    def add(
+        self,
+        key,
+        identity,
+        at,
+        survived_at=None,
+        service='',
+        has_contrast=False,
+    ):
         """Add a suspect, unless it was cleared of that crash.
 
         `survived_at` is when targets last survived the key, None if unknown.
+        `service` is the target's, and `has_contrast` says whether another
+        router has found that the part has contrast.
         """
         if identity in self._cleared.get(key.name, ()):
             return
         crashes = self._crashes[key.name]
         is_news = self._record_survival(key.name, survived_at)
+        if self._record_crash(key.name, identity, service, has_contrast):
+            is_news = True
         if crashes.get(identity, at + 1) <= at and not is_news:
             return
         crashes[identity] = min(at, crashes.get(identity, at))
@@ -137,6 +164,37 @@
         self._survived[name] = at
         return True
 
+    def _record_crash(self, name, identity, service, has_contrast):
+        """Return whether that a part has contrast is news."""
+        if not is_part(name):
+            return False
+        crashes = self._crashes[name]
+        if not crashes:
+            self._uncontrasted[service].add(name)
+        elif identity not in crashes and not self._lacks_contrast(name):
+            has_contrast = True
+        if not has_contrast or name in self._contrasted:
+            return False
+        self._contrasted.add(name)
+        return True
+
+    def _lacks_contrast(self, name):
+        """Return whether all that survived since its crash had a part."""
+        return any(name in names for names in self._uncontrasted.values())
+
+    def record_contrast(self, names, service):
+        """Record that a target of a service survived a request.
+
+        It had the keys with these names alone.
+        """
+        uncontrasted = self._uncontrasted.get(service)
+        if uncontrasted:
+            uncontrasted.intersection_update(names)
+
+    def has_contrast(self, name):
+        """Return whether a part has contrast, False for a request."""
+        return name in self._contrasted
+
     def clear(self, name):
         """Clear a key of all its crashes; return these.
 
@@ -146,7 +204,7 @@
         if not crashes:
             return []
         self._cleared[name].update(crashes)
-        self._survived.pop(name, None)
+        self._forget(name)
         self._drop_candidate(name)
         return list(crashes)
 
@@ -166,7 +224,14 @@
             self._drop_candidate(name)
         if not crashes:
             del self._crashes[name]
-            self._survived.pop(name, None)
+            self._forget(name)
+
+    def _forget(self, name):
+        """Forget what was known of a key beside its crashes."""
+        self._survived.pop(name, None)
+        self._contrasted.discard(name)
+        for names in self._uncontrasted.values():
+            names.discard(name)
 
     def _drop_candidate(self, name):
         if name in self._candidates:
@@ -206,7 +271,9 @@
         }
         while True:
             counts = {
-                name: _count_crashes(crashes, self._min_gap_ms(name))
+                name: _count_crashes(
+                    crashes, self._min_gap_ms(name), self._min_span_ms(name)
+                )
                 for name, crashes in unexplained.items()
             }
             candidates = [
@@ -233,17 +300,19 @@
             ttl_ms = CULPRIT_TTL_MS if name in culprits else CRASH_WINDOW_MS
             if now - max(crashes.values()) >= ttl_ms:
                 del self._crashes[name]
-                self._survived.pop(name, None)
+                self._forget(name)
                 self._drop_candidate(name)
         for name, crashes in list(self._cleared.items()):
             if now - max(crashes.values()) >= CULPRIT_TTL_MS:
                 del self._cleared[name]
         self._ranks = {name: self._ranks[name] for name in self._crashes}
+        for service, names in list(self._uncontrasted.items()):
+            if not names:
+                del self._uncontrasted[service]
 
     def _threshold(self, name):
         """Return how many crashes make a key a culprit."""
-        is_part = name.startswith(_PART_PREFIX)
-        threshold = PART_THRESHOLD if is_part else REQUEST_THRESHOLD
+        threshold = PART_THRESHOLD if is_part(name) else REQUEST_THRESHOLD
         return threshold + (EXTRA_CRASHES if self._is_survived(name) else 0)
 
     def _is_survived(self, name):
@@ -261,22 +330,33 @@
         """Return how far apart crashes of a key are that count each."""
         if self._is_survived(name):
             return SURVIVED_SIMULTANEOUS_MS
-        return SIMULTANEOUS_MS if name.startswith(_PART_PREFIX) else 0
+        return SIMULTANEOUS_MS if is_part(name) else 0
+
+    def _min_span_ms(self, name):
+        """Return for how long the crashes of a culprit go on."""
+        if is_part(name) and not self.has_contrast(name):
+            return CONTRASTLESS_SPAN_MS
+        return 0
 
 
-def _count_crashes(crashes, min_gap_ms):
+def is_part(name):
+    """Return whether a key stands for a part of prompts."""
+    return name.startswith(_PART_PREFIX)
+
+
+def _count_crashes(crashes, min_gap_ms, min_span_ms):
     """Return the most separate crashes of a key within CRASH_WINDOW_MS.
 
-    `crashes` gives the time of each.
+    `crashes` gives the time of each.  From the first to the last of them it
+    takes `min_span_ms`.
     """
     times = []
     for at in sorted(crashes.values()):
         if not times or at - times[-1] >= min_gap_ms:
             times.append(at)
-    return max(
-        (
-            bisect.bisect_left(times, at + CRASH_WINDOW_MS) - index
-            for index, at in enumerate(times)
-        ),
-        default=0,
-    )
+    counts = [0]
+    for index, at in enumerate(times):
+        end = bisect.bisect_left(times, at + CRASH_WINDOW_MS)
+        if times[end - 1] - at >= min_span_ms:
+            counts.append(end - index)
+    return max(counts)
--- a/galenaspoke/edge/crashes/poison.py
+++ b/galenaspoke/edge/crashes/poison.py
@@ -5,7 +5,8 @@
 target had got on with the response: then it has survived both, and so has one
 that responds in full.  Requests with a culprit of several
 crashes, see `crash_suspects`, are refused from then on, but for a rare trial,
-which shows whether the culprit still crashes targets.
+which shows whether the culprit still crashes targets.  The first trial of a
+part without contrast comes soon: all that a service is sent may have it.
 
 Example::
 
@@ -40,6 +41,13 @@
 # the longest time between two of them; the time doubles with each.
 MIN_TRIAL_INTERVAL_MS = 60_000
 MAX_TRIAL_INTERVAL_MS = 900_000
+# How long after its last crash a request with a part without contrast is let
+# through, by how many such trials have crashed a target, by how much that is
+# multiplied with each that has shown nothing, and how many routers have a
+# turn.
+EARLY_TRIAL_INTERVALS_MS = (2_000, 8_000)
+EARLY_TRIAL_FACTOR = 4
+EARLY_TRIAL_ROUTERS = 2
 # A router publishes at most this many suspects, culprits and the latest.
 MAX_PUBLISHED = 600
 # A key is published as cleared once it was cleared of this many crashes.
@@ -56,7 +64,9 @@
     `request` is the name of a Key and `rank` its rank, `target` the target's
     id and incarnation.  `at_ms` is the time of the crash in ms since 1970.  If
     `is_cleared`, a target survived a request with the key after it.  When one
-    last did so before is `survived_at_ms`, 0 if that isn't known.
+    last did so before is `survived_at_ms`, 0 if that isn't known.  `service`
+    is the target's if the key is a part, `has_contrast` states that the part
+    has contrast, and `is_trial` that the crash was that of a trial.
     """
 
     request: str
@@ -65,6 +75,9 @@
     rank: Number = crash_suspects.REQUEST_RANK
     is_cleared: bool = False
     survived_at_ms: Number = 0
+    service: str = ''
+    has_contrast: bool = False
+    is_trial: bool = False
 
 
 def compute_fingerprint(req, account):
@@ -76,6 +89,24 @@
     return digest.hexdigest()
 
 
+class _Trials:
+    """The trials of a culprit by this router."""
+
+    __slots__ = ('tried_at', 'count', 'is_open')
+
+    def __init__(self):
+        self.tried_at = 0
+        self.count = 0
+        # Whether the last one hasn't crashed a target, so far.
+        self.is_open = False
+
+    def begin(self, now):
+        """Record that a request is let through."""
+        self.tried_at = now
+        self.count += 1
+        self.is_open = True
+
+
 class PoisonDetector:
     """Records the crashes of targets and the suspects of each crash.
 
@@ -93,6 +124,7 @@
         '_down',
         '_suspects',
         '_survived_at',
+        '_failed_trials',
         '_trials',
     )
 
@@ -103,21 +135,23 @@
         self._clock = clock
         self._journal = journal
         # Target to the Keys of the requests that it cut off, each with the
-        # time.
+        # time and the service.
         self._cut_off = collections.defaultdict(dict)
         # Targets that went down lately, each with the time.
         self._down = {}
         self._suspects = crash_suspects.CrashSuspects()
         # Name of a key to when a target last survived it, the earliest first.
         self._survived_at = collections.OrderedDict()
-        # Culprit to the time of the last trial here, and how many there were.
+        # Culprit to the targets that crashed in its trials at all routers.
+        self._failed_trials = collections.defaultdict(set)
+        # Culprit to its _Trials here.
         self._trials = {}
 
-    def record_cut_off(self, keys, identity):
-        """Record that a target broke off a request."""
+    def record_cut_off(self, keys, identity, service=''):
+        """Record that a target of a service broke off a request."""
         now = self._clock.now()
         for key in keys:
-            self._cut_off[identity].setdefault(key, now)
+            self._cut_off[identity].setdefault(key, (now, service))
         if identity in self._down:
             self._add_suspects(identity)
 
@@ -131,12 +165,21 @@
         now = self._clock.now()
         cut_off = self._cut_off.pop(identity, {})
         suspects = {
-            key: at for key, at in cut_off.items() if now - at < DOWN_WINDOW_MS
+            key: (at, service)
+            for key, (at, service) in cut_off.items()
+            if now - at < DOWN_WINDOW_MS
         }
-        for key, at in suspects.items():
+        for key, (at, service) in suspects.items():
             survived_at = self._survived_at.get(key.name)
-            self._suspects.add(key, identity, at, survived_at)
-            self._publish(key, identity, at, survived_at=survived_at)
+            self._suspects.add(key, identity, at, survived_at, service)
+            self._publish(
+                key,
+                identity,
+                at,
+                survived_at=survived_at,
+                service=service if crash_suspects.is_part(key.name) else '',
+                is_trial=self._end_trial(key.name, identity),
+            )
         if suspects:
             self._journal.note(
                 'target.crashed',
@@ -146,7 +189,25 @@
                 culprits=list(self._suspects.list_culprits()),
             )
 
-    def _publish(self, key, identity, at, is_cleared=False, survived_at=None):
+    def _end_trial(self, name, identity):
+        """Return whether it was a trial of a key that crashed a target."""
+        trials = self._trials.get(name)
+        if trials is None or not trials.is_open:
+            return False
+        trials.is_open = False
+        self._failed_trials[name].add(identity)
+        return True
+
+    def _publish(
+        self,
+        key,
+        identity,
+        at,
+        is_cleared=False,
+        survived_at=None,
+        service='',
+        is_trial=False,
+    ):
         started_at_ms = self._clock.wall() - self._clock.now()
         self.unpublished.append(
             Suspect(
@@ -156,6 +217,9 @@
                 key.rank,
                 is_cleared,
                 0 if survived_at is None else started_at_ms + survived_at,
+                service,
+                not is_cleared and self._suspects.has_contrast(key.name),
+                is_trial,
             )
         )
 
@@ -170,8 +234,15 @@
         if suspect.is_cleared:
             self._suspects.clear_crash(key.name, identity, at)
         else:
+            if suspect.is_trial:
+                self._failed_trials[key.name].add(identity)
             self._suspects.add(
-                key, identity, at, self._find_survival(suspect, at)
+                key,
+                identity,
+                at,
+                self._find_survival(suspect, at),
+                suspect.service,
+                suspect.has_contrast,
             )
 
     def _find_survival(self, suspect, at):
@@ -198,17 +269,22 @@
         """Return whether any request may be refused."""
         return bool(self._suspects.list_culprits())
 
-    def record_survived(self, keys):
+    def record_survived(self, keys, service=''):
         """Clear a request that a target survived of all crashes so far.
 
-        Other routers are told once that matters: before a key has been a
-        suspect of as many crashes as make it a culprit.
+        `service` is the target's.  Other routers are told once that matters:
+        before a key has been a suspect of as many crashes as make it a
+        culprit.
         """
         now = self._clock.now()
+        if self._suspects:
+            self._suspects.record_contrast([key.name for key in keys], service)
         for key in keys:
             self._remember_survival(key.name, now)
             cleared = self._suspects.clear(key.name)
             known = self._suspects.list_cleared(key.name)
+            if cleared:
+                self._failed_trials.pop(key.name, None)
             if not cleared or len(known) < MIN_PUBLISHED_CLEARED:
                 continue
             if len(known) - len(cleared) < MIN_PUBLISHED_CLEARED:
@@ -240,19 +316,36 @@
         """
         now = self._clock.now()
         crashed_at = self._suspects.list_culprits()[culprit]
-        tried_at, count = self._trials.get(culprit, (0, 0))
-        interval_ms = self._trial_interval_ms(culprit, count)
-        turn = (now - max(crashed_at, tried_at)) // interval_ms - 1
-        if turn < 0:
-            return False
-        # The first router tries whenever it is time, each other one only while
-        # it has its turn: else all would try after a long time without trials.
-        if self.get_turn(culprit) not in (0, turn):
+        trials = self._trials.get(culprit, _Trials())
+        quiet_ms = now - max(crashed_at, trials.tried_at)
+        turn = self.get_turn(culprit)
+        intervals_ms = [self._trial_interval_ms(culprit, trials.count)]
+        if turn is not None and turn < EARLY_TRIAL_ROUTERS:
+            intervals_ms += self._list_early_intervals_ms(culprit, trials)
+        if not any(_is_due(quiet_ms, ms, turn) for ms in intervals_ms):
             return False
-        self._trials[culprit] = (now, count + 1)
+        trials.begin(now)
+        self._trials[culprit] = trials
         self._journal.note('poison.trial', culprit=culprit)
         return True
 
+    def _list_early_intervals_ms(self, culprit, trials):
+        """Return the time to the next early trial, if there is one.
+
+        `trials` are this router's.  Those that didn't crash a target have
+        shown nothing, perhaps since the request was refused.
+        """
+        if not crash_suspects.is_part(culprit):
+            return []
+        if self._suspects.has_contrast(culprit):
+            return []
+        failed = len(self._failed_trials.get(culprit, ()))
+        unclear = max(0, trials.count - failed)
+        return [
+            ms * EARLY_TRIAL_FACTOR**unclear
+            for ms in EARLY_TRIAL_INTERVALS_MS[failed : failed + 1]
+        ]
+
     def _trial_interval_ms(self, culprit, count):
         """Return the time to the next trial, after `count` by this router.
 
@@ -268,7 +361,7 @@
         """Remove entries that are too old to count."""
         now = self._clock.now()
         for identity, cut_off in list(self._cut_off.items()):
-            if all(now - at >= DOWN_WINDOW_MS for at in cut_off.values()):
+            if all(now - at >= DOWN_WINDOW_MS for at, _ in cut_off.values()):
                 del self._cut_off[identity]
         self._down = {
             identity: at
@@ -281,11 +374,9 @@
             del self._survived_at[name]
         self._suspects.remove_expired(now)
         culprits = self._suspects.list_culprits()
-        self._trials = {
-            culprit: trial
-            for culprit, trial in self._trials.items()
-            if culprit in culprits
-        }
+        for known in (self._trials, self._failed_trials):
+            for name in known.keys() - culprits.keys():
+                del known[name]
 
     def dump(self):
         """Return the culprits and how long ago each last crashed a target."""
@@ -296,6 +387,16 @@
         }
 
 
+def _is_due(quiet_ms, interval_ms, turn):
+    """Return whether a trial is due at a router that has this turn.
+
+    The first router tries whenever it is time, each other one only while it
+    has its turn: else all would try after a long time without trials.
+    """
+    turns_past = quiet_ms // interval_ms - 1
+    return turns_past >= 0 and turn in (0, turns_past)
+
+
 def run_expiry(poison_detector):
     """Remove expired entries at intervals; never returns."""
     while True:
--- a/galenaspoke/edge/serving/attempt_recorder.py
+++ b/galenaspoke/edge/serving/attempt_recorder.py
@@ -80,7 +80,9 @@
         count = len(context.event_times)
         if count > poison.MAX_SUSPECT_EVENTS and not context.has_survived:
             context.has_survived = True
-            self._poison_detector.record_survived(context.crash_keys())
+            self._poison_detector.record_survived(
+                context.crash_keys(), context.service
+            )
 
     def _record_served(self, context, target, outcome, events):
         """Clear a request of the crashes that it is suspected of."""
@@ -93,7 +95,9 @@
             or events > poison.MAX_SUSPECT_EVENTS
         )
         if outcome.status == HTTP_OK and has_run:
-            self._poison_detector.record_survived(context.crash_keys())
+            self._poison_detector.record_survived(
+                context.crash_keys(), context.service
+            )
 
     def _record_not_run(self, target, outcome):
         """Return whether the target is ejected."""
@@ -124,7 +128,9 @@
             target.pause(target.health.ejected_until)
         if outcome.cut_off and events <= poison.MAX_SUSPECT_EVENTS:
             self._poison_detector.record_cut_off(
-                context.crash_keys(), target.entry.identity()
+                context.crash_keys(),
+                target.entry.identity(),
+                context.service,
             )
             self._crash_checker.check(target)
         return is_ejected
