Crashes: two more tests of contrast

Two mutations of the change before weren't noticed: a crash that is published again taken for a new one, and failed trials that count after a success.

--- a/tests/edge/test_common_parts.py
+++ b/tests/edge/test_common_parts.py
@@ -351,6 +351,28 @@
         self.router.record_survived([OTHER], 'chat')
         self.assertEqual(1, self.count_trials(4))
 
+    # Guards against a proof by a crash that is published again.
+    def test_crash_that_is_published_again_is_no_contrast(self):
+        other = self.make_router()
+        for _ in range(3):
+            self.crash(router=other)
+        test_poison.merge(self.router, other.unpublished)
+        self.router.record_survived([OTHER], 'chat')
+        test_poison.merge(self.router, other.unpublished)
+        self.assertEqual(1, self.count_trials(4))
+
+    # Guards against refusals for long because of trials before a success.
+    def test_trials_before_a_success_do_not_count(self):
+        for _ in range(3):
+            self.crash()
+        self.assertEqual(2, self.count_trials(13))
+        self.router.record_survived([PART], 'chat')
+        self.clock.advance(crash_suspects.SURVIVAL_TTL_MS)
+        for _ in range(3):
+            self.crash()
+        self.router._trials.clear()
+        self.assertEqual(1, self.count_trials(4))
+
     # Guards against early trials by a router that gets other requests only,
     # and by a process that has just started.
     def test_contrast_that_another_router_has_seen(self):
