--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -302,7 +302,7 @@
             goes_on=goes_on,
             outcome=type(outcome).__name__,
         )
-        if goes_on or context.event_order.fault:
+        if goes_on or context.event_order.goes_on:
             self._metrics.count('ends.closed')
             return outcome
         if isinstance(outcome, outcomes.Served):
--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -25,7 +25,8 @@
     `last_id` is the id of the last one, at first as stated by the caller;
     empty if it has none.  `fault` says why the present target's stream can't
     go on: what comes next of it doesn't fit what the caller has.  It is empty
-    if it does; `is_unfit` is true if the target may be sound all the same.
+    if it does; `is_unfit` is true if the target may be sound all the same, and
+    `goes_on` if the fault shows that the stream has more events.
 
     `max_step` is the largest difference of the ids of successive events of one
     target, and `join_step` that of the first event that a target adds and the
@@ -40,6 +41,7 @@
         'last_id',
         'fault',
         'is_unfit',
+        'goes_on',
         'max_step',
         'join_step',
         'repeated_count',
@@ -58,6 +60,7 @@
         self.last_id = last_id
         self.fault = ''
         self.is_unfit = False
+        self.goes_on = False
         self.max_step = 0
         self.join_step = 0
         self.repeated_count = 0
@@ -85,6 +88,7 @@
         """
         self.fault = ''
         self.is_unfit = False
+        self.goes_on = False
         self._is_placed = (
             not self._has_events and _parse_id(self.last_id) is None
         )
@@ -204,10 +208,12 @@
         most = max(self.max_step, self.service_step)
         self.join_step = max(self.join_step, step)
         if self._lacks_last():
+            self.goes_on = True
             self._reject_run(f'no event ends at {last}, but at {number}')
         elif self._has_other_text:
             self._reject_run(f'another text up to {last}')
         elif most and step > most:
+            self.goes_on = True
             self.fault = f'events are missing between {last} and {number}'
 
 
