Streams: a second run's event without data is no piece (LOST)

What callers saw: a whole stream that was told broken, and its engine doubted for ten minutes, as the engine that was asked whether it goes on ended its run with an event that has a number and no data, which clients ignore.

Cause: the last id alone told whether the stream went on. A run that brings data after it is doubted and never ends as Ended; one that does so brought none.

Evidence: test_event_without_data failed before, and passes.

--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -290,7 +290,9 @@
             return ended.finish(outcomes.Proof.UNDOUBTED)
         context.checked_id = context.last_event_id
         outcome = self._run_end_check(context, target, caller)
-        goes_on = context.was_closed_early
+        # An event without data is none that the caller lacks.
+        has_ended = isinstance(outcome, outcomes.Ended)
+        goes_on = context.was_closed_early and not has_ended
         if goes_on:
             self.close_history.record_early(context.service, closer.entry.id)
         self._metrics.count('ends.early' if goes_on else 'ends.checked')
@@ -307,7 +309,7 @@
             return outcome
         if isinstance(outcome, outcomes.Served):
             return outcome
-        if isinstance(outcome, outcomes.Ended):
+        if has_ended:
             return ended.finish(outcomes.Proof.CHECKED)
         return ended.finish(outcomes.Proof.UNDOUBTED)
 
