Close history: only checks that are made count (ORDER)

What callers saw: a stream that was closed early and told whole, though it was one of the first that should have been checked: eight streams before it had ended while there was no retry left, or no other target, and had used up the checks.

Evidence: test_checks_that_were_not_made failed before, and passes. A check that can't be made now stays due.

--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -316,12 +316,15 @@
     def _choose_end_checker(self, context, ended):
         """Return the target to ask whether a stream goes on, None for none."""
         may_ask = context.is_repeatable() and context.event_order.can_go_on()
-        if not may_ask or not self.close_history.take_check(context.service):
+        if not may_ask or not self.close_history.is_check_due(context.service):
             return None
         target = self._chooser.choose(context, ended)
         if target is None or self._admission.find_poison(context):
             return None
-        return target if self._take_retry(context, ended) else None
+        if not self._take_retry(context, ended):
+            return None
+        self.close_history.record_check(context.service)
+        return target
 
     def _run_end_check(self, context, target, caller):
         """Return the outcome of a second run, None if it took too long."""
--- a/galenaspoke/edge/targets/close_history.py
+++ b/galenaspoke/edge/targets/close_history.py
@@ -8,7 +8,8 @@
 Example::
 
     history = CloseHistory(clock)
-    if history.take_check('pool'):
+    if history.is_check_due('pool'):
+        history.record_check('pool')
         ...                               # a second run has brought events
         history.record_early('pool', 'i-7f3a')
     history.closes_early('i-7f3a')        # True
@@ -46,15 +47,17 @@
         # By target id: when it closed its latest streams.
         self._closes = collections.OrderedDict()
 
-    def take_check(self, service):
-        """Return whether the stream that has just ended is to be checked."""
-        first, passed = self._unchecked.pop(service, (FIRST_CHECKS, 0))
+    def is_check_due(self, service):
+        """Count a stream that has ended; return whether to check it."""
+        first, passed = self._unchecked.get(service, (FIRST_CHECKS, 0))
         passed += 1
-        is_due = first > 0 or passed >= CHECK_INTERVAL
-        if is_due:
-            first, passed = max(0, first - 1), 0
         _put(self._unchecked, service, (first, passed), MAX_SERVICES)
-        return is_due
+        return first > 0 or passed >= CHECK_INTERVAL
+
+    def record_check(self, service):
+        """Record that a stream of a service is checked."""
+        first, _ = self._unchecked.get(service, (FIRST_CHECKS, 0))
+        _put(self._unchecked, service, (max(0, first - 1), 0), MAX_SERVICES)
 
     def record_early(self, service, target_id):
         """Record that a target has closed a stream before its end."""
--- a/tests/edge/test_whole_streams_review.py
+++ b/tests/edge/test_whole_streams_review.py
@@ -70,7 +70,7 @@
 def use_up_checks(desk):
     """Let the first checks of a service be over."""
     for _ in range(close_history.FIRST_CHECKS):
-        desk.handler.close_history.take_check('pool')
+        desk.handler.close_history.record_check('pool')
 
 
 class ReviewTestCase(test_whole_streams.WholeStreamTestCase):
