--- a/tests/edge/test_whole_streams_review.py
+++ b/tests/edge/test_whole_streams_review.py
@@ -17,6 +17,7 @@
 from tests.edge import test_endings
 from tests.edge import test_whole_streams
 
+OTHER_RUN = test_whole_streams.OTHER_RUN
 COMMENT = test_closed_review.COMMENT
 COMMENT_PAUSE_S = 0.02
 # A response within a stream, as a faulty engine may send it.
@@ -411,9 +412,12 @@
         desk.target_view.directory.mark_missing(
             'i-0', desk.clock.now() + 60_000
         )
-        tasks = [gevent.spawn(self.check_is_whole, desk) for _ in range(2)]
+        ask = functools.partial(
+            self.ask, desk, usage=test_whole_streams.MORE_USAGE
+        )
+        tasks = [gevent.spawn(ask) for _ in range(2)]
         for task in tasks:
-            task.get()
+            self.assertTrue(task.get()[1])
 
     # Guards against a stream that an engine ends as it leaves and that is told
     # whole, though it may be resumed and another engine goes on (ORDER).
@@ -434,6 +438,40 @@
             engine.cut = close
         self.check_is_whole(desk)
 
+    # Guards against streams that an engine ends one by one as it leaves,
+    # the first of them told whole as it still lists the others (ORDER).
+    def test_engine_that_ends_one_by_one(self):
+        desk, engine = self.make_leaving_desk()
+        self.runs_after = [OTHER_RUN]
+        engine.cut_at = test_endings.CUT_AFTER
+        engine.cut = functools.partial(
+            gevent.spawn_later,
+            test_whole_streams.LEAVING_MS / 2_000,
+            test_whole_streams.kill,
+            engine,
+        )
+        self.check_is_broken(desk)
+
+
+class OtherTypeTest(ReviewTestCase):
+    """Responses on routes of streams that are no streams of events."""
+
+    content_type = b'application/json'
+    make_leaving_desk = LeavingEngineTest.make_leaving_desk
+
+    # Guards against a response that is told whole, though its engine leaves
+    # and is gone a moment later: streams of events aren't (MIXED).
+    def test_engine_that_is_gone_a_moment_later(self):
+        desk, engine = self.make_leaving_desk()
+        engine.cut_at = test_endings.CUT_AFTER
+        engine.cut = functools.partial(
+            gevent.spawn_later,
+            test_whole_streams.LEAVING_MS / 2_000,
+            test_whole_streams.kill,
+            engine,
+        )
+        self.check_is_broken(desk)
+
 
 class DoubtedEngineTest(ReviewTestCase):
     """An engine that has closed one stream early."""
