--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -290,7 +290,9 @@
             return ended.finish(outcomes.Proof.UNDOUBTED)
         context.checked_id = context.last_event_id
         outcome = self._run_end_check(context, target, caller)
-        goes_on = context.was_closed_early
+        # An event without data is none that the caller lacks.
+        has_ended = isinstance(outcome, outcomes.Ended)
+        goes_on = context.was_closed_early and not has_ended
         if goes_on:
             self.close_history.record_early(context.service, closer.entry.id)
         self._metrics.count('ends.early' if goes_on else 'ends.checked')
@@ -302,24 +304,27 @@
             goes_on=goes_on,
             outcome=type(outcome).__name__,
         )
-        if goes_on or context.event_order.fault:
+        if goes_on or context.event_order.goes_on:
             self._metrics.count('ends.closed')
             return outcome
         if isinstance(outcome, outcomes.Served):
             return outcome
-        if isinstance(outcome, outcomes.Ended):
+        if has_ended:
             return ended.finish(outcomes.Proof.CHECKED)
         return ended.finish(outcomes.Proof.UNDOUBTED)
 
     def _choose_end_checker(self, context, ended):
         """Return the target to ask whether a stream goes on, None for none."""
         may_ask = context.is_repeatable() and context.event_order.can_go_on()
-        if not may_ask or not self.close_history.take_check(context.service):
+        if not may_ask or not self.close_history.is_check_due(context.service):
             return None
         target = self._chooser.choose(context, ended)
         if target is None or self._admission.find_poison(context):
             return None
-        return target if self._take_retry(context, ended) else None
+        if not self._take_retry(context, ended):
+            return None
+        self.close_history.record_check(context.service)
+        return target
 
     def _run_end_check(self, context, target, caller):
         """Return the outcome of a second run, None if it took too long."""
