--- a/galenaspoke/edge/outcomes.py
+++ b/galenaspoke/edge/outcomes.py
@@ -134,10 +134,12 @@
 
     Nothing speaks against it, and another target may be asked whether the
     stream goes on.  `finish` takes the Proof that holds then, tells the caller
-    that its response is complete, and returns the Served.
+    that its response is complete, and returns the Served.  If `may_leave` is
+    true, the target may leave.
     """
 
     finish: object
+    may_leave: bool = False
 
 
 def random_delay_ms(bounds_ms):
--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -250,7 +250,17 @@
                 response, self._timeout_s, may_end_by_close=True
             ),
         )
+        closed_at = self._clock.now()
         self._confirm_end(end_check)
+        is_accepted = not end_check or self._cfg.accept_closed_streams
+        if response.status == OK and is_stream_route and not is_accepted:
+            doubt = self._end_judge.find_doubt(
+                self._context, self._target, end_check, True, closed_at
+            )
+            if doubt:
+                raise connections.ResponseLost(
+                    f'closed, without a length: {doubt}'
+                )
         if response.status in NOT_RUN_STATUSES:
             return outcomes.Unknown(
                 f'status {response.status}, without proof it did not run'
@@ -343,7 +353,8 @@
         if doubt:
             return outcomes.Closed(f'closed, without a length: {doubt}')
         return outcomes.Ended(
-            lambda proof: self._finish_stream(response, proof)
+            lambda proof: self._finish_stream(response, proof),
+            stream_ends.may_leave(self._target, end_check),
         )
 
     def _finish_stream(self, response, proof):
--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -271,6 +271,7 @@
             outcome = None
             outcome = self._run_attempt(context, target, caller)
             if isinstance(outcome, outcomes.Ended):
+                self._record_confirmed(context, target)
                 outcome = self._check_end(context, target, caller, outcome)
             if isinstance(outcome, outcomes.Served):
                 self._count_proof(outcome)
@@ -310,13 +311,21 @@
         if isinstance(outcome, outcomes.Served):
             return outcome
         if has_ended:
+            self._record_confirmed(context, target)
             return ended.finish(outcomes.Proof.CHECKED)
         return ended.finish(outcomes.Proof.UNDOUBTED)
 
+    def _record_confirmed(self, context, target):
+        """Record that a target confirms where another one closed a stream."""
+        closer_id = context.closed_by_id
+        if closer_id not in ('', target.entry.id):
+            self.close_history.record_confirmed(closer_id)
+
     def _choose_end_checker(self, context, ended):
         """Return the target to ask whether a stream goes on, None for none."""
         may_ask = context.is_repeatable() and context.event_order.can_go_on()
-        if not may_ask or not self.close_history.is_check_due(context.service):
+        is_due = self.close_history.is_check_due(context.service)
+        if not may_ask or not (is_due or ended.may_leave):
             return None
         target = self._chooser.choose(context, ended)
         if target is None or self._admission.find_poison(context):
@@ -415,13 +424,18 @@
             self._chooser.record_attempt(context, target)
         if isinstance(outcome, (outcomes.Served, outcomes.Ended)):
             self._event_steps.record(context.service, order)
-        self._recorder.record(
-            context,
-            target,
-            outcome,
-            self._clock.now() - started_at,
-            context.event_count - events_before,
+        is_refused = isinstance(outcome, outcomes.Unknown) and not (
+            outcome.cut_off or outcome.flooded
         )
+        # Whoever can't say whether a stream goes on has not failed.
+        if on_events is None or not is_refused:
+            self._recorder.record(
+                context,
+                target,
+                outcome,
+                self._clock.now() - started_at,
+                context.event_count - events_before,
+            )
         if isinstance(outcome, outcomes.Closed):
             self._metrics.count(
                 'streams.unfit' if outcome.is_unfit else 'ends.closed'
--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -55,7 +55,7 @@
             return 'it was closed early before'
         if self._history.closes_early(target_id):
             return 'its target has closed a stream early'
-        if not (target.may_leave() or check.says_leaving):
+        if not may_leave(target, check):
             return ''
         return self._find_doubt_of_leaving(context, target, check, closed_at)
 
@@ -63,12 +63,14 @@
         """Return why a target that leaves may have closed it early."""
         target_id = target.entry.id
         self._history.record_close(target_id, closed_at)
-        if check.lists_others:
-            # It hasn't ended all that it had open.
-            return ''
         if not self._outlives(context, check, closed_at):
             return 'its target leaves, and is gone'
-        if self._history.was_among_others(target_id, closed_at):
+        # That its entry is missing doesn't say that it leaves.
+        leaves = target.is_leaving or target.is_removed or check.says_leaving
+        has_ended_all = leaves and not check.lists_others
+        if has_ended_all and self._history.was_among_others(
+            target_id, closed_at
+        ):
             return 'its target leaves, and closed others with it'
         return ''
 
@@ -86,6 +88,11 @@
         return True
 
 
+def may_leave(target, check):
+    """Return whether a target may leave, by its entry or by its word."""
+    return target.may_leave() or check.says_leaving
+
+
 def has_most(context):
     """Return whether all output that the request allows has come.
 
--- a/galenaspoke/edge/targets/close_history.py
+++ b/galenaspoke/edge/targets/close_history.py
@@ -23,6 +23,9 @@
 CHECK_INTERVAL = 32
 # For how long a target is doubted that has closed a stream early.
 DOUBT_MS = 600_000
+# Of how many of its streams one after another the end has to be confirmed by
+# other targets until it isn't doubted any more.
+CONFIRMATIONS = 4
 # Streams that a target closes within this time were ended together.
 TOGETHER_MS = 50
 # The services, and the targets, of which anything is kept.
@@ -35,15 +38,16 @@
 class CloseHistory:
     """Checks by service, early closes and the times of closes by target."""
 
-    __slots__ = ('_clock', '_unchecked', '_doubted_until', '_closes')
+    __slots__ = ('_clock', '_unchecked', '_doubts', '_closes')
 
     def __init__(self, clock):
         self._clock = clock
         # By service: how many checks are left of the first ones, and how many
         # streams have passed since the latest check.
         self._unchecked = collections.OrderedDict()
-        # By target id: until when it is doubted.
-        self._doubted_until = collections.OrderedDict()
+        # By target id: until when it is doubted, and how many confirmations
+        # are left until then.
+        self._doubts = collections.OrderedDict()
         # By target id: when it closed its latest streams.
         self._closes = collections.OrderedDict()
 
@@ -61,19 +65,23 @@
 
     def record_early(self, service, target_id):
         """Record that a target has closed a stream before its end."""
-        until = self._clock.now() + DOUBT_MS
-        _put(self._doubted_until, target_id, until, MAX_TARGETS)
+        doubt = self._clock.now() + DOUBT_MS, CONFIRMATIONS
+        _put(self._doubts, target_id, doubt, MAX_TARGETS)
         _put(self._unchecked, service, (FIRST_CHECKS, 0), MAX_SERVICES)
 
     def closes_early(self, target_id):
         """Return whether a target has closed a stream early lately."""
-        until = self._doubted_until.get(target_id)
-        if until is None:
-            return False
-        if self._clock.now() < until:
-            return True
-        del self._doubted_until[target_id]
-        return False
+        until, _ = self._doubts.get(target_id, (0, 0))
+        return self._clock.now() < until
+
+    def record_confirmed(self, target_id):
+        """Record that another target has confirmed the end of a stream."""
+        if not self.closes_early(target_id):
+            return
+        until, left = self._doubts.pop(target_id)
+        if left > 1:
+            doubt = until, left - 1
+            _put(self._doubts, target_id, doubt, MAX_TARGETS)
 
     def record_close(self, target_id, closed_at):
         """Record when a target closed a stream."""
--- a/tests/edge/test_whole_streams_review.py
+++ b/tests/edge/test_whole_streams_review.py
@@ -295,9 +295,7 @@
             history.record_close('i-0', number)
             history.is_check_due(f'other-{number}')
             history.record_check(f'third-{number}')
-        self.assertEqual(
-            close_history.MAX_TARGETS, len(history._doubted_until)
-        )
+        self.assertEqual(close_history.MAX_TARGETS, len(history._doubts))
         self.assertEqual(close_history.MAX_TARGETS, len(history._closes))
         self.assertEqual(close_history.MAX_SERVICES, len(history._unchecked))
         self.assertEqual(close_history.MAX_CLOSES, len(history._closes['i-0']))
@@ -483,9 +481,15 @@
         desk, engines = self.make_desk(3, max_attempts=3)
         test_whole_streams.close_early(engines)
         self.check_is_whole(desk)
+        directory = desk.target_view.directory
+        history = desk.handler.close_history
+        doubted = [
+            name for name in directory.list_ids() if history.closes_early(name)
+        ]
+        self.assertEqual(1, len(doubted))
         for _ in range(2 * close_history.FIRST_CHECKS):
             self.check_is_whole(desk)
-        for name in desk.target_view.directory.list_ids():
-            if not desk.handler.close_history.closes_early(name):
-                desk.target_view.directory.remove(name, desk.clock.now())
+        for name in directory.list_ids():
+            if name not in doubted:
+                directory.remove(name, desk.clock.now())
         self.check_is_whole(desk)
