Streams: an end that is being watched holds when the grace ends

Cause and change: the watch was cut off and with it the stream. What nothing has spoken against so far holds then.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -346,16 +346,19 @@
         self._confirm_end(end_check)
         if self._cfg.accept_closed_streams:
             return self._finish_stream(response, outcomes.Proof.ALIVE)
+        ended = outcomes.Ended(
+            lambda proof: self._finish_stream(response, proof),
+            stream_ends.may_leave(self._target, end_check),
+        )
+        self._context.watched_end = ended
         doubt = self._end_judge.find_doubt(
             self._context, self._target, end_check, has_new_events, closed_at
         )
+        self._context.watched_end = None
         self._context.record_closed(self._target, has_new_events)
         if doubt:
             return outcomes.Closed(f'closed, without a length: {doubt}')
-        return outcomes.Ended(
-            lambda proof: self._finish_stream(response, proof),
-            stream_ends.may_leave(self._target, end_check),
-        )
+        return ended
 
     def _finish_stream(self, response, proof):
         """Tell the caller that its stream is complete; return the Served."""
--- a/galenaspoke/edge/serving/request_context.py
+++ b/galenaspoke/edge/serving/request_context.py
@@ -35,6 +35,7 @@
         'closer_ids',
         'closed_by_id',
         'checked_id',
+        'watched_end',
         'first_byte_ms',
         'event_count',
         'output_count',
@@ -91,6 +92,9 @@
         # The id of the last event when a second run was asked whether the
         # stream goes on, None if none was.
         self.checked_id = None
+        # The Ended that holds if nothing speaks against it while its target,
+        # which may leave, is watched; None if there is none.
+        self.watched_end = None
         # How long the caller waited for the first byte of the response.
         self.first_byte_ms = None
         # The number of events with data that were sent to the caller; others
--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -166,7 +166,7 @@
                 if result is None:
                     result = self._reserve_and_run(context, caller)
         except _Abandoned:
-            result = refusals.from_shutdown(context)
+            result = self._finish_at_shutdown(context)
         except caller_connections.OutOfMemory as exc:
             caller.keep_alive = False
             # The response must not wait for what it is to release.
@@ -185,6 +185,12 @@
             caller.keep_alive = False
         self._responder.finish(req, context, caller, result)
 
+    def _finish_at_shutdown(self, context):
+        """Return the result of a request that the process must abandon."""
+        if context is not None and context.watched_end is not None:
+            return context.watched_end.finish(outcomes.Proof.UNDOUBTED)
+        return refusals.from_shutdown(context)
+
     def _admit(self, req, caller):
         """Return the RequestContext of an accepted request, or a Refusal.
 
