--- a/galenaspoke/edge/serving/request_handler.py
+++ b/galenaspoke/edge/serving/request_handler.py
@@ -15,9 +15,11 @@
 from galenaspoke.edge.serving import attempts
 from galenaspoke.edge.serving import caller_connections
 from galenaspoke.edge.serving import charges
+from galenaspoke.edge.serving import interruptions
 from galenaspoke.edge.serving import refusals
 from galenaspoke.edge.serving import request_context
 from galenaspoke.edge.serving import responses
+from galenaspoke.edge.serving import second_runs
 from galenaspoke.edge.serving import stream_ends
 from galenaspoke.edge.serving import target_choice
 from galenaspoke.edge.streams import event_steps
@@ -38,21 +40,6 @@
 # events, whichever is longer.
 STREAM_READ_TIMEOUT_MS = 1_500
 STREAM_READ_TIMEOUT_GAPS = 4
-# How long a second run may take to show whether a stream goes on that seems to
-# have ended; its caller waits for the end meanwhile.
-END_CHECK_TIMEOUT_MS = 1_000
-
-
-class _DeadlineExceeded(Exception):
-    """The request's deadline has passed."""
-
-
-class _Abandoned(Exception):
-    """The process is about to end."""
-
-
-class _EndCheckTimeout(Exception):
-    """A second run has not shown in time whether a stream goes on."""
 
 
 class RequestHandler:
@@ -76,6 +63,7 @@
         '_resumption',
         '_incarnation_checker',
         '_end_judge',
+        '_second_runs',
         '_chooser',
         '_event_steps',
         '_undecided_tasks',
@@ -135,6 +123,15 @@
         self._chooser = target_choice.TargetChooser(
             cfg, target_view, resumption, clock, journal
         )
+        self._second_runs = second_runs.SecondRuns(
+            self.close_history,
+            admission,
+            self._chooser,
+            self._take_retry,
+            self._run_attempt,
+            metrics,
+            journal,
+        )
         self._event_steps = event_steps.EventSteps()
         # The tasks of the requests whose result isn't known yet.
         self._undecided_tasks = set()
@@ -165,7 +162,7 @@
                 result = self._resolve_version(context)
                 if result is None:
                     result = self._reserve_and_run(context, caller)
-        except _Abandoned:
+        except interruptions.Abandoned:
             result = self._finish_at_shutdown(context)
         except caller_connections.OutOfMemory as exc:
             caller.keep_alive = False
@@ -214,7 +211,7 @@
 
     def _interrupt_undecided(self):
         for task in list(self._undecided_tasks):
-            task.throw(_Abandoned())
+            task.throw(interruptions.Abandoned())
 
     def _must_close(self, caller):
         """Return whether the connection ends with the current response.
@@ -226,11 +223,11 @@
     def _limit_time(self, context):
         """Return a context manager that ends at the request's deadline.
 
-        It raises _DeadlineExceeded then.
+        It raises interruptions.DeadlineExceeded then.
         """
         remaining_ms = context.remaining_ms(self._clock.now())
         return gevent.Timeout(
-            max(0.001, remaining_ms / 1000), _DeadlineExceeded()
+            max(0.001, remaining_ms / 1000), interruptions.DeadlineExceeded()
         )
 
     def _resolve_version(self, context):
@@ -238,7 +235,7 @@
         try:
             with self._limit_time(context):
                 return self._resumption.resolve(context)
-        except _DeadlineExceeded:
+        except interruptions.DeadlineExceeded:
             return refusals.from_deadline(context)
 
     def _reserve_and_run(self, context, caller):
@@ -250,7 +247,7 @@
         try:
             with self._limit_time(context):
                 return self._run_attempts(context, caller)
-        except _DeadlineExceeded:
+        except interruptions.DeadlineExceeded:
             return refusals.from_deadline(context)
         finally:
             self.charges.settle(context)
@@ -277,8 +274,9 @@
             outcome = None
             outcome = self._run_attempt(context, target, caller)
             if isinstance(outcome, outcomes.Ended):
-                self._record_confirmed(context, target)
-                outcome = self._check_end(context, target, caller, outcome)
+                outcome = self._second_runs.check(
+                    context, target, caller, outcome
+                )
             if isinstance(outcome, outcomes.Served):
                 self._count_proof(outcome)
                 return outcome
@@ -286,75 +284,6 @@
             context, outcome, self._chooser.compute_pause_ms(context)
         )
 
-    def _check_end(self, context, closer, caller, ended):
-        """Ask another target, at times, whether a stream goes on.
-
-        Returns the Served if it has ended, and that nothing shows that it goes
-        on; else the outcome of the other target's run.
-        """
-        target = self._choose_end_checker(context, ended)
-        if target is None:
-            return ended.finish(outcomes.Proof.UNDOUBTED)
-        context.checked_id = context.last_event_id
-        outcome = self._run_end_check(context, target, caller)
-        # An event without data is none that the caller lacks.
-        has_ended = isinstance(outcome, outcomes.Ended)
-        goes_on = context.was_closed_early and not has_ended
-        if goes_on:
-            self.close_history.record_early(context.service, closer.entry.id)
-        self._metrics.count('ends.early' if goes_on else 'ends.checked')
-        self._journal.note(
-            'end.checked',
-            id=context.metadata.request_id,
-            closer=closer.entry.id,
-            target=target.entry.id,
-            goes_on=goes_on,
-            outcome=type(outcome).__name__,
-        )
-        if goes_on or context.event_order.goes_on:
-            self._metrics.count('ends.closed')
-            return outcome
-        if isinstance(outcome, outcomes.Served):
-            return outcome
-        if has_ended:
-            self._record_confirmed(context, target)
-            return ended.finish(outcomes.Proof.CHECKED)
-        return ended.finish(outcomes.Proof.UNDOUBTED)
-
-    def _record_confirmed(self, context, target):
-        """Record that a target confirms where another one closed a stream."""
-        closer_id = context.closed_by_id
-        if closer_id not in ('', target.entry.id):
-            self.close_history.record_confirmed(closer_id)
-
-    def _choose_end_checker(self, context, ended):
-        """Return the target to ask whether a stream goes on, None for none."""
-        may_ask = context.is_repeatable() and context.event_order.can_go_on()
-        is_due = self.close_history.is_check_due(context.service)
-        if not may_ask or not (is_due or ended.may_leave):
-            return None
-        target = self._chooser.choose(context, ended)
-        if target is None or self._admission.find_poison(context):
-            return None
-        if not self._take_retry(context, ended):
-            return None
-        self.close_history.record_check(context.service)
-        return target
-
-    def _run_end_check(self, context, target, caller):
-        """Return the outcome of a second run, None if it took too long."""
-        timer = gevent.Timeout.start_new(
-            END_CHECK_TIMEOUT_MS / 1000, _EndCheckTimeout()
-        )
-        try:
-            return self._run_attempt(context, target, caller, timer.close)
-        except (_EndCheckTimeout, _DeadlineExceeded, _Abandoned):
-            if context.was_closed_early:
-                raise
-            return None
-        finally:
-            timer.close()
-
     def _take_retry(self, context, outcome):
         """Return whether another target may be tried after `outcome`.
 
@@ -419,7 +348,7 @@
             outcome = attempt.run(self._read_timeout_ms(context))
             if isinstance(outcome, outcomes.NotRun):
                 context.may_have_run = may_have_run_before
-        except _DeadlineExceeded:
+        except interruptions.DeadlineExceeded:
             # A caller that reads slowly says nothing about the target.
             if not caller.response_started:
                 self._target_view.record_lost(target)
--- a/tests/edge/test_whole_streams.py
+++ b/tests/edge/test_whole_streams.py
@@ -9,7 +9,7 @@
 
 import gevent
 
-from galenaspoke.edge.serving import request_handler
+from galenaspoke.edge.serving import second_runs
 from galenaspoke.edge.serving import stream_ends
 from galenaspoke.http import messages
 from tests.edge import base
@@ -33,7 +33,7 @@
     def setUp(self):
         self.patch(stream_ends, 'LEAVING_MS', LEAVING_MS)
         self.patch(stream_ends, 'ASK_INTERVAL_MS', LEAVING_MS / 4)
-        self.patch(request_handler, 'END_CHECK_TIMEOUT_MS', CHECK_TIMEOUT_MS)
+        self.patch(second_runs, 'TIMEOUT_MS', CHECK_TIMEOUT_MS)
 
     def patch(self, module, name, value):
         """Replace a constant until the test ends."""
@@ -194,14 +194,14 @@
 
     # The same where the deadline passes meanwhile.
     def test_deadline(self):
-        self.patch(request_handler, 'END_CHECK_TIMEOUT_MS', 60_000)
+        self.patch(second_runs, 'TIMEOUT_MS', 60_000)
         desk, _ = self.make_checked_desk(lambda *_: gevent.sleep(60))
         pairs = [(b'x-deadline-ms', b'500')]
         self.check_is_whole(desk, pairs=pairs)
 
     # The same where the router is stopped and its grace ends meanwhile.
     def test_end_of_the_grace(self):
-        self.patch(request_handler, 'END_CHECK_TIMEOUT_MS', 60_000)
+        self.patch(second_runs, 'TIMEOUT_MS', 60_000)
         desk, _ = self.make_checked_desk(lambda *_: gevent.sleep(60))
         gevent.spawn_later(0.5, desk.handler.abandon_open_requests)
         self.check_is_whole(desk)
@@ -232,7 +232,7 @@
 
         for engine in engines:
             test_closed_review.replace_run(engine, run)
-        self.patch(request_handler, 'END_CHECK_TIMEOUT_MS', 80)
+        self.patch(second_runs, 'TIMEOUT_MS', 80)
         self.check_is_whole(desk)
 
     # Guards against an engine that was found to close streams early, and
--- a/tests/edge/test_whole_streams_review.py
+++ b/tests/edge/test_whole_streams_review.py
@@ -258,8 +258,8 @@
             ends.append(sock.recv(1))
 
         self.patch(
-            test_whole_streams.request_handler,
-            'END_CHECK_TIMEOUT_MS',
+            test_whole_streams.second_runs,
+            'TIMEOUT_MS',
             60_000,
         )
         desk, engines = self.make_checked_desk(wait_for_end)
