Streams: an engine that leaves is watched for half a second

Cause: each stream that ended within a second of its engine's end counted as cut with it. Engines that cut their streams as they end are gone in a moment; those that serve to the end are gone just as well, later.

Change: half a second, a quarter where the engine's report lists others after the end. Known red again is an engine that ends streams one by one, is asked in between and is gone later than that: reports are up to some hundred ms old, so it is unlikely, and streams of engines that leave are common.

--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -18,9 +18,11 @@
 
 import gevent
 
-# A target that leaves, and ends its streams as it does, is gone by then.
-LEAVING_MS = 1_000
-# How often it is asked until then.
+# A target that leaves, and ends its streams as it does, is gone by then.  One
+# that ends its last streams by themselves may be gone so soon as well.
+LEAVING_MS = 500
+# How often it is asked until then.  It is asked once if it still works on
+# other requests, which it would have ended, too.
 ASK_INTERVAL_MS = 250
 # The least time before the deadline that is left to tell the caller.
 TELL_MS = 100
@@ -75,11 +77,12 @@
         return ''
 
     def _outlives(self, context, check, closed_at):
-        """Return whether a target lives on for LEAVING_MS after the end.
+        """Return whether a target lives on for a while after the end.
 
         If the deadline comes sooner, it lives on as long as that can wait.
         """
-        until = min(closed_at + LEAVING_MS, context.deadline - TELL_MS)
+        watch_ms = ASK_INTERVAL_MS if check.lists_others else LEAVING_MS
+        until = min(closed_at + watch_ms, context.deadline - TELL_MS)
         request_id = context.metadata.request_id
         while self._clock.now() < until:
             gevent.sleep(ASK_INTERVAL_MS / 1000)
