Streams: another text with more events says that a stream goes on (ORDER)

Corrects, by which a second run with another text and events after the caller's last one said nothing.

--- a/galenaspoke/edge/streams/event_order.py
+++ b/galenaspoke/edge/streams/event_order.py
@@ -208,13 +208,12 @@
         most = max(self.max_step, self.service_step)
         self.join_step = max(self.join_step, step)
         if self._lacks_last():
-            self.goes_on = True
             self._reject_run(f'no event ends at {last}, but at {number}')
         elif self._has_other_text:
             self._reject_run(f'another text up to {last}')
         elif most and step > most:
-            self.goes_on = True
             self.fault = f'events are missing between {last} and {number}'
+        self.goes_on = bool(self.fault)
 
 
 def _parse_id(event_id):
