--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -2,6 +2,7 @@
 
 from galenaspoke.core import catalog
 from galenaspoke.edge import outcomes
+from galenaspoke.edge.serving import stream_ends
 from galenaspoke.edge.streams import event_limits
 from galenaspoke.edge.streams import sse
 from galenaspoke.edge.targets import incarnations
@@ -249,7 +250,17 @@
                 response, self._timeout_s, may_end_by_close=True
             ),
         )
+        closed_at = self._clock.now()
         self._confirm_end(end_check)
+        is_accepted = not end_check or self._cfg.accept_closed_streams
+        if response.status == OK and is_stream_route and not is_accepted:
+            doubt = self._end_judge.find_doubt(
+                self._context, self._target, end_check, True, closed_at
+            )
+            if doubt:
+                raise connections.ResponseLost(
+                    f'closed, without a length: {doubt}'
+                )
         if response.status in NOT_RUN_STATUSES:
             return outcomes.Unknown(
                 f'status {response.status}, without proof it did not run'
@@ -328,21 +339,26 @@
                 return outcomes.Closed(order.fault, is_unfit=True)
         if self._may_have_stopped(response):
             raise connections.ResponseLost('it ended at the deadline')
-        self._confirm_end(end_check)
         if response.is_framed:
             return self._finish_stream(response, None)
-        proof = self._end_judge.find_proof(self._context)
-        if proof is not None:
-            return self._finish_stream(response, proof)
+        if stream_ends.has_most(self._context):
+            return self._finish_stream(response, outcomes.Proof.MOST)
+        self._confirm_end(end_check)
+        if self._cfg.accept_closed_streams:
+            return self._finish_stream(response, outcomes.Proof.ALIVE)
+        ended = outcomes.Ended(
+            lambda proof: self._finish_stream(response, proof),
+            stream_ends.may_leave(self._target, end_check),
+        )
+        self._context.watched_end = ended
         doubt = self._end_judge.find_doubt(
             self._context, self._target, end_check, has_new_events, closed_at
         )
+        self._context.watched_end = None
         self._context.record_closed(self._target, has_new_events)
         if doubt:
             return outcomes.Closed(f'closed, without a length: {doubt}')
-        return outcomes.Ended(
-            lambda proof: self._finish_stream(response, proof)
-        )
+        return ended
 
     def _finish_stream(self, response, proof):
         """Tell the caller that its stream is complete; return the Served."""
--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -11,19 +11,19 @@
 
 Example::
 
+    has_most(context)                  # True: no more can come
     judge = EndJudge(cfg, history, clock)
-    judge.find_proof(context)                          # Proof.MOST
     judge.find_doubt(context, target, check, has_events, closed_at)
 """
 
 import gevent
 
-from galenaspoke.edge import outcomes
-
 # A target that leaves, and ends its streams as it does, is gone by then.
 LEAVING_MS = 1_000
 # How often it is asked until then.
 ASK_INTERVAL_MS = 250
+# The least time before the deadline that is left to tell the caller.
+TELL_MS = 100
 
 
 class EndJudge:
@@ -39,14 +39,6 @@
         self._history = history
         self._clock = clock
 
-    def find_proof(self, context):
-        """Return the Proof that a stream has ended, None if there is none."""
-        if _has_most(context):
-            return outcomes.Proof.MOST
-        if self._cfg.accept_closed_streams:
-            return outcomes.Proof.ALIVE
-        return None
-
     def find_doubt(self, context, target, check, has_events, closed_at):
         """Return what speaks against the end of a stream, '' for nothing.
 
@@ -63,7 +55,7 @@
             return 'it was closed early before'
         if self._history.closes_early(target_id):
             return 'its target has closed a stream early'
-        if not (target.may_leave() or check.says_leaving):
+        if not may_leave(target, check):
             return ''
         return self._find_doubt_of_leaving(context, target, check, closed_at)
 
@@ -71,18 +63,23 @@
         """Return why a target that leaves may have closed it early."""
         target_id = target.entry.id
         self._history.record_close(target_id, closed_at)
-        if check.lists_others:
-            # It hasn't ended all that it had open.
-            return ''
         if not self._outlives(context, check, closed_at):
             return 'its target leaves, and is gone'
-        if self._history.was_among_others(target_id, closed_at):
+        # That its entry is missing doesn't say that it leaves.
+        leaves = target.is_leaving or target.is_removed or check.says_leaving
+        has_ended_all = leaves and not check.lists_others
+        if has_ended_all and self._history.was_among_others(
+            target_id, closed_at
+        ):
             return 'its target leaves, and closed others with it'
         return ''
 
     def _outlives(self, context, check, closed_at):
-        """Return whether a target lives on for LEAVING_MS after the end."""
-        until = closed_at + LEAVING_MS
+        """Return whether a target lives on for LEAVING_MS after the end.
+
+        If the deadline comes sooner, it lives on as long as that can wait.
+        """
+        until = min(closed_at + LEAVING_MS, context.deadline - TELL_MS)
         request_id = context.metadata.request_id
         while self._clock.now() < until:
             gevent.sleep(ASK_INTERVAL_MS / 1000)
@@ -91,11 +88,17 @@
         return True
 
 
-def _has_most(context):
+def may_leave(target, check):
+    """Return whether a target may leave, by its entry or by its word."""
+    return target.may_leave() or check.says_leaving
+
+
+def has_most(context):
     """Return whether all output that the request allows has come.
 
-    Each event holds at least one token; how many it holds at most says nothing
-    of what came.  How many came before those of this response isn't known.
+    Then nothing is left to come, whatever became of the target.  Each event
+    holds at least one token; how many it holds at most says nothing of what
+    came.  How many came before those of this response isn't known.
     """
     metadata = context.metadata
     if metadata.is_resumption() or not metadata.output_tokens:
