Streams: an end that is being sent is sent once (MIXED)

What callers saw: two ends of one stream, where the grace of the router ended while a caller took its time to read the first one.

Cause: a second run that takes too long while its engine is watched leaves its own end as the one that holds at the end of the grace.

Evidence: test_end_is_sent_once failed before (2 ends), and passes.

--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -362,6 +362,8 @@
 
     def _finish_stream(self, response, proof):
         """Tell the caller that its stream is complete; return the Served."""
+        # It must not be told so once more if the sending is interrupted.
+        self._context.watched_end = None
         is_chunked = self._context.req.takes_chunks
         self._send_body(response, messages.LAST_CHUNK if is_chunked else b'')
         return outcomes.Served(response.status, response.is_framed, proof)
--- a/tests/edge/test_whole_streams_review.py
+++ b/tests/edge/test_whole_streams_review.py
@@ -32,6 +32,8 @@
 )
 # How long a caller may wait for the end of a stream that has ended.
 MAX_WAIT_MS = 1_000
+# How old what an engine says of its work may be.
+REPORT_AGE_S = 0.2
 # How long a test waits for what must not happen.
 REST_S = 0.3
 
@@ -273,6 +275,30 @@
         base.wait_until(lambda: ends)
         self.assertEqual([b''], ends)
 
+    # Guards against a caller that gets the end of its stream twice: a check
+    # ends while its engine is watched as it leaves, and the grace of the
+    # router while the caller takes its time to read the end (MIXED).
+    def test_end_is_sent_once(self):
+        self.patch(stream_ends, 'LEAVING_MS', 2_000)
+
+        def close_and_leave(engine, sock):
+            engine.state = b'"State":"draining","leaves_ms":900,'
+            test_closed_review.send_head(engine, sock)
+
+        class SlowCaller(handlers.Caller):
+            """A caller that takes its time to read the end."""
+
+            def send(self, data):
+                """Record bytes, and wait after the end."""
+                super().send(data)
+                if data == messages.LAST_CHUNK:
+                    gevent.sleep(1)
+
+        desk, _ = self.make_checked_desk(close_and_leave)
+        gevent.spawn_later(0.6, desk.handler.abandon_open_requests)
+        caller, _ = self.ask(desk, SlowCaller(), test_whole_streams.MORE_USAGE)
+        self.assertEqual(1, caller.body.count(messages.LAST_CHUNK))
+
     # Guards against more runs than the route allows, and a retry too many.
     def test_attempts_are_kept(self):
         for most in (1, 2, 3):
@@ -493,3 +519,17 @@
             if name not in doubted:
                 directory.remove(name, desk.clock.now())
         self.check_is_whole(desk)
+
+
+class OldReportTest(ReviewTestCase):
+    """Reports that are as of some hundred ms ago."""
+
+    # Guards against a stream that is told whole, as a report from before it
+    # doesn't list it, though its engine still works on it (ORDER).
+    def test_report_from_before_the_stream(self):
+        desk, (engine,) = self.make_desk(resumable=False)
+        engine.cut_at = test_endings.CUT_AFTER
+        engine.cut = lambda: gevent.spawn_later(
+            REPORT_AGE_S, engine.runs.append, handlers.REQUEST_ID
+        )
+        self.check_is_broken(desk)
