--- a/galenaspoke/edge/serving/attempts.py
+++ b/galenaspoke/edge/serving/attempts.py
@@ -252,15 +252,8 @@
         )
         closed_at = self._clock.now()
         self._confirm_end(end_check)
-        is_accepted = not end_check or self._cfg.accept_closed_streams
-        if response.status == OK and is_stream_route and not is_accepted:
-            doubt = self._end_judge.find_doubt(
-                self._context, self._target, end_check, True, closed_at
-            )
-            if doubt:
-                raise connections.ResponseLost(
-                    f'closed, without a length: {doubt}'
-                )
+        if response.status == OK and is_stream_route:
+            self._check_other_type(end_check, closed_at)
         if response.status in NOT_RUN_STATUSES:
             return outcomes.Unknown(
                 f'status {response.status}, without proof it did not run'
@@ -285,6 +278,19 @@
         proof = None if response.is_framed else outcomes.Proof.ALIVE
         return outcomes.Served(response.status, response.is_framed, proof)
 
+    def _check_other_type(self, end_check, closed_at):
+        """Raise ResponseLost if a response that is no stream may be cut off.
+
+        On a route of streams it is judged as they are.
+        """
+        if end_check is None or self._cfg.accept_closed_streams:
+            return
+        doubt = self._end_judge.find_doubt(
+            self._context, self._target, end_check, True, closed_at
+        )
+        if doubt:
+            raise connections.ResponseLost(_explain_close(doubt))
+
     def _relay_stream(self, conn, response, end_check):
         """Relay events as they arrive, each only once it is complete."""
         splitter = sse.EventSplitter()
@@ -341,6 +347,10 @@
             raise connections.ResponseLost('it ended at the deadline')
         if response.is_framed:
             return self._finish_stream(response, None)
+        return self._judge_end(response, end_check, has_new_events, closed_at)
+
+    def _judge_end(self, response, end_check, has_new_events, closed_at):
+        """Return the outcome of a stream that its target has closed."""
         if stream_ends.has_most(self._context):
             return self._finish_stream(response, outcomes.Proof.MOST)
         self._confirm_end(end_check)
@@ -357,7 +367,7 @@
         self._context.watched_end = None
         self._context.record_closed(self._target, has_new_events)
         if doubt:
-            return outcomes.Closed(f'closed, without a length: {doubt}')
+            return outcomes.Closed(_explain_close(doubt))
         return ended
 
     def _finish_stream(self, response, proof):
@@ -433,6 +443,11 @@
         self._caller.send(data)
 
 
+def _explain_close(doubt):
+    """Return why a response that its target closed may be cut off."""
+    return f'closed, without a length: {doubt}'
+
+
 def _is_stream(response):
     """Return whether a response says that it is a stream of events."""
     content_type = response.header(b'content-type').lower()
