Streams: a report from before a second run says nothing of it (ORDER)

Cause: reports are up to some hundred ms old.

Change: the target of a second run that brought events is asked again once the run is as old as a report may be.

--- a/galenaspoke/edge/serving/stream_ends.py
+++ b/galenaspoke/edge/serving/stream_ends.py
@@ -24,6 +24,8 @@
 # How often it is asked until then.  It is asked once if it still works on
 # other requests, which it would have ended, too.
 ASK_INTERVAL_MS = 250
+# A report may be as old as this.
+REPORT_AGE_MS = 400
 # The least time before the deadline that is left to tell the caller.
 TELL_MS = 100
 
@@ -57,10 +59,24 @@
             return 'it was closed early before'
         if self._history.closes_early(target_id):
             return 'its target has closed a stream early'
+        if has_events and not self._is_known_ended(context, check):
+            return 'its target may still work on it'
         if not may_leave(target, check):
             return ''
         return self._find_doubt_of_leaving(context, target, check, closed_at)
 
+    def _is_known_ended(self, context, check):
+        """Return whether a target has said so since a later run began.
+
+        A run that goes on for others may be shorter than reports are old, and
+        one that hasn't listed it may be from before it.
+        """
+        age_ms = self._clock.now() - context.sent_at
+        if len(context.tried_ids) < 2 or age_ms >= REPORT_AGE_MS:
+            return True
+        gevent.sleep((REPORT_AGE_MS - age_ms) / 1000)
+        return check.is_alive(context.metadata.request_id)
+
     def _find_doubt_of_leaving(self, context, target, check, closed_at):
         """Return why a target that leaves may have closed it early."""
         target_id = target.entry.id
