--- a/bench/floods.py
+++ b/bench/floods.py
@@ -2,7 +2,7 @@
 
 Example::
 
-    python -m bench.floods --product /work/base --case tiny-chunks --case none
+    python -m bench.floods --product ../base --case tiny-chunks --case none
 
 Each case has a router, a store and two engines of its own.  One engine is
 faulty or its callers are; a caller of the other one's service counts answers.
