--- a/review/stand-ins-3/engine.py
+++ b/review/stand-ins-3/engine.py
@@ -137,7 +137,8 @@
         self.streams += 1
         is_wrong = self.streams == self.cfg.get('wrong_stream')
         tokens = int(message.get('x-token-usage', '0,60').split(',')[1])
-        count = int(json.loads(message.body)['events'])
+        document = json.loads(message.body)
+        count = int(document['events'])
         after = int(message.get('last-event-id') or 0) // STRIDE
         head = [
             *head,
@@ -145,7 +146,7 @@
             ('Transfer-Encoding', 'chunked'),
             ('X-Weight-Versions', '1'),
         ]
-        await asyncio.sleep(FIRST_S)
+        await asyncio.sleep(document.get('first_s', FIRST_S))
         writer.write(http11.encode('HTTP/1.1 200 OK', head))
         for number in range(after + 1, min(count, tokens) + 1):
             text = f'{self.cfg["version"]}.{number} {message.body.hex()[:16]}'
--- a/review/stand-ins-3/world.py
+++ b/review/stand-ins-3/world.py
@@ -96,7 +96,9 @@
         self.record_file = open(folder / 'record.txt', 'w', buffering=1)
         self.began = time.time()
         self.processes = {}
-        self.network = f'127.{random.randint(20, 250)}.{random.randint(1, 250)}'
+        self.network = (
+            f'127.{random.randint(20, 250)}.{random.randint(1, 250)}'
+        )
         self.hosts = 0
         self.store = f'{self.new_ip()}:{STORE}'
         self.routers = {}
@@ -122,8 +124,11 @@
 
     def spawn(self, name, command, env=None):
         out = open(self.temporary / f'{name}.out', 'ab')
-        base = {key: os.environ[key] for key in ('PATH', 'HOME', 'LANG')
-                if key in os.environ}
+        base = {
+            key: os.environ[key]
+            for key in ('PATH', 'HOME', 'LANG')
+            if key in os.environ
+        }
         base['PYTHONPATH'] = str(ROOT / 'target/deps')
         self.processes[name] = subprocess.Popen(
             command,
@@ -136,10 +141,14 @@
         self.record('process', name=name, pid=self.processes[name].pid)
 
     def start_store(self):
-        self.spawn('store', [sys.executable, str(HERE / 'store.py'), self.store])
+        self.spawn(
+            'store', [sys.executable, str(HERE / 'store.py'), self.store]
+        )
 
     def start_engine(self, name, service, is_model, zone, **more):
-        ip = self.engines[name]['ip'] if name in self.engines else self.new_ip()
+        ip = (
+            self.engines[name]['ip'] if name in self.engines else self.new_ip()
+        )
         cfg = {
             'id': name,
             'listen': f'{ip}:{APP}',
@@ -204,7 +213,9 @@
             message = await http11.call(
                 self.store, 'POST', '/objects/config', body
             )
-        self.record('config', version=document['Version'], answer=message.first)
+        self.record(
+            'config', version=document['Version'], answer=message.first
+        )
 
     async def await_store(self):
         until = time.monotonic() + START_S
