--- a/review/stand-ins-3/engine.py
+++ b/review/stand-ins-3/engine.py
@@ -115,7 +115,7 @@
             tenant=message.get('x-tenant'),
             after=message.get('last-event-id'),
         )
-        self.runs[request_id] = True
+        self.runs[request_id] = 0
         stamp = f'{self.id}.{self.born}.{request_id}'
         head = [*echo, ('X-Response-Stamp', stamp)]
         how = 'cut'
@@ -129,8 +129,8 @@
                 await writer.drain()
             how = 'whole'
         finally:
-            del self.runs[request_id]
-            self.note(what='end', id=request_id, how=how)
+            sent = self.runs.pop(request_id)
+            self.note(what='end', id=request_id, how=how, events=sent)
         return True
 
     async def stream(self, message, request_id, head, writer):
@@ -157,7 +157,8 @@
                 self.note(what='wrong', id=request_id, bytes=len(event))
             writer.write(http11.chunk(event))
             await writer.drain()
-            await asyncio.sleep(EVENT_S)
+            self.runs[request_id] += 1
+            await asyncio.sleep(document.get('event_s', EVENT_S))
         writer.write(b'0\r\n\r\n')
         await writer.drain()
 
