--- a/review/stand-ins-3/world.py
+++ b/review/stand-ins-3/world.py
@@ -130,6 +130,8 @@
             if key in os.environ
         }
         base['PYTHONPATH'] = str(ROOT / 'target/deps')
+        # Programs look up the names of their own addresses when they start.
+        base['RES_OPTIONS'] = 'timeout:1 attempts:1'
         self.processes[name] = subprocess.Popen(
             command,
             cwd=ROOT,
@@ -236,6 +238,20 @@
                     raise CannotRun(f'{name} is not ready')
                 await asyncio.sleep(0.2)
 
+    async def await_open(self):
+        """Wait until all routers take connections of clients."""
+        until = time.monotonic() + START_S
+        for name, ip in self.routers.items():
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(ip, FRONT)
+                    writer.close()
+                    break
+                except OSError:
+                    if time.monotonic() > until:
+                        raise CannotRun(f'{name} is not open') from None
+                    await asyncio.sleep(0.02)
+
     async def is_ready(self, name, timeout_s=1.0):
         try:
             message = await http11.call(
